--- /dev/null
+++ b/internal/backend/plain.go
@@ -0,0 +1,69 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Plain is a client of plain services.
+type Plain struct {
+	client *http.Client
+}
+
+// NewPlain returns a client on the transport. It follows no redirects.
+func NewPlain(transport http.RoundTripper) *Plain {
+	return &Plain{client: &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// PlainRequest is a call of a plain service.
+type PlainRequest struct {
+	Method  string
+	Path    string // with the query
+	Header  http.Header
+	Body    []byte
+	Attempt string
+}
+
+// PlainAnswer is the whole answer of a plain service.
+type PlainAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// passedHeaders are those of a caller that plain services receive.
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "Idempotency-Key"}
+
+// Call runs the request on the backend server and returns its whole answer.
+func (p *Plain) Call(ctx context.Context, address string, r PlainRequest) (*PlainAnswer, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, io.NopCloser(bytes.NewReader(r.Body)))
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	req.ContentLength = int64(len(r.Body))
+	for _, name := range passedHeaders {
+		if value := r.Header.Get(name); value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	req.Header.Set(HeaderRequestID, r.Attempt)
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call plain service")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	return &PlainAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
--- /dev/null
+++ b/internal/filter/filter.go
@@ -0,0 +1,65 @@
+// Package filter holds the chain that every request of a caller passes. Each filter
+// has one job and a folder of its own.
+package filter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// Request is one request of a caller on its way through the chain.
+type Request struct {
+	ID       string // unique over the fleet
+	HTTP     *http.Request
+	Writer   *Writer
+	Received time.Time
+	Config   *ticket.Config // the configuration at arrival
+
+	// Set by the decode filter.
+	Service   ticket.Service
+	ServiceID string // as the caller named it
+	Body      []byte
+	Chat      *Chat  // nil for plain services
+	Path      string // below a plain service, with the query
+
+	// Set by the identify filter.
+	Account ticket.Account
+
+	// Set while the request is attempted, for the record filter.
+	Granted    time.Time
+	FirstToken time.Time
+	Cost       float64
+}
+
+// Chat is what the chain needs of a chat completion request.
+type Chat struct {
+	Model        string
+	Stream       bool
+	IncludeUsage bool
+	MaxTokens    int // 0 when the caller sets no limit
+}
+
+// Handler answers a request. An error that it returns has not been written to the caller.
+type Handler interface {
+	Handle(ctx context.Context, r *Request) error
+}
+
+// HandlerFunc is a function that is a Handler.
+type HandlerFunc func(ctx context.Context, r *Request) error
+
+// Handle calls the function.
+func (f HandlerFunc) Handle(ctx context.Context, r *Request) error { return f(ctx, r) }
+
+// Filter wraps the next handler of the chain.
+type Filter func(next Handler) Handler
+
+// Chain returns the last handler behind the filters, the first of them outermost.
+func Chain(last Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		last = filters[i](last)
+	}
+	return last
+}
--- /dev/null
+++ b/internal/filter/record/record.go
@@ -0,0 +1,72 @@
+// Package record is the outermost filter. It tells callers of errors and counts results.
+package record
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// Metrics receives what is known of a request at its end.
+type Metrics interface {
+	CountResult(code result.Code, service string)
+	ObserveAnswer(account, service string, d time.Duration)
+	ObserveWait(account, service string, d time.Duration)
+	ObserveFirstToken(account, service string, d time.Duration)
+	ObserveCost(account, service string, cost float64)
+}
+
+// New returns the filter.
+func New(metrics Metrics, logger *slog.Logger) filter.Filter {
+	return func(next filter.Handler) filter.Handler {
+		return filter.HandlerFunc(func(ctx context.Context, r *filter.Request) error {
+			err := next.Handle(ctx, r)
+			observe(metrics, r, err)
+			if err == nil {
+				return nil
+			}
+			if errors.Is(err, context.Canceled) && ctx.Err() != nil {
+				logger.Debug("Caller went away.", "request", r.ID)
+				return nil
+			}
+			logFailure(logger, r, err)
+			r.Writer.Fail(err)
+			return nil
+		})
+	}
+}
+
+func logFailure(logger *slog.Logger, r *filter.Request, err error) {
+	e := result.From(err)
+	level := slog.LevelInfo
+	if e.Class() != result.NotRun {
+		level = slog.LevelWarn
+	}
+	logger.Log(context.Background(), level, "Request failed.",
+		"request", r.ID, "account", r.Account.ID, "service", r.Service.ID, "code", int(e.Code), "error", err)
+}
+
+func observe(metrics Metrics, r *filter.Request, err error) {
+	now := time.Now()
+	account, service := r.Account.ID, r.Service.ID
+	metrics.CountResult(result.CodeOf(err), service)
+	if account == "" || service == "" {
+		return
+	}
+	if !r.Granted.IsZero() {
+		metrics.ObserveWait(account, service, r.Granted.Sub(r.Received))
+	}
+	if !r.FirstToken.IsZero() {
+		metrics.ObserveFirstToken(account, service, r.FirstToken.Sub(r.Received))
+	}
+	if err != nil {
+		return
+	}
+	metrics.ObserveAnswer(account, service, now.Sub(r.Received))
+	metrics.ObserveCost(account, service, r.Cost)
+}
--- /dev/null
+++ b/internal/filter/writer.go
@@ -0,0 +1,60 @@
+package filter
+
+import (
+	"net/http"
+
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// Writer is the answer to a caller. It knows whether the answer has begun.
+type Writer struct {
+	http.ResponseWriter
+	begun  bool
+	events bool
+}
+
+// NewWriter returns a writer whose answer has not begun.
+func NewWriter(w http.ResponseWriter) *Writer { return &Writer{ResponseWriter: w} }
+
+// Begun reports whether a byte of the answer may have left.
+func (w *Writer) Begun() bool { return w.begun }
+
+// BeginEvents begins an answer of server-sent events.
+func (w *Writer) BeginEvents() {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.events = true
+	w.WriteHeader(http.StatusOK)
+}
+
+// WriteHeader begins the answer.
+func (w *Writer) WriteHeader(status int) {
+	w.begun = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write begins the answer when it has not begun.
+func (w *Writer) Write(p []byte) (int, error) {
+	w.begun = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush sends what was written.
+func (w *Writer) Flush() error { return http.NewResponseController(w.ResponseWriter).Flush() }
+
+// Fail tells the caller of an error: as a whole answer before it begins, as an error
+// event in a stream of events. Any other answer that has begun is cut, so that the
+// caller cannot take it for complete.
+func (w *Writer) Fail(err error) {
+	if !w.begun {
+		w.begun = true
+		result.WriteHTTP(w.ResponseWriter, err)
+		return
+	}
+	if w.events {
+		_, _ = w.Write(result.SSE(err))
+		_ = w.Flush()
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// sessionServer receives the messages of peers and answers their pings.
+type sessionServer struct {
+	mesh *Mesh
+}
+
+// Session implements the Mesh service.
+func (s *sessionServer) Session(stream pb.DRPCMesh_SessionStream) error {
+	if err := checkToken(stream.Context(), s.mesh.opts.Secret, time.Now()); err != nil {
+		return err
+	}
+	for {
+		env, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive from peer")
+		}
+		s.mesh.opts.Counter(proto.Size(env), false, kind(env), env.From)
+		if ping := env.GetPing(); ping != nil {
+			if err := stream.Send(&pb.Pong{Seq: ping.Seq}); err != nil {
+				return errors.Wrap(err, "answer ping")
+			}
+			continue
+		}
+		s.mesh.opts.Handler(env)
+	}
+}
