--- /dev/null
+++ b/internal/result/code.go
@@ -0,0 +1,158 @@
+// Package result holds the numbered result codes of filbertrill, the typed error
+// that carries them, and the forms in which callers receive them.
+package result
+
+import "strconv"
+
+// Code is the number of a result. The thousands tell the kind: 1xxx not run,
+// 2xxx run and answered in part, 3xxx outcome unknown, 4xxx operators' requests,
+// 5xxx start-up settings.
+type Code int
+
+// OK is the code of a request that ran and was answered whole.
+const OK Code = 0
+
+// Requests that were not run because of the caller's mistake.
+const (
+	KeyMissing            Code = 1001
+	KeyUnknown            Code = 1002
+	KeyOtherAccount       Code = 1003
+	BodyMalformed         Code = 1004
+	BodyTooLarge          Code = 1005
+	ServiceUnknown        Code = 1006
+	PathUnknown           Code = 1007
+	ResumeTokenInvalid    Code = 1008
+	IdempotencyKeyReused  Code = 1009
+	IdempotencyKeyInvalid Code = 1010
+)
+
+// Requests that were not run because of a limit or missing capacity.
+const (
+	AccountQueueFull   Code = 1101
+	DaemonFull         Code = 1102
+	DeadlineUnmeetable Code = 1103
+	AccountInFlightCap Code = 1104
+	NoServerJoined     Code = 1105
+)
+
+// Requests that were not run because of the state of the daemon.
+const (
+	NoConfiguration   Code = 1201
+	CutOff            Code = 1202
+	Draining          Code = 1203
+	ClaimsUnavailable Code = 1204
+	NotReady          Code = 1205
+)
+
+// Requests that ran and were answered in part.
+const (
+	StreamBroken    Code = 2001
+	ServerFailed    Code = 2002
+	AnswerIdleLimit Code = 2003
+)
+
+// Requests whose outcome is unknown.
+const (
+	AnswerLost            Code = 3001
+	ServerSilent          Code = 3002
+	EarlierOutcomeUnknown Code = 3003
+	Internal              Code = 3004
+)
+
+// Requests of operators.
+const (
+	TicketMalformed         Code = 4001
+	TicketNumberStale       Code = 4002
+	TicketNumberConflict    Code = 4003
+	TicketReferenceUnknown  Code = 4004
+	AppendOutcomeUnknown    Code = 4005
+	LogUnavailable          Code = 4006
+	TicketNotAcceptedInTime Code = 4007
+	OperatorUnauthenticated Code = 4008
+	MemberUnknown           Code = 4009
+)
+
+// Start-up settings.
+const (
+	SettingUnknown       Code = 5001
+	SettingMissing       Code = 5002
+	SettingInvalid       Code = 5003
+	SettingContradictory Code = 5004
+)
+
+// Class tells how far a request got.
+type Class string
+
+// The classes of results.
+const (
+	Done    Class = "done"
+	NotRun  Class = "not_run" // no byte of the request can have reached a backend server
+	Partial Class = "partial"
+	Unknown Class = "unknown"
+)
+
+// Retry is the advice to a caller on asking again.
+type Retry string
+
+// The advice on asking again.
+const (
+	RetryNever        Retry = "never"
+	RetrySameDaemon   Retry = "same_daemon"   // after the Retry-After time
+	RetryAnotherEntry Retry = "another_entry" // another address of the fleet
+	RetrySameKey      Retry = "same_key"      // with the same idempotency key or ticket number
+)
+
+// Info describes a code.
+type Info struct {
+	Code        Code
+	Name        string
+	HTTPStatus  int
+	Class       Class
+	Retry       Retry
+	Description string
+}
+
+// Info returns the description of the code, or that of Internal when the code is not in the table.
+func (c Code) Info() Info {
+	if info, ok := infoByCode[c]; ok {
+		return info
+	}
+	return infoByCode[Internal]
+}
+
+// Known reports whether the code is in the table.
+func (c Code) Known() bool {
+	_, ok := infoByCode[c]
+	return ok
+}
+
+// Name returns the snake_case name of the code.
+func (c Code) Name() string { return c.Info().Name }
+
+// HTTPStatus returns the status of an HTTP answer with the code.
+func (c Code) HTTPStatus() int { return c.Info().HTTPStatus }
+
+// Class returns how far a request with the code got.
+func (c Code) Class() Class { return c.Info().Class }
+
+// Retry returns the advice on asking again.
+func (c Code) Retry() Retry { return c.Info().Retry }
+
+// Retryable reports whether the caller may ask again.
+func (c Code) Retryable() bool { return c.Retry() != RetryNever }
+
+// Description returns one line on the code.
+func (c Code) Description() string { return c.Info().Description }
+
+// String returns the number and the name, as in "1101 account_queue_full".
+func (c Code) String() string {
+	if !c.Known() {
+		return strconv.Itoa(int(c)) + " unlisted"
+	}
+	return strconv.Itoa(int(c)) + " " + c.Name()
+}
+
+// All returns every code in ascending order.
+func All() []Info {
+	return append([]Info(nil), table...)
+}
--- /dev/null
+++ b/internal/result/http.go
@@ -0,0 +1,112 @@
+package result
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// The headers that tell a result.
+const (
+	HeaderResultCode  = "X-Result-Code"
+	HeaderOutcome     = "X-Outcome"
+	HeaderRetryAfter  = "Retry-After"    // whole seconds
+	HeaderShouldRetry = "X-Should-Retry" // read by OpenAI's client libraries
+)
+
+// MinRetryAfter is the shortest time a caller is asked to wait.
+const MinRetryAfter = time.Second
+
+type body struct {
+	Error bodyError `json:"error"`
+}
+
+type bodyError struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"`
+	Code         string `json:"code"`
+	ResultCode   int    `json:"result_code"`
+	Outcome      Class  `json:"outcome"`
+	Retry        Retry  `json:"retry"`
+	RetryAfterMS int64  `json:"retry_after_ms"` // 0 when asking again is of no use
+}
+
+// WriteHTTP writes err as a whole HTTP answer in the form of OpenAI's errors. It
+// writes nothing when err is nil.
+func WriteHTTP(w http.ResponseWriter, err error) {
+	e := From(err)
+	if e == nil {
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderResultCode, strconv.Itoa(int(e.Code)))
+	h.Set(HeaderOutcome, string(e.Class()))
+	h.Set(HeaderShouldRetry, strconv.FormatBool(e.Code.Retry() == RetrySameDaemon))
+	if wait := retryAfter(e); wait > 0 {
+		h.Set(HeaderRetryAfter, strconv.FormatInt(ceil(wait, time.Second), 10))
+	}
+	w.WriteHeader(e.Code.HTTPStatus())
+	// A failed write means that the caller has gone; nobody is left to tell.
+	_, _ = w.Write(append(encode(e), '\n'))
+}
+
+// SSE returns err as a server-sent event of type "error", for an answer whose
+// stream has begun. It returns nil when err is nil.
+func SSE(err error) []byte {
+	e := From(err)
+	if e == nil {
+		return nil
+	}
+	event := []byte("event: error\ndata: ")
+	event = append(event, encode(e)...)
+	return append(event, "\n\n"...)
+}
+
+func encode(e *Error) []byte {
+	data, err := json.Marshal(body{Error: bodyError{
+		Message:      e.Message,
+		Type:         openAIType(e.Code.HTTPStatus()),
+		Code:         e.Code.Name(),
+		ResultCode:   int(e.Code),
+		Outcome:      e.Class(),
+		Retry:        e.Code.Retry(),
+		RetryAfterMS: ceil(retryAfter(e), time.Millisecond),
+	}})
+	if err != nil {
+		panic(err) // strings and integers always encode
+	}
+	return data
+}
+
+// retryAfter returns the time to wait before another try, 0 when there is to be none.
+func retryAfter(e *Error) time.Duration {
+	if !e.Code.Retryable() {
+		return 0
+	}
+	return max(e.RetryAfter, MinRetryAfter)
+}
+
+func ceil(d, unit time.Duration) int64 {
+	n := int64(d / unit)
+	if d%unit > 0 {
+		n++
+	}
+	return n
+}
+
+func openAIType(status int) string {
+	switch status {
+	case http.StatusUnauthorized:
+		return "authentication_error"
+	case http.StatusForbidden:
+		return "permission_error"
+	case http.StatusTooManyRequests:
+		return "rate_limit_error"
+	}
+	if status >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
