Set up the log of each part and the metrics of a daemon

Cause: the operations team runs the fleet from its log and its metrics. Tally's _sum adds bucket bounds, so served tokens have an exact counter.

--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,89 @@
+// Package logging sets up the process's log and gives each part of the program a
+// logger whose messages begin with a fixed prefix.
+package logging
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// Part names a part of the program in its log.
+type Part string
+
+// The parts of the program.
+const (
+	Config   Part = "config"
+	Members  Part = "members"
+	Dispatch Part = "dispatch"
+	Entry    Part = "entry"
+	Backend  Part = "backend"
+	Peer     Part = "peer"
+	Daemon   Part = "daemon"
+)
+
+// Options are the settings of the log.
+type Options struct {
+	Level  slog.Level // lowest level that is written
+	JSON   bool       // one JSON object a line in place of text
+	Writer io.Writer  // standard error when nil
+}
+
+// Setup makes the log of the options the process's default, routes go-zero's log
+// into it, and turns off go-zero's periodic statistics.
+func Setup(o Options) *slog.Logger {
+	logger := slog.New(newHandler(o))
+	slog.SetDefault(logger)
+	logx.DisableStat()
+	logx.SetLevel(logx.DebugLevel) // slog's level decides
+	logx.SetWriter(&logxWriter{logger: For(Daemon)})
+	return logger
+}
+
+// For returns the logger of a part over the default log. Call it after Setup.
+func For(part Part) *slog.Logger {
+	return With(slog.Default(), part)
+}
+
+// With returns the logger of a part over the given logger.
+func With(logger *slog.Logger, part Part) *slog.Logger {
+	return slog.New(&prefixHandler{next: logger.Handler(), prefix: string(part) + ": "})
+}
+
+func newHandler(o Options) slog.Handler {
+	w := o.Writer
+	if w == nil {
+		w = os.Stderr
+	}
+	options := &slog.HandlerOptions{Level: o.Level}
+	if o.JSON {
+		return slog.NewJSONHandler(w, options)
+	}
+	return slog.NewTextHandler(w, options)
+}
+
+// prefixHandler puts a prefix before the message of each record.
+type prefixHandler struct {
+	next   slog.Handler
+	prefix string
+}
+
+func (h *prefixHandler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.next.Enabled(ctx, level)
+}
+
+func (h *prefixHandler) Handle(ctx context.Context, record slog.Record) error {
+	record.Message = h.prefix + record.Message
+	return h.next.Handle(ctx, record)
+}
+
+func (h *prefixHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &prefixHandler{next: h.next.WithAttrs(attrs), prefix: h.prefix}
+}
+
+func (h *prefixHandler) WithGroup(name string) slog.Handler {
+	return &prefixHandler{next: h.next.WithGroup(name), prefix: h.prefix}
+}
--- /dev/null
+++ b/internal/telemetry/control.go
@@ -0,0 +1,73 @@
+package telemetry
+
+import "github.com/uber-go/tally/v4"
+
+// Direction tells sent control messages from received ones.
+type Direction string
+
+// The directions of control messages.
+const (
+	Sent     Direction = "sent"
+	Received Direction = "received"
+)
+
+// Reach tells how far a control message goes.
+type Reach string
+
+// The reaches of control messages.
+const (
+	SameZone   Reach = "zone"
+	RemoteZone Reach = "remote_zone"
+)
+
+// Kind is the kind of a control message.
+type Kind string
+
+// The kinds of control messages.
+const (
+	KindPing          Kind = "ping"
+	KindPong          Kind = "pong"
+	KindHeartbeat     Kind = "heartbeat"
+	KindBidReport     Kind = "bid_report"
+	KindGrantBatch    Kind = "grant_batch"
+	KindRunReport     Kind = "run_report"
+	KindConfigRecords Kind = "config_records"
+	KindConfigRequest Kind = "config_request"
+	KindConfigReply   Kind = "config_reply"
+	KindLog           Kind = "log" // calls to the platform's log
+	KindOther         Kind = Other
+)
+
+var kinds = []Kind{
+	KindPing, KindPong, KindHeartbeat, KindBidReport, KindGrantBatch, KindRunReport,
+	KindConfigRecords, KindConfigRequest, KindConfigReply, KindLog, KindOther,
+}
+
+type controlKey struct {
+	direction Direction
+	reach     Reach
+	kind      Kind
+}
+
+func newControlCounters(scope tally.Scope) map[controlKey]tally.Counter {
+	counters := make(map[controlKey]tally.Counter)
+	for _, direction := range []Direction{Sent, Received} {
+		for _, reach := range []Reach{SameZone, RemoteZone} {
+			for _, kind := range kinds {
+				tags := map[string]string{"scope": string(reach), "kind": string(kind)}
+				name := "control_" + string(direction) + "_bytes_total"
+				counters[controlKey{direction, reach, kind}] = scope.Tagged(tags).Counter(name)
+			}
+		}
+	}
+	return counters
+}
+
+// CountControl adds the bytes of control messages. A kind that is not listed counts as KindOther.
+func (m *Metrics) CountControl(direction Direction, reach Reach, kind Kind, bytes int) {
+	counter, ok := m.control[controlKey{direction, reach, kind}]
+	if !ok {
+		counter = m.control[controlKey{direction, reach, KindOther}]
+	}
+	counter.Inc(int64(bytes))
+}
--- /dev/null
+++ b/internal/telemetry/requests.go
@@ -0,0 +1,77 @@
+package telemetry
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// ObserveWait records the time of a request from arrival to its dispatch.
+func (m *Metrics) ObserveWait(account, service string, d time.Duration) {
+	m.accounts.get(account).wait().RecordDuration(d)
+	m.services.get(service).wait().RecordDuration(d)
+}
+
+// ObserveFirstToken records the time of a request from arrival to the first part of its answer.
+func (m *Metrics) ObserveFirstToken(account, service string, d time.Duration) {
+	m.accounts.get(account).firstToken().RecordDuration(d)
+	m.services.get(service).firstToken().RecordDuration(d)
+}
+
+// ObserveTokenGap records the time between two parts of an answer.
+func (m *Metrics) ObserveTokenGap(account, service string, d time.Duration) {
+	m.accounts.get(account).tokenGap().RecordDuration(d)
+	m.services.get(service).tokenGap().RecordDuration(d)
+}
+
+// ObserveAnswer records the time of a request from arrival to the end of its answer.
+func (m *Metrics) ObserveAnswer(account, service string, d time.Duration) {
+	m.accounts.get(account).answer().RecordDuration(d)
+	m.services.get(service).answer().RecordDuration(d)
+}
+
+// ObserveCost records the tokens that an ended request was charged.
+func (m *Metrics) ObserveCost(account, service string, tokens int64) {
+	for _, s := range []*series{m.accounts.get(account), m.services.get(service)} {
+		s.cost().RecordValue(float64(tokens))
+		s.costTotal().Inc(tokens)
+	}
+}
+
+// CountResult counts an ended request by its result code and service.
+func (m *Metrics) CountResult(code result.Code, service string) {
+	m.results.get(code, m.services.get(service).label).Inc(1)
+}
+
+type resultKey struct {
+	code    result.Code
+	service string
+}
+
+// resultCounters holds a counter for each code and service seen.
+type resultCounters struct {
+	scope    tally.Scope
+	counters sync.Map // resultKey to tally.Counter
+}
+
+func (r *resultCounters) get(code result.Code, service string) tally.Counter {
+	if !code.Known() {
+		code = result.Internal
+	}
+	key := resultKey{code: code, service: service}
+	if found, ok := r.counters.Load(key); ok {
+		return found.(tally.Counter)
+	}
+	counter := r.scope.Tagged(map[string]string{
+		"code":    strconv.Itoa(int(code)),
+		"name":    code.Name(),
+		"outcome": string(code.Class()),
+		"service": service,
+	}).Counter("results_total")
+	found, _ := r.counters.LoadOrStore(key, counter)
+	return found.(tally.Counter)
+}
--- /dev/null
+++ b/internal/telemetry/state.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// stateGauges holds the gauges of the whole daemon.
+type stateGauges struct {
+	scope         tally.Scope
+	membersLive   tally.Gauge
+	appliedOffset tally.Gauge
+	logAge        tally.Gauge
+	cutOff        tally.Gauge
+}
+
+func newStateGauges(scope tally.Scope) stateGauges {
+	return stateGauges{
+		scope:         scope,
+		membersLive:   scope.Gauge("members_live"),
+		appliedOffset: scope.Gauge("applied_offset"),
+		logAge:        scope.Gauge("log_age_seconds"),
+		cutOff:        scope.Gauge("cut_off"),
+	}
+}
+
+// SetRunning sets the number of requests of a known service that run through this daemon.
+func (m *Metrics) SetRunning(service string, n int) {
+	m.setOfService("running_requests", service, n)
+}
+
+// SetWaiting sets the number of requests of a known service that wait on this daemon.
+func (m *Metrics) SetWaiting(service string, n int) {
+	m.setOfService("waiting_requests", service, n)
+}
+
+// SetMembersLive sets the number of live members that this daemon sees, itself included.
+func (m *Metrics) SetMembersLive(n int) {
+	m.state.membersLive.Update(float64(n))
+}
+
+// SetAppliedOffset sets the offset of the last applied record of the log.
+func (m *Metrics) SetAppliedOffset(offset int64) {
+	m.state.appliedOffset.Update(float64(offset))
+}
+
+// SetLogAge sets the time since the log was last read to its end.
+func (m *Metrics) SetLogAge(d time.Duration) {
+	m.state.logAge.Update(d.Seconds())
+}
+
+// SetCutOff sets whether the daemon is cut off: 1 or 0.
+func (m *Metrics) SetCutOff(cutOff bool) {
+	value := 0.0
+	if cutOff {
+		value = 1
+	}
+	m.state.cutOff.Update(value)
+}
+
+// setOfService sets a gauge of a service. A service without a label of its own is
+// left out: one gauge can't hold the values of several.
+func (m *Metrics) setOfService(name, service string, n int) {
+	label := m.services.get(service).label
+	if label == Other {
+		return
+	}
+	tags := map[string]string{"service": label}
+	m.state.scope.Tagged(tags).Gauge(name).Update(float64(n))
+}
