--- /dev/null
+++ b/Makefile
@@ -0,0 +1,63 @@
+GO ?= go
+TEST_TIMEOUT ?= 10m
+RACE_TIMEOUT ?= 20m
+SOAK_TIMEOUT ?= 60m
+FUZZ_TIME ?= 30s
+PACKAGES ?= ./...
+TEST_FLAGS ?=
+
+# Each folder is the main package of a program.
+PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
+
+.PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
+	measure measure-slopes soak fuzz clean
+
+all: build
+
+build: # the programs, into ./bin
+	@mkdir -p bin
+	$(if $(PROGRAMS),$(GO) build -o bin/ $(PROGRAMS),@echo "no programs yet")
+
+test: # every test but those of KNOWN-RED.txt must pass
+	./scripts/known-red.sh -count=1 -timeout=$(TEST_TIMEOUT) $(TEST_FLAGS) $(PACKAGES)
+
+race:
+	./scripts/known-red.sh -race -count=1 -timeout=$(RACE_TIMEOUT) $(TEST_FLAGS) $(PACKAGES)
+
+fmt:
+	find . -name '*.go' -not -path './.git/*' -print0 | xargs -0 gofmt -w
+
+fmt-check:
+	./scripts/fmt-check.sh
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+generate:
+	./scripts/install-protoc.sh
+	./internal/peer/pb/generate.sh
+
+generate-check:
+	./scripts/install-protoc.sh
+	./scripts/generate-check.sh
+
+run: # a fleet on this machine; ONCE=1 ends after one round
+	$(GO) run ./test/fleet $(if $(ONCE),--once)
+
+measure:
+	$(GO) run ./test/measure
+
+measure-slopes:
+	$(GO) run ./test/measure --slopes
+
+soak:
+	$(GO) test -run Soak -tags soak -count=1 -timeout=$(SOAK_TIMEOUT) ./test/...
+
+fuzz:
+	./scripts/fuzz.sh $(FUZZ_TIME)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Runs every fuzz test for the given time each, one after the other.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+time=${1:-30s}
+{ grep -rlE "^func Fuzz" --include="*_test.go" . || true; } | sort | while read -r file; do
+	for name in $(sed -nE 's/^func (Fuzz[A-Za-z0-9_]*)\(.*/\1/p' "$file"); do
+		go test -run '^$' -fuzz "^$name\$" -fuzztime "$time" "$(dirname "$file")" </dev/null
+	done
+done
--- /dev/null
+++ b/scripts/redfilter/known.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// knownRed is one entry of the list of tests that are known to fail.
+type knownRed struct {
+	Package string // relative to the module, or a whole import path
+	Test    string
+	Run     string // command and seed
+	Seen    string
+	Issue   string
+}
+
+// inPackage reports whether the entry is on the package.
+func (k *knownRed) inPackage(importPath string) bool {
+	return importPath == k.Package || strings.HasSuffix(importPath, "/"+k.Package)
+}
+
+// covers reports whether the entry is on the test or on one of its parents.
+func (k *knownRed) covers(id testID) bool {
+	if !k.inPackage(id.Package) {
+		return false
+	}
+	return id.Test == k.Test || strings.HasPrefix(id.Test, k.Test+"/")
+}
+
+// parseKnown reads the list. It returns an error for an unknown or missing field.
+func parseKnown(r io.Reader) ([]*knownRed, error) {
+	var entries []*knownRed
+	var current *knownRed
+	lines := bufio.NewScanner(r)
+	for n := 1; lines.Scan(); n++ {
+		line := strings.TrimSpace(lines.Text())
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		if line == "" {
+			current = nil
+			continue
+		}
+		if current == nil {
+			current = &knownRed{}
+			entries = append(entries, current)
+		}
+		if err := current.set(line); err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if err := e.check(); err != nil {
+			return nil, err
+		}
+	}
+	return entries, nil
+}
+
+func (k *knownRed) set(line string) error {
+	field, value, _ := strings.Cut(line, ":")
+	value = strings.TrimSpace(value)
+	switch field {
+	case "test":
+		pkg, test, ok := strings.Cut(value, " ")
+		if !ok || k.Test != "" {
+			return fmt.Errorf("want one package and one test, have %q", line)
+		}
+		k.Package = strings.TrimSuffix(strings.TrimPrefix(pkg, "./"), "/")
+		k.Test = strings.TrimSpace(test)
+	case "run":
+		k.Run = value
+	case "seen":
+		k.Seen = value
+	case "issue":
+		k.Issue = value
+	default:
+		return fmt.Errorf("unknown field in %q", line)
+	}
+	return nil
+}
+
+func (k *knownRed) check() error {
+	for _, value := range []string{k.Package, k.Test, k.Run, k.Seen, k.Issue} {
+		if value == "" {
+			return fmt.Errorf("an entry lacks a field: %+v", *k)
+		}
+	}
+	return nil
+}
