Add the platform clients and the log and list stand-ins

Cause: daemons reach the platform's log and instance list over HTTP, and tests need both without the platform. Change: HTTPLog in the Kafka REST Proxy v2 shape, HTTPInstanceList in the Prometheus HTTP SD shape, memory stand-ins for both with faults.

--- /dev/null
+++ b/internal/platform/instances.go
@@ -0,0 +1,102 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	zoneLabel    = "zone"
+	stateLabel   = "state"
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+// HTTPInstanceList is an InstanceList in the Prometheus HTTP service discovery format.
+type HTTPInstanceList struct {
+	url     string
+	service httpc.Service
+}
+
+var _ InstanceList = (*HTTPInstanceList)(nil)
+
+// NewHTTPInstanceList returns the list at the URL whose requests each take up to timeout.
+// It returns an error when the URL is not an absolute HTTP URL.
+func NewHTTPInstanceList(rawURL string, timeout time.Duration) (*HTTPInstanceList, error) {
+	u, err := parseBase(rawURL)
+	if err != nil {
+		return nil, err
+	}
+	return &HTTPInstanceList{url: u.String(), service: newService("platform-instances", timeout)}, nil
+}
+
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Instances returns the listed instances in the order of the list.
+// One bad entry makes the whole list an error.
+func (l *HTTPInstanceList) Instances(ctx context.Context) ([]Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Accept", "application/json")
+	resp, err := l.service.DoRequest(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("list instances: service answered %d", resp.StatusCode)
+	}
+	data, err := readBody(resp.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances")
+	}
+	return parseInstances(data)
+}
+
+func parseInstances(data []byte) ([]Instance, error) {
+	var groups []targetGroup
+	if err := decode(data, &groups); err != nil {
+		return nil, errors.Wrap(err, "list instances")
+	}
+	var instances []Instance
+	seen := map[string]bool{}
+	for _, group := range groups {
+		for _, target := range group.Targets {
+			instance, err := parseInstance(target, group.Labels)
+			if err != nil {
+				return nil, errors.Wrap(err, "list instances")
+			}
+			if seen[target] {
+				return nil, errors.Newf("list instances: target %q is listed twice", target)
+			}
+			seen[target] = true
+			instances = append(instances, instance)
+		}
+	}
+	return instances, nil
+}
+
+func parseInstance(target string, labels map[string]string) (Instance, error) {
+	if _, err := netip.ParseAddrPort(target); err != nil {
+		return Instance{}, errors.Wrapf(err, "target %q", target)
+	}
+	zone := labels[zoneLabel]
+	if zone == "" {
+		return Instance{}, errors.Newf("target %q: label zone is missing", target)
+	}
+	state := labels[stateLabel]
+	if state != stateLive && state != stateLeaving {
+		return Instance{}, errors.Newf("target %q: state %q is not known", target, state)
+	}
+	return Instance{PeerAddress: target, Zone: zone, Leaving: state == stateLeaving}, nil
+}
--- /dev/null
+++ b/internal/platform/log.go
@@ -0,0 +1,261 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	binaryContentType = "application/vnd.kafka.binary.v2+json"
+	metaContentType   = "application/vnd.kafka.v2+json"
+
+	// codeOffsetForgotten is the service's error code for an offset below retention.
+	codeOffsetForgotten = 40403
+)
+
+// HTTPLog is a Log behind the Kafka REST Proxy v2 interface.
+// Each topic has one partition, numbered 0.
+type HTTPLog struct {
+	base    *url.URL
+	service httpc.Service
+}
+
+var _ Log = (*HTTPLog)(nil)
+
+// NewHTTPLog returns a log at the base URL whose requests each take up to timeout.
+// It returns an error when the URL is not an absolute HTTP URL.
+func NewHTTPLog(baseURL string, timeout time.Duration) (*HTTPLog, error) {
+	base, err := parseBase(baseURL)
+	if err != nil {
+		return nil, err
+	}
+	return &HTTPLog{base: base, service: newService("platform-log", timeout)}, nil
+}
+
+type produceRecord struct {
+	Value []byte `json:"value"`
+}
+
+type produceRequest struct {
+	Records []produceRecord `json:"records"`
+}
+
+type produceOffset struct {
+	Partition int32  `json:"partition"`
+	Offset    *int64 `json:"offset"`
+	ErrorCode *int   `json:"error_code"`
+	Error     string `json:"error"`
+}
+
+type produceResponse struct {
+	Offsets []produceOffset `json:"offsets"`
+}
+
+type consumedRecord struct {
+	Value     []byte `json:"value"`
+	Partition int32  `json:"partition"`
+	Offset    *int64 `json:"offset"`
+}
+
+type offsetsResponse struct {
+	Beginning *int64 `json:"beginning_offset"`
+	End       *int64 `json:"end_offset"`
+}
+
+type errorResponse struct {
+	ErrorCode int    `json:"error_code"`
+	Message   string `json:"message"`
+}
+
+// Append adds values to the topic and returns the offset of each, in order.
+// The error is ErrNotAppended when no byte of the request was sent or the
+// service refused it; after any other error the values may be in the log.
+func (l *HTTPLog) Append(ctx context.Context, topic string, values [][]byte) ([]int64, error) {
+	if len(values) == 0 {
+		return nil, nil
+	}
+	body, err := json.Marshal(newProduceRequest(values))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "encode append"), ErrNotAppended)
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := l.request(httptrace.WithClientTrace(ctx, trace), http.MethodPost, body, "topics", topic)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotAppended)
+	}
+	req.Header.Set("Content-Type", binaryContentType)
+	req.Header.Set("Accept", metaContentType)
+	status, data, err := l.do(req)
+	if err != nil {
+		return nil, appendError(err, status, connected.Load())
+	}
+	return appendOffsets(data, len(values))
+}
+
+func newProduceRequest(values [][]byte) produceRequest {
+	records := make([]produceRecord, len(values))
+	for i, value := range values {
+		if value == nil {
+			value = []byte{}
+		}
+		records[i] = produceRecord{Value: value}
+	}
+	return produceRequest{Records: records}
+}
+
+// appendError marks err as ErrNotAppended when the request surely had no effect.
+func appendError(err error, status int, connected bool) error {
+	err = errors.Wrap(err, "append")
+	if !connected || refused(status) {
+		return errors.Mark(err, ErrNotAppended)
+	}
+	return err
+}
+
+// refused reports whether the status says that the service did not take the request.
+// A request timeout leaves that open.
+func refused(status int) bool {
+	if status == http.StatusRequestTimeout {
+		return false
+	}
+	if status == http.StatusServiceUnavailable {
+		return true
+	}
+	return status >= 400 && status < 500
+}
+
+func appendOffsets(data []byte, want int) ([]int64, error) {
+	var answer produceResponse
+	if err := decode(data, &answer); err != nil {
+		return nil, errors.Wrap(err, "append")
+	}
+	if len(answer.Offsets) != want {
+		return nil, errors.Newf("append: %d offsets for %d values", len(answer.Offsets), want)
+	}
+	offsets := make([]int64, want)
+	for i, entry := range answer.Offsets {
+		if entry.ErrorCode != nil {
+			return nil, errors.Newf("append: value %d: error %d: %s", i, *entry.ErrorCode, entry.Error)
+		}
+		if entry.Offset == nil || *entry.Offset < 0 || entry.Partition != 0 {
+			return nil, errors.Newf("append: value %d: no valid offset in partition 0", i)
+		}
+		offsets[i] = *entry.Offset
+	}
+	return offsets, nil
+}
+
+// Read returns up to limit records from the offset on; none when the offset is the next one.
+// It returns ErrForgotten when the offset is below the topic's first kept record.
+func (l *HTTPLog) Read(ctx context.Context, topic string, offset int64, limit int) ([]Record, error) {
+	if offset < 0 || limit <= 0 {
+		return nil, errors.Newf("read: offset %d and limit %d are out of range", offset, limit)
+	}
+	req, err := l.request(ctx, http.MethodGet, nil, "topics", topic, "partitions", "0", "messages")
+	if err != nil {
+		return nil, err
+	}
+	query := url.Values{}
+	query.Set("offset", strconv.FormatInt(offset, 10))
+	query.Set("count", strconv.Itoa(limit))
+	req.URL.RawQuery = query.Encode()
+	req.Header.Set("Accept", binaryContentType)
+	_, data, err := l.do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	return readRecords(data, offset, limit)
+}
+
+func readRecords(data []byte, offset int64, limit int) ([]Record, error) {
+	var answer []consumedRecord
+	if err := decode(data, &answer); err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	if len(answer) > limit {
+		return nil, errors.Newf("read: %d records for a limit of %d", len(answer), limit)
+	}
+	records := make([]Record, len(answer))
+	for i, entry := range answer {
+		want := offset + int64(i)
+		if entry.Offset == nil || *entry.Offset != want || entry.Partition != 0 {
+			return nil, errors.Newf("read: record %d is not offset %d of partition 0", i, want)
+		}
+		records[i] = Record{Offset: want, Value: entry.Value}
+	}
+	return records, nil
+}
+
+// Bounds returns the offsets that the topic holds.
+func (l *HTTPLog) Bounds(ctx context.Context, topic string) (Bounds, error) {
+	req, err := l.request(ctx, http.MethodGet, nil, "topics", topic, "partitions", "0", "offsets")
+	if err != nil {
+		return Bounds{}, err
+	}
+	req.Header.Set("Accept", metaContentType)
+	_, data, err := l.do(req)
+	if err != nil {
+		return Bounds{}, errors.Wrap(err, "bounds")
+	}
+	var answer offsetsResponse
+	if err := decode(data, &answer); err != nil {
+		return Bounds{}, errors.Wrap(err, "bounds")
+	}
+	if answer.Beginning == nil || answer.End == nil {
+		return Bounds{}, errors.New("bounds: beginning_offset or end_offset is missing")
+	}
+	if *answer.Beginning < 0 || *answer.End < *answer.Beginning {
+		return Bounds{}, errors.Newf("bounds: offsets %d to %d are out of order", *answer.Beginning, *answer.End)
+	}
+	return Bounds{First: *answer.Beginning, Next: *answer.End}, nil
+}
+
+func (l *HTTPLog) request(ctx context.Context, method string, body []byte, path ...string) (*http.Request, error) {
+	if path[1] == "" || path[1] == "." || path[1] == ".." {
+		return nil, errors.Newf("topic name %q is not valid", path[1])
+	}
+	for i := range path {
+		path[i] = url.PathEscape(path[i])
+	}
+	target := l.base.JoinPath(path...)
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	return req, errors.Wrap(err, "build request")
+}
+
+// do sends the request and returns the status and the body of a successful answer.
+// The status is 0 when there is no answer.
+func (l *HTTPLog) do(req *http.Request) (int, []byte, error) {
+	resp, err := l.service.DoRequest(req)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "send request")
+	}
+	defer resp.Body.Close()
+	data, err := readBody(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		return resp.StatusCode, data, err
+	}
+	return resp.StatusCode, nil, statusError(resp.StatusCode, data)
+}
+
+func statusError(status int, data []byte) error {
+	var answer errorResponse
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return errors.Newf("service answered %d", status)
+	}
+	err := errors.Newf("service answered %d: error %d: %s", status, answer.ErrorCode, answer.Message)
+	if status == http.StatusNotFound && answer.ErrorCode == codeOffsetForgotten {
+		return errors.Mark(err, ErrForgotten)
+	}
+	return err
+}
--- /dev/null
+++ b/test/standin/faults/faults.go
@@ -0,0 +1,105 @@
+// Package faults holds the failures that a stand-in shows on request.
+package faults
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Mode names a kind of failure.
+type Mode string
+
+// The failures; each stand-in knows some of them and ignores the others.
+const (
+	None           Mode = "none"
+	Refuse         Mode = "refuse"           // answer 503 without running the request
+	Slow           Mode = "slow"             // wait for the delay before taking the request
+	Silent         Mode = "silent"           // run the request and never answer
+	CloseAfterRead Mode = "close_after_read" // read the request and close, without running it
+	CloseMidStream Mode = "close_mid_stream" // close in the middle of the answer
+	LoseAnswer     Mode = "lose_answer"      // run the request and close without an answer
+	HTTP500        Mode = "http_500"         // answer 500 without running the request
+	Down           Mode = "down"             // answer 503 to each request
+	Flap           Mode = "flap"             // answer 503 to every other request
+)
+
+var known = map[Mode]bool{
+	None: true, Refuse: true, Slow: true, Silent: true, CloseAfterRead: true,
+	CloseMidStream: true, LoseAnswer: true, HTTP500: true, Down: true, Flap: true,
+}
+
+// Fault is a failure and how many requests it meets.
+type Fault struct {
+	Mode            Mode   `json:"mode"`
+	Count           int    `json:"count"`            // requests it meets; 0 means until changed
+	AfterTokens     int    `json:"after_tokens"`     // answer tokens before the close
+	DelayMS         int64  `json:"delay_ms"`         // delay of Slow, in milliseconds
+	DuplicateEvents bool   `json:"duplicate_events"` // send each stream event twice
+	ForeignID       string `json:"foreign_id"`       // send one event under this request id
+}
+
+// Delay returns the delay of the fault.
+func (f Fault) Delay() time.Duration {
+	return time.Duration(f.DelayMS) * time.Millisecond
+}
+
+// Switch holds the fault in force. Its zero value holds none. It is safe for concurrent use.
+type Switch struct {
+	mu    sync.Mutex
+	fault Fault
+	turn  int
+}
+
+// Set puts the fault in force.
+func (s *Switch) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Mode == "" {
+		f.Mode = None
+	}
+	s.fault = f
+	s.turn = 0
+}
+
+// Take returns the fault that the next request meets.
+func (s *Switch) Take() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := s.fault
+	if fault.Mode == "" {
+		fault.Mode = None
+	}
+	if fault.Count > 0 {
+		s.fault.Count--
+		if s.fault.Count == 0 {
+			s.fault = Fault{Mode: None}
+		}
+	}
+	s.turn++
+	if fault.Mode == Flap && s.turn%2 == 0 {
+		fault.Mode = None
+	}
+	return fault
+}
+
+// ServeHTTP puts the fault of a POST in force.
+func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
+		http.Error(w, "fault is not valid JSON", http.StatusBadRequest)
+		return
+	}
+	if fault.Mode != "" && !known[fault.Mode] {
+		http.Error(w, "fault mode is not known", http.StatusBadRequest)
+		return
+	}
+	s.Set(fault)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Abort closes the connection of the request without finishing the answer.
+func Abort() {
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/test/standin/instances/instances.go
@@ -0,0 +1,170 @@
+// Package instances is a stand-in for the platform's lagging instance list.
+package instances
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/filbertrill/filbertrill/test/standin/faults"
+)
+
+// States of an instance.
+const (
+	Live    = "live"
+	Leaving = "leaving"
+)
+
+// Entry is an instance on the list.
+type Entry struct {
+	Address string `json:"address"` // ip:port
+	Zone    string `json:"zone"`
+	State   string `json:"state"` // live or leaving
+}
+
+// Options set up a list.
+type Options struct {
+	Lag     time.Duration // time until a change is visible
+	Entries []Entry       // entries visible from the start
+	Now     func() time.Time
+}
+
+type version struct {
+	at      time.Time
+	entries []Entry
+}
+
+// Server answers as the list. It is an http.Handler and safe for concurrent use.
+type Server struct {
+	opts   Options
+	mux    *http.ServeMux
+	faults faults.Switch
+
+	mu       sync.Mutex
+	versions []version
+}
+
+// New returns a list of the entries in the options.
+func New(opts Options) *Server {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	s := &Server{opts: opts, mux: http.NewServeMux()}
+	s.versions = []version{{entries: slices.Clone(opts.Entries)}}
+	s.mux.HandleFunc("GET /sd", s.list)
+	s.mux.HandleFunc("POST /admin/instances", s.post)
+	s.mux.HandleFunc("DELETE /admin/instances", s.delete)
+	s.mux.Handle("POST /admin/faults", &s.faults)
+	return s
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFault puts a fault in force; the list knows none, down, flap and slow.
+func (s *Server) SetFault(f faults.Fault) {
+	s.faults.Set(f)
+}
+
+// Set adds the entry or replaces the one of its address.
+func (s *Server) Set(entry Entry) {
+	s.change(func(entries []Entry) []Entry {
+		return append(without(entries, entry.Address), entry)
+	})
+}
+
+// Remove takes the entry of the address off the list.
+func (s *Server) Remove(address string) {
+	s.change(func(entries []Entry) []Entry { return without(entries, address) })
+}
+
+func without(entries []Entry, address string) []Entry {
+	return slices.DeleteFunc(entries, func(e Entry) bool { return e.Address == address })
+}
+
+func (s *Server) change(apply func([]Entry) []Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := s.versions[len(s.versions)-1]
+	entries := apply(slices.Clone(newest.entries))
+	s.versions = append(s.versions, version{at: s.opts.Now(), entries: entries})
+}
+
+// visible returns the entries as they were one lag ago.
+func (s *Server) visible() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.opts.Now().Add(-s.opts.Lag)
+	for len(s.versions) > 1 && !s.versions[1].at.After(limit) {
+		s.versions = s.versions[1:]
+	}
+	return s.versions[0].entries
+}
+
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	fault := s.faults.Take()
+	switch fault.Mode {
+	case faults.Down, faults.Flap:
+		http.Error(w, "list is not available", http.StatusServiceUnavailable)
+		return
+	case faults.Slow:
+		select {
+		case <-time.After(fault.Delay()):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	groups := []targetGroup{}
+	for _, entry := range s.visible() {
+		groups = append(groups, targetGroup{
+			Targets: []string{entry.Address},
+			Labels:  map[string]string{"zone": entry.Zone, "state": entry.State},
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(groups)
+}
+
+func (s *Server) post(w http.ResponseWriter, r *http.Request) {
+	entry, ok := readEntry(w, r)
+	if !ok {
+		return
+	}
+	if entry.State == "" {
+		entry.State = Live
+	}
+	s.Set(entry)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	entry, ok := readEntry(w, r)
+	if !ok {
+		return
+	}
+	s.Remove(entry.Address)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func readEntry(w http.ResponseWriter, r *http.Request) (Entry, bool) {
+	var entry Entry
+	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
+		http.Error(w, "entry is not valid JSON", http.StatusBadRequest)
+		return Entry{}, false
+	}
+	if _, err := netip.ParseAddrPort(entry.Address); err != nil {
+		http.Error(w, "address is not ip:port", http.StatusBadRequest)
+		return Entry{}, false
+	}
+	return entry, true
+}
--- /dev/null
+++ b/test/standin/logstore/store.go
@@ -0,0 +1,147 @@
+// Package logstore is a stand-in for the platform's append-only log, kept in memory.
+package logstore
+
+import (
+	"sync"
+	"time"
+)
+
+// Options set the limits of a log; a zero limit is none.
+type Options struct {
+	MaxRecords       int           // records kept in each topic
+	MaxAge           time.Duration // age above which a record is forgotten
+	AppendsPerSecond int           // append requests per second, over all topics
+	Now              func() time.Time
+}
+
+// Counters are the totals of a topic.
+type Counters struct {
+	Appends     int64 `json:"appends"`
+	Reads       int64 `json:"reads"`
+	Records     int64 `json:"records"`
+	BytesIn     int64 `json:"bytes_in"`
+	BytesOut    int64 `json:"bytes_out"`
+	FirstOffset int64 `json:"first_offset"`
+	NextOffset  int64 `json:"next_offset"`
+}
+
+type record struct {
+	value []byte
+	at    time.Time
+}
+
+type topic struct {
+	first    int64
+	records  []record
+	counters Counters
+}
+
+type store struct {
+	mu     sync.Mutex
+	opts   Options
+	topics map[string]*topic
+	tokens float64
+	filled time.Time
+}
+
+func (s *store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{}
+		s.topics[name] = t
+	}
+	s.expire(t)
+	return t
+}
+
+// expire forgets the records above the limits of number and age.
+func (s *store) expire(t *topic) {
+	drop := 0
+	if s.opts.MaxRecords > 0 {
+		drop = max(0, len(t.records)-s.opts.MaxRecords)
+	}
+	if s.opts.MaxAge > 0 {
+		oldest := s.opts.Now().Add(-s.opts.MaxAge)
+		for drop < len(t.records) && t.records[drop].at.Before(oldest) {
+			drop++
+		}
+	}
+	t.records = t.records[drop:]
+	t.first += int64(drop)
+}
+
+// admit reports whether the append rate allows one more request.
+func (s *store) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rate := float64(s.opts.AppendsPerSecond)
+	if rate <= 0 {
+		return true
+	}
+	now := s.opts.Now()
+	if s.filled.IsZero() {
+		s.tokens = rate
+	} else {
+		s.tokens = min(rate, s.tokens+rate*now.Sub(s.filled).Seconds())
+	}
+	s.filled = now
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+func (s *store) append(name string, values [][]byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	first := t.first + int64(len(t.records))
+	for _, value := range values {
+		t.records = append(t.records, record{value: value, at: s.opts.Now()})
+		t.counters.BytesIn += int64(len(value))
+	}
+	t.counters.Appends++
+	t.counters.Records += int64(len(values))
+	s.expire(t)
+	return first
+}
+
+// read returns the values from the offset on and the bounds of the topic.
+func (s *store) read(name string, offset int64, count int) (values [][]byte, first, next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.counters.Reads++
+	first, next = t.first, t.first+int64(len(t.records))
+	if offset < first || offset > next {
+		return nil, first, next
+	}
+	records := t.records[offset-first:]
+	for _, r := range records[:min(count, len(records))] {
+		values = append(values, r.value)
+		t.counters.BytesOut += int64(len(r.value))
+	}
+	return values, first, next
+}
+
+func (s *store) bounds(name string) (first, next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	return t.first, t.first + int64(len(t.records))
+}
+
+func (s *store) counters() map[string]Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]Counters, len(s.topics))
+	for name, t := range s.topics {
+		s.expire(t)
+		c := t.counters
+		c.FirstOffset = t.first
+		c.NextOffset = t.first + int64(len(t.records))
+		all[name] = c
+	}
+	return all
+}
--- /dev/null
+++ b/test/standin/runs/runs.go
@@ -0,0 +1,78 @@
+// Package runs holds the ledger of the requests that a stand-in ran.
+package runs
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Outcomes of a run.
+const (
+	Running   = "running"
+	Finished  = "finished"
+	Cancelled = "cancelled"
+	Abandoned = "abandoned" // nobody read the answer within the resume window
+	Stopped   = "stopped"   // the stand-in stopped first
+)
+
+// Run is one execution of a request.
+type Run struct {
+	RequestID string     `json:"request_id"`
+	Key       string     `json:"key"`
+	Path      string     `json:"path"`
+	Started   time.Time  `json:"started"`
+	Ended     *time.Time `json:"ended,omitempty"`
+	Outcome   string     `json:"outcome"`
+}
+
+// Ledger lists the runs in the order of their start.
+// Its zero value is empty. It is safe for concurrent use.
+type Ledger struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Start enters a run and returns its index.
+func (l *Ledger) Start(run Run) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.Outcome = Running
+	l.runs = append(l.runs, run)
+	return len(l.runs) - 1
+}
+
+// End sets the outcome of a run.
+func (l *Ledger) End(index int, at time.Time, outcome string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[index].Ended = &at
+	l.runs[index].Outcome = outcome
+}
+
+// Runs returns a copy of the runs.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run{}, l.runs...)
+}
+
+// Count returns the number of runs with the key and path.
+func (l *Ledger) Count(key, path string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, run := range l.runs {
+		if run.Key == key && run.Path == path {
+			count++
+		}
+	}
+	return count
+}
+
+// ServeHTTP answers with the runs.
+func (l *Ledger) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l.Runs())
+}
