Wire the daemon, the operator service and the sample fleet

Cause: the parts of the thin path stood apart. Change: settings checked at start, the daemon's wiring and planned stop, the operator service, a fleet of processes for make run and for integration tests.

--- /dev/null
+++ b/cmd/filbertrilld/main.go
@@ -0,0 +1,66 @@
+// Command filbertrilld is the daemon of filbertrill.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"github.com/filbertrill/filbertrill/internal/daemon"
+	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// never outlasts any planned stop: go-zero kills the process this long after a signal.
+const never = 10 * 365 * 24 * time.Hour
+
+func main() {
+	if err := run(); err != nil {
+		e := result.From(err)
+		fmt.Fprintf(os.Stderr, "filbertrilld: %v\n", e)
+		os.Exit(result.ExitCode(e.Code))
+	}
+}
+
+func run() error {
+	proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never})
+	var settings daemon.Settings
+	parser, err := kong.New(&settings, kong.Name("filbertrilld"), kong.Description("Router daemon of filbertrill."))
+	if err != nil {
+		return err
+	}
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		return result.Wrap(err, result.SettingInvalid, "%v", err)
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+		return result.Wrap(err, result.SettingInvalid, "--log-level %q", settings.LogLevel)
+	}
+	logging.Setup(logging.Options{Level: level, JSON: settings.LogJSON, Writer: os.Stderr})
+	d, err := daemon.New(settings)
+	if err != nil {
+		return err
+	}
+	go drainOnSignal(d)
+	return d.Run(context.Background(), func(address string) {
+		fmt.Printf("listening %s peers %s\n", address, d.PeerAddress())
+	})
+}
+
+// drainOnSignal begins a planned stop. Further signals change nothing, so that no
+// request is cut by an impatient one.
+func drainOnSignal(d *daemon.Daemon) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	for range signals {
+		slog.Info("daemon: Got a signal, a planned stop is under way.")
+		d.Drain()
+	}
+}
--- a/internal/controller/config/config.go
+++ b/internal/controller/config/config.go
@@ -198,3 +198,10 @@
 	defer c.mu.Unlock()
 	return c.lastRead, c.lastErr
 }
+
+// Numbers returns the highest ticket numbers, descending, at most limit of them.
+func (c *Controller) Numbers(limit int) []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Numbers(limit)
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -89,6 +89,13 @@
 	c.beat(time.Now())
 }
 
+// SetClientAddress sets the address that callers are told.
+func (c *Controller) SetClientAddress(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.self.ClientAddress = address
+}
+
 func (c *Controller) refreshList(ctx context.Context) {
 	if c.opts.List == nil {
 		return
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/backend"
+	"github.com/filbertrill/filbertrill/internal/controller/config"
+	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
+	"github.com/filbertrill/filbertrill/internal/controller/members"
+	"github.com/filbertrill/filbertrill/internal/entry"
+	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/filter/admit"
+	"github.com/filbertrill/filbertrill/internal/filter/attempt"
+	"github.com/filbertrill/filbertrill/internal/filter/decode"
+	"github.com/filbertrill/filbertrill/internal/filter/identify"
+	"github.com/filbertrill/filbertrill/internal/filter/record"
+	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/operator"
+	"github.com/filbertrill/filbertrill/internal/peer"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// Daemon is one running instance.
+type Daemon struct {
+	settings Settings
+	logger   *slog.Logger
+
+	log     platform.Log
+	list    platform.InstanceList
+	metrics *telemetry.Metrics
+	scrape  http.Handler
+
+	mesh     *peer.Mesh
+	listener net.Listener
+	members  *members.Controller
+	config   *config.Controller
+	dispatch *dispatch.Controller
+	entry    *entry.Server
+
+	drain     chan struct{}
+	drainOnce sync.Once
+}
+
+// New checks the settings, binds the peer address and wires the parts. Nothing serves
+// before Run.
+func New(settings Settings) (*Daemon, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings: settings,
+		logger:   logging.For(logging.Daemon),
+		drain:    make(chan struct{}),
+	}
+	if err := d.openPlatform(); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", settings.Peer)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	d.listener = listener
+	d.metrics, d.scrape, _ = telemetry.New(telemetry.Options{})
+	d.wire(uint64(time.Now().UnixNano()))
+	if err := d.openEntry(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) openPlatform() error {
+	log, err := platform.NewHTTPLog(d.settings.Log, d.settings.LogTimeout)
+	if err != nil {
+		return err
+	}
+	d.log = log
+	if d.settings.Instances == "" {
+		return nil
+	}
+	list, err := platform.NewHTTPInstanceList(d.settings.Instances, d.settings.LogTimeout)
+	if err != nil {
+		return err
+	}
+	d.list = list
+	return nil
+}
+
+// wire builds the controllers. Their order follows who calls whom.
+func (d *Daemon) wire(incarnation uint64) {
+	operators := &operator.Server{}
+	d.mesh = peer.NewMesh(peer.Options{
+		ID:          d.settings.ID,
+		Incarnation: incarnation,
+		Secret:      d.settings.Secret,
+		Handler:     d.handle,
+		Operator:    operators,
+		Logger:      logging.For(logging.Peer),
+	})
+	d.members = members.NewController(members.Options{
+		Self: &pb.Member{
+			Id:          d.settings.ID,
+			Incarnation: incarnation,
+			PeerAddress: d.listener.Addr().String(),
+			Zone:        d.settings.Zone,
+			Region:      d.settings.Region,
+			State:       pb.MemberState_MEMBER_STATE_STARTING,
+		},
+		Seeds:   d.settings.Seeds,
+		List:    d.list,
+		Sender:  d.mesh,
+		Logger:  logging.For(logging.Members),
+		Refresh: d.refresh,
+	})
+	d.dispatch = dispatch.NewController(dispatch.Options{
+		SelfID:      d.settings.ID,
+		Incarnation: incarnation,
+		Members:     d.members,
+		Sender:      d.mesh,
+		Logger:      logging.For(logging.Dispatch),
+	})
+	d.config = config.NewController(config.Options{
+		Log:      d.log,
+		Logger:   logging.For(logging.Config),
+		OnChange: d.configChanged,
+	})
+	*operators = *operator.NewServer(operator.Options{
+		SelfID:  d.settings.ID,
+		Log:     d.log,
+		Config:  d.config,
+		Members: d.members,
+		Drain:   d.Drain,
+	})
+}
+
+func (d *Daemon) openEntry() error {
+	host, port := hostPort(d.settings.Listen)
+	server, err := entry.NewServer(entry.Options{
+		Host:    host,
+		Port:    port,
+		Config:  d.config.Current,
+		Members: d.members,
+		Chain:   d.chain(),
+		Metrics: d.scrape,
+		Logger:  logging.For(logging.Entry),
+	})
+	d.entry = server
+	return err
+}
+
+func (d *Daemon) chain() filter.Handler {
+	transport := backend.NewTransport()
+	last := attempt.New(attempt.Options{
+		Acquirer: d.dispatch,
+		Engine:   backend.NewEngine(transport),
+		Plain:    backend.NewPlain(transport),
+		Metrics:  d.metrics,
+	})
+	return filter.Chain(last,
+		record.New(d.metrics, logging.For(logging.Entry)),
+		identify.New(),
+		decode.New(d.settings.MaxBody),
+		admit.New(admit.Options{
+			Queues:     d.dispatch,
+			MaxBytes:   d.settings.MaxHeld,
+			RetryAfter: func(string, string) time.Duration { return time.Second },
+		}),
+	)
+}
+
+// handle routes a message of a peer to its controller.
+func (d *Daemon) handle(env *pb.Envelope) {
+	switch body := env.Body.(type) {
+	case *pb.Envelope_Heartbeat:
+		d.members.Heartbeat(body.Heartbeat, time.Now())
+	case *pb.Envelope_DemandReport:
+		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
+	case *pb.Envelope_GrantBatch:
+		d.dispatch.GrantBatch(body.GrantBatch)
+	}
+}
+
+func (d *Daemon) refresh(self *pb.Member) {
+	self.AppliedOffset, self.ConfigDigest = d.config.Applied()
+}
+
+func (d *Daemon) configChanged(c *ticket.Config) {
+	var accounts, services []string
+	for _, a := range c.Accounts() {
+		accounts = append(accounts, a.ID)
+	}
+	for _, s := range c.Services() {
+		services = append(services, s.ID)
+	}
+	d.metrics.SetKnown(accounts, services)
+	d.dispatch.SetConfig(c)
+}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,105 @@
+// Package daemon wires the parts of filbertrilld together.
+package daemon
+
+import (
+	"net"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// Settings are the flags and environment variables of filbertrilld.
+type Settings struct {
+	ID     string `help:"Name of this instance, unique over the fleet." env:"FILBERTRILL_ID" required:""`
+	Zone   string `help:"Data centre of this instance." env:"FILBERTRILL_ZONE" required:""`
+	Region string `help:"Region of the data centre." env:"FILBERTRILL_REGION" required:""`
+
+	Listen    string   `help:"Address for callers, ip:port; port 0 takes any." env:"FILBERTRILL_LISTEN" required:""`
+	Peer      string   `help:"Address for other daemons and operators, ip:port; port 0 takes any." env:"FILBERTRILL_PEER" required:""`
+	Advertise string   `help:"Address that callers are told, ip:port; that of --listen when empty." env:"FILBERTRILL_ADVERTISE"`
+	Seeds     []string `help:"Peer addresses of other daemons, ip:port." env:"FILBERTRILL_SEEDS"`
+	Secret    string   `help:"Secret that daemons and operators share, at least 16 bytes." env:"FILBERTRILL_SECRET" required:""`
+
+	Log        string        `help:"URL of the platform's log." env:"FILBERTRILL_LOG" required:""`
+	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
+	Instances  string        `help:"URL of the platform's instance list; the seeds alone when empty." env:"FILBERTRILL_INSTANCES"`
+
+	MaxBody int64 `help:"Longest request body, in bytes." env:"FILBERTRILL_MAX_BODY" default:"33554432"`
+	MaxHeld int64 `help:"Request bodies held at once, in bytes." env:"FILBERTRILL_MAX_HELD" default:"268435456"`
+
+	LogLevel string `help:"Least level of log lines: debug, info, warn or error." env:"FILBERTRILL_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
+	LogJSON  bool   `help:"Write log lines as JSON." env:"FILBERTRILL_LOG_JSON"`
+}
+
+// minSecretBytes is the shortest secret accepted.
+const minSecretBytes = 16
+
+// Check returns a result error for the first setting that is wrong.
+func (s *Settings) Check() error {
+	addresses := map[string]string{"listen": s.Listen, "peer": s.Peer}
+	for _, seed := range s.Seeds {
+		addresses["seeds"] = seed
+		if err := checkAddress("seeds", seed); err != nil {
+			return err
+		}
+	}
+	if s.Advertise != "" {
+		addresses["advertise"] = s.Advertise
+	}
+	for name, address := range addresses {
+		if err := checkAddress(name, address); err != nil {
+			return err
+		}
+	}
+	if len(s.Secret) < minSecretBytes {
+		return result.New(result.SettingInvalid, "--secret has fewer than %d bytes", minSecretBytes)
+	}
+	if err := checkURL("log", s.Log); err != nil {
+		return err
+	}
+	if s.Instances != "" {
+		if err := checkURL("instances", s.Instances); err != nil {
+			return err
+		}
+	}
+	return s.checkSizes()
+}
+
+func (s *Settings) checkSizes() error {
+	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 {
+		return result.New(result.SettingInvalid, "--max-body, --max-held and --log-timeout must be positive")
+	}
+	if s.MaxHeld < s.MaxBody {
+		return result.New(result.SettingContradictory, "--max-held is below --max-body")
+	}
+	_, port, _ := net.SplitHostPort(s.Listen)
+	if s.Listen == s.Peer && port != "0" {
+		return result.New(result.SettingContradictory, "--listen and --peer are the same address")
+	}
+	return nil
+}
+
+func checkAddress(name, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return result.Wrap(err, result.SettingInvalid, "--%s %q is not ip:port", name, address)
+	}
+	return nil
+}
+
+func checkURL(name, raw string) error {
+	u, err := url.Parse(raw)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return result.New(result.SettingInvalid, "--%s %q is not an http URL", name, raw)
+	}
+	return nil
+}
+
+// hostPort splits an address that Check has accepted.
+func hostPort(address string) (string, int) {
+	host, port, _ := net.SplitHostPort(address)
+	n, _ := strconv.Atoi(port)
+	return host, n
+}
--- a/internal/filter/record/record.go
+++ b/internal/filter/record/record.go
@@ -18,7 +18,7 @@
 	ObserveAnswer(account, service string, d time.Duration)
 	ObserveWait(account, service string, d time.Duration)
 	ObserveFirstToken(account, service string, d time.Duration)
-	ObserveCost(account, service string, cost float64)
+	ObserveCost(account, service string, tokens int64)
 }
 
 // New returns the filter.
@@ -68,5 +68,5 @@
 		return
 	}
 	metrics.ObserveAnswer(account, service, now.Sub(r.Received))
-	metrics.ObserveCost(account, service, r.Cost)
+	metrics.ObserveCost(account, service, int64(r.Cost))
 }
--- /dev/null
+++ b/test/cluster/cluster.go
@@ -0,0 +1,215 @@
+package cluster
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// Secret is the shared secret of test fleets.
+const Secret = "test-secret-of-the-fleet"
+
+// Options configure a Cluster.
+type Options struct {
+	Bin  string // folder of the programs
+	Logs io.Writer
+	// Zones are the data centres. Daemon i runs in zone i modulo their number.
+	Zones   []string
+	Daemons int
+	// DaemonArgs are added to the flags of every daemon.
+	DaemonArgs []string
+	// LogArgs are added to the flags of the log.
+	LogArgs []string
+	// LogVia returns the address at which daemon i reaches the log; the log's own when nil.
+	LogVia func(i int, address string) string
+}
+
+// Cluster is a running fleet with its stand-ins.
+type Cluster struct {
+	group
+	opts    Options
+	Log     *Process
+	List    *Process
+	Daemons []*Process
+	Servers map[string]*Process
+}
+
+// New starts the log, the list and the daemons.
+func New(opts Options) (*Cluster, error) {
+	c := &Cluster{opts: opts, Servers: map[string]*Process{}}
+	var err error
+	if c.Log, err = c.standin("log", append([]string{"log"}, opts.LogArgs...)...); err != nil {
+		return nil, err
+	}
+	if c.List, err = c.standin("list", "list"); err != nil {
+		c.Close()
+		return nil, err
+	}
+	for i := range opts.Daemons {
+		if _, err := c.StartDaemon(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) standin(name string, args ...string) (*Process, error) {
+	p, err := Start(name, filepath.Join(c.opts.Bin, "standin"), c.opts.Logs, args...)
+	if err == nil {
+		c.add(p)
+	}
+	return p, err
+}
+
+// Zone returns the data centre of daemon i.
+func (c *Cluster) Zone(i int) string { return c.opts.Zones[i%len(c.opts.Zones)] }
+
+// StartDaemon starts daemon i, at the end of Daemons or in the place of an ended one.
+func (c *Cluster) StartDaemon(i int) (*Process, error) {
+	log := c.Log.Address
+	if c.opts.LogVia != nil {
+		log = c.opts.LogVia(i, log)
+	}
+	name := fmt.Sprintf("d%d", i+1)
+	args := []string{
+		"--id", name, "--zone", c.Zone(i), "--region", "r1",
+		"--listen", "127.0.0.1:0", "--peer", "127.0.0.1:0",
+		"--secret", Secret, "--log", "http://" + log,
+		"--instances", "http://" + c.List.Address + "/sd",
+	}
+	p, err := Start(name, filepath.Join(c.opts.Bin, "filbertrilld"), c.opts.Logs, append(args, c.opts.DaemonArgs...)...)
+	if err != nil {
+		return nil, err
+	}
+	c.add(p)
+	if i < len(c.Daemons) {
+		c.Daemons[i] = p
+	} else {
+		c.Daemons = append(c.Daemons, p)
+	}
+	return p, c.listInstance(p.Field("peers"), c.Zone(i))
+}
+
+func (c *Cluster) listInstance(peer, zone string) error {
+	body := fmt.Sprintf(`{"address":%q,"zone":%q,"state":"live"}`, peer, zone)
+	return PostJSON("http://"+c.List.Address+"/admin/instances", body)
+}
+
+// PostJSON posts a body to a control address of a stand-in.
+func PostJSON(url, body string) error {
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(resp.Body)
+		return errors.Newf("%s answered %d: %s", url, resp.StatusCode, text)
+	}
+	return nil
+}
+
+// StartServer starts a backend server, "engine" or "plain", under an id.
+func (c *Cluster) StartServer(id, kind string, args ...string) (*Process, error) {
+	p, err := c.standin(id, append([]string{kind}, args...)...)
+	if err == nil {
+		c.Servers[id] = p
+	}
+	return p, err
+}
+
+// KeyHash returns the hash of an API key as tickets carry it.
+func KeyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Submit hands a ticket to the fleet by filbertrillctl and waits until it is in force.
+func (c *Cluster) Submit(t ticket.Ticket) (string, error) {
+	file, err := writeTicket(t)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = os.Remove(file) }()
+	return c.Ctl("ticket", "submit", file, "--wait", "in-force")
+}
+
+// withDefaults fills in what a ticket file would leave out.
+func withDefaults(t ticket.Ticket) ticket.Ticket {
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		a.MaxQueued = cmp.Or(a.MaxQueued, ticket.DefaultMaxQueued)
+		a.MaxQueuedBytes = cmp.Or(a.MaxQueuedBytes, ticket.DefaultMaxQueuedBytes)
+		a.Presence = cmp.Or(a.Presence, ticket.PresenceActive)
+	}
+	for i := range t.Services {
+		s := &t.Services[i]
+		s.Deadline = cmp.Or(s.Deadline, ticket.DefaultDeadline)
+		s.IdleLimit = cmp.Or(s.IdleLimit, ticket.DefaultIdleLimit)
+		s.CutOff = cmp.Or(s.CutOff, ticket.CutOffRefuse)
+		s.Presence = cmp.Or(s.Presence, ticket.PresenceActive)
+	}
+	return t
+}
+
+func writeTicket(t ticket.Ticket) (string, error) {
+	data, err := json.Marshal(withDefaults(t))
+	if err != nil {
+		return "", err
+	}
+	f, err := os.CreateTemp("", "ticket-*.json")
+	if err != nil {
+		return "", err
+	}
+	_, err = f.Write(data)
+	return f.Name(), errors.CombineErrors(err, f.Close())
+}
+
+// Ctl runs filbertrillctl with the daemons' addresses and returns its output.
+func (c *Cluster) Ctl(args ...string) (string, error) {
+	for _, d := range c.Daemons {
+		args = append(args, "--daemon", d.Field("peers"))
+	}
+	args = append(args, "--secret", Secret, "--timeout", "30s")
+	cmd := exec.Command(filepath.Join(c.opts.Bin, "filbertrillctl"), args...)
+	out, err := cmd.CombinedOutput()
+	return string(out), errors.Wrapf(err, "filbertrillctl %s: %s", strings.Join(args[:2], " "), out)
+}
+
+// AwaitReady waits until every daemon is ready to serve.
+func (c *Cluster) AwaitReady(timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for _, d := range c.Daemons {
+		for {
+			resp, err := http.Get("http://" + d.Address + "/readyz")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				return errors.Newf("%s is not ready", d.Name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Close ends every process.
+func (c *Cluster) Close() { c.killAll() }
--- /dev/null
+++ b/test/integration/path_test.go
@@ -0,0 +1,87 @@
+package integration
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/test/cluster"
+)
+
+func TestWholePath(t *testing.T) {
+	f := startFleet(t, cluster.Options{})
+	f.addEngine("z1", 4)
+	f.addPlain("z2", 2)
+	f.submit()
+
+	t.Run("openai client", func(t *testing.T) { openAIClient(t, f) })
+	t.Run("plain service", func(t *testing.T) {
+		status, _, body := f.call(1, "key-small", http.MethodPost, "/v1/services/registry/stamps", `{}`)
+		require.Equal(t, http.StatusOK, status, body)
+		require.Contains(t, body, `"serial"`)
+	})
+	t.Run("refusals", func(t *testing.T) { refusals(t, f) })
+}
+
+func openAIClient(t *testing.T, f *fleet) {
+	for _, d := range f.Daemons {
+		client := openai.NewClient(option.WithAPIKey("key-small"), option.WithBaseURL("http://"+d.Address+"/v1"))
+		params := openai.ChatCompletionNewParams{
+			Model:               "drafter",
+			Messages:            []openai.ChatCompletionMessageParamUnion{openai.UserMessage(strings.Repeat("dossier ", 400_000))},
+			MaxCompletionTokens: openai.Int(12),
+		}
+		whole, err := client.Chat.Completions.New(t.Context(), params)
+		require.NoError(t, err)
+		require.Len(t, strings.Fields(whole.Choices[0].Message.Content), 12)
+
+		stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+		var acc openai.ChatCompletionAccumulator
+		for stream.Next() {
+			acc.AddChunk(stream.Current())
+		}
+		require.NoError(t, stream.Err())
+		require.Len(t, strings.Fields(acc.Choices[0].Message.Content), 12)
+
+		models, err := client.Models.List(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, "drafter", models.Data[0].ID)
+	}
+}
+
+func refusals(t *testing.T, f *fleet) {
+	chat := "/v1/chat/completions"
+	cases := []struct{ name, key, path, body, code string }{
+		{"no key", "", chat, `{}`, "1001"},
+		{"unknown key", "key-none", chat, `{}`, "1002"},
+		{"malformed body", "key-small", chat, `{"model"`, "1004"},
+		{"unknown model", "key-small", chat, `{"model":"none","messages":[{}]}`, "1006"},
+		{"plain service as a model", "key-small", chat, `{"model":"registry","messages":[{}]}`, "1006"},
+		{"unknown path", "key-small", "/v1/none", `{}`, "1007"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, header, body := f.call(0, c.key, http.MethodPost, c.path, c.body)
+			require.Equal(t, c.code, header.Get("X-Result-Code"), body)
+			require.Equal(t, "not_run", header.Get("X-Outcome"))
+		})
+	}
+}
+
+func TestPlannedStopOfTheFleet(t *testing.T) {
+	f := startFleet(t, cluster.Options{})
+	f.addEngine("z1", 4)
+	f.submit()
+	for _, d := range f.Daemons {
+		d.Signal(syscall.SIGTERM)
+	}
+	for _, d := range f.Daemons {
+		require.True(t, d.Wait(patience))
+		require.NoError(t, d.ExitError())
+	}
+}
