Parse tickets and derive the configuration from the log

Cause: the fleet needs one verdict on every ticket on every daemon. A key hash that two active accounts would hold is rejected too, since a lookup by key must have one answer. Conclusion: stands without its callers; the log reader is not part of it.

--- /dev/null
+++ b/internal/ticket/decoder.go
@@ -0,0 +1,212 @@
+package ticket
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+)
+
+// The YAML tags of scalar values.
+const (
+	tagString = "!!str"
+	tagInt    = "!!int"
+	tagFloat  = "!!float"
+	tagBool   = "!!bool"
+)
+
+// decoder reads typed values from YAML nodes and collects every problem.
+type decoder struct {
+	file     string
+	problems Problems
+}
+
+func (d *decoder) report(line int, field, format string, args ...any) {
+	problem := Problem{File: d.file, Line: line, Field: field, Message: fmt.Sprintf(format, args...)}
+	d.problems = append(d.problems, problem)
+}
+
+// object is a mapping whose fields are taken one by one; finish reports the fields left.
+type object struct {
+	*decoder
+	path   string
+	line   int
+	fields map[string]*yaml.Node
+	keys   []*yaml.Node
+	taken  map[string]bool
+}
+
+func (d *decoder) object(node *yaml.Node, path string) *object {
+	o := &object{
+		decoder: d,
+		path:    path,
+		line:    node.Line,
+		fields:  map[string]*yaml.Node{},
+		taken:   map[string]bool{},
+	}
+	if node.Kind != yaml.MappingNode {
+		d.report(node.Line, path, "must be a mapping of fields")
+		return nil
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key := node.Content[i]
+		if _, exists := o.fields[key.Value]; exists {
+			d.report(key.Line, o.field(key.Value), "field is given twice")
+			continue
+		}
+		o.fields[key.Value] = node.Content[i+1]
+		o.keys = append(o.keys, key)
+	}
+	return o
+}
+
+func (o *object) field(name string) string {
+	if o.path == "" {
+		return name
+	}
+	return o.path + "." + name
+}
+
+func (o *object) lineOf(name string) int {
+	if node := o.fields[name]; node != nil {
+		return node.Line
+	}
+	return o.line
+}
+
+func (o *object) fail(name, format string, args ...any) {
+	o.report(o.lineOf(name), o.field(name), format, args...)
+}
+
+// take returns the node of a field, or nil when it is missing.
+func (o *object) take(name string, required bool) *yaml.Node {
+	o.taken[name] = true
+	node := o.fields[name]
+	if node == nil && required {
+		o.fail(name, "is required")
+	}
+	return node
+}
+
+func (o *object) finish() {
+	for _, key := range o.keys {
+		if !o.taken[key.Value] {
+			o.report(key.Line, o.field(key.Value), "unknown field")
+		}
+	}
+}
+
+// scalar returns the text of a field that has one of the tags.
+func (o *object) scalar(name string, required bool, kind string, tags ...string) (string, bool) {
+	node := o.take(name, required)
+	if node == nil {
+		return "", false
+	}
+	if node.Kind == yaml.ScalarNode {
+		for _, tag := range tags {
+			if node.ShortTag() == tag {
+				return node.Value, true
+			}
+		}
+	}
+	o.fail(name, "must be %s", kind)
+	return "", false
+}
+
+// text reads a required string.
+func (o *object) text(name string) (string, bool) {
+	value, ok := o.scalar(name, true, "a string", tagString)
+	if ok && strings.TrimSpace(value) == "" {
+		o.fail(name, "must not be empty")
+		return "", false
+	}
+	return value, ok
+}
+
+func (o *object) uint(name string) uint64 {
+	text, ok := o.scalar(name, true, "a whole number", tagInt)
+	if !ok {
+		return 0
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || value == 0 || value > MaxNumber {
+		o.fail(name, "must be a whole number from 1 to %d", uint64(MaxNumber))
+		return 0
+	}
+	return value
+}
+
+// int reads a whole number within the limits, or returns the default when it is missing.
+func (o *object) int(name string, required bool, fallback, lowest, highest int64) int64 {
+	text, ok := o.scalar(name, required, "a whole number", tagInt)
+	if !ok {
+		return fallback
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || value < lowest || value > highest {
+		o.fail(name, "must be a whole number from %d to %d", lowest, highest)
+		return fallback
+	}
+	return value
+}
+
+func (o *object) float(name string, fallback, highest float64) float64 {
+	text, ok := o.scalar(name, false, "a number", tagInt, tagFloat)
+	if !ok {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value > 0 && value <= highest) {
+		o.fail(name, "must be a number above 0 and at most %g", highest)
+		return fallback
+	}
+	return value
+}
+
+func (o *object) bool(name string) bool {
+	text, ok := o.scalar(name, false, "true or false", tagBool)
+	return ok && strings.EqualFold(text, "true")
+}
+
+func (o *object) duration(name string, fallback Duration) Duration {
+	text, ok := o.scalar(name, false, `a duration such as "30s"`, tagString)
+	if !ok {
+		return fallback
+	}
+	var value Duration
+	if err := value.set(text); err != nil || value <= 0 || value > MaxDuration {
+		o.fail(name, `must be a duration such as "30s", above 0 and at most %s`, MaxDuration)
+		return fallback
+	}
+	return value
+}
+
+// enum reads one of the values, or returns the first one when the field is missing.
+func enum[T ~string](o *object, name string, required bool, values ...T) T {
+	text, ok := o.scalar(name, required, "a string", tagString)
+	if !ok {
+		return values[0]
+	}
+	names := make([]string, len(values))
+	for i, value := range values {
+		if T(text) == value {
+			return value
+		}
+		names[i] = string(value)
+	}
+	o.fail(name, "must be one of: %s", strings.Join(names, ", "))
+	return values[0]
+}
+
+func (o *object) list(name string, required bool) []*yaml.Node {
+	node := o.take(name, required)
+	if node == nil {
+		return nil
+	}
+	if node.Kind != yaml.SequenceNode {
+		o.fail(name, "must be a list")
+		return nil
+	}
+	return node.Content
+}
--- /dev/null
+++ b/internal/ticket/parse.go
@@ -0,0 +1,264 @@
+package ticket
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// The limits of ticket fields.
+const (
+	MaxNumber   = 1<<53 - 1                // largest whole number that every JSON reader keeps exact
+	MaxWeight   = 1e6                      // weight of an account
+	MaxDuration = Duration(24 * time.Hour) // deadline and idle limit
+	MaxSlots    = 1 << 16                  // requests at once on a backend server
+	MaxQueued   = 1 << 20                  // requests waiting on one daemon
+	MaxBytes    = 1 << 40                  // bytes waiting on one daemon
+)
+
+// The values of optional fields that a ticket leaves out.
+const (
+	DefaultWeight         = 1.0
+	DefaultMaxQueued      = 256      // requests
+	DefaultMaxQueuedBytes = 64 << 20 // bytes
+	DefaultDeadline       = Duration(60 * time.Second)
+	DefaultIdleLimit      = Duration(30 * time.Second)
+)
+
+var (
+	idPattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	linePattern = regexp.MustCompile(`line (\d+)`)
+)
+
+// Parse reads a ticket from YAML or JSON and fills in the defaults. The name
+// stands for the file in errors. The error is of type Problems and holds every fault.
+func Parse(name string, data []byte) (Ticket, error) {
+	d := &decoder{file: name}
+	root := d.document(data)
+	if root == nil {
+		return Ticket{}, d.problems
+	}
+	t := d.ticket(root)
+	if len(d.problems) > 0 {
+		sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].Line < d.problems[j].Line })
+		return Ticket{}, d.problems
+	}
+	return canonical(t), nil
+}
+
+// document returns the only document of the data, or nil with a problem reported.
+func (d *decoder) document(data []byte) *yaml.Node {
+	if json.Valid(data) {
+		// JSON has tabs only between values; YAML refuses them there.
+		data = bytes.ReplaceAll(data, []byte("\t"), []byte(" "))
+	}
+	reader := yaml.NewDecoder(bytes.NewReader(data))
+	var document, next yaml.Node
+	err := reader.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		d.report(1, "", "the document is empty")
+		return nil
+	}
+	if err != nil {
+		d.reportSyntax(err)
+		return nil
+	}
+	if len(document.Content) == 0 {
+		d.report(1, "", "the document is empty")
+		return nil
+	}
+	if err := reader.Decode(&next); !errors.Is(err, io.EOF) {
+		d.report(max(next.Line, 1), "", "only one document is allowed")
+		return nil
+	}
+	if alias := findAlias(&document); alias != nil {
+		d.report(alias.Line, "", "aliases are not allowed")
+		return nil
+	}
+	return document.Content[0]
+}
+
+func (d *decoder) reportSyntax(err error) {
+	line := 1
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	if match := linePattern.FindStringSubmatch(message); match != nil {
+		line, _ = strconv.Atoi(match[1])
+		message = strings.TrimPrefix(message, match[0]+": ")
+	}
+	d.report(line, "", "%s", message)
+}
+
+func findAlias(node *yaml.Node) *yaml.Node {
+	if node.Kind == yaml.AliasNode {
+		return node
+	}
+	for _, child := range node.Content {
+		if found := findAlias(child); found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
+func (d *decoder) ticket(root *yaml.Node) Ticket {
+	o := d.object(root, "")
+	if o == nil {
+		return Ticket{}
+	}
+	t := Ticket{Number: o.uint("number"), Author: o.prose("author"), Reason: o.prose("reason")}
+	accountIDs, keys := unique{}, unique{}
+	for i, node := range o.list("accounts", false) {
+		t.Accounts = append(t.Accounts, d.account(node, index("accounts", i), accountIDs, keys))
+	}
+	serviceIDs := unique{}
+	for i, node := range o.list("services", false) {
+		t.Services = append(t.Services, d.service(node, index("services", i), serviceIDs))
+	}
+	serverIDs := unique{}
+	for i, node := range o.list("servers", false) {
+		t.Servers = append(t.Servers, d.server(node, index("servers", i), serverIDs))
+	}
+	o.finish()
+	if len(t.Accounts)+len(t.Services)+len(t.Servers) == 0 {
+		d.report(root.Line, "", "a ticket needs at least one account, service or server")
+	}
+	return t
+}
+
+func index(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
+// unique maps each value to the line that gave it first.
+type unique map[string]int
+
+func (u unique) add(d *decoder, line int, field, value string) {
+	if first, exists := u[value]; exists {
+		d.report(line, field, "duplicate of line %d", first)
+		return
+	}
+	u[value] = line
+}
+
+// prose reads a required text of printable characters, tabs and line ends.
+func (o *object) prose(name string) string {
+	value, ok := o.text(name)
+	if !ok {
+		return ""
+	}
+	for _, r := range value {
+		if r != '\n' && r != '\t' && !unicode.IsPrint(r) {
+			o.fail(name, "holds the unprintable character %U", r)
+			return ""
+		}
+	}
+	return value
+}
+
+func (o *object) id(name string) (string, bool) {
+	value, ok := o.text(name)
+	if ok && !idPattern.MatchString(value) {
+		o.fail(name, "must be 1 to 128 letters, digits or . _ : / - and start with a letter or digit")
+		return "", false
+	}
+	return value, ok
+}
+
+// uniqueID reads the field id and reports one that came before.
+func (o *object) uniqueID(ids unique) string {
+	id, ok := o.id("id")
+	if ok {
+		ids.add(o.decoder, o.lineOf("id"), o.field("id"), id)
+	}
+	return id
+}
+
+func (d *decoder) account(node *yaml.Node, path string, ids, keys unique) Account {
+	o := d.object(node, path)
+	if o == nil {
+		return Account{}
+	}
+	a := Account{
+		ID:             o.uniqueID(ids),
+		Weight:         o.float("weight", DefaultWeight, MaxWeight),
+		MaxQueued:      int(o.int("maxQueued", false, DefaultMaxQueued, 1, MaxQueued)),
+		MaxQueuedBytes: o.int("maxQueuedBytes", false, DefaultMaxQueuedBytes, 1, MaxBytes),
+		MaxInFlight:    int(o.int("maxInFlight", false, 0, 0, MaxQueued)),
+		Presence:       enum(o, "presence", false, PresenceActive, PresenceRemoved),
+	}
+	a.KeyHashes = o.keyHashes(a.Presence == PresenceActive, keys)
+	o.finish()
+	return a
+}
+
+func (o *object) keyHashes(required bool, keys unique) []string {
+	hashes := []string{}
+	for i, node := range o.list("keyHashes", required) {
+		field := o.field(index("keyHashes", i))
+		if node.Kind != yaml.ScalarNode || !hashPattern.MatchString(node.Value) {
+			o.report(node.Line, field, "must be the lower-case hexadecimal SHA-256 of an API key")
+			continue
+		}
+		keys.add(o.decoder, node.Line, field, node.Value)
+		hashes = append(hashes, node.Value)
+	}
+	return hashes
+}
+
+func (d *decoder) service(node *yaml.Node, path string, ids unique) Service {
+	o := d.object(node, path)
+	if o == nil {
+		return Service{}
+	}
+	s := Service{
+		ID:         o.uniqueID(ids),
+		Kind:       enum(o, "kind", true, ServiceModel, ServicePlain),
+		Repeatable: o.bool("repeatable"),
+		Deadline:   o.duration("deadline", DefaultDeadline),
+		IdleLimit:  o.duration("idleLimit", DefaultIdleLimit),
+		Standby:    int(o.int("standby", false, 0, 0, MaxSlots)),
+		CutOff:     enum(o, "cutOff", false, CutOffRefuse, CutOffServe),
+		Presence:   enum(o, "presence", false, PresenceActive, PresenceRemoved),
+	}
+	o.finish()
+	return s
+}
+
+func (d *decoder) server(node *yaml.Node, path string, ids unique) Server {
+	o := d.object(node, path)
+	if o == nil {
+		return Server{}
+	}
+	s := Server{ID: o.uniqueID(ids)}
+	s.Service, _ = o.id("service")
+	s.Address = o.address("address")
+	s.Zone, _ = o.id("zone")
+	s.Slots = int(o.int("slots", true, 0, 1, MaxSlots))
+	s.ChecksOrders = o.bool("checksOrders")
+	s.State = enum(o, "state", false, ServerJoined, ServerLeaving, ServerRemoved)
+	o.finish()
+	return s
+}
+
+func (o *object) address(name string) string {
+	text, ok := o.text(name)
+	if !ok {
+		return ""
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		o.fail(name, "must be an IP address and a port such as 10.0.0.7:8000")
+		return ""
+	}
+	return address.String()
+}
--- /dev/null
+++ b/internal/ticket/problem.go
@@ -0,0 +1,34 @@
+package ticket
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault of a ticket file.
+type Problem struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`  // counted from 1
+	Field   string `json:"field"` // path such as "servers[0].address"; empty for the whole document
+	Message string `json:"message"`
+}
+
+// String returns the problem in the form file:line: field: message.
+func (p Problem) String() string {
+	if p.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Field, p.Message)
+}
+
+// Problems holds every fault of a ticket file, in the order of lines.
+type Problems []Problem
+
+// Error returns one problem a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/ticket/snapshot.go
@@ -0,0 +1,106 @@
+package ticket
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// SnapshotVersion is the version of the form of Snapshot.
+const SnapshotVersion = 1
+
+var errSnapshot = errors.New("snapshot is malformed")
+
+// Snapshot is a whole State in a form for JSON. Lists are in the order of identifiers.
+type Snapshot struct {
+	Version       int                  `json:"version"`
+	AppliedOffset int64                `json:"appliedOffset"` // base; -1 when no record was applied
+	LowWater      uint64               `json:"lowWater"`      // numbers at or below are forgotten
+	Accounts      []Versioned[Account] `json:"accounts"`
+	Services      []Versioned[Service] `json:"services"`
+	Servers       []Versioned[Server]  `json:"servers"`
+	History       []byte               `json:"history"` // packed entries, base64 in JSON
+}
+
+// Snapshot returns a copy of the state.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{
+		Version:       SnapshotVersion,
+		AppliedOffset: s.applied,
+		LowWater:      s.history.lowWater,
+		Accounts:      sorted(s.accounts),
+		Services:      sorted(s.services),
+		Servers:       sorted(s.servers),
+		History:       s.history.encode(),
+	}
+}
+
+func sorted[T any](objects map[string]Versioned[T]) []Versioned[T] {
+	list := make([]Versioned[T], 0, len(objects))
+	for _, id := range slices.Sorted(maps.Keys(objects)) {
+		list = append(list, objects[id])
+	}
+	return list
+}
+
+// Restore returns the state of a snapshot. It fails on another version, on an
+// identifier that comes twice and on a malformed history.
+func Restore(snapshot Snapshot) (*State, error) { return restore(snapshot, HistoryLimit) }
+
+func restore(snapshot Snapshot, limit int) (*State, error) {
+	if snapshot.Version != SnapshotVersion {
+		return nil, errors.Wrapf(errSnapshot, "version %d", snapshot.Version)
+	}
+	if snapshot.AppliedOffset < noOffset {
+		return nil, errors.Wrapf(errSnapshot, "applied offset %d", snapshot.AppliedOffset)
+	}
+	s := newState(limit)
+	s.applied = snapshot.AppliedOffset
+	var err error
+	s.history, err = decodeHistory(limit, snapshot.LowWater, snapshot.History)
+	if err != nil {
+		return nil, err
+	}
+	err = cmp.Or(
+		fill(s.accounts, snapshot.Accounts, func(a Account) string { return a.ID }),
+		fill(s.services, snapshot.Services, func(service Service) string { return service.ID }),
+		fill(s.servers, snapshot.Servers, func(server Server) string { return server.ID }),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func fill[T any](objects map[string]Versioned[T], list []Versioned[T], id func(T) string) error {
+	for _, object := range list {
+		key := id(object.Value)
+		if _, exists := objects[key]; exists || key == "" {
+			return errors.Wrapf(errSnapshot, "identifier %q", key)
+		}
+		objects[key] = object
+	}
+	return nil
+}
+
+// Digest returns the hexadecimal SHA-256 of the whole state without the applied
+// offset: records that change nothing leave it as it is.
+func (s *State) Digest() string {
+	if s.digest != "" {
+		return s.digest
+	}
+	snapshot := s.Snapshot()
+	snapshot.AppliedOffset = 0
+	data, err := json.Marshal(snapshot)
+	if err != nil {
+		return "" // a snapshot has no value that JSON can't hold
+	}
+	sum := sha256.Sum256(data)
+	s.digest = hex.EncodeToString(sum[:])
+	return s.digest
+}
--- a/internal/ticket/types.go
+++ b/internal/ticket/types.go
@@ -2,8 +2,6 @@
 // that derives the fleet's configuration from the platform's log.
 package ticket
 
-import "time"
-
 // Ticket is one numbered change. It carries the whole new state of every object it touches.
 type Ticket struct {
 	Number   uint64    `yaml:"number" json:"number"`
@@ -56,14 +54,14 @@
 
 // Service is a model or a plain service that backend servers offer.
 type Service struct {
-	ID         string        `yaml:"id" json:"id"`
-	Kind       ServiceKind   `yaml:"kind" json:"kind"`
-	Repeatable bool          `yaml:"repeatable" json:"repeatable"`
-	Deadline   time.Duration `yaml:"deadline" json:"deadline"`       // from arrival to the start of the answer
-	IdleLimit  time.Duration `yaml:"idleLimit" json:"idleLimit"`     // longest silence of a running answer
-	Standby    int           `yaml:"standby" json:"standby"`         // grants beyond the slots of each backend server
-	CutOff     CutOffPolicy  `yaml:"cutOff" json:"cutOff,omitempty"` // what a cut-off daemon does
-	Presence   Presence      `yaml:"presence" json:"presence"`
+	ID         string       `yaml:"id" json:"id"`
+	Kind       ServiceKind  `yaml:"kind" json:"kind"`
+	Repeatable bool         `yaml:"repeatable" json:"repeatable"`
+	Deadline   Duration     `yaml:"deadline" json:"deadline"`   // from arrival to the start of the answer
+	IdleLimit  Duration     `yaml:"idleLimit" json:"idleLimit"` // longest silence of a running answer
+	Standby    int          `yaml:"standby" json:"standby"`     // grants beyond the slots of each backend server
+	CutOff     CutOffPolicy `yaml:"cutOff" json:"cutOff"`       // what a cut-off daemon does
+	Presence   Presence     `yaml:"presence" json:"presence"`
 }
 
 // CutOffPolicy tells what a daemon does that hears neither the log nor a majority of its members.
