Add the operators' tool

Cause: operators submit and follow tickets from the command line. Ruled out: stopping after a lost answer; a repeat is safe, so the next daemon is asked, and the outcome is unknown only when none answers. Run: go test ./internal/ctl ./cmd/filbertrillctl passes against a fake daemon.

--- /dev/null
+++ b/cmd/filbertrillctl/main.go
@@ -0,0 +1,40 @@
+// Command filbertrillctl is the operators' tool of the filbertrill router fleet.
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/ctl"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return ctl.Run(ctx, os.Args[1:], ctl.Options{
+		Stdout:    os.Stdout,
+		Stderr:    os.Stderr,
+		NewDialer: newDialer,
+		Version:   version,
+	})
+}
+
+// newDialer stands in until the peer package offers its dialer.
+func newDialer(string) ctl.Dialer {
+	return func(context.Context, string) (pb.DRPCOperatorClient, io.Closer, error) {
+		return nil, nil, errors.New("this build has no dialer")
+	}
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,255 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+const testSecret = "open-sesame"
+
+const testTicket = `number: 7
+author: a
+reason: r
+accounts: [{id: x, keyHashes: []}]
+`
+
+var errLost = errors.New("connection lost")
+
+// fakeDaemon answers with what it holds; a method without an answer panics.
+type fakeDaemon struct {
+	pb.DRPCOperatorClient
+	status   *pb.TicketStatus
+	reply    *pb.StatusReply
+	snapshot []byte
+	drain    pb.MemberState
+	err      error
+	got      *pb.SubmitTicketRequest
+}
+
+func (f *fakeDaemon) SubmitTicket(_ context.Context, in *pb.SubmitTicketRequest) (*pb.SubmitTicketReply, error) {
+	f.got = in
+	return &pb.SubmitTicketReply{Status: f.status}, f.err
+}
+
+func (f *fakeDaemon) ShowTicket(context.Context, *pb.ShowTicketRequest) (*pb.TicketStatus, error) {
+	return f.status, f.err
+}
+
+func (f *fakeDaemon) ListTickets(context.Context, *pb.ListTicketsRequest) (*pb.ListTicketsReply, error) {
+	return &pb.ListTicketsReply{Tickets: []*pb.TicketStatus{f.status}}, f.err
+}
+
+func (f *fakeDaemon) Status(context.Context, *pb.StatusRequest) (*pb.StatusReply, error) {
+	return f.reply, f.err
+}
+
+func (f *fakeDaemon) Config(context.Context, *pb.ConfigRequest) (*pb.ConfigReply, error) {
+	return &pb.ConfigReply{Snapshot: f.snapshot}, f.err
+}
+
+func (f *fakeDaemon) Drain(_ context.Context, in *pb.DrainRequest) (*pb.DrainReply, error) {
+	return &pb.DrainReply{Member: in.GetMember(), State: f.drain}, f.err
+}
+
+// Close counts as the connection's closer.
+func (f *fakeDaemon) Close() error { return nil }
+
+// ran is what one command line left.
+type ran struct {
+	code           int
+	stdout, stderr string
+}
+
+// runWith runs a command line against daemons by address; others can't be reached.
+func runWith(t *testing.T, daemons map[string]*fakeDaemon, args ...string) ran {
+	t.Helper()
+	t.Setenv("FILBERTRILL_SECRET", testSecret)
+	var stdout, stderr bytes.Buffer
+	code := Run(context.Background(), args, Options{
+		Stdout: &stdout,
+		Stderr: &stderr,
+		NewDialer: func(secret string) Dialer {
+			require.Equal(t, testSecret, secret)
+			return func(_ context.Context, address string) (pb.DRPCOperatorClient, io.Closer, error) {
+				if daemon, ok := daemons[address]; ok {
+					return daemon, daemon, nil
+				}
+				return nil, nil, errors.New("refused")
+			}
+		},
+	})
+	require.NotContains(t, stdout.String()+stderr.String(), testSecret)
+	return ran{code: code, stdout: stdout.String(), stderr: stderr.String()}
+}
+
+const (
+	first  = "127.0.0.1:1"
+	second = "127.0.0.1:2"
+)
+
+func submitArgs(t *testing.T, more ...string) []string {
+	file := filepath.Join(t.TempDir(), "t.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(testTicket), 0o600))
+	return append([]string{"--daemon", first, "--daemon", second, "ticket", "submit", file}, more...)
+}
+
+func at(phase pb.TicketPhase) *fakeDaemon {
+	return &fakeDaemon{status: &pb.TicketStatus{Number: 7, Offset: 3, Phase: phase, Detail: "d"}}
+}
+
+func TestSubmit(t *testing.T) {
+	const (
+		unknown  = pb.TicketPhase_TICKET_PHASE_UNKNOWN
+		logged   = pb.TicketPhase_TICKET_PHASE_LOGGED
+		rejected = pb.TicketPhase_TICKET_PHASE_REJECTED
+		accepted = pb.TicketPhase_TICKET_PHASE_ACCEPTED
+		inForce  = pb.TicketPhase_TICKET_PHASE_IN_FORCE
+	)
+	lost := &fakeDaemon{err: errLost}
+	tests := map[string]struct {
+		daemons map[string]*fakeDaemon
+		wait    string
+		code    int
+		message string
+	}{
+		"accepted":             {map[string]*fakeDaemon{first: at(accepted)}, "accepted", ExitOK, ""},
+		"more than asked":      {map[string]*fakeDaemon{first: at(inForce)}, "logged", ExitOK, ""},
+		"stopped":              {map[string]*fakeDaemon{first: at(logged)}, "accepted", ExitPending, "stopped at logged before accepted"},
+		"not in force yet":     {map[string]*fakeDaemon{first: at(accepted)}, "in-force", ExitPending, "stopped at accepted before in-force"},
+		"rejected":             {map[string]*fakeDaemon{first: at(rejected)}, "logged", ExitRejected, "rejected"},
+		"daemon can't tell":    {map[string]*fakeDaemon{first: at(unknown)}, "logged", ExitPending, "submit again is safe"},
+		"second daemon":        {map[string]*fakeDaemon{second: at(accepted)}, "accepted", ExitOK, ""},
+		"second after a loss":  {map[string]*fakeDaemon{first: lost, second: at(accepted)}, "accepted", ExitOK, ""},
+		"lost, then no daemon": {map[string]*fakeDaemon{first: lost}, "accepted", ExitPending, "outcome unknown: the request went to 127.0.0.1:1 and no answer came; submit again is safe"},
+		"no status":            {map[string]*fakeDaemon{second: {}}, "accepted", ExitPending, "the request went to 127.0.0.1:2"},
+		"no daemon":            {nil, "accepted", ExitNoDaemon, "nothing sent: no daemon can be reached"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, output := range []string{"text", "json"} {
+				got := runWith(t, test.daemons, submitArgs(t, "--wait", test.wait, "--output", output)...)
+				require.Equal(t, test.code, got.code, got.stderr)
+				require.Contains(t, got.stderr, test.message)
+				if output == "text" {
+					continue
+				}
+				var result submitted
+				require.NoError(t, json.Unmarshal([]byte(got.stdout), &result))
+				require.Equal(t, test.code, result.ExitCode)
+				require.Equal(t, test.code == ExitOK, result.Reached)
+				require.Equal(t, test.code != ExitNoDaemon, result.Sent)
+				require.Equal(t, uint64(7), result.Number)
+			}
+		})
+	}
+}
+
+func TestSubmitSendsTheParsedTicket(t *testing.T) {
+	daemon := at(pb.TicketPhase_TICKET_PHASE_ACCEPTED)
+	got := runWith(t, map[string]*fakeDaemon{first: daemon}, submitArgs(t)...)
+	require.Equal(t, ExitOK, got.code, got.stderr)
+	want, err := ticket.Parse("t", []byte(testTicket))
+	require.NoError(t, err)
+	sent, err := ticket.Parse("sent", daemon.got.GetTicket())
+	require.NoError(t, err)
+	require.Equal(t, want, sent)
+	require.Equal(t, pb.TicketPhase_TICKET_PHASE_ACCEPTED, daemon.got.GetWaitFor())
+	require.Positive(t, daemon.got.GetTimeoutMs())
+	require.Equal(t, "ticket       7\nphase        accepted\noffset       3\nresult code  0\n"+
+		"detail       d\napplied by   -\nmissing      -\n", got.stdout)
+}
+
+func TestShowAndList(t *testing.T) {
+	tests := map[pb.TicketPhase]int{
+		pb.TicketPhase_TICKET_PHASE_UNKNOWN:  ExitPending,
+		pb.TicketPhase_TICKET_PHASE_LOGGED:   ExitOK,
+		pb.TicketPhase_TICKET_PHASE_REJECTED: ExitRejected,
+	}
+	for phase, code := range tests {
+		daemons := map[string]*fakeDaemon{first: at(phase)}
+		got := runWith(t, daemons, "--daemon", first, "ticket", "show", "7")
+		require.Equal(t, code, got.code)
+		require.Contains(t, got.stdout, phaseName(phase))
+	}
+	got := runWith(t, map[string]*fakeDaemon{first: at(pb.TicketPhase_TICKET_PHASE_VALID)}, "--daemon", first, "ticket", "list")
+	require.Equal(t, ExitOK, got.code)
+	require.Equal(t, "NUMBER  OFFSET  PHASE  DETAIL\n7       3       valid  d\n", got.stdout)
+}
+
+func TestQueries(t *testing.T) {
+	s := ticket.NewState()
+	change, err := ticket.Parse("t", []byte(`{"number":4,"author":"a","reason":"r",
+		"accounts":[{"id":"x","keyHashes":[]}],
+		"services":[{"id":"m","kind":"model"}],
+		"servers":[{"id":"s","service":"m","address":"127.0.0.1:9","zone":"z","slots":2}]}`))
+	require.NoError(t, err)
+	record, err := ticket.Encode(change)
+	require.NoError(t, err)
+	require.Equal(t, ticket.OutcomeApplied, s.Apply(0, record).Outcome)
+	snapshot, err := json.Marshal(s.Snapshot())
+	require.NoError(t, err)
+	daemons := map[string]*fakeDaemon{first: {
+		snapshot: snapshot,
+		reply: &pb.StatusReply{
+			AnsweredBy: "d1",
+			Members:    []*pb.MemberStatus{{Member: &pb.Member{Id: "d1", State: pb.MemberState_MEMBER_STATE_LIVE}}},
+			Servers:    []*pb.ServerStatus{{Id: "s", Health: "up"}},
+			Entries:    []string{"127.0.0.1:80"},
+		},
+	}}
+	tests := map[string]string{
+		"accounts": "ACCOUNT  PRESENCE  WEIGHT  KEYS  MAX QUEUED  MAX QUEUED BYTES  MAX IN FLIGHT  TICKET\n" +
+			"x        active    1       0     256         67108864          0              4\n",
+		"servers": "SERVER  SERVICE  ADDRESS      ZONE  SLOTS  CHECKS ORDERS  STATE   TICKET\n" +
+			"s       m        127.0.0.1:9  z     2      false          joined  4\n",
+		"entries": "ENTRY\n127.0.0.1:80\n",
+		"members": "MEMBER  STATE  ZONE  PEER  CLIENTS  OFFSET  LOAD  AGE  SUSPECTED  REASON\n" +
+			"d1      live   -     -     -        0       0     0s   false      -\n",
+	}
+	for command, want := range tests {
+		got := runWith(t, daemons, "--daemon", first, command)
+		require.Equal(t, ExitOK, got.code, got.stderr)
+		require.Equal(t, want, got.stdout)
+		got = runWith(t, daemons, "--daemon", first, "--output", "json", command)
+		require.Equal(t, ExitOK, got.code, got.stderr)
+		require.True(t, json.Valid([]byte(got.stdout)))
+	}
+	got := runWith(t, daemons, "--daemon", first, "status")
+	require.Equal(t, ExitOK, got.code, got.stderr)
+	require.Contains(t, got.stdout, "answered by: d1\n")
+}
+
+func TestQueryFailures(t *testing.T) {
+	got := runWith(t, nil, "--daemon", first, "status")
+	require.Equal(t, ExitNoDaemon, got.code)
+	got = runWith(t, map[string]*fakeDaemon{first: {err: errLost}}, "--daemon", first, "status")
+	require.Equal(t, ExitFailed, got.code)
+	require.Contains(t, got.stderr, "connection lost")
+	got = runWith(t, map[string]*fakeDaemon{first: {snapshot: []byte("{")}}, "--daemon", first, "accounts")
+	require.Equal(t, ExitFailed, got.code)
+}
+
+func TestDrain(t *testing.T) {
+	tests := map[int]*fakeDaemon{
+		ExitOK:      {drain: pb.MemberState_MEMBER_STATE_DRAINING},
+		ExitPending: {drain: pb.MemberState_MEMBER_STATE_LIVE},
+	}
+	for code, daemon := range tests {
+		got := runWith(t, map[string]*fakeDaemon{first: daemon}, "--daemon", first, "drain", "d1")
+		require.Equal(t, code, got.code, got.stderr)
+	}
+	got := runWith(t, map[string]*fakeDaemon{first: {err: errLost}}, "--daemon", first, "drain", "d1")
+	require.Equal(t, ExitPending, got.code)
+	require.Contains(t, got.stderr, "drain again is safe")
+}
--- /dev/null
+++ b/internal/ctl/objects.go
@@ -0,0 +1,88 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+func fetchSnapshot(s *session) (ticket.Snapshot, error) {
+	var snapshot ticket.Snapshot
+	reply, err := query(s, func(ctx context.Context, client pb.DRPCOperatorClient) (*pb.ConfigReply, error) {
+		return client.Config(ctx, &pb.ConfigRequest{})
+	})
+	if err != nil {
+		return snapshot, err
+	}
+	if err := json.Unmarshal(reply.GetSnapshot(), &snapshot); err != nil {
+		return snapshot, errors.Wrap(err, "read the snapshot")
+	}
+	return snapshot, nil
+}
+
+// accountsCommand lists the client accounts.
+type accountsCommand struct{}
+
+// Run lists the accounts with the ticket that set each, removed ones too.
+func (*accountsCommand) Run(s *session) error {
+	snapshot, err := fetchSnapshot(s)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, account := range snapshot.Accounts {
+		a := account.Value
+		rows = append(rows, []string{
+			a.ID,
+			string(a.Presence),
+			strconv.FormatFloat(a.Weight, 'g', -1, 64),
+			strconv.Itoa(len(a.KeyHashes)),
+			strconv.Itoa(a.MaxQueued),
+			strconv.FormatInt(a.MaxQueuedBytes, 10),
+			strconv.Itoa(a.MaxInFlight),
+			strconv.FormatUint(account.Number, 10),
+		})
+	}
+	head := []string{"ACCOUNT", "PRESENCE", "WEIGHT", "KEYS", "MAX QUEUED", "MAX QUEUED BYTES", "MAX IN FLIGHT", "TICKET"}
+	return s.print(notNil(snapshot.Accounts), head, rows)
+}
+
+// serversCommand lists the backend servers.
+type serversCommand struct{}
+
+// Run lists the backend servers with the ticket that set each, removed ones too.
+func (*serversCommand) Run(s *session) error {
+	snapshot, err := fetchSnapshot(s)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, server := range snapshot.Servers {
+		v := server.Value
+		rows = append(rows, []string{
+			v.ID,
+			v.Service,
+			v.Address,
+			v.Zone,
+			strconv.Itoa(v.Slots),
+			strconv.FormatBool(v.ChecksOrders),
+			string(v.State),
+			strconv.FormatUint(server.Number, 10),
+		})
+	}
+	head := []string{"SERVER", "SERVICE", "ADDRESS", "ZONE", "SLOTS", "CHECKS ORDERS", "STATE", "TICKET"}
+	return s.print(notNil(snapshot.Servers), head, rows)
+}
+
+// notNil returns an empty list for nil, so that JSON shows [].
+func notNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/ctl/phase.go
@@ -0,0 +1,102 @@
+package ctl
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// phaseNames are the names of phases.
+var phaseNames = map[pb.TicketPhase]string{
+	pb.TicketPhase_TICKET_PHASE_UNKNOWN:  "unknown",
+	pb.TicketPhase_TICKET_PHASE_LOGGED:   "logged",
+	pb.TicketPhase_TICKET_PHASE_VALID:    "valid",
+	pb.TicketPhase_TICKET_PHASE_REJECTED: "rejected",
+	pb.TicketPhase_TICKET_PHASE_ACCEPTED: "accepted",
+	pb.TicketPhase_TICKET_PHASE_IN_FORCE: "in-force",
+}
+
+func phaseName(phase pb.TicketPhase) string {
+	if name, ok := phaseNames[phase]; ok {
+		return name
+	}
+	return "phase-" + strconv.Itoa(int(phase))
+}
+
+// phaseByName returns the phase of a name; unknown for a name that isn't one.
+func phaseByName(name string) pb.TicketPhase {
+	for phase, known := range phaseNames {
+		if known == name {
+			return phase
+		}
+	}
+	return pb.TicketPhase_TICKET_PHASE_UNKNOWN
+}
+
+// ticketView is a ticket's status for output.
+type ticketView struct {
+	Number     uint64          `json:"number"`
+	Offset     *int64          `json:"offset"` // null when the phase is unknown
+	Phase      string          `json:"phase"`
+	ResultCode uint32          `json:"resultCode"`
+	Detail     string          `json:"detail"`
+	AppliedBy  []string        `json:"appliedBy"`
+	Missing    []string        `json:"missing"`
+	Ticket     json.RawMessage `json:"ticket,omitempty"`
+}
+
+func newTicketView(status *pb.TicketStatus) ticketView {
+	view := ticketView{
+		Number:     status.GetNumber(),
+		Phase:      phaseName(status.GetPhase()),
+		ResultCode: status.GetResultCode(),
+		Detail:     status.GetDetail(),
+		AppliedBy:  sortedNames(status.GetAppliedBy()),
+		Missing:    sortedNames(status.GetMissing()),
+	}
+	if status.GetPhase() != pb.TicketPhase_TICKET_PHASE_UNKNOWN {
+		offset := status.GetOffset()
+		view.Offset = &offset
+	}
+	if json.Valid(status.GetTicket()) {
+		view.Ticket = status.GetTicket()
+	}
+	return view
+}
+
+// sortedNames returns a sorted copy that is never nil.
+func sortedNames(names []string) []string {
+	list := append([]string{}, names...)
+	slices.Sort(list)
+	return list
+}
+
+func (v ticketView) offsetText() string {
+	if v.Offset == nil {
+		return "-"
+	}
+	return strconv.FormatInt(*v.Offset, 10)
+}
+
+func (s *session) printTicket(view ticketView) error {
+	head := []string{"ticket", strconv.FormatUint(view.Number, 10)}
+	rows := [][]string{
+		{"phase", view.Phase},
+		{"offset", view.offsetText()},
+		{"result code", strconv.FormatUint(uint64(view.ResultCode), 10)},
+		{"detail", orDash(view.Detail)},
+		{"applied by", orDash(strings.Join(view.AppliedBy, ", "))},
+		{"missing", orDash(strings.Join(view.Missing, ", "))},
+	}
+	return s.table(head, rows)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/ctl/submit.go
@@ -0,0 +1,132 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// answerShare is the part of the time left that the daemon may wait for the
+// phase; the rest is for the way back of its answer.
+const answerShare = 0.9
+
+// submitCommand submits a ticket.
+type submitCommand struct {
+	File string `arg:"" help:"Ticket file in YAML or JSON."`
+	Wait string `help:"Phase to wait for: logged, valid, accepted or in-force." enum:"logged,valid,accepted,in-force" default:"accepted"`
+}
+
+// submitted is the result of a submit.
+type submitted struct {
+	ticketView
+	Daemon   string `json:"daemon"` // empty when none answered
+	WaitFor  string `json:"waitFor"`
+	Reached  bool   `json:"reached"`
+	Sent     bool   `json:"sent"` // false: no daemon got the ticket
+	ExitCode int    `json:"exitCode"`
+}
+
+// Run submits the ticket. A daemon that gives no answer is followed by the next
+// one, for the log takes the same ticket twice without a second effect.
+func (c *submitCommand) Run(s *session) error {
+	t, err := readTicket(c.File)
+	var problems ticket.Problems
+	if errors.As(err, &problems) {
+		return withExit(ExitInvalid, errors.Newf("nothing sent: the ticket has faults\n%v", problems))
+	}
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(t)
+	if err != nil {
+		return errors.Wrap(err, "encode ticket")
+	}
+	wait := phaseByName(c.Wait)
+	status, daemon, err := submit(s, data, wait)
+	if err != nil {
+		return s.submitFailed(t.Number, c.Wait, err)
+	}
+	code, message := judge(status.GetPhase(), wait)
+	if err := s.printSubmitted(submitted{
+		ticketView: newTicketView(status),
+		Daemon:     daemon,
+		WaitFor:    c.Wait,
+		Reached:    code == ExitOK,
+		Sent:       true,
+		ExitCode:   code,
+	}); err != nil {
+		return err
+	}
+	if code == ExitOK {
+		return nil
+	}
+	return withExit(code, errors.New(message))
+}
+
+func submit(s *session, data []byte, wait pb.TicketPhase) (*pb.TicketStatus, string, error) {
+	return call(s, func(ctx context.Context, client pb.DRPCOperatorClient) (*pb.TicketStatus, error) {
+		request := &pb.SubmitTicketRequest{Ticket: data, WaitFor: wait, TimeoutMs: waitTime(ctx).Milliseconds()}
+		reply, err := client.SubmitTicket(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		if reply.GetStatus() == nil {
+			return nil, errors.New("the answer has no status")
+		}
+		return reply.GetStatus(), nil
+	})
+}
+
+// waitTime is how long the daemon may wait for the phase; zero without a deadline.
+func waitTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return time.Duration(float64(time.Until(deadline)) * answerShare)
+}
+
+// judge returns the exit code and what to tell the operator.
+func judge(phase, wait pb.TicketPhase) (code int, message string) {
+	switch {
+	case phase == pb.TicketPhase_TICKET_PHASE_REJECTED:
+		return ExitRejected, "rejected: the ticket has no effect"
+	case phase == pb.TicketPhase_TICKET_PHASE_UNKNOWN:
+		return ExitPending, "outcome unknown: the daemon can't tell whether the log took the ticket; submit again is safe"
+	case phase >= wait:
+		return ExitOK, ""
+	}
+	return ExitPending, "stopped at " + phaseName(phase) + " before " + phaseName(wait) +
+		": the ticket is in the log and goes on; submit again is safe"
+}
+
+// submitFailed prints the result of a submit without an answer for scripts.
+func (s *session) submitFailed(number uint64, wait string, err error) error {
+	err = changeError("submit", err)
+	var coded *exitError
+	if !s.json || !errors.As(err, &coded) || coded.code == ExitUsage {
+		return err
+	}
+	printed := s.printJSON(submitted{
+		ticketView: newTicketView(&pb.TicketStatus{Number: number}),
+		WaitFor:    wait,
+		Sent:       coded.code == ExitPending,
+		ExitCode:   coded.code,
+	})
+	if printed != nil {
+		return printed
+	}
+	return err
+}
+
+func (s *session) printSubmitted(result submitted) error {
+	if s.json {
+		return s.printJSON(result)
+	}
+	return s.printTicket(result.ticketView)
+}
