Dial the daemon from filbertrillctl, and prove the whole path with real processes

Cause: the operators' tool had no dialer; nothing but the sample run showed the path. Ruled out: a status 200 for a stamp, which the registry answers with 201 as HTTP has it.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	./scripts/install-protoc.sh
 	./scripts/generate-check.sh
 
-run: # a fleet on this machine; ONCE=1 ends after one round
+run: build # a fleet on this machine; ONCE=1 ends after one round
 	$(GO) run ./test/fleet $(if $(ONCE),--once)
 
 measure:
--- a/cmd/filbertrillctl/main.go
+++ b/cmd/filbertrillctl/main.go
@@ -8,9 +8,8 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/filbertrill/filbertrill/internal/ctl"
+	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
@@ -32,9 +31,9 @@
 	})
 }
 
-// newDialer stands in until the peer package offers its dialer.
-func newDialer(string) ctl.Dialer {
-	return func(context.Context, string) (pb.DRPCOperatorClient, io.Closer, error) {
-		return nil, nil, errors.New("this build has no dialer")
+// newDialer returns a dialer that presents the shared secret.
+func newDialer(secret string) ctl.Dialer {
+	return func(ctx context.Context, address string) (pb.DRPCOperatorClient, io.Closer, error) {
+		return peer.DialOperator(ctx, address, secret)
 	}
 }
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -22,7 +22,7 @@
 	t.Run("openai client", func(t *testing.T) { openAIClient(t, f) })
 	t.Run("plain service", func(t *testing.T) {
 		status, _, body := f.call(1, "key-small", http.MethodPost, "/v1/services/registry/stamps", `{}`)
-		require.Equal(t, http.StatusOK, status, body)
+		require.Equal(t, http.StatusCreated, status, body)
 		require.Contains(t, body, `"serial"`)
 	})
 	t.Run("refusals", func(t *testing.T) { refusals(t, f) })
