--- a/scripts/redfilter/filter.go
+++ b/scripts/redfilter/filter.go
@@ -28,7 +28,7 @@
 	known    []*knownRed
 	out      io.Writer
 	packages map[string]*packageRun
-	ran      map[*knownRed]bool
+	passing  map[*knownRed]bool
 	red      map[*knownRed]bool
 	passed   int
 	failed   int
@@ -39,7 +39,7 @@
 		known:    known,
 		out:      out,
 		packages: make(map[string]*packageRun),
-		ran:      make(map[*knownRed]bool),
+		passing:  make(map[*knownRed]bool),
 		red:      make(map[*knownRed]bool),
 	}
 }
@@ -98,6 +98,7 @@
 		f.countTests(p)
 	case "fail":
 		p.ended = true
+		p.failUnended()
 		f.packageFailed(p)
 		f.countTests(p)
 	}
@@ -156,8 +157,8 @@
 			f.passed += state.passed
 		}
 		for _, entry := range f.known {
-			if entry.inPackage(id.Package) && entry.Test == id.Test {
-				f.ran[entry] = true
+			if state.passed > 0 && entry.inPackage(id.Package) && entry.Test == id.Test {
+				f.passing[entry] = true
 			}
 		}
 	}
@@ -189,7 +190,7 @@
 	case f.red[entry]:
 		fmt.Fprintf(f.out, "known red: %s %s: %s (%s; run: %s)\n",
 			entry.Package, entry.Test, entry.Seen, entry.Issue, entry.Run)
-	case f.ran[entry]:
+	case f.passing[entry]:
 		fmt.Fprintf(f.out, "warning: %s %s is listed as known red and passed\n", entry.Package, entry.Test)
 	default:
 		fmt.Fprintf(f.out, "warning: %s %s is listed as known red and did not run\n", entry.Package, entry.Test)
--- a/scripts/redfilter/filter_test.go
+++ b/scripts/redfilter/filter_test.go
@@ -64,6 +64,8 @@
 		"known red subtest":       {subEntry, sub, 3, "0 passed, 0 failed", ""},
 		"parent fails by itself":  {subEntry, append([]string{"output TestX     x_test.go:7: bad"}, sub...), 1, "0 passed, 1 failed", ""},
 		"sibling subtest fails":   {subEntry, append([]string{"fail TestX/two"}, sub...), 1, "0 passed, 1 failed", ""},
+		"known red does not end":  {entry, []string{"run TestX", "output TestX dump", "output - FAIL a 2s", "fail -"}, 1, "0 passed, 1 failed", "dump\n"},
+		"known red skipped":       {entry, []string{"run TestX", "skip TestX", "pass -"}, 0, "0 passed, 0 failed", "did not run"},
 		"package does not end":    {entry, []string{"run TestX"}, 1, "0 passed, 1 failed", "did not end"},
 		"repeats count each time": {"", append([]string{"pass TestX"}, passX...), 0, "2 passed, 0 failed", ""},
 	}
--- a/scripts/redfilter/package.go
+++ b/scripts/redfilter/package.go
@@ -18,11 +18,15 @@
 
 // testRun is what is known of one test, over all its repeats.
 type testRun struct {
-	text   strings.Builder
-	passed int
-	failed int
+	text    strings.Builder
+	passed  int
+	failed  int
+	skipped int
 }
 
+// ended reports whether the test came to an end.
+func (t *testRun) ended() bool { return t.passed+t.failed+t.skipped > 0 }
+
 func newPackageRun(name string) *packageRun {
 	return &packageRun{name: name, tests: make(map[testID]*testRun)}
 }
@@ -45,6 +49,8 @@
 		t.passed++
 	case "fail":
 		t.failed++
+	case "skip":
+		t.skipped++
 	}
 }
 
@@ -63,6 +69,16 @@
 // lastLine returns the line that closes the package, as "ok" or "no test files".
 func (p *packageRun) lastLine() string { return p.last }
 
+// failUnended counts the tests that never came to an end as failed, as after a timeout.
+func (p *packageRun) failUnended() {
+	for _, t := range p.tests {
+		if !t.ended() {
+			t.failed++
+			p.crashed = true
+		}
+	}
+}
+
 func (p *packageRun) output(id testID) string { return p.tests[id].text.String() }
 
 // failures returns the failed tests in the order in which they began.
