Add the engine and plain stand-ins, their command and tests

Cause: integration tests need backend servers that count runs, resume streams and fail on request. Ruled out: cockroachdb's errors.Mark for ErrForgotten and ErrNotAppended: the first run of the tests showed that the standard library's errors.Is doesn't see marks; the sentinels are now wrapped. The tests were kept. Conclusion: usable in-process and as a program.

--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -1,6 +1,10 @@
 package platform
 
-import "github.com/cockroachdb/errors"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
 
 var (
 	// ErrForgotten says that the offset is below the topic's first kept record.
@@ -9,3 +13,9 @@
 	// ErrNotAppended says that the append surely had no effect.
 	ErrNotAppended = errors.New("append had no effect")
 )
+
+// as returns an error that is both the sentinel and its cause, also for the
+// standard library's errors.Is, which does not see marks.
+func as(sentinel, cause error) error {
+	return fmt.Errorf("%w: %w", sentinel, cause)
+}
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -86,13 +86,13 @@
 	}
 	body, err := json.Marshal(newProduceRequest(values))
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "encode append"), ErrNotAppended)
+		return nil, as(ErrNotAppended, errors.Wrap(err, "encode append"))
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := l.request(httptrace.WithClientTrace(ctx, trace), http.MethodPost, body, "topics", topic)
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotAppended)
+		return nil, as(ErrNotAppended, err)
 	}
 	req.Header.Set("Content-Type", binaryContentType)
 	req.Header.Set("Accept", metaContentType)
@@ -118,7 +118,7 @@
 func appendError(err error, status int, connected bool) error {
 	err = errors.Wrap(err, "append")
 	if !connected || refused(status) {
-		return errors.Mark(err, ErrNotAppended)
+		return as(ErrNotAppended, err)
 	}
 	return err
 }
@@ -255,7 +255,7 @@
 	}
 	err := errors.Newf("service answered %d: error %d: %s", status, answer.ErrorCode, answer.Message)
 	if status == http.StatusNotFound && answer.ErrorCode == codeOffsetForgotten {
-		return errors.Mark(err, ErrForgotten)
+		return as(ErrForgotten, err)
 	}
 	return err
 }
--- /dev/null
+++ b/test/standin/engine/cache.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"container/list"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxEvents bounds the cache events that are kept.
+const maxEvents = 10000
+
+// Event tells of a change of the prefix cache.
+type Event struct {
+	Seq   int64     `json:"seq"`
+	Type  string    `json:"type"`  // stored or removed
+	Block string    `json:"block"` // hash of the prompt up to and with this block
+	At    time.Time `json:"at"`
+}
+
+// cache is a least-recently-used cache of prompt blocks.
+type cache struct {
+	mu       sync.Mutex
+	size     int
+	lag      time.Duration
+	gapEvery int64
+	now      func() time.Time
+	blocks   map[uint64]*list.Element
+	order    *list.List // front is the most recently used
+	seq      int64
+	events   []Event
+}
+
+func newCache(opts Options) *cache {
+	return &cache{
+		size:     opts.CacheBlocks,
+		lag:      opts.EventLag,
+		gapEvery: int64(opts.EventGapEvery),
+		now:      opts.Now,
+		blocks:   map[uint64]*list.Element{},
+		order:    list.New(),
+	}
+}
+
+// admit stores the whole blocks of the prompt and returns the number of tokens that were cached.
+func (c *cache) admit(prompt []string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := 0
+	hit := true
+	digest := xxhash.New()
+	for end := promptTokensPerBlock; end <= len(prompt); end += promptTokensPerBlock {
+		block := prompt[end-promptTokensPerBlock : end]
+		_, _ = digest.WriteString(strings.Join(block, " ") + " ")
+		hash := digest.Sum64()
+		element := c.blocks[hash]
+		if element == nil {
+			hit = false
+			c.store(hash)
+			continue
+		}
+		c.order.MoveToFront(element)
+		if hit {
+			cached = end
+		}
+	}
+	return cached
+}
+
+func (c *cache) store(hash uint64) {
+	c.blocks[hash] = c.order.PushFront(hash)
+	c.event("stored", hash)
+	if c.order.Len() <= c.size {
+		return
+	}
+	last := c.order.Back()
+	removed := c.order.Remove(last).(uint64)
+	delete(c.blocks, removed)
+	c.event("removed", removed)
+}
+
+func (c *cache) event(kind string, hash uint64) {
+	c.seq++
+	if c.gapEvery > 0 && c.seq%c.gapEvery == 0 {
+		return
+	}
+	c.events = append(c.events, Event{Seq: c.seq, Type: kind, Block: strconv.FormatUint(hash, 16), At: c.now()})
+	if len(c.events) > maxEvents {
+		c.events = c.events[1:]
+	}
+}
+
+// eventsAfter returns the events above the number that are as old as the lag.
+func (c *cache) eventsAfter(after int64) []Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := c.now().Add(-c.lag)
+	found := []Event{}
+	for _, event := range c.events {
+		if event.Seq > after && !event.At.After(limit) {
+			found = append(found, event)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/test/standin/engine/engine.go
@@ -0,0 +1,237 @@
+// Package engine is a stand-in for an inference engine with an OpenAI-compatible interface.
+// It batches continuously: up to a number of slots, requests run at once, and the
+// rest wait in the order of their arrival.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/filbertrill/filbertrill/test/standin/faults"
+	"github.com/filbertrill/filbertrill/test/standin/runs"
+)
+
+const (
+	defaultModel         = "standin"
+	defaultSlots         = 8
+	defaultTokens        = 16
+	defaultResumeWindow  = 30 * time.Second
+	defaultCacheBlocks   = 1024
+	maxCompletionTokens  = 1 << 20
+	maxRequestBytes      = 16 << 20
+	retryAfterSeconds    = "1"
+	promptTokensPerBlock = 16
+)
+
+// Options set up an engine; a zero value takes the default.
+type Options struct {
+	Model         string        // name of the only model
+	Slots         int           // requests that run at once
+	TokenInterval time.Duration // time between two answer tokens of a request
+	Prefill       time.Duration // time per prompt token that is not cached
+	CacheBlocks   int           // blocks of prompt tokens in the prefix cache
+	DefaultTokens int           // answer tokens when the request names none
+	ResumeWindow  time.Duration // time that a run without a reader goes on
+	LoadLag       time.Duration // age of the load that is shown
+	EventLag      time.Duration // age from which cache events are shown
+	EventGapEvery int           // each so-many-th cache event is left out; 0 leaves out none
+	ChecksOrders  bool          // refuse an order with a fence below the highest seen
+	Now           func() time.Time
+}
+
+func (o *Options) setDefaults() {
+	if o.Model == "" {
+		o.Model = defaultModel
+	}
+	if o.Slots <= 0 {
+		o.Slots = defaultSlots
+	}
+	if o.CacheBlocks <= 0 {
+		o.CacheBlocks = defaultCacheBlocks
+	}
+	if o.DefaultTokens <= 0 {
+		o.DefaultTokens = defaultTokens
+	}
+	if o.ResumeWindow <= 0 {
+		o.ResumeWindow = defaultResumeWindow
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+}
+
+// Engine is an http.Handler and safe for concurrent use.
+type Engine struct {
+	opts   Options
+	mux    *http.ServeMux
+	faults faults.Switch
+	ledger runs.Ledger
+	slots  *slots
+	cache  *cache
+	orders orders
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	runs   map[string][]*run // by request id, in the order of their start
+}
+
+// New returns an idle engine. Close stops its runs.
+func New(opts Options) *Engine {
+	opts.setDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Engine{
+		opts:   opts,
+		mux:    http.NewServeMux(),
+		slots:  newSlots(opts.Slots, opts.LoadLag, opts.Now),
+		cache:  newCache(opts),
+		orders: orders{checks: opts.ChecksOrders},
+		ctx:    ctx,
+		stop:   stop,
+		runs:   map[string][]*run{},
+	}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.create)
+	e.mux.HandleFunc("GET /v1/chat/completions/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/chat/completions/{id}", e.cancel)
+	e.mux.HandleFunc("GET /v1/models", e.models)
+	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("GET /events", e.events)
+	e.mux.HandleFunc("POST /admin/order", e.orders.post)
+	e.mux.HandleFunc("GET /admin/orders", e.orders.get)
+	e.mux.Handle("GET /admin/runs", &e.ledger)
+	e.mux.Handle("POST /admin/faults", &e.faults)
+	return e
+}
+
+// ServeHTTP answers one request.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mux.ServeHTTP(w, r)
+}
+
+// SetFault puts a fault in force.
+func (e *Engine) SetFault(f faults.Fault) {
+	e.faults.Set(f)
+}
+
+// Runs returns the ledger.
+func (e *Engine) Runs() []runs.Run {
+	return e.ledger.Runs()
+}
+
+// Load returns the numbers of running and waiting requests, without lag.
+func (e *Engine) Load() Load {
+	return e.slots.current()
+}
+
+// Orders returns the orders taken so far.
+func (e *Engine) Orders() []Order {
+	return e.orders.list()
+}
+
+// Close stops all runs and waits for them.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	e.stop()
+	e.wg.Wait()
+}
+
+// start enters a run and begins it; it returns false when the engine is closed.
+func (e *Engine) start(r *run) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return false
+	}
+	r.ctx, r.stop = context.WithCancelCause(e.ctx)
+	r.index = e.ledger.Start(runs.Run{RequestID: r.id, Key: r.key, Path: r.path, Started: e.opts.Now()})
+	e.runs[r.id] = append(e.runs[r.id], r)
+	e.wg.Add(1)
+	go e.execute(r, e.slots.join())
+	return true
+}
+
+// execute waits for a slot, reads the prompt and makes the tokens.
+func (e *Engine) execute(r *run, seat *seat) {
+	defer e.wg.Done()
+	outcome := e.generate(r, seat)
+	e.slots.leave(seat)
+	e.ledger.End(r.index, e.opts.Now(), outcome)
+	r.finish(outcome)
+	e.forgetLater(r)
+}
+
+func (e *Engine) generate(r *run, seat *seat) string {
+	select {
+	case <-seat.ready:
+	case <-r.ctx.Done():
+		return stopOutcome(r.ctx)
+	}
+	cached := e.cache.admit(r.prompt)
+	r.prompt = nil
+	prefill := e.opts.Prefill * time.Duration(r.promptTokens-cached)
+	if !sleep(r.ctx, prefill) {
+		return stopOutcome(r.ctx)
+	}
+	for range r.limit {
+		if !sleep(r.ctx, e.opts.TokenInterval) {
+			return stopOutcome(r.ctx)
+		}
+		r.addToken()
+	}
+	return runs.Finished
+}
+
+// forgetLater keeps an ended run for the resume window.
+func (e *Engine) forgetLater(r *run) {
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		sleep(e.ctx, e.opts.ResumeWindow)
+		e.forget(r)
+	}()
+}
+
+func (e *Engine) forget(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var kept []*run
+	for _, other := range e.runs[r.id] {
+		if other != r {
+			kept = append(kept, other)
+		}
+	}
+	if len(kept) == 0 {
+		delete(e.runs, r.id)
+		return
+	}
+	e.runs[r.id] = kept
+}
+
+// find returns the runs of the request id, the newest last.
+func (e *Engine) find(id string) []*run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*run(nil), e.runs[id]...)
+}
+
+// sleep reports whether d passed before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/test/standin/engine/engine_test.go
@@ -0,0 +1,136 @@
+package engine_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/test/standin/engine"
+	"github.com/filbertrill/filbertrill/test/standin/faults"
+	"github.com/filbertrill/filbertrill/test/standin/runs"
+)
+
+const (
+	patience = 20 * time.Second
+	chatPath = "/v1/chat/completions"
+	endless  = `{"model":"standin","stream":true,"max_tokens":1000000,"messages":[{"role":"user","content":"a"}]}`
+	short    = `{"model":"standin","stream":true,"max_completion_tokens":5,` +
+		`"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"a b c"}]}`
+)
+
+func start(t *testing.T, opts engine.Options) (*engine.Engine, string) {
+	t.Helper()
+	e := engine.New(opts)
+	server := httptest.NewServer(e)
+	t.Cleanup(func() {
+		e.Close()
+		server.Close()
+	})
+	return e, server.URL
+}
+
+func send(t *testing.T, method, url, body string, header map[string]string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// events returns the ids and the text of a stream, and the error that ended it.
+func events(body io.Reader) (ids []string, text string, err error) {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, id)
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return ids, text, err
+		}
+		for _, choice := range chunk.Choices {
+			text += choice.Delta.Content
+		}
+	}
+	return ids, text, scanner.Err()
+}
+
+func TestResume(t *testing.T) {
+	e, url := start(t, engine.Options{})
+	id := map[string]string{"X-Request-Id": "r1"}
+	_, whole, err := events(send(t, http.MethodPost, url+chatPath, short, id).Body)
+	require.NoError(t, err)
+
+	e.SetFault(faults.Fault{Mode: faults.CloseMidStream, Count: 1, AfterTokens: 2})
+	ids, first, err := events(send(t, http.MethodPost, url+chatPath, short, id).Body)
+	require.Error(t, err)
+	require.Equal(t, []string{"r1:0", "r1:1"}, ids)
+
+	last := map[string]string{"Last-Event-ID": "r1:1"}
+	ids, rest, err := events(send(t, http.MethodGet, url+chatPath+"/r1", "", last).Body)
+	require.NoError(t, err)
+	require.Equal(t, []string{"r1:2", "r1:3", "r1:4", "r1:5", "r1:6"}, ids)
+	require.Equal(t, whole, first+rest)
+	require.Len(t, e.Runs(), 2)
+
+	resp := send(t, http.MethodGet, url+chatPath+"/r2", "", nil)
+	require.Equal(t, http.StatusNotFound, resp.StatusCode)
+}
+
+func TestCancelFreesSlot(t *testing.T) {
+	e, url := start(t, engine.Options{Slots: 1, TokenInterval: time.Millisecond})
+	_ = send(t, http.MethodPost, url+chatPath, endless, map[string]string{"X-Request-Id": "r1"})
+	waiting := send(t, http.MethodPost, url+chatPath, short, map[string]string{"X-Request-Id": "r2"})
+	require.Equal(t, engine.Load{Running: 1, Waiting: 1}, e.Load())
+
+	resp := send(t, http.MethodDelete, url+chatPath+"/r1", "", nil)
+	require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	ids, _, err := events(waiting.Body)
+	require.NoError(t, err)
+	require.Len(t, ids, 7)
+	require.Eventually(t, func() bool {
+		ledger := e.Runs()
+		return ledger[0].Outcome == runs.Cancelled && ledger[1].Outcome == runs.Finished
+	}, patience, time.Millisecond)
+	resp = send(t, http.MethodDelete, url+chatPath+"/r1", "", nil)
+	require.Equal(t, http.StatusNotFound, resp.StatusCode)
+}
+
+func TestAbandonedAfterWindow(t *testing.T) {
+	e, url := start(t, engine.Options{TokenInterval: time.Millisecond, ResumeWindow: time.Millisecond})
+	resp := send(t, http.MethodPost, url+chatPath, endless, nil)
+	require.NoError(t, resp.Body.Close())
+	require.Eventually(t, func() bool { return e.Runs()[0].Outcome == runs.Abandoned }, patience, time.Millisecond)
+	require.Zero(t, e.Load())
+}
+
+func TestOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		_, url := start(t, engine.Options{ChecksOrders: checks})
+		resp := send(t, http.MethodPost, url+"/admin/order", `{"fence":2,"order":"role"}`, nil)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		resp = send(t, http.MethodPost, url+"/admin/order", `{"fence":1,"order":"drain"}`, nil)
+		require.Equal(t, checks, resp.StatusCode == http.StatusConflict)
+		resp = send(t, http.MethodPost, url+chatPath, short, nil)
+		require.Equal(t, checks, resp.StatusCode == http.StatusOK)
+	}
+}
--- /dev/null
+++ b/test/standin/engine/messages.go
@@ -0,0 +1,148 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+)
+
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           *int          `json:"max_tokens"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// promptTokens returns the words of all messages.
+func (c chatRequest) promptTokens() []string {
+	var tokens []string
+	for _, m := range c.Messages {
+		var text string
+		if json.Unmarshal(m.Content, &text) != nil {
+			text = string(m.Content)
+		}
+		tokens = append(tokens, m.Role)
+		tokens = append(tokens, strings.Fields(text)...)
+	}
+	return tokens
+}
+
+// limit returns the number of answer tokens that the request names, if any.
+func (c chatRequest) limit() (int, bool) {
+	if c.MaxCompletionTokens != nil {
+		return *c.MaxCompletionTokens, true
+	}
+	if c.MaxTokens != nil {
+		return *c.MaxTokens, true
+	}
+	return 0, false
+}
+
+func (r *run) completion(object string) completion {
+	return completion{
+		ID:      "chatcmpl-" + r.id,
+		Object:  object,
+		Created: r.created.Unix(),
+		Model:   r.model,
+		Choices: []choice{},
+	}
+}
+
+func (r *run) totals() *usage {
+	return &usage{
+		PromptTokens:     r.promptTokens,
+		CompletionTokens: r.limit,
+		TotalTokens:      r.promptTokens + r.limit,
+	}
+}
+
+// whole returns the answer of a finished run.
+func (r *run) whole() completion {
+	var text strings.Builder
+	for i := range r.limit {
+		text.WriteString(r.token(i))
+	}
+	reason := r.finishReason()
+	answer := r.completion("chat.completion")
+	answer.Choices = []choice{{
+		Message:      &message{Role: "assistant", Content: text.String()},
+		FinishReason: &reason,
+	}}
+	answer.Usage = r.totals()
+	return answer
+}
+
+// events returns the number of stream events of a finished run.
+func (r *run) events() int {
+	if r.usage {
+		return r.limit + 2
+	}
+	return r.limit + 1
+}
+
+// event returns the stream event at the offset: a token, then the finish, then the usage.
+func (r *run) event(offset int) completion {
+	chunk := r.completion("chat.completion.chunk")
+	switch {
+	case offset < r.limit:
+		delta := &message{Content: r.token(offset)}
+		if offset == 0 {
+			delta.Role = "assistant"
+		}
+		chunk.Choices = []choice{{Delta: delta}}
+	case offset == r.limit:
+		reason := r.finishReason()
+		chunk.Choices = []choice{{Delta: &message{}, FinishReason: &reason}}
+	default:
+		chunk.Usage = r.totals()
+	}
+	return chunk
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, status int, text string) {
+	writeJSON(w, status, map[string]any{
+		"error": map[string]any{"message": text, "type": http.StatusText(status), "code": status},
+	})
+}
--- /dev/null
+++ b/test/standin/engine/orders.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+)
+
+// Order is an instruction to the engine.
+type Order struct {
+	Fence int64  `json:"fence"`
+	Order string `json:"order"` // load, drain or role
+	Model string `json:"model,omitempty"`
+	Role  string `json:"role,omitempty"`
+}
+
+// orders holds the orders taken.
+type orders struct {
+	checks bool
+
+	mu       sync.Mutex
+	highest  int64
+	draining bool
+	taken    []Order
+}
+
+func (o *orders) post(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		writeError(w, http.StatusBadRequest, "order is not valid JSON")
+		return
+	}
+	if order.Order != "load" && order.Order != "drain" && order.Order != "role" {
+		writeError(w, http.StatusBadRequest, "order is not known")
+		return
+	}
+	highest, ok := o.take(order)
+	if !ok {
+		writeError(w, http.StatusConflict, "fence is below the highest seen")
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]int64{"fence": highest})
+}
+
+// take applies the order and returns the highest fence; it refuses an old fence when it checks.
+func (o *orders) take(order Order) (int64, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.checks && order.Fence < o.highest {
+		return o.highest, false
+	}
+	o.highest = max(o.highest, order.Fence)
+	o.taken = append(o.taken, order)
+	switch order.Order {
+	case "drain":
+		o.draining = true
+	case "load":
+		o.draining = false
+	}
+	return o.highest, true
+}
+
+func (o *orders) isDraining() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.draining
+}
+
+func (o *orders) list() []Order {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]Order{}, o.taken...)
+}
+
+func (o *orders) get(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.list())
+}
--- /dev/null
+++ b/test/standin/engine/run.go
@@ -0,0 +1,139 @@
+package engine
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/test/standin/runs"
+)
+
+// vocabulary is the number of different answer tokens.
+const vocabulary = 100
+
+var (
+	errCancelled = errors.New("cancelled")
+	errAbandoned = errors.New("no reader within the resume window")
+)
+
+// run is one execution of a chat completion.
+type run struct {
+	id           string
+	key          string
+	path         string
+	model        string
+	created      time.Time
+	prompt       []string // prompt tokens; only the generation reads them
+	promptTokens int
+	limit        int  // answer tokens
+	capped       bool // the limit comes from the request
+	usage        bool // the stream ends with the usage
+	index        int  // place in the ledger
+	window       time.Duration
+
+	ctx  context.Context
+	stop context.CancelCauseFunc
+
+	mu      sync.Mutex
+	tokens  int
+	outcome string        // empty while running
+	changed chan struct{} // closed and replaced at each change
+	readers int
+	timer   *time.Timer // ends a run without a reader
+}
+
+// state is what a reader sees of a run.
+type state struct {
+	tokens  int
+	outcome string
+	changed <-chan struct{}
+}
+
+func (r *run) state() state {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return state{tokens: r.tokens, outcome: r.outcome, changed: r.changed}
+}
+
+func (r *run) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *run) addToken() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens++
+	r.notify()
+}
+
+func (r *run) finish(outcome string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcome = outcome
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	r.notify()
+	r.stop(nil)
+}
+
+// attach counts a reader of the run.
+func (r *run) attach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	if r.timer != nil {
+		r.timer.Stop()
+		r.timer = nil
+	}
+}
+
+// detach takes a reader off; without any, the run ends after the resume window.
+func (r *run) detach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	if r.readers > 0 || r.outcome != "" {
+		return
+	}
+	r.timer = time.AfterFunc(r.window, r.abandon)
+}
+
+// abandon ends the run unless a reader came back meanwhile.
+func (r *run) abandon() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.readers == 0 {
+		r.stop(errAbandoned)
+	}
+}
+
+// token returns the answer token at the offset; it depends on nothing but the request id.
+func (r *run) token(offset int) string {
+	hash := xxhash.Sum64String(r.id + ":" + strconv.Itoa(offset))
+	return "w" + strconv.FormatUint(hash%vocabulary, 10) + " "
+}
+
+func (r *run) finishReason() string {
+	if r.capped {
+		return "length"
+	}
+	return "stop"
+}
+
+// stopOutcome says why the context of a run ended.
+func stopOutcome(ctx context.Context) string {
+	switch {
+	case errors.Is(context.Cause(ctx), errCancelled):
+		return runs.Cancelled
+	case errors.Is(context.Cause(ctx), errAbandoned):
+		return runs.Abandoned
+	default:
+		return runs.Stopped
+	}
+}
--- /dev/null
+++ b/test/standin/engine/serve.go
@@ -0,0 +1,240 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/filbertrill/filbertrill/test/standin/faults"
+)
+
+// create runs a chat completion and answers with it.
+func (e *Engine) create(w http.ResponseWriter, r *http.Request) {
+	fault := e.faults.Take()
+	var req chatRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
+		writeError(w, http.StatusBadRequest, "body is not valid JSON")
+		return
+	}
+	run, problem := e.newRun(r, req)
+	if problem != "" {
+		writeError(w, http.StatusBadRequest, problem)
+		return
+	}
+	if !e.before(w, r, fault) {
+		return
+	}
+	if e.orders.isDraining() {
+		refuse(w, "draining")
+		return
+	}
+	if !e.start(run) {
+		refuse(w, "stopped")
+		return
+	}
+	run.attach()
+	defer run.detach()
+	if req.Stream {
+		e.stream(w, r, run, 0, fault)
+		return
+	}
+	e.answer(w, r, run, fault)
+}
+
+// newRun returns the run of a request, or what is wrong with it.
+func (e *Engine) newRun(r *http.Request, req chatRequest) (*run, string) {
+	if req.Model != e.opts.Model {
+		return nil, "model is not known"
+	}
+	if len(req.Messages) == 0 {
+		return nil, "messages are missing"
+	}
+	limit, capped := req.limit()
+	if !capped {
+		limit = e.opts.DefaultTokens
+	}
+	if limit < 1 || limit > maxCompletionTokens {
+		return nil, "number of answer tokens is out of range"
+	}
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		id = uuid.NewString()
+	}
+	prompt := req.promptTokens()
+	return &run{
+		id:           id,
+		key:          r.Header.Get("Idempotency-Key"),
+		path:         r.URL.Path,
+		model:        req.Model,
+		created:      e.opts.Now(),
+		prompt:       prompt,
+		promptTokens: len(prompt),
+		limit:        limit,
+		capped:       capped,
+		usage:        req.StreamOptions.IncludeUsage,
+		window:       e.opts.ResumeWindow,
+		changed:      make(chan struct{}),
+	}, ""
+}
+
+// before shows the faults that come before the run and reports whether to go on.
+func (e *Engine) before(w http.ResponseWriter, r *http.Request, fault faults.Fault) bool {
+	switch fault.Mode {
+	case faults.Refuse:
+		refuse(w, "refused")
+		return false
+	case faults.HTTP500:
+		writeError(w, http.StatusInternalServerError, "failed")
+		return false
+	case faults.CloseAfterRead:
+		faults.Abort()
+	case faults.Slow:
+		select {
+		case <-time.After(fault.Delay()):
+		case <-r.Context().Done():
+			return false
+		case <-e.ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func refuse(w http.ResponseWriter, text string) {
+	w.Header().Set("Retry-After", retryAfterSeconds)
+	writeError(w, http.StatusServiceUnavailable, text)
+}
+
+// wait blocks until the run has more than n tokens or has ended.
+// It reports false when the reader has gone.
+func (e *Engine) wait(r *http.Request, run *run, n int) (state, bool) {
+	for {
+		now := run.state()
+		if now.tokens > n || now.outcome != "" {
+			return now, true
+		}
+		select {
+		case <-now.changed:
+		case <-r.Context().Done():
+			return now, false
+		}
+	}
+}
+
+// answer sends the whole answer of a run.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, run *run, fault faults.Fault) {
+	e.hold(r, fault)
+	now, ok := e.wait(r, run, run.limit)
+	if !ok {
+		return
+	}
+	if now.tokens < run.limit || fault.Mode == faults.LoseAnswer {
+		faults.Abort()
+	}
+	body, err := json.Marshal(run.whole())
+	if err != nil {
+		writeError(w, http.StatusInternalServerError, "answer is not encodable")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if fault.Mode == faults.CloseMidStream {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		faults.Abort()
+	}
+	_, _ = w.Write(body)
+}
+
+// hold keeps the request without an answer when the fault is silent.
+func (e *Engine) hold(r *http.Request, fault faults.Fault) {
+	if fault.Mode != faults.Silent {
+		return
+	}
+	select {
+	case <-r.Context().Done():
+	case <-e.ctx.Done():
+	}
+	faults.Abort()
+}
+
+// resume goes on with the newest run of a request id after the last event that the client has.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	found := e.find(id)
+	if len(found) == 0 {
+		writeError(w, http.StatusNotFound, "request is not known")
+		return
+	}
+	from, ok := eventAfter(id, r.Header.Get("Last-Event-ID"))
+	if !ok {
+		writeError(w, http.StatusBadRequest, "Last-Event-ID is not one of this request")
+		return
+	}
+	fault := e.faults.Take()
+	if !e.before(w, r, fault) {
+		return
+	}
+	run := found[len(found)-1]
+	run.attach()
+	defer run.detach()
+	e.stream(w, r, run, from, fault)
+}
+
+// eventAfter returns the offset after that of an event id; the first one when there is none.
+func eventAfter(id, last string) (int, bool) {
+	if last == "" {
+		return 0, true
+	}
+	raw, ok := strings.CutPrefix(last, id+":")
+	if !ok {
+		return 0, false
+	}
+	offset, err := strconv.Atoi(raw)
+	if err != nil || offset < 0 {
+		return 0, false
+	}
+	return offset + 1, true
+}
+
+// cancel ends the runs of a request id and frees their slots.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	cancelled := 0
+	for _, run := range e.find(r.PathValue("id")) {
+		if run.state().outcome == "" {
+			run.stop(errCancelled)
+			cancelled++
+		}
+	}
+	if cancelled == 0 {
+		writeError(w, http.StatusNotFound, "request is not running")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	model := map[string]any{"id": e.opts.Model, "object": "model", "created": 0, "owned_by": "standin"}
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": []any{model}})
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.slots.shown())
+}
+
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after := int64(0)
+	if raw := r.FormValue("after"); raw != "" {
+		n, err := strconv.ParseInt(raw, 10, 64)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "after is not a number")
+			return
+		}
+		after = n
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"events": e.cache.eventsAfter(after)})
+}
--- /dev/null
+++ b/test/standin/main.go
@@ -0,0 +1,133 @@
+// Command standin runs stand-ins for the backend servers and the platform's services.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/test/standin/engine"
+	"github.com/filbertrill/filbertrill/test/standin/instances"
+	"github.com/filbertrill/filbertrill/test/standin/logstore"
+	"github.com/filbertrill/filbertrill/test/standin/plain"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	shutdownTimeout   = 2 * time.Second
+)
+
+type commands struct {
+	Listen string `default:"127.0.0.1:0" help:"Address to listen on."`
+
+	Engine engineCommand `cmd:"" help:"Run an inference engine."`
+	Plain  plainCommand  `cmd:"" help:"Run a server of plain HTTP requests."`
+	Log    logCommand    `cmd:"" help:"Run the append-only log."`
+	List   listCommand   `cmd:"" help:"Run the instance list."`
+}
+
+type engineCommand struct {
+	Model         string        `default:"standin" help:"Name of the model."`
+	Slots         int           `default:"8" help:"Requests that run at once."`
+	TokenInterval time.Duration `default:"10ms" help:"Time between two answer tokens of a request."`
+	Prefill       time.Duration `default:"0s" help:"Time per prompt token that is not cached."`
+	CacheBlocks   int           `default:"1024" help:"Blocks of prompt tokens in the prefix cache."`
+	DefaultTokens int           `default:"16" help:"Answer tokens when the request names none."`
+	ResumeWindow  time.Duration `default:"30s" help:"Time that a run without a reader goes on."`
+	LoadLag       time.Duration `default:"0s" help:"Age of the load that is shown."`
+	EventLag      time.Duration `default:"0s" help:"Age from which cache events are shown."`
+	EventGapEvery int           `default:"0" help:"Leave out each so-many-th cache event."`
+	ChecksOrders  bool          `help:"Refuse an order with a fence below the highest seen."`
+}
+
+// Run serves the engine.
+func (c engineCommand) Run(all *commands) error {
+	e := engine.New(engine.Options{
+		Model:         c.Model,
+		Slots:         c.Slots,
+		TokenInterval: c.TokenInterval,
+		Prefill:       c.Prefill,
+		CacheBlocks:   c.CacheBlocks,
+		DefaultTokens: c.DefaultTokens,
+		ResumeWindow:  c.ResumeWindow,
+		LoadLag:       c.LoadLag,
+		EventLag:      c.EventLag,
+		EventGapEvery: c.EventGapEvery,
+		ChecksOrders:  c.ChecksOrders,
+	})
+	return serve(all.Listen, e, e.Close)
+}
+
+type plainCommand struct {
+	WorkTime time.Duration `default:"0s" help:"Time that each request runs."`
+}
+
+// Run serves the plain server.
+func (c plainCommand) Run(all *commands) error {
+	s := plain.New(plain.Options{WorkTime: c.WorkTime})
+	return serve(all.Listen, s, s.Close)
+}
+
+type logCommand struct {
+	MaxRecords       int           `default:"0" help:"Records kept in each topic; 0 keeps all."`
+	MaxAge           time.Duration `default:"0s" help:"Age above which a record is forgotten; 0 keeps all."`
+	AppendsPerSecond int           `default:"0" help:"Append requests per second; 0 sets no limit."`
+}
+
+// Run serves the log.
+func (c logCommand) Run(all *commands) error {
+	s := logstore.New(logstore.Options{
+		MaxRecords:       c.MaxRecords,
+		MaxAge:           c.MaxAge,
+		AppendsPerSecond: c.AppendsPerSecond,
+	})
+	return serve(all.Listen, s, func() {})
+}
+
+type listCommand struct {
+	Lag time.Duration `default:"0s" help:"Time until a change is visible."`
+}
+
+// Run serves the instance list.
+func (c listCommand) Run(all *commands) error {
+	return serve(all.Listen, instances.New(instances.Options{Lag: c.Lag}), func() {})
+}
+
+// serve prints the address that it listens on and serves until a signal ends it.
+func serve(address string, handler http.Handler, closeHandler func()) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	fmt.Println("listening", listener.Addr())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	closeHandler()
+	limited, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(limited); err != nil {
+		return errors.Wrap(server.Close(), "close")
+	}
+	return nil
+}
+
+func main() {
+	var all commands
+	parsed := kong.Parse(&all, kong.Name("standin"), kong.Description("Stand-ins for tests."))
+	parsed.FatalIfErrorf(parsed.Run(&all))
+}
--- /dev/null
+++ b/test/standin/plain/plain.go
@@ -0,0 +1,229 @@
+// Package plain is a stand-in for a backend server of plain HTTP requests.
+package plain
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/filbertrill/filbertrill/test/standin/faults"
+	"github.com/filbertrill/filbertrill/test/standin/runs"
+)
+
+const maxBodyBytes = 16 << 20
+
+// Options set up a server.
+type Options struct {
+	WorkTime time.Duration // time that each request runs
+	Now      func() time.Time
+}
+
+// Serial is an entry of a serial registry.
+type Serial struct {
+	Serial int64     `json:"serial"`
+	Key    string    `json:"key"`
+	At     time.Time `json:"at"`
+}
+
+// Server runs any request and counts its runs by key and path. It is an http.Handler.
+type Server struct {
+	opts   Options
+	mux    *http.ServeMux
+	faults faults.Switch
+	ledger runs.Ledger
+	closed chan struct{}
+	once   sync.Once
+
+	mu      sync.Mutex
+	serials map[string][]Serial
+}
+
+// New returns a server with an empty ledger.
+func New(opts Options) *Server {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	s := &Server{
+		opts:    opts,
+		mux:     http.NewServeMux(),
+		closed:  make(chan struct{}),
+		serials: map[string][]Serial{},
+	}
+	for _, registry := range []string{"/stamps", "/charges"} {
+		s.mux.HandleFunc("POST "+registry, s.run(s.issue))
+		s.mux.HandleFunc("GET "+registry+"/{serial}", s.lookup(registry))
+	}
+	s.mux.HandleFunc("/", s.run(s.echo))
+	s.mux.Handle("GET /admin/runs", &s.ledger)
+	s.mux.Handle("POST /admin/faults", &s.faults)
+	return s
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFault puts a fault in force.
+func (s *Server) SetFault(f faults.Fault) {
+	s.faults.Set(f)
+}
+
+// Runs returns the ledger.
+func (s *Server) Runs() []runs.Run {
+	return s.ledger.Runs()
+}
+
+// Close ends the requests that are still held open.
+func (s *Server) Close() {
+	s.once.Do(func() { close(s.closed) })
+}
+
+// work does the request and returns the status and the answer.
+type work func(r *http.Request, key string) (int, any)
+
+// run enters the request in the ledger around its work and shows the fault in force.
+func (s *Server) run(do work) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fault := s.faults.Take()
+		if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
+			http.Error(w, "body is not readable", http.StatusBadRequest)
+			return
+		}
+		if !s.before(w, r, fault) {
+			return
+		}
+		key := requestKey(r)
+		index := s.ledger.Start(runs.Run{
+			RequestID: r.Header.Get("X-Request-Id"),
+			Key:       key,
+			Path:      r.URL.Path,
+			Started:   s.opts.Now(),
+		})
+		status, answer := do(r, key)
+		outcome := s.wait(s.opts.WorkTime)
+		s.ledger.End(index, s.opts.Now(), outcome)
+		if outcome != runs.Finished {
+			faults.Abort()
+		}
+		s.answer(w, r, fault, status, answer)
+	}
+}
+
+// before shows the faults that come before the run and reports whether to run.
+func (s *Server) before(w http.ResponseWriter, r *http.Request, fault faults.Fault) bool {
+	switch fault.Mode {
+	case faults.Refuse:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return false
+	case faults.HTTP500:
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return false
+	case faults.CloseAfterRead:
+		faults.Abort()
+	case faults.Slow:
+		select {
+		case <-time.After(fault.Delay()):
+		case <-r.Context().Done():
+			return false
+		case <-s.closed:
+			return false
+		}
+	}
+	return true
+}
+
+// wait runs for d, also when the client has gone.
+func (s *Server) wait(d time.Duration) string {
+	if d <= 0 {
+		return runs.Finished
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return runs.Finished
+	case <-s.closed:
+		return runs.Stopped
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, fault faults.Fault, status int, answer any) {
+	switch fault.Mode {
+	case faults.LoseAnswer:
+		faults.Abort()
+	case faults.Silent:
+		select {
+		case <-r.Context().Done():
+		case <-s.closed:
+		}
+		faults.Abort()
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, "answer is not encodable", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	if fault.Mode == faults.CloseMidStream {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		faults.Abort()
+	}
+	_, _ = w.Write(body)
+}
+
+// requestKey returns the key that tells repeats of one request.
+func requestKey(r *http.Request) string {
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		return key
+	}
+	return r.Header.Get("X-Request-Id")
+}
+
+type echoAnswer struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key"`
+	Runs   int    `json:"runs"` // runs of this key and path so far
+}
+
+func (s *Server) echo(r *http.Request, key string) (int, any) {
+	return http.StatusOK, echoAnswer{
+		Method: r.Method,
+		Path:   r.URL.Path,
+		Key:    key,
+		Runs:   s.ledger.Count(key, r.URL.Path),
+	}
+}
+
+// issue gives out the next serial of the registry.
+func (s *Server) issue(r *http.Request, key string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	registry := r.URL.Path
+	next := int64(len(s.serials[registry]) + 1)
+	s.serials[registry] = append(s.serials[registry], Serial{Serial: next, Key: key, At: s.opts.Now()})
+	return http.StatusCreated, map[string]int64{"serial": next}
+}
+
+// lookup answers with a serial of the registry.
+func (s *Server) lookup(registry string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.Atoi(r.PathValue("serial"))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err != nil || n < 1 || n > len(s.serials[registry]) {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.serials[registry][n-1])
+	}
+}
