--- a/test/standin/engine/engine_test.go
+++ b/test/standin/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +135,70 @@
 		require.Equal(t, checks, resp.StatusCode == http.StatusOK)
 	}
 }
+
+func TestStrayEvents(t *testing.T) {
+	e, url := start(t, engine.Options{})
+	e.SetFault(faults.Fault{DuplicateEvents: true, ForeignID: "r9", Count: 1})
+	header := map[string]string{"X-Request-Id": "r1"}
+	ids, _, err := events(send(t, http.MethodPost, url+chatPath, short, header).Body)
+	require.NoError(t, err)
+	require.Equal(t, []string{"r9:0", "r1:0", "r1:0", "r1:1", "r1:1"}, ids[:5])
+	require.Len(t, ids, 15)
+}
+
+func TestWholeAnswer(t *testing.T) {
+	e, url := start(t, engine.Options{})
+	body := strings.Replace(short, `"stream":true`, `"stream":false`, 1)
+	header := map[string]string{"X-Request-Id": "r1"}
+	var answer struct {
+		ID      string
+		Choices []struct{ Message struct{ Content string } }
+		Usage   struct {
+			CompletionTokens int `json:"completion_tokens"`
+		}
+	}
+	resp := send(t, http.MethodPost, url+chatPath, body, header)
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&answer))
+	require.Equal(t, "chatcmpl-r1", answer.ID)
+	require.Len(t, strings.Fields(answer.Choices[0].Message.Content), 5)
+	require.Equal(t, 5, answer.Usage.CompletionTokens)
+
+	e.SetFault(faults.Fault{Mode: faults.LoseAnswer, Count: 1})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+chatPath, strings.NewReader(body))
+	require.NoError(t, err)
+	resp, err = http.DefaultClient.Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	require.Error(t, err)
+	require.Len(t, e.Runs(), 2)
+}
+
+func TestLagsAndGaps(t *testing.T) {
+	var seconds atomic.Int64
+	e, url := start(t, engine.Options{
+		LoadLag:       5 * time.Second,
+		EventLag:      5 * time.Second,
+		EventGapEvery: 2,
+		TokenInterval: time.Millisecond,
+		Now:           func() time.Time { return time.Unix(seconds.Load(), 0) },
+	})
+	long := strings.Replace(endless, `"a"`, `"`+strings.Repeat("a ", 48)+`"`, 1)
+	_ = send(t, http.MethodPost, url+chatPath, long, nil)
+	get := func(path string) string {
+		body, err := io.ReadAll(send(t, http.MethodGet, url+path, "", nil).Body)
+		require.NoError(t, err)
+		return string(body)
+	}
+	require.Equal(t, 1, e.Load().Running)
+	require.JSONEq(t, `{"running":0,"waiting":0}`, get("/load"))
+	require.JSONEq(t, `{"events":[]}`, get("/events"))
+	seconds.Store(5)
+	require.JSONEq(t, `{"running":1,"waiting":0}`, get("/load"))
+	require.Eventually(t, func() bool {
+		seconds.Add(5)
+		shown := get("/events?after=0")
+		return strings.Contains(shown, `"seq":1`) && strings.Contains(shown, `"seq":3`) &&
+			!strings.Contains(shown, `"seq":2`)
+	}, patience, time.Millisecond)
+}
