Give sessions a fault-injecting network and a shared fleet

Cause: the issues to come cut, silence and delay single links between daemons. Ruled out: one proxy before each daemon, which can cut only what comes in.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"log/slog"
 	"net"
 	"net/http"
@@ -101,6 +102,7 @@
 		ID:          d.settings.ID,
 		Incarnation: incarnation,
 		Secret:      d.settings.Secret,
+		Routes:      d.settings.PeerRoutes,
 		Handler:     d.handle,
 		Operator:    operators,
 		Logger:      logging.For(logging.Peer),
@@ -109,7 +111,7 @@
 		Self: &pb.Member{
 			Id:          d.settings.ID,
 			Incarnation: incarnation,
-			PeerAddress: d.listener.Addr().String(),
+			PeerAddress: cmp.Or(d.settings.AdvertisePeer, d.PeerAddress()),
 			Zone:        d.settings.Zone,
 			Region:      d.settings.Region,
 			State:       pb.MemberState_MEMBER_STATE_STARTING,
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"net/url"
@@ -17,11 +18,13 @@
 	Zone   string `help:"Data centre of this instance." env:"FILBERTRILL_ZONE" required:""`
 	Region string `help:"Region of the data centre." env:"FILBERTRILL_REGION" required:""`
 
-	Listen    string   `help:"Address for callers, ip:port; port 0 takes any." env:"FILBERTRILL_LISTEN" required:""`
-	Peer      string   `help:"Address for other daemons and operators, ip:port; port 0 takes any." env:"FILBERTRILL_PEER" required:""`
-	Advertise string   `help:"Address that callers are told, ip:port; that of --listen when empty." env:"FILBERTRILL_ADVERTISE"`
-	Seeds     []string `help:"Peer addresses of other daemons, ip:port." env:"FILBERTRILL_SEEDS"`
-	Secret    string   `help:"Secret that daemons and operators share, at least 16 bytes." env:"FILBERTRILL_SECRET" required:""`
+	Listen        string            `help:"Address for callers, ip:port; port 0 takes any." env:"FILBERTRILL_LISTEN" required:""`
+	Peer          string            `help:"Address for other daemons and operators, ip:port; port 0 takes any." env:"FILBERTRILL_PEER" required:""`
+	Advertise     string            `help:"Address that callers are told, ip:port; that of --listen when empty." env:"FILBERTRILL_ADVERTISE"`
+	AdvertisePeer string            `help:"Address that other daemons are told, ip:port; that of --peer when empty." env:"FILBERTRILL_ADVERTISE_PEER"`
+	PeerRoutes    map[string]string `name:"peer-route" help:"Address to dial in the place of an advertised one, ADVERTISED=DIALED, where addresses are translated." env:"FILBERTRILL_PEER_ROUTES"`
+	Seeds         []string          `help:"Peer addresses of other daemons, ip:port." env:"FILBERTRILL_SEEDS"`
+	Secret        string            `help:"Secret that daemons and operators share, at least 16 bytes." env:"FILBERTRILL_SECRET" required:""`
 
 	Log        string        `help:"URL of the platform's log." env:"FILBERTRILL_LOG" required:""`
 	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
@@ -49,6 +52,14 @@
 	if s.Advertise != "" {
 		addresses["advertise"] = s.Advertise
 	}
+	if s.AdvertisePeer != "" {
+		addresses["advertise-peer"] = s.AdvertisePeer
+	}
+	for from, to := range s.PeerRoutes {
+		if err := errors.Join(checkAddress("peer-route", from), checkAddress("peer-route", to)); err != nil {
+			return err
+		}
+	}
 	for name, address := range addresses {
 		if err := checkAddress(name, address); err != nil {
 			return err
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	dialer := net.Dialer{Timeout: l.mesh.opts.DialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	raw, err := dialer.DialContext(ctx, "tcp", l.mesh.dialAddress(l.address))
 	if err != nil {
 		l.discard()
 		return err
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -22,6 +22,7 @@
 	ID           string
 	Incarnation  uint64
 	Secret       string
+	Routes       map[string]string // addresses to dial in the place of others
 	Handler      Handler
 	Operator     pb.DRPCOperatorServer // may be nil
 	PingInterval time.Duration
@@ -149,3 +150,10 @@
 	m.cancel()
 	m.wg.Wait()
 }
+
+func (m *Mesh) dialAddress(address string) string {
+	if route, ok := m.opts.Routes[address]; ok {
+		return route
+	}
+	return address
+}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -33,8 +33,8 @@
 	DaemonArgs []string
 	// LogArgs are added to the flags of the log.
 	LogArgs []string
-	// LogVia returns the address at which daemon i reaches the log; the log's own when nil.
-	LogVia func(i int, address string) string
+	// Network carries the daemons' links to each other and to the log; nil for direct ones.
+	Network *Network
 }
 
 // Cluster is a running fleet with its stand-ins.
@@ -81,8 +81,9 @@
 // StartDaemon starts daemon i, at the end of Daemons or in the place of an ended one.
 func (c *Cluster) StartDaemon(i int) (*Process, error) {
 	log := c.Log.Address
-	if c.opts.LogVia != nil {
-		log = c.opts.LogVia(i, log)
+	if n := c.opts.Network; n != nil {
+		n.Log(i).Connect(log)
+		log = n.Log(i).Address()
 	}
 	name := fmt.Sprintf("d%d", i+1)
 	args := []string{
@@ -91,7 +92,11 @@
 		"--secret", Secret, "--log", "http://" + log,
 		"--instances", "http://" + c.List.Address + "/sd",
 	}
-	p, err := Start(name, filepath.Join(c.opts.Bin, "filbertrilld"), c.opts.Logs, append(args, c.opts.DaemonArgs...)...)
+	args = append(args, c.opts.DaemonArgs...)
+	if n := c.opts.Network; n != nil {
+		args = append(args, n.flags(i)...)
+	}
+	p, err := Start(name, filepath.Join(c.opts.Bin, "filbertrilld"), c.opts.Logs, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +106,12 @@
 	} else {
 		c.Daemons = append(c.Daemons, p)
 	}
-	return p, c.listInstance(p.Field("peers"), c.Zone(i))
+	peer := p.Field("peers")
+	if n := c.opts.Network; n != nil {
+		n.connect(i, peer)
+		peer = n.advertised(i)
+	}
+	return p, c.listInstance(peer, c.Zone(i))
 }
 
 func (c *Cluster) listInstance(peer, zone string) error {
--- /dev/null
+++ b/test/cluster/fleet.go
@@ -0,0 +1,152 @@
+package cluster
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// Patience bounds each wait for something that takes far less.
+const Patience = 30 * time.Second
+
+var binFolder string
+
+// Main builds the programs and runs the tests of a package of sessions. It returns the
+// exit code.
+func Main(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "filbertrill-bin-*")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if err := Build(moduleRoot(), folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	binFolder = folder
+	return m.Run()
+}
+
+// Fleet is a cluster under test with the accounts "small" and "large", whose keys are
+// "key-small" and "key-large".
+type Fleet struct {
+	*Cluster
+	Ticket ticket.Ticket // the next one
+	t      testing.TB
+}
+
+// StartFleet starts a fleet of three daemons in three data centres unless the options say
+// otherwise, with the services "drafter" (a model) and "registry" (plain, not repeatable).
+func StartFleet(t testing.TB, opts Options) *Fleet {
+	t.Helper()
+	opts.Bin = binFolder
+	if opts.Logs == nil {
+		opts.Logs = newTestLog(t)
+	}
+	if opts.Zones == nil {
+		opts.Zones = []string{"z1", "z2", "z3"}
+	}
+	if opts.Daemons == 0 {
+		opts.Daemons = 3
+	}
+	c, err := New(opts)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	f := &Fleet{Cluster: c, t: t}
+	f.Ticket = ticket.Ticket{Number: 1, Author: "test", Reason: "first"}
+	f.Ticket.Accounts = []ticket.Account{
+		{ID: "small", Weight: 1, KeyHashes: []string{KeyHash("key-small")}},
+		{ID: "large", Weight: 1, KeyHashes: []string{KeyHash("key-large")}},
+	}
+	f.Ticket.Services = []ticket.Service{
+		{ID: "drafter", Kind: ticket.ServiceModel, Repeatable: true},
+		{ID: "registry", Kind: ticket.ServicePlain},
+	}
+	return f
+}
+
+// newTestLog collects the processes' logs and shows them when the test fails.
+func newTestLog(t testing.TB) io.Writer {
+	f, err := os.CreateTemp(t.TempDir(), "log-*")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			data, _ := os.ReadFile(f.Name())
+			t.Logf("logs of the processes:\n%s", data)
+		}
+		_ = f.Close()
+	})
+	return f
+}
+
+// AddEngine starts an engine in a zone and adds it to the ticket.
+func (f *Fleet) AddEngine(zone string, slots int, args ...string) *Process {
+	f.t.Helper()
+	id := fmt.Sprintf("engine-%d", len(f.Ticket.Servers)+1)
+	args = append([]string{"--model", "drafter", "--slots", fmt.Sprint(slots)}, args...)
+	p, err := f.StartServer(id, "engine", args...)
+	require.NoError(f.t, err)
+	f.addServer(id, "drafter", p.Address, zone, slots)
+	return p
+}
+
+// AddPlain starts a plain server in a zone and adds it to the ticket.
+func (f *Fleet) AddPlain(zone string, slots int, args ...string) *Process {
+	f.t.Helper()
+	id := fmt.Sprintf("plain-%d", len(f.Ticket.Servers)+1)
+	p, err := f.StartServer(id, "plain", args...)
+	require.NoError(f.t, err)
+	f.addServer(id, "registry", p.Address, zone, slots)
+	return p
+}
+
+func (f *Fleet) addServer(id, service, address, zone string, slots int) {
+	f.Ticket.Servers = append(f.Ticket.Servers, ticket.Server{
+		ID: id, Service: service, Address: address, Zone: zone, Slots: slots, State: ticket.ServerJoined,
+	})
+}
+
+// SubmitNext hands in the ticket, waits until the fleet is ready, and starts the next one.
+func (f *Fleet) SubmitNext() {
+	f.t.Helper()
+	out, err := f.Submit(f.Ticket)
+	require.NoError(f.t, err, out)
+	require.NoError(f.t, f.AwaitReady(Patience))
+	f.Ticket.Number++
+}
+
+// Call sends a request to daemon i and returns the status, headers and body.
+func (f *Fleet) Call(i int, key, method, path, body string) (int, http.Header, string) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+f.Daemons[i].Address+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	return resp.StatusCode, resp.Header, string(data)
+}
+
+// moduleRoot returns the folder of go.mod above the test's folder.
+func moduleRoot() string {
+	folder, _ := filepath.Abs(".")
+	for {
+		if _, err := os.Stat(filepath.Join(folder, "go.mod")); err == nil {
+			return folder
+		}
+		folder = filepath.Dir(folder)
+	}
+}
--- /dev/null
+++ b/test/cluster/network.go
@@ -0,0 +1,183 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// Link is a TCP path that passes a fault-injecting proxy.
+type Link struct {
+	proxy  *toxiproxy.Proxy
+	toxics int
+}
+
+// NewLink listens on loopback. Connect names the upstream later.
+func NewLink(name string) (*Link, error) {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(server, name, "127.0.0.1:0", "127.0.0.1:1")
+	if err := proxy.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start link %s", name)
+	}
+	return &Link{proxy: proxy}, nil
+}
+
+// Address returns where the link listens.
+func (l *Link) Address() string { return l.proxy.Listen }
+
+// Connect sets the upstream of new connections.
+func (l *Link) Connect(upstream string) {
+	l.proxy.Lock()
+	defer l.proxy.Unlock()
+	l.proxy.Upstream = upstream
+}
+
+// Cut closes all connections and refuses new ones.
+func (l *Link) Cut() { l.proxy.Stop() }
+
+// Heal ends Cut and removes all toxics, which closes silenced connections.
+func (l *Link) Heal() error {
+	l.proxy.Toxics.ResetToxics(context.Background())
+	if l.proxy.Enabled {
+		return nil
+	}
+	return l.proxy.Start()
+}
+
+// Silence swallows all data both ways and closes nothing, on open and new connections.
+func (l *Link) Silence() error {
+	return errors.CombineErrors(
+		l.toxic("timeout", "upstream", `{"timeout":0}`),
+		l.toxic("timeout", "downstream", `{"timeout":0}`),
+	)
+}
+
+// Delay adds latency with jitter, in milliseconds, in each direction.
+func (l *Link) Delay(latency, jitter int) error {
+	attributes := fmt.Sprintf(`{"latency":%d,"jitter":%d}`, latency, jitter)
+	return errors.CombineErrors(
+		l.toxic("latency", "upstream", attributes),
+		l.toxic("latency", "downstream", attributes),
+	)
+}
+
+func (l *Link) toxic(kind, direction, attributes string) error {
+	l.toxics++
+	spec := fmt.Sprintf(`{"name":"t%d","type":%q,"stream":%q,"toxicity":1,"attributes":%s}`, l.toxics, kind, direction, attributes)
+	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(spec))
+	return err
+}
+
+// Close ends the link.
+func (l *Link) Close() { l.proxy.Stop() }
+
+// Network holds a link for each ordered pair of daemons, and for each daemon one to the log.
+type Network struct {
+	size  int
+	peers map[[2]int]*Link
+	logs  map[int]*Link
+}
+
+// NewNetwork returns links for daemons 0 to size-1.
+func NewNetwork(size int) (*Network, error) {
+	n := &Network{size: size, peers: map[[2]int]*Link{}, logs: map[int]*Link{}}
+	for from := range size {
+		log, err := NewLink(fmt.Sprintf("log-%d", from))
+		if err != nil {
+			return nil, err
+		}
+		n.logs[from] = log
+		for to := range size {
+			link, err := NewLink(fmt.Sprintf("peer-%d-%d", from, to))
+			if err != nil {
+				return nil, err
+			}
+			n.peers[[2]int{from, to}] = link
+		}
+	}
+	return n, nil
+}
+
+// Peer returns the link on which one daemon reaches another.
+func (n *Network) Peer(from, to int) *Link { return n.peers[[2]int{from, to}] }
+
+// Log returns the link on which a daemon reaches the log.
+func (n *Network) Log(from int) *Link { return n.logs[from] }
+
+// advertised is the address that daemon i tells its peers; no one dials it, since each
+// of them has a route for it.
+func (n *Network) advertised(i int) string { return n.Peer(i, i).Address() }
+
+// flags returns the settings that send daemon i's links through the network.
+func (n *Network) flags(i int) []string {
+	args := []string{"--advertise-peer", n.advertised(i)}
+	for to := range n.size {
+		if to != i {
+			args = append(args, "--peer-route", n.advertised(to)+"="+n.Peer(i, to).Address())
+		}
+	}
+	return args
+}
+
+// connect points the links to daemon i at its address.
+func (n *Network) connect(i int, address string) {
+	for from := range n.size {
+		n.Peer(from, i).Connect(address)
+	}
+}
+
+// each calls do for the links between the daemons of side and all others, both ways.
+func (n *Network) each(side map[int]bool, do func(*Link) error) error {
+	var failed error
+	for pair, link := range n.peers {
+		if side[pair[0]] != side[pair[1]] {
+			failed = errors.CombineErrors(failed, do(link))
+		}
+	}
+	return failed
+}
+
+// Part cuts the given daemons off from all others, both ways. The log stays reachable.
+func (n *Network) Part(daemons ...int) error {
+	return n.each(setOf(daemons), func(l *Link) error { l.Cut(); return nil })
+}
+
+// Silence swallows what the given daemons and all others send each other, closing nothing.
+func (n *Network) Silence(daemons ...int) error {
+	return n.each(setOf(daemons), (*Link).Silence)
+}
+
+// Heal mends every link.
+func (n *Network) Heal() error {
+	var failed error
+	for _, link := range n.peers {
+		failed = errors.CombineErrors(failed, link.Heal())
+	}
+	for _, link := range n.logs {
+		failed = errors.CombineErrors(failed, link.Heal())
+	}
+	return failed
+}
+
+// Close ends every link.
+func (n *Network) Close() {
+	for _, link := range n.peers {
+		link.Close()
+	}
+	for _, link := range n.logs {
+		link.Close()
+	}
+}
+
+func setOf(daemons []int) map[int]bool {
+	set := map[int]bool{}
+	for _, d := range daemons {
+		set[d] = true
+	}
+	return set
+}
--- a/test/integration/path_test.go
+++ b/test/integration/path/path_test.go
@@ -1,7 +1,9 @@
-package integration
+// Package path holds sessions of callers through the whole path.
+package path
 
 import (
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,22 +15,24 @@
 	"github.com/filbertrill/filbertrill/test/cluster"
 )
 
+func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
+
 func TestWholePath(t *testing.T) {
-	f := startFleet(t, cluster.Options{})
-	f.addEngine("z1", 4)
-	f.addPlain("z2", 2)
-	f.submit()
+	f := cluster.StartFleet(t, cluster.Options{})
+	f.AddEngine("z1", 4)
+	f.AddPlain("z2", 2)
+	f.SubmitNext()
 
 	t.Run("openai client", func(t *testing.T) { openAIClient(t, f) })
 	t.Run("plain service", func(t *testing.T) {
-		status, _, body := f.call(1, "key-small", http.MethodPost, "/v1/services/registry/stamps", `{}`)
+		status, _, body := f.Call(1, "key-small", http.MethodPost, "/v1/services/registry/stamps", `{}`)
 		require.Equal(t, http.StatusCreated, status, body)
 		require.Contains(t, body, `"serial"`)
 	})
 	t.Run("refusals", func(t *testing.T) { refusals(t, f) })
 }
 
-func openAIClient(t *testing.T, f *fleet) {
+func openAIClient(t *testing.T, f *cluster.Fleet) {
 	for _, d := range f.Daemons {
 		client := openai.NewClient(option.WithAPIKey("key-small"), option.WithBaseURL("http://"+d.Address+"/v1"))
 		params := openai.ChatCompletionNewParams{
@@ -54,7 +58,7 @@
 	}
 }
 
-func refusals(t *testing.T, f *fleet) {
+func refusals(t *testing.T, f *cluster.Fleet) {
 	chat := "/v1/chat/completions"
 	cases := []struct{ name, key, path, body, code string }{
 		{"no key", "", chat, `{}`, "1001"},
@@ -66,7 +70,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, header, body := f.call(0, c.key, http.MethodPost, c.path, c.body)
+			_, header, body := f.Call(0, c.key, http.MethodPost, c.path, c.body)
 			require.Equal(t, c.code, header.Get("X-Result-Code"), body)
 			require.Equal(t, "not_run", header.Get("X-Outcome"))
 		})
@@ -74,14 +78,14 @@
 }
 
 func TestPlannedStopOfTheFleet(t *testing.T) {
-	f := startFleet(t, cluster.Options{})
-	f.addEngine("z1", 4)
-	f.submit()
+	f := cluster.StartFleet(t, cluster.Options{})
+	f.AddEngine("z1", 4)
+	f.SubmitNext()
 	for _, d := range f.Daemons {
 		d.Signal(syscall.SIGTERM)
 	}
 	for _, d := range f.Daemons {
-		require.True(t, d.Wait(patience))
+		require.True(t, d.Wait(cluster.Patience))
 		require.NoError(t, d.ExitError())
 	}
 }
