--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -253,3 +253,19 @@
 	require.Equal(t, ExitPending, got.code)
 	require.Contains(t, got.stderr, "drain again is safe")
 }
+
+func TestOfflineExitCodes(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "t.yaml")
+	require.NoError(t, os.WriteFile(file, []byte("number: 0\n"), 0o600))
+	tests := map[int][]string{
+		ExitOK:      {"version"},
+		ExitFailed:  {"ticket", "verify", file + ".missing"},
+		ExitUsage:   {"status"},
+		ExitInvalid: {"ticket", "verify", file},
+	}
+	for code, args := range tests {
+		require.Equal(t, code, runWith(t, nil, args...).code, args)
+	}
+	require.Equal(t, ExitInvalid, runWith(t, nil, "--daemon", first, "ticket", "submit", file).code)
+	require.Equal(t, ExitUsage, runWith(t, nil, "--colour", "version").code)
+}
--- a/internal/ticket/parse_test.go
+++ b/internal/ticket/parse_test.go
@@ -13,11 +13,7 @@
 	"pgregory.net/rapid"
 )
 
-var (
-	hashA = strings.Repeat("a", 64)
-	hashB = strings.Repeat("b", 64)
-	hashC = strings.Repeat("c", 64)
-)
+var hashA = strings.Repeat("a", 64)
 
 const head = "number: 1\nauthor: a\nreason: r\n"
 
--- a/internal/ticket/state_test.go
+++ b/internal/ticket/state_test.go
@@ -15,12 +15,6 @@
 	return data
 }
 
-func encodeState(t require.TestingT, s *State) []byte {
-	data, err := EncodeSnapshot(s.Snapshot())
-	require.NoError(t, err)
-	return data
-}
-
 // tickets draws from few numbers and objects, so that tickets meet.
 func tickets() *rapid.Generator[Ticket] {
 	return rapid.Custom(func(t *rapid.T) Ticket {
@@ -90,6 +84,7 @@
 		Servers:  []Server{server(0, 0, ServerJoined)},
 	})
 	both := numbered(11, Ticket{Accounts: []Account{account(0, 0, removed)}, Servers: []Server{server(5, 9, ServerJoined)}})
+	handOver := numbered(11, Ticket{Accounts: []Account{account(0, 5, active), account(1, 0, active)}})
 	tests := map[string]struct {
 		next    Ticket
 		outcome Outcome
@@ -106,6 +101,8 @@
 		"service removed":            {numbered(11, Ticket{Servers: []Server{server(1, 1, ServerJoined)}}), OutcomeRejected, ReasonUnknownService},
 		"removed server":             {numbered(11, Ticket{Servers: []Server{server(1, 9, ServerRemoved)}}), OutcomeApplied, ReasonNone},
 		"key of another account":     {withAccount(11, account(1, 0, active)), OutcomeRejected, ReasonKeyInUse},
+		"own key":                    {withAccount(11, account(0, 0, active)), OutcomeApplied, ReasonNone},
+		"key handed over":            {handOver, OutcomeApplied, ReasonNone},
 		"key of no account":          {withAccount(11, account(1, 1, active)), OutcomeApplied, ReasonNone},
 		"service in the same ticket": {numbered(11, Ticket{Services: []Service{service(4, active)}, Servers: []Server{server(1, 4, ServerJoined)}}), OutcomeApplied, ReasonNone},
 	}
@@ -118,7 +115,9 @@
 			require.Equal(t, test.outcome, v.Outcome, v.Detail)
 			require.Equal(t, test.reason, v.Reason, v.Detail)
 			require.Equal(t, int64(1), s.Applied())
-			if test.outcome != OutcomeApplied {
+			if test.outcome == OutcomeApplied {
+				require.Equal(t, s.newConfig(), s.Config())
+			} else {
 				require.Same(t, config, s.Config())
 			}
 			again := s.Apply(2, encode(t, test.next))
@@ -154,6 +153,16 @@
 	require.Equal(t, before, s.Snapshot())
 }
 
+func TestStateRecordFromTheFutureIsNotAdopted(t *testing.T) {
+	for _, base := range []int64{5, 6} {
+		value, err := EncodeSnapshot(Snapshot{Version: SnapshotVersion, AppliedOffset: base})
+		require.NoError(t, err)
+		s := NewState()
+		require.Equal(t, OutcomeGap, s.Apply(5, value).Outcome)
+		require.Equal(t, int64(0), s.Next())
+	}
+}
+
 func TestConfigLookups(t *testing.T) {
 	s := NewState()
 	s.Apply(0, encode(t, numbered(1, Ticket{
