Refresh a daemon's own record in its view

Cause: the view shared the record that the controller counts up, so its own heartbeat never looked newer, and its age grew. Change: the view keeps a copy. Seen in filbertrillctl members: 13 s before.

--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
@@ -33,7 +34,7 @@
 // NewView returns a view that holds only the daemon itself.
 func NewView(self *pb.Member, now time.Time) *View {
 	v := &View{self: self.Id, members: map[string]*Status{}}
-	v.members[self.Id] = &Status{Member: self, Heard: now}
+	v.members[self.Id] = &Status{Member: proto.Clone(self).(*pb.Member), Heard: now}
 	return v
 }
 
