--- a/internal/controller/dispatch/dispatch.go
+++ b/internal/controller/dispatch/dispatch.go
@@ -38,6 +38,9 @@
 	Incarnation    uint64
 	Members        Members
 	Sender         Sender
+	Zone           string // of this daemon
+	Scope          Scope
+	Order          core.Order
 	ReportInterval time.Duration
 	TickInterval   time.Duration
 	Logger         *slog.Logger
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/filter"
 	"github.com/filbertrill/filbertrill/internal/filter/admit"
@@ -127,6 +128,9 @@
 		Incarnation: incarnation,
 		Members:     d.members,
 		Sender:      d.mesh,
+		Zone:        d.settings.Zone,
+		Scope:       dispatch.Scope(d.settings.DispatchScope),
+		Order:       core.Order(d.settings.DispatchOrder),
 		Logger:      logging.For(logging.Dispatch),
 	})
 	d.config = config.NewController(config.Options{
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -16,9 +16,19 @@
 	Open    bool // receives new work
 }
 
+// Order tells which waiting request a grant goes to.
+type Order string
+
+// The orders of grants.
+const (
+	OrderFair Order = "fair" // to the account with the least virtual time
+	OrderFIFO Order = "fifo" // to the request that arrived first
+)
+
 // Pool is what a dispatcher needs of the configuration.
 type Pool struct {
 	Service string
+	Order   Order
 	Standby int // grants beyond the slots of each server
 	Servers []ServerSpec
 	Weights map[string]float64 // by account
