--- /dev/null
+++ b/internal/controller/dispatch/load.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// maxLoadCalls is how many servers are asked at once.
+const maxLoadCalls = 16
+
+// LoadFunc asks a backend server how many requests it has.
+type LoadFunc func(ctx context.Context, address string) (int, error)
+
+// pollLoads asks the servers of the pools that fall to this daemon for their load.
+func (c *Controller) pollLoads(ctx context.Context) {
+	ticker := time.NewTicker(core.LoadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.pollOnce(ctx)
+		}
+	}
+}
+
+type loadTarget struct {
+	key    poolKey
+	server ticket.Server
+}
+
+func (c *Controller) pollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, core.LoadInterval)
+	defer cancel()
+	var calls errgroup.Group
+	calls.SetLimit(maxLoadCalls)
+	for _, target := range c.loadTargets() {
+		calls.Go(func() error {
+			requests, err := c.opts.Load(ctx, target.server.Address)
+			c.setLoad(target, requests, err)
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+// loadTargets returns the model engines to ask. A daemon alone does not tell its own
+// requests from those of other daemons, so it asks none.
+func (c *Controller) loadTargets() []loadTarget {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config == nil || c.opts.Scope == ScopeDaemon {
+		return nil
+	}
+	var targets []loadTarget
+	t := c.topology(time.Now())
+	for key := range c.dispatchers {
+		service, ok := c.config.Service(key.service)
+		if !ok || service.Kind != ticket.ServiceModel || !isMember(t.owner(key), c.opts.SelfID) {
+			continue
+		}
+		for _, s := range c.config.ServersOf(key.service) {
+			if s.State == ticket.ServerJoined && t.slots(s, key.pool) > 0 {
+				targets = append(targets, loadTarget{key, s})
+			}
+		}
+	}
+	return targets
+}
+
+func (c *Controller) setLoad(target loadTarget, requests int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.dispatchers[target.key]
+	if !ok {
+		return
+	}
+	if err != nil {
+		p.dispatcher.SetUnreachable(time.Now(), target.server.ID)
+		return
+	}
+	p.dispatcher.SetLoad(time.Now(), target.server.ID, requests)
+}
+
+// progress returns the cost that was last told.
+func (l *Lease) progress() core.Cost { return math.Float64frombits(l.cost.Load()) }
--- /dev/null
+++ b/internal/controller/dispatch/messages.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"time"
+
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// reportQueues sends the reports of queues that changed or whose dispatcher did, and at a
+// tick also of those that run.
+func (c *Controller) reportQueues(now time.Time, t topology, tick bool) {
+	for service, q := range c.queues {
+		key := poolKey{service, t.home()}
+		owner := t.owner(key)
+		if owner == nil {
+			continue
+		}
+		due := tick && !q.queue.Idle() && now.Sub(q.reported) >= c.opts.ReportInterval
+		if !q.queue.Dirty() && !due && owner.Id == q.dispatcher {
+			continue
+		}
+		q.dispatcher = owner.Id
+		q.reported = now
+		for id, lease := range q.leases {
+			q.queue.Progress(id, lease.progress())
+		}
+		c.sendReport(now, key, owner, q.queue.Report(now))
+	}
+}
+
+func (c *Controller) sendReport(now time.Time, key poolKey, owner *pb.Member, r core.Report) {
+	if owner.Id == c.opts.SelfID {
+		c.handleReport(now, key, c.opts.SelfID, r)
+		return
+	}
+	body := &pb.Envelope_DemandReport{DemandReport: reportToProto(key, r)}
+	c.opts.Sender.Send(owner.PeerAddress, &pb.Envelope{Body: body})
+}
+
+// DemandReport takes in the report of a peer.
+func (c *Controller) DemandReport(from string, m *pb.DemandReport, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handleReport(now, poolKey{m.Service, m.Pool}, from, reportFromProto(m))
+	c.signal()
+}
+
+func (c *Controller) handleReport(now time.Time, key poolKey, from string, r core.Report) {
+	if c.config == nil {
+		return
+	}
+	p, ok := c.dispatchers[key]
+	if !ok || p.dispatcher.Superseded(r) {
+		p = c.begin(now, key, r.Dispatcher)
+	}
+	if r.FromPool != "" {
+		p.peers[r.FromPool] = from
+	}
+	c.deliver(now, key, p, p.dispatcher.Report(now, from, r))
+}
+
+// deliver sends the grants of a pool to daemons and to other pools' dispatchers.
+func (c *Controller) deliver(now time.Time, key poolKey, p *poolState, actions []core.Send) {
+	for _, a := range actions {
+		to, toPool := a.Reporter, ""
+		if a.Pool {
+			to, toPool = p.peers[a.Reporter], a.Reporter
+		}
+		if to == c.opts.SelfID {
+			c.handleBatch(now, key, to, toPool, a.Batch)
+			continue
+		}
+		address := c.opts.Members.Address(to)
+		if address == "" {
+			continue
+		}
+		body := &pb.Envelope_GrantBatch{GrantBatch: batchToProto(key, toPool, a.Batch)}
+		c.opts.Sender.Send(address, &pb.Envelope{Body: body})
+	}
+}
+
+// GrantBatch takes in a dispatcher's grants.
+func (c *Controller) GrantBatch(from string, m *pb.GrantBatch, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config == nil {
+		return
+	}
+	c.handleBatch(now, poolKey{m.Service, m.Pool}, from, m.ToPool, batchFromProto(m))
+}
+
+// handleBatch takes in grants of the pool's dispatcher, which must be the member that this
+// daemon takes for it: grants of any other are dropped.
+func (c *Controller) handleBatch(now time.Time, key poolKey, from, toPool string, b core.Batch) {
+	owner := c.topology(now).owner(key)
+	if !isMember(owner, from) {
+		return
+	}
+	if toPool == "" {
+		c.startGranted(now, key.service, b)
+		return
+	}
+	own := poolKey{key.service, toPool}
+	if p, ok := c.dispatchers[own]; ok {
+		c.deliver(now, own, p, p.dispatcher.Relay(now, key.pool, b))
+		c.signal()
+	}
+}
+
+func isMember(m *pb.Member, id string) bool { return m != nil && m.Id == id }
+
+func (c *Controller) startGranted(now time.Time, service string, b core.Batch) {
+	q := c.queue(service)
+	for _, start := range q.queue.Grants(now, b) {
+		waiter, ok := q.waiters[start.Request]
+		if !ok {
+			continue
+		}
+		delete(q.waiters, start.Request)
+		waiter <- start
+	}
+	c.signal()
+}
--- /dev/null
+++ b/internal/controller/dispatch/pool.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"time"
+
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
+)
+
+// poolInterval is how often a dispatcher's pool is derived again from the members.
+const poolInterval = time.Second
+
+// poolState is a pool whose dispatcher is, or lately was, this daemon.
+type poolState struct {
+	dispatcher *core.Dispatcher
+	peers      map[string]string // member that last reported for another pool
+	exchanged  time.Time
+	derived    time.Time
+	owned      time.Time // last time that the pool fell to this daemon
+}
+
+// begin makes this daemon the pool's dispatcher, with an incarnation above the given one.
+func (c *Controller) begin(now time.Time, key poolKey, above uint64) *poolState {
+	c.lastInc = max(c.lastInc+1, uint64(now.UnixNano()), above+1)
+	t := c.topology(now)
+	d := core.NewDispatcher(now, c.lastInc, t.pool(c.config, key), t.ids(key.pool))
+	p := &poolState{dispatcher: d, peers: map[string]string{}, owned: now, derived: now}
+	c.dispatchers[key] = p
+	c.opts.Logger.Info("Became the dispatcher of a pool.", "service", key.service, "pool", key.pool)
+	for _, hello := range d.Hello() {
+		if hello.Reporter != c.opts.SelfID {
+			c.deliver(now, key, p, []core.Send{hello})
+		}
+	}
+	return p
+}
+
+// tickDispatchers drives the timers of the pools that fall to this daemon, and drops
+// those that have fallen to another.
+func (c *Controller) tickDispatchers(now time.Time, t topology) {
+	for key, p := range c.dispatchers {
+		if !isMember(t.owner(key), c.opts.SelfID) {
+			c.lose(now, key, p)
+			continue
+		}
+		p.owned = now
+		if now.Sub(p.derived) >= poolInterval {
+			p.derived = now
+			p.dispatcher.SetPool(t.pool(c.config, key))
+		}
+		c.deliver(now, key, p, p.dispatcher.Tick(now))
+	}
+}
+
+func (c *Controller) lose(now time.Time, key poolKey, p *poolState) {
+	if now.Sub(p.owned) < core.ReportLease {
+		return
+	}
+	delete(c.dispatchers, key)
+	c.opts.Logger.Info("No longer the dispatcher of a pool.", "service", key.service, "pool", key.pool)
+}
+
+// exchange reports to the dispatchers of the services' other pools: each interval, and at
+// once where a slot of theirs came free.
+func (c *Controller) exchange(now time.Time, t topology, tick bool) {
+	if c.opts.Scope != ScopeZone {
+		return
+	}
+	for key, p := range c.dispatchers {
+		if !isMember(t.owner(key), c.opts.SelfID) {
+			continue
+		}
+		due := tick && now.Sub(p.exchanged) >= c.opts.ExchangeInterval
+		if due {
+			p.exchanged = now
+		}
+		for _, pool := range t.pools(c.config, key.service) {
+			if pool != key.pool && (due || p.dispatcher.Urgent(pool)) {
+				c.exchangeWith(now, t, p, poolKey{key.service, pool})
+			}
+		}
+	}
+}
+
+func (c *Controller) exchangeWith(now time.Time, t topology, p *poolState, other poolKey) {
+	owner := t.owner(other)
+	if owner == nil {
+		return
+	}
+	if r, ok := p.dispatcher.Exchange(now, other.pool); ok {
+		c.sendReport(now, other, owner, r)
+	}
+}
--- /dev/null
+++ b/internal/controller/dispatch/pools.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
+	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// regionPool is the name of the only pool of a service in ScopeRegion.
+const regionPool = "region"
+
+// poolKey names a pool: the servers of a service that share one dispatcher.
+type poolKey struct {
+	service string
+	pool    string
+}
+
+// topology tells who belongs to which pool, from one view of the live members.
+type topology struct {
+	scope Scope
+	self  string
+	zone  string
+	live  []*pb.Member
+}
+
+func (c *Controller) topology(now time.Time) topology {
+	return topology{scope: c.opts.Scope, self: c.opts.SelfID, zone: c.opts.Zone, live: eligible(c.opts.Members.Live(now))}
+}
+
+// eligible returns the members that may be dispatchers: those with a configuration, if any.
+func eligible(live []*pb.Member) []*pb.Member {
+	var ready []*pb.Member
+	for _, m := range live {
+		if m.State != pb.MemberState_MEMBER_STATE_STARTING {
+			ready = append(ready, m)
+		}
+	}
+	if len(ready) == 0 {
+		return live
+	}
+	return ready
+}
+
+// home returns the pool that this daemon reports to.
+func (t topology) home() string {
+	switch t.scope {
+	case ScopeDaemon:
+		return t.self
+	case ScopeRegion:
+		return regionPool
+	}
+	return t.zone
+}
+
+// owner returns the member that is the pool's dispatcher, or nil when no member is live.
+// The pool of a zone without live members falls to another zone.
+func (t topology) owner(key poolKey) *pb.Member {
+	if t.scope == ScopeDaemon {
+		return member.Owner(key.pool, t.members(key.pool))
+	}
+	members := t.members(key.pool)
+	if len(members) == 0 {
+		members = t.live
+	}
+	return member.Owner(key.service+"/"+key.pool, members)
+}
+
+// members returns the daemons that report to the pool.
+func (t topology) members(pool string) []*pb.Member {
+	var members []*pb.Member
+	for _, m := range t.live {
+		inZone := t.scope == ScopeZone && m.Zone == pool
+		isDaemon := t.scope == ScopeDaemon && m.Id == pool
+		if t.scope == ScopeRegion || inZone || isDaemon {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// ids returns the names of the daemons that report to the pool.
+func (t topology) ids(pool string) []string {
+	var ids []string
+	for _, m := range t.members(pool) {
+		ids = append(ids, m.Id)
+	}
+	return ids
+}
+
+// pools returns the pools of a service, in the order of their names.
+func (t topology) pools(config *ticket.Config, service string) []string {
+	if t.scope != ScopeZone {
+		return []string{t.home()}
+	}
+	var zones []string
+	for _, s := range config.ServersOf(service) {
+		zones = append(zones, s.Zone)
+	}
+	for _, m := range t.live {
+		zones = append(zones, m.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// pool returns what the pool's dispatcher needs of the configuration.
+func (t topology) pool(config *ticket.Config, key poolKey) core.Pool {
+	pool := core.Pool{Name: key.pool, Accounts: map[string]core.AccountSpec{}}
+	if s, ok := config.Service(key.service); ok {
+		pool.Standby = s.Standby
+	}
+	for _, s := range config.ServersOf(key.service) {
+		if slots := t.slots(s, key.pool); slots > 0 {
+			spec := core.ServerSpec{ID: s.ID, Slots: slots, Open: s.State == ticket.ServerJoined}
+			pool.Servers = append(pool.Servers, spec)
+		}
+	}
+	for _, a := range config.Accounts() {
+		pool.Accounts[a.ID] = core.AccountSpec{Weight: a.Weight, MaxInFlight: a.MaxInFlight}
+	}
+	return pool
+}
+
+// slots returns how many of a server's slots belong to the pool.
+func (t topology) slots(s ticket.Server, pool string) int {
+	switch t.scope {
+	case ScopeDaemon:
+		return t.share(s)
+	case ScopeRegion:
+		return s.Slots
+	}
+	if s.Zone != pool {
+		return 0
+	}
+	return s.Slots
+}
+
+// share returns this daemon's part of a server's slots. The parts of all live daemons add
+// up to the slots.
+func (t topology) share(s ticket.Server) int {
+	n := len(t.live)
+	place := slices.IndexFunc(t.live, func(m *pb.Member) bool { return m.Id == t.self })
+	if place < 0 {
+		return 0
+	}
+	turn := (place + int(xxhash.Sum64String(s.ID)%uint64(n))) % n
+	share := s.Slots / n
+	if turn < s.Slots%n {
+		share++
+	}
+	return share
+}
--- a/internal/controller/dispatch/proto.go
+++ b/internal/controller/dispatch/proto.go
@@ -7,91 +7,147 @@
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
-func reportToProto(service string, r core.Report) *pb.DemandReport {
+func reportToProto(key poolKey, r core.Report) *pb.DemandReport {
 	m := &pb.DemandReport{
 		Seq:                   r.Seq,
-		Service:               service,
-		DispatcherIncarnation: r.DispatcherIncarnation,
-		LastGrantId:           r.LastGrantID,
-		DaemonIncarnation:     r.DaemonIncarnation,
+		Service:               key.service,
+		Pool:                  key.pool,
+		FromPool:              r.FromPool,
+		DispatcherIncarnation: r.Dispatcher,
+		LastGrantId:           r.LastGrant,
+		DaemonIncarnation:     r.Incarnation,
 	}
 	for _, d := range r.Demands {
-		m.Demands = append(m.Demands, &pb.Demand{
-			Account:      d.Account,
-			Waiting:      uint32(d.Waiting),
-			OldestWaitMs: d.OldestWait.Milliseconds(),
-			Estimate:     d.Estimate,
-			EndedCost:    d.Ended,
-			VirtualTime:  d.VirtualTime,
-		})
+		m.Demands = append(m.Demands, demandToProto(d))
+	}
+	for _, e := range r.Ended {
+		m.Ended = append(m.Ended, &pb.EndedCost{Account: e.Account, Pool: e.Pool, Cost: e.Cost})
+	}
+	for _, s := range r.Results {
+		m.Results = append(m.Results, &pb.ServerResults{Server: s.Server, Failed: s.Failed, Succeeded: s.Succeeded})
 	}
 	for _, run := range r.Runs {
-		m.Runs = append(m.Runs, &pb.Run{
-			GrantId:  run.GrantID,
-			Account:  run.Account,
-			Server:   run.Server,
-			Cost:     run.Cost,
-			Estimate: run.Estimate,
-		})
+		m.Runs = append(m.Runs, runToProto(run))
 	}
 	return m
 }
 
+func demandToProto(d core.Demand) *pb.Demand {
+	return &pb.Demand{
+		Account:      d.Account,
+		Waiting:      uint32(d.Waiting),
+		OldestWaitMs: d.OldestWait.Milliseconds(),
+		Estimate:     d.Estimate,
+		Prefer:       d.Prefer,
+		VirtualTime:  d.VirtualTime,
+		Served:       d.Served,
+		Running:      uint32(d.Running),
+	}
+}
+
+func runToProto(r core.Run) *pb.Run {
+	return &pb.Run{
+		GrantId:               r.ID.Seq,
+		DispatcherIncarnation: r.ID.Dispatcher,
+		Origin:                originToProto(r.Origin),
+		Account:               r.Account,
+		Server:                r.Server,
+		Cost:                  r.Cost,
+		Estimate:              r.Estimate,
+	}
+}
+
+func originToProto(o core.Origin) *pb.Origin {
+	if o.Pool == "" {
+		return nil
+	}
+	return &pb.Origin{Pool: o.Pool, DispatcherIncarnation: o.ID.Dispatcher, GrantId: o.ID.Seq}
+}
+
 func reportFromProto(m *pb.DemandReport) core.Report {
 	r := core.Report{
-		DaemonIncarnation:     m.DaemonIncarnation,
-		Seq:                   m.Seq,
-		DispatcherIncarnation: m.DispatcherIncarnation,
-		LastGrantID:           m.LastGrantId,
+		Incarnation: m.DaemonIncarnation,
+		Seq:         m.Seq,
+		FromPool:    m.FromPool,
+		Dispatcher:  m.DispatcherIncarnation,
+		LastGrant:   m.LastGrantId,
 	}
 	for _, d := range m.Demands {
-		r.Demands = append(r.Demands, core.Demand{
-			Account:     d.Account,
-			Waiting:     int(d.Waiting),
-			OldestWait:  time.Duration(d.OldestWaitMs) * time.Millisecond,
-			Estimate:    d.Estimate,
-			Ended:       d.EndedCost,
-			VirtualTime: d.VirtualTime,
-		})
+		r.Demands = append(r.Demands, demandFromProto(d))
+	}
+	for _, e := range m.Ended {
+		r.Ended = append(r.Ended, core.Ended{Account: e.Account, Pool: e.Pool, Cost: e.Cost})
+	}
+	for _, s := range m.Results {
+		r.Results = append(r.Results, core.Results{Server: s.Server, Failed: s.Failed, Succeeded: s.Succeeded})
 	}
 	for _, run := range m.Runs {
-		r.Runs = append(r.Runs, core.Run{
-			GrantID:  run.GrantId,
-			Account:  run.Account,
-			Server:   run.Server,
-			Cost:     run.Cost,
-			Estimate: run.Estimate,
-		})
+		r.Runs = append(r.Runs, runFromProto(run))
 	}
 	return r
 }
 
-func grantsToProto(service string, incarnation uint64, grants []core.Grant) *pb.GrantBatch {
-	m := &pb.GrantBatch{Service: service, DispatcherIncarnation: incarnation}
-	for _, g := range grants {
+func demandFromProto(d *pb.Demand) core.Demand {
+	return core.Demand{
+		Account:     d.Account,
+		Waiting:     int(d.Waiting),
+		OldestWait:  time.Duration(d.OldestWaitMs) * time.Millisecond,
+		Estimate:    d.Estimate,
+		Prefer:      d.Prefer,
+		VirtualTime: d.VirtualTime,
+		Served:      d.Served,
+		Running:     int(d.Running),
+	}
+}
+
+func runFromProto(r *pb.Run) core.Run {
+	return core.Run{
+		ID:       core.GrantID{Dispatcher: r.DispatcherIncarnation, Seq: r.GrantId},
+		Origin:   originFromProto(r.Origin),
+		Account:  r.Account,
+		Server:   r.Server,
+		Cost:     r.Cost,
+		Estimate: r.Estimate,
+	}
+}
+
+func originFromProto(o *pb.Origin) core.Origin {
+	if o == nil {
+		return core.Origin{}
+	}
+	return core.Origin{Pool: o.Pool, ID: core.GrantID{Dispatcher: o.DispatcherIncarnation, Seq: o.GrantId}}
+}
+
+func batchToProto(key poolKey, toPool string, b core.Batch) *pb.GrantBatch {
+	m := &pb.GrantBatch{
+		Service:               key.service,
+		Pool:                  key.pool,
+		ToPool:                toPool,
+		DispatcherIncarnation: b.Dispatcher,
+		ReportSeq:             b.ReportSeq,
+	}
+	for _, g := range b.Grants {
 		m.Grants = append(m.Grants, &pb.Grant{
-			Id:          g.ID,
+			Id:          g.ID.Seq,
+			Origin:      originToProto(g.Origin),
 			Account:     g.Account,
 			Server:      g.Server,
-			Charged:     g.Charged,
 			VirtualTime: g.VirtualTime,
-			LeaseMs:     g.Lease.Milliseconds(),
 		})
 	}
 	return m
 }
 
-func grantsFromProto(m *pb.GrantBatch) []core.Grant {
-	grants := make([]core.Grant, 0, len(m.Grants))
+func batchFromProto(m *pb.GrantBatch) core.Batch {
+	b := core.Batch{Dispatcher: m.DispatcherIncarnation, ReportSeq: m.ReportSeq}
 	for _, g := range m.Grants {
-		grants = append(grants, core.Grant{
-			ID:          g.Id,
+		b.Grants = append(b.Grants, core.Grant{
+			ID:          core.GrantID{Dispatcher: m.DispatcherIncarnation, Seq: g.Id},
+			Origin:      originFromProto(g.Origin),
 			Account:     g.Account,
 			Server:      g.Server,
-			Charged:     g.Charged,
 			VirtualTime: g.VirtualTime,
-			Lease:       time.Duration(g.LeaseMs) * time.Millisecond,
 		})
 	}
-	return grants
+	return b
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,6 +128,7 @@
 		Incarnation: incarnation,
 		Members:     d.members,
 		Sender:      d.mesh,
+		Load:        backend.NewEngine(backend.NewTransport()).Load,
 		Zone:        d.settings.Zone,
 		Scope:       dispatch.Scope(d.settings.DispatchScope),
 		Order:       core.Order(d.settings.DispatchOrder),
@@ -177,7 +178,7 @@
 		admit.New(admit.Options{
 			Queues:     d.dispatch,
 			MaxBytes:   d.settings.MaxHeld,
-			RetryAfter: func(string, string) time.Duration { return time.Second },
+			RetryAfter: d.dispatch.RetryAfter,
 		}),
 	)
 }
@@ -190,7 +191,7 @@
 	case *pb.Envelope_DemandReport:
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
-		d.dispatch.GrantBatch(body.GrantBatch)
+		d.dispatch.GrantBatch(env.From, body.GrantBatch, time.Now())
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,71 +7,54 @@
 
 // Times of a dispatcher.
 const (
-	// GrantLease is how long a grant may wait for its start.
-	GrantLease = 2 * time.Second
-	// ReportLease is how long a daemon's report counts without a newer one.
+	// ReportLease is how long a reporter's state counts without a newer report.
 	ReportLease = 5 * time.Second
+	// WarmUp is how long a new dispatcher waits for the first reports of its daemons before it grants.
+	WarmUp = time.Second
+	// hopMargin is how much longer a request of another pool must have waited to go first
+	// among those of its account.
+	hopMargin = 100 * time.Millisecond
 )
 
-// Dispatcher grants the slots of one pool to the backlogged account with the least
-// virtual time: start-time fair queueing (Goyal, Vin and Cheng 1996) over slots, with
-// costs charged by estimate and corrected from reports. Its state is soft: a new
-// dispatcher rebuilds it from the daemons' reports.
+// Dispatcher grants the slots of one pool, that is of one service in one zone, to the
+// backlogged account with the least virtual time: start-time fair queueing (Goyal, Vin
+// and Cheng 1996) over slots, with costs charged by estimate and corrected from reports.
+//
+// Towards the dispatchers of the service's other pools it acts as a daemon does: it
+// reports what waits here, and passes their grants on. The reports also carry what each
+// account got from this pool, so that an account's virtual time counts its service
+// everywhere. All state is soft: a new dispatcher rebuilds it from reports.
 type Dispatcher struct {
 	incarnation uint64
 	pool        Pool
-	servers     map[string]*serverState
-	accounts    map[string]*accountState
-	daemons     map[string]*daemonState
-	floor       float64 // least virtual time among backlogged accounts, never falls
-	nextGrant   uint64
-}
-
-type serverState struct {
-	spec    ServerSpec
-	running int
-}
-
-type accountState struct {
-	weight  float64
-	offset  float64 // virtual time that idleness has added
-	settled Cost    // cost of ended runs
-	running Cost    // charge of running grants
-	backlog int
-}
-
-// virtualTime returns the account's service over its weight.
-func (a *accountState) virtualTime() float64 {
-	return a.offset + (a.settled+a.running)/a.weight
-}
-
-type daemonState struct {
-	incarnation uint64
-	seq         uint64
-	seen        time.Time
-	demands     map[string]*Demand
-	ended       map[string]Cost
-	grants      map[uint64]*grantState
-}
-
-type grantState struct {
-	id      uint64
-	account string
-	server  string
-	charge  Cost
-	sent    time.Time
-	acked   bool
-}
-
-// NewDispatcher returns a dispatcher without reports. The incarnation must be higher than
-// that of every earlier dispatcher of the pool at this daemon.
-func NewDispatcher(incarnation uint64, pool Pool) *Dispatcher {
+	slots       int // of open servers
+	servers     map[string]*server
+	accounts    map[string]*account
+	nodes       map[reporter]*node
+	upstreams   map[string]*upstream
+	backlog     backlog
+	floor       float64 // virtual time of the last start, never falls
+	lastGrant   uint64
+	created     time.Time
+	warm        bool
+	expected    map[string]bool // daemons whose first report is awaited
+}
+
+// NewDispatcher returns a dispatcher that grants nothing before it has heard the expected
+// daemons or WarmUp has passed. The incarnation must be higher than that of every earlier
+// dispatcher of the pool.
+func NewDispatcher(now time.Time, incarnation uint64, pool Pool, expected []string) *Dispatcher {
 	d := &Dispatcher{
 		incarnation: incarnation,
-		servers:     map[string]*serverState{},
-		accounts:    map[string]*accountState{},
-		daemons:     map[string]*daemonState{},
-		nextGrant:   1,
+		servers:     map[string]*server{},
+		accounts:    map[string]*account{},
+		nodes:       map[reporter]*node{},
+		upstreams:   map[string]*upstream{},
+		created:     now,
+		expected:    map[string]bool{},
+	}
+	for _, id := range expected {
+		d.expected[id] = true
 	}
 	d.SetPool(pool)
 	return d
@@ -80,343 +63,185 @@
 // Incarnation returns the incarnation that grants carry.
 func (d *Dispatcher) Incarnation() uint64 { return d.incarnation }
 
+// Hello returns an empty batch for each expected daemon, which makes it report.
+func (d *Dispatcher) Hello() []Send {
+	var sends []Send
+	for id := range d.expected {
+		sends = append(sends, Send{Reporter: id, Batch: Batch{Dispatcher: d.incarnation}})
+	}
+	return sends
+}
+
 // SetPool replaces the configuration of the pool.
 func (d *Dispatcher) SetPool(pool Pool) {
 	d.pool = pool
-	keep := map[string]bool{}
+	for _, s := range d.servers {
+		s.spec.Open = false
+	}
+	d.slots = 0
 	for _, spec := range pool.Servers {
-		keep[spec.ID] = true
 		d.server(spec.ID).spec = spec
-	}
-	for id, s := range d.servers {
-		if !keep[id] {
-			s.spec.Open = false
+		if spec.Open {
+			d.slots += spec.Slots
 		}
 	}
 	for id, a := range d.accounts {
-		d.setWeight(id, a)
+		a.setSpec(pool.Accounts[id])
+		d.backlog.update(a)
 	}
 }
 
-func (d *Dispatcher) server(id string) *serverState {
+// SetLoad takes in the number of requests that a server says it has.
+func (d *Dispatcher) SetLoad(now time.Time, id string, requests int) {
+	if s, ok := d.servers[id]; ok {
+		s.setLoad(now, requests)
+	}
+}
+
+// SetUnreachable takes in that a server did not tell its load.
+func (d *Dispatcher) SetUnreachable(now time.Time, id string) {
+	if s, ok := d.servers[id]; ok {
+		s.results(now, 1, 0)
+	}
+}
+
+func (d *Dispatcher) server(id string) *server {
 	s, ok := d.servers[id]
 	if !ok {
-		s = &serverState{spec: ServerSpec{ID: id}}
+		s = &server{spec: ServerSpec{ID: id}}
 		d.servers[id] = s
 	}
 	return s
 }
 
-func (d *Dispatcher) account(id string) *accountState {
+func (d *Dispatcher) account(id string) *account {
 	a, ok := d.accounts[id]
 	if !ok {
-		a = &accountState{offset: d.floor}
-		d.setWeight(id, a)
+		a = newAccount(id, d.floor)
+		a.setSpec(d.pool.Accounts[id])
 		d.accounts[id] = a
 	}
 	return a
 }
 
-// setWeight changes the weight without moving the account's virtual time.
-func (d *Dispatcher) setWeight(id string, a *accountState) {
-	weight := d.pool.Weights[id]
-	if weight <= 0 {
-		weight = 1
-	}
-	if a.weight == weight {
-		return
-	}
-	if a.weight > 0 {
-		a.offset += a.settled / a.weight
-		a.settled = 0
-	}
-	a.weight = weight
+// touch notes a change of the account's service.
+func (d *Dispatcher) touch(now time.Time, a *account) {
+	a.changed = now
+	d.backlog.update(a)
 }
 
-// Report takes in a daemon's state and returns the grants that follow from it.
-func (d *Dispatcher) Report(now time.Time, daemon string, r Report) []Send {
-	s, ok := d.daemons[daemon]
-	if ok && !newer(s, r) {
-		return nil
+// Report takes in a report and returns the grants that follow from it.
+func (d *Dispatcher) Report(now time.Time, from string, r Report) []Send {
+	key := reporter{name: from}
+	if r.FromPool != "" {
+		key = reporter{name: r.FromPool, pool: true}
 	}
-	if ok && s.incarnation != r.DaemonIncarnation {
-		d.forget(daemon)
-		ok = false
-	}
-	if !ok {
-		s = newDaemonState(r.DaemonIncarnation)
-		d.daemons[daemon] = s
-		d.baseline(s, r)
+	if !d.report(now, key, r) {
+		return nil
 	}
-	s.seq = r.Seq
-	s.seen = now
-	d.settleRuns(s, r)
-	d.settleEnded(s, r)
-	d.setDemands(s, r)
+	delete(d.expected, from)
 	return d.schedule(now)
 }
 
-// baseline keeps costs that ended before the daemon became known from being charged twice.
-func (d *Dispatcher) baseline(s *daemonState, r Report) {
-	if r.DispatcherIncarnation != d.incarnation {
-		return
-	}
-	for _, demand := range r.Demands {
-		s.ended[demand.Account] = demand.Ended
-	}
-}
-
-func newer(s *daemonState, r Report) bool {
-	if s.incarnation != r.DaemonIncarnation {
-		return r.DaemonIncarnation > s.incarnation
-	}
-	return r.Seq > s.seq
-}
-
-func newDaemonState(incarnation uint64) *daemonState {
-	return &daemonState{
-		incarnation: incarnation,
-		demands:     map[string]*Demand{},
-		ended:       map[string]Cost{},
-		grants:      map[uint64]*grantState{},
-	}
-}
-
-// settleRuns brings the grants held in line with what the daemon says it runs.
-func (d *Dispatcher) settleRuns(s *daemonState, r Report) {
-	own := r.DispatcherIncarnation == d.incarnation
-	held := map[uint64]bool{}
-	for _, run := range r.Runs {
-		id := run.GrantID
-		if !own {
-			id = foreignGrantID(run.GrantID)
-		}
-		held[id] = true
-		g, ok := s.grants[id]
-		if !ok {
-			g = &grantState{id: id, account: run.Account, server: run.Server}
-			s.grants[id] = g
-			d.server(run.Server).running++
-		}
-		g.acked = true
-		d.recharge(g, max(run.Cost, run.Estimate))
-	}
-	for id, g := range s.grants {
-		acked := g.acked || (own && id <= r.LastGrantID)
-		if acked && !held[id] {
-			d.release(s, g)
-		}
-	}
-}
-
-// foreignGrantID keeps the grants of an earlier dispatcher apart from this one's.
-func foreignGrantID(id uint64) uint64 { return id | 1<<63 }
-
-// settleEnded adds the cost of runs that ended since the last report.
-func (d *Dispatcher) settleEnded(s *daemonState, r Report) {
-	if r.DispatcherIncarnation != d.incarnation {
-		return
-	}
-	for _, demand := range r.Demands {
-		added := demand.Ended - s.ended[demand.Account]
-		if added <= 0 {
-			continue
-		}
-		s.ended[demand.Account] = demand.Ended
-		d.account(demand.Account).settled += added
-	}
-}
-
-func (d *Dispatcher) setDemands(s *daemonState, r Report) {
-	for id, old := range s.demands {
-		d.account(id).backlog -= old.Waiting
-	}
-	clear(s.demands)
-	for _, demand := range r.Demands {
-		a := d.account(demand.Account)
-		unseen := s.unseenGrants(demand.Account)
-		demand.Waiting = max(0, demand.Waiting-unseen)
-		if a.backlog == 0 && demand.Waiting > 0 {
-			d.lift(a, demand.VirtualTime)
-		}
-		a.backlog += demand.Waiting
-		s.demands[demand.Account] = &demand
-	}
-}
-
-// unseenGrants counts the account's grants that the daemon had not received when it reported.
-func (s *daemonState) unseenGrants(account string) int {
-	n := 0
-	for _, g := range s.grants {
-		if g.account == account && !g.acked {
-			n++
-		}
-	}
-	return n
-}
-
-// lift raises an account that was idle to the floor, so that idleness earns no credit.
-// The virtual time that the daemon was told by an earlier dispatcher counts as well.
-func (d *Dispatcher) lift(a *accountState, told float64) {
-	target := max(d.floor, told)
-	if gap := target - a.virtualTime(); gap > 0 {
-		a.offset += gap
-	}
-}
-
-func (d *Dispatcher) recharge(g *grantState, charge Cost) {
-	d.account(g.account).running += charge - g.charge
-	g.charge = charge
-}
-
-func (d *Dispatcher) release(s *daemonState, g *grantState) {
-	d.account(g.account).running -= g.charge
-	d.server(g.server).running--
-	delete(s.grants, g.id)
-}
-
-// forget drops a daemon that ended or restarted.
-func (d *Dispatcher) forget(daemon string) {
-	s, ok := d.daemons[daemon]
-	if !ok {
-		return
-	}
-	for _, g := range s.grants {
-		d.account(g.account).settled += g.charge
-		d.release(s, g)
-	}
-	for id, demand := range s.demands {
-		d.account(id).backlog -= demand.Waiting
-	}
-	delete(d.daemons, daemon)
-}
+// Superseded reports whether the report's sender has heard a later dispatcher, so that
+// this one's grants would be dropped.
+func (d *Dispatcher) Superseded(r Report) bool { return r.Dispatcher > d.incarnation }
 
 // Tick drops lapsed grants and reports, and returns the grants that follow.
 func (d *Dispatcher) Tick(now time.Time) []Send {
-	for id, s := range d.daemons {
-		if now.Sub(s.seen) > ReportLease {
-			d.forget(id)
+	for _, n := range d.nodes {
+		if now.Sub(n.seen) > ReportLease {
+			d.forget(now, n)
 			continue
 		}
-		for _, g := range s.grants {
-			if !g.acked && now.Sub(g.sent) > GrantLease {
-				d.release(s, g)
+		for _, g := range n.grants {
+			if !g.acked && now.Sub(g.sent) > n.lease() {
+				n.ack(g)
+				d.release(now, n, g)
 			}
 		}
 	}
 	return d.schedule(now)
 }
 
-// schedule grants free slots until no slot or no demand is left.
-func (d *Dispatcher) schedule(now time.Time) []Send {
-	out := map[string][]Grant{}
-	for {
-		server := d.freeServer()
-		if server == nil {
-			break
-		}
-		account := d.neediest()
-		if account == "" {
-			break
-		}
-		daemon := d.longestWaiting(account)
-		out[daemon] = append(out[daemon], d.grant(now, daemon, account, server))
+// heated reports whether the dispatcher knows enough to grant.
+func (d *Dispatcher) heated(now time.Time) bool {
+	if d.warm {
+		return true
 	}
-	return sends(out)
-}
-
-func sends(out map[string][]Grant) []Send {
-	actions := make([]Send, 0, len(out))
-	for daemon, grants := range out {
-		actions = append(actions, Send{Daemon: daemon, Grants: grants})
+	if len(d.expected) > 0 && now.Sub(d.created) < WarmUp {
+		return false
 	}
-	sort.Slice(actions, func(i, j int) bool { return actions[i].Daemon < actions[j].Daemon })
-	return actions
+	d.warm = true
+	d.seedFloor()
+	return true
 }
 
-// freeServer returns the open server with the largest free share, or nil.
-func (d *Dispatcher) freeServer() *serverState {
-	var best *serverState
-	for _, s := range d.servers {
-		limit := s.spec.Slots + d.pool.Standby
-		if !s.spec.Open || s.running >= limit {
-			continue
-		}
-		if best == nil || lessLoaded(s, best) {
-			best = s
+// seedFloor starts from the least virtual time that an earlier dispatcher told of a
+// backlogged account, and lifts the accounts without one to it.
+func (d *Dispatcher) seedFloor() {
+	first := true
+	for _, a := range d.backlog.accounts {
+		if a.told && (first || a.virtualTime() < d.floor) {
+			d.floor = a.virtualTime()
+			first = false
 		}
 	}
-	return best
+	for _, a := range d.accounts {
+		a.raise(d.floor)
+		d.backlog.update(a)
+	}
 }
 
-func lessLoaded(a, b *serverState) bool {
-	loadA := float64(a.running) / float64(a.spec.Slots)
-	loadB := float64(b.running) / float64(b.spec.Slots)
-	if loadA != loadB {
-		return loadA < loadB
+// hold begins a grant.
+func (d *Dispatcher) hold(now time.Time, n *node, g *grant) {
+	n.grants[g.id] = g
+	if g.origin.Pool != "" {
+		d.upstream(g.origin.Pool).held[g.origin.ID] = g
+		return
 	}
-	return a.spec.ID < b.spec.ID
+	d.server(g.server).add(1)
+	g.account.inFlight++
+	g.account.running += g.charge - g.base
+	d.touch(now, g.account)
 }
 
-// neediest returns the backlogged account with the least virtual time, and raises the floor to it.
-func (d *Dispatcher) neediest() string {
-	best := ""
-	for id, a := range d.accounts {
-		if a.backlog <= 0 {
-			continue
-		}
-		if best == "" || d.before(id, best) {
-			best = id
-		}
-	}
-	if best != "" {
-		d.floor = max(d.floor, d.accounts[best].virtualTime())
+func (d *Dispatcher) recharge(now time.Time, g *grant, charge Cost) {
+	added := charge - g.charge
+	g.charge = charge
+	if g.origin.Pool != "" || added == 0 {
+		return
 	}
-	return best
+	g.account.running += added
+	d.touch(now, g.account)
 }
 
-func (d *Dispatcher) before(a, b string) bool {
-	va, vb := d.accounts[a].virtualTime(), d.accounts[b].virtualTime()
-	if va != vb {
-		return va < vb
+// release ends a grant.
+func (d *Dispatcher) release(now time.Time, n *node, g *grant) {
+	delete(n.grants, g.id)
+	n.ack(g)
+	if g.origin.Pool != "" {
+		d.upstream(g.origin.Pool).release(g)
+		return
 	}
-	return a < b
+	d.server(g.server).add(-1)
+	g.account.inFlight--
+	g.account.running -= g.charge - g.base
+	d.touch(now, g.account)
 }
 
-// longestWaiting returns the daemon whose first request of the account has waited longest.
-func (d *Dispatcher) longestWaiting(account string) string {
-	best := ""
-	var bestWait time.Duration
-	for id, s := range d.daemons {
-		demand, ok := s.demands[account]
-		if !ok || demand.Waiting <= 0 {
-			continue
-		}
-		wait := demand.OldestWait
-		if best == "" || wait > bestWait || (wait == bestWait && id < best) {
-			best, bestWait = id, wait
-		}
+func (d *Dispatcher) dropRemote(pool string) {
+	for _, a := range d.accounts {
+		a.dropRemote(pool)
+		d.backlog.update(a)
 	}
-	return best
 }
 
-func (d *Dispatcher) grant(now time.Time, daemon, account string, server *serverState) Grant {
-	s := d.daemons[daemon]
-	demand := s.demands[account]
-	demand.Waiting--
-	a := d.account(account)
-	a.backlog--
-	g := &grantState{id: d.nextGrant, account: account, server: server.spec.ID, sent: now}
-	d.nextGrant++
-	s.grants[g.id] = g
-	server.running++
-	d.recharge(g, demand.Estimate)
-	return Grant{
-		ID:          g.id,
-		Account:     account,
-		Server:      server.spec.ID,
-		Charged:     g.charge,
-		VirtualTime: a.virtualTime(),
-		Lease:       GrantLease,
+func sends(batches map[*node]*Batch) []Send {
+	actions := make([]Send, 0, len(batches))
+	for n, b := range batches {
+		actions = append(actions, Send{Reporter: n.key.name, Pool: n.key.pool, Batch: *b})
 	}
+	sort.Slice(actions, func(i, j int) bool { return actions[i].Reporter < actions[j].Reporter })
+	return actions
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -5,77 +5,129 @@
 	"time"
 )
 
+// mention is how long an account without demand stays in reports after its last change.
+const mention = 10 * time.Second
+
 // RequestID identifies one waiting or running request of a Queue.
 type RequestID uint64
 
 // Request is what a Queue knows of a request.
 type Request struct {
-	ID       RequestID
-	Account  string
-	Bytes    int64
-	Estimate Cost
-	Arrived  time.Time
+	ID      RequestID
+	Account string
+	Bytes   int64
+	Hint    Hint
+	Prefix  []uint64 // hashes of ever longer leading parts of the prompt
+	Arrived time.Time
 }
 
 // Start is the action that starts a request on a server under a grant.
 type Start struct {
 	Request RequestID
 	Server  string
-	GrantID uint64
 }
 
 // Queue holds the waiting and running requests of one daemon for one service, and
-// produces the daemon's reports to the dispatcher.
+// produces the daemon's reports to the dispatcher of its pool.
 type Queue struct {
-	daemonIncarnation uint64
-	seq               uint64
-	dispatcher        uint64 // incarnation of the newest dispatcher heard
-	lastGrant         uint64
-	accounts          map[string]*accountQueue
-	runs              map[RequestID]*runState
-	dirty             bool
+	incarnation uint64
+	order       Order
+	link        grantLink
+	accounts    map[string]*accountQueue // by the key of the order
+	waiting     map[string]*waiting      // by account
+	runs        map[RequestID]*run
+	ended       map[endedKey]*endedCost
+	results     map[string]*serverResults
+	estimates   estimator
+	prefixes    prefixMemory
+	dirty       bool
+}
+
+type waiting struct {
+	requests int
+	bytes    int64
 }
 
 type accountQueue struct {
 	waiting     []Request
-	bytes       int64
-	ended       Cost
+	overtaken   int // times that the first request was passed over for a prefix
 	virtualTime float64
+	drain       drain
+	changed     time.Time
 }
 
-type runState struct {
-	request    Request
-	server     string
-	grantID    uint64
-	dispatcher uint64
-	cost       Cost
+type run struct {
+	request  Request
+	grant    Grant
+	cost     Cost
+	estimate Cost
+}
+
+type endedKey struct{ account, pool string }
+
+type endedCost struct {
+	cost    Cost
+	changed time.Time
+}
+
+type serverResults struct {
+	Results
+	changed time.Time
 }
 
 // NewQueue returns an empty queue of a daemon.
-func NewQueue(daemonIncarnation uint64) *Queue {
+func NewQueue(incarnation uint64, order Order) *Queue {
 	return &Queue{
-		daemonIncarnation: daemonIncarnation,
-		accounts:          map[string]*accountQueue{},
-		runs:              map[RequestID]*runState{},
+		incarnation: incarnation,
+		order:       order,
+		accounts:    map[string]*accountQueue{},
+		waiting:     map[string]*waiting{},
+		runs:        map[RequestID]*run{},
+		ended:       map[endedKey]*endedCost{},
+		results:     map[string]*serverResults{},
+		estimates:   estimator{},
+		prefixes:    newPrefixMemory(),
+	}
+}
+
+// key returns the name under which the account's requests queue. By FIFO all share one queue.
+func (q *Queue) key(account string) string {
+	if q.order == OrderFIFO {
+		return ""
 	}
+	return account
 }
 
 func (q *Queue) account(id string) *accountQueue {
-	a, ok := q.accounts[id]
+	key := q.key(id)
+	a, ok := q.accounts[key]
 	if !ok {
 		a = &accountQueue{}
-		q.accounts[id] = a
+		q.accounts[key] = a
 	}
 	return a
 }
 
 // Waiting returns how many requests, and bytes of them, wait for the account.
 func (q *Queue) Waiting(account string) (int, int64) {
-	a, ok := q.accounts[account]
+	w, ok := q.waiting[account]
 	if !ok {
 		return 0, 0
 	}
-	return len(a.waiting), a.bytes
+	return w.requests, w.bytes
+}
+
+func (q *Queue) count(r Request, sign int) {
+	w, ok := q.waiting[r.Account]
+	if !ok {
+		w = &waiting{}
+		q.waiting[r.Account] = w
+	}
+	w.requests += sign
+	w.bytes += int64(sign) * r.Bytes
+	if w.requests == 0 {
+		delete(q.waiting, r.Account)
+	}
 }
 
 // Running returns the number of running requests.
@@ -85,63 +137,87 @@
 func (q *Queue) Enqueue(r Request) {
 	a := q.account(r.Account)
 	a.waiting = append(a.waiting, r)
-	a.bytes += r.Bytes
+	a.changed = r.Arrived
+	q.count(r, 1)
+	q.dirty = true
+}
+
+// Requeue returns a request whose run was not started to the front of its account's queue.
+func (q *Queue) Requeue(now time.Time, id RequestID) bool {
+	r, ok := q.runs[id]
+	if !ok {
+		return false
+	}
+	delete(q.runs, id)
+	a := q.account(r.request.Account)
+	a.waiting = append([]Request{r.request}, a.waiting...)
+	a.changed = now
+	q.count(r.request, 1)
 	q.dirty = true
+	return true
 }
 
 // Remove takes a waiting request out. It reports whether the request was waiting.
 func (q *Queue) Remove(account string, id RequestID) bool {
 	a := q.account(account)
 	for i, r := range a.waiting {
-		if r.ID != id {
-			continue
+		if r.ID == id {
+			q.take(a, i)
+			q.dirty = true
+			return true
 		}
-		a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
-		a.bytes -= r.Bytes
-		q.dirty = true
-		return true
 	}
 	return false
 }
 
-// Grants takes in grants of a dispatcher and returns the requests to start. Grants of an
-// older incarnation, and repeated ones, are dropped. A grant without a waiting request
-// ends at once, which the next report tells.
-func (q *Queue) Grants(dispatcher uint64, grants []Grant) []Start {
-	if dispatcher < q.dispatcher {
+func (q *Queue) take(a *accountQueue, i int) Request {
+	r := a.waiting[i]
+	a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
+	q.count(r, -1)
+	return r
+}
+
+// Grants takes in a batch of the pool's dispatcher and returns the requests to start.
+// Grants of an older incarnation, repeated and lapsed ones are dropped. A grant without a
+// waiting request ends at once, which the next report tells.
+func (q *Queue) Grants(now time.Time, b Batch) []Start {
+	adopted, ok := q.link.accept(now, b)
+	if !ok {
 		return nil
 	}
-	if dispatcher > q.dispatcher {
-		q.adoptDispatcher(dispatcher)
+	if adopted {
+		clear(q.ended)
+		q.dirty = true
 	}
 	var starts []Start
-	for _, g := range grants {
-		if g.ID <= q.lastGrant {
+	for _, g := range b.Grants {
+		if !q.link.take(g.ID.Seq) {
 			continue
 		}
-		q.lastGrant = g.ID
 		q.dirty = true
-		a := q.account(g.Account)
-		a.virtualTime = max(a.virtualTime, g.VirtualTime)
-		if len(a.waiting) == 0 {
+		if q.link.lapsed(now, b.ReportSeq) {
 			continue
 		}
-		r := a.waiting[0]
-		a.waiting = a.waiting[1:]
-		a.bytes -= r.Bytes
-		q.runs[r.ID] = &runState{request: r, server: g.Server, grantID: g.ID, dispatcher: dispatcher}
-		starts = append(starts, Start{Request: r.ID, Server: g.Server, GrantID: g.ID})
+		if start, ok := q.start(now, g); ok {
+			starts = append(starts, start)
+		}
 	}
 	return starts
 }
 
-// adoptDispatcher starts the counters of a new dispatcher incarnation.
-func (q *Queue) adoptDispatcher(incarnation uint64) {
-	q.dispatcher = incarnation
-	q.lastGrant = 0
-	for _, a := range q.accounts {
-		a.ended = 0
+func (q *Queue) start(now time.Time, g Grant) (Start, bool) {
+	a := q.account(g.Account)
+	a.virtualTime = max(a.virtualTime, g.VirtualTime)
+	a.changed = now
+	if len(a.waiting) == 0 {
+		return Start{}, false
 	}
+	i := q.prefixes.choose(a, g.Server)
+	r := q.take(a, i)
+	a.drain.granted(now, len(a.waiting))
+	q.prefixes.ran(r.Prefix, g.Server)
+	q.runs[r.ID] = &run{request: r, grant: g, estimate: q.estimates.estimate(r.Account, r.Hint)}
+	return Start{Request: r.ID, Server: g.Server}, true
 }
 
 // Progress tells the cost of a running request so far.
@@ -151,73 +227,139 @@
 	}
 }
 
-// End ends a running request at its final cost.
-func (q *Queue) End(id RequestID, cost Cost) {
+// End ends a running request at its final cost. A failed run is one that the server
+// did not answer as it should.
+func (q *Queue) End(now time.Time, id RequestID, cost Cost, failed bool) {
 	r, ok := q.runs[id]
 	if !ok {
 		return
 	}
 	delete(q.runs, id)
 	q.dirty = true
-	q.account(r.request.Account).ended += cost
+	q.account(r.request.Account).changed = now
+	q.endedOf(r).add(now, cost)
+	q.resultsOf(r.grant.Server).add(now, failed)
+	if !failed && cost > 0 {
+		q.estimates.ended(r.request.Account, r.request.Hint, cost)
+	}
 }
 
-// Dirty reports whether the state changed since the last report, apart from progress.
-func (q *Queue) Dirty() bool { return q.dirty }
+func (q *Queue) endedOf(r *run) *endedCost {
+	key := endedKey{q.key(r.request.Account), r.grant.Origin.Pool}
+	e, ok := q.ended[key]
+	if !ok {
+		e = &endedCost{}
+		q.ended[key] = e
+	}
+	return e
+}
 
-// Idle reports whether nothing waits or runs.
-func (q *Queue) Idle() bool {
-	if len(q.runs) > 0 {
-		return false
+func (e *endedCost) add(now time.Time, cost Cost) {
+	e.cost += cost
+	e.changed = now
+}
+
+func (q *Queue) resultsOf(server string) *serverResults {
+	s, ok := q.results[server]
+	if !ok {
+		s = &serverResults{Results: Results{Server: server}}
+		q.results[server] = s
 	}
-	for _, a := range q.accounts {
-		if len(a.waiting) > 0 {
-			return false
-		}
+	return s
+}
+
+func (s *serverResults) add(now time.Time, failed bool) {
+	s.changed = now
+	if failed {
+		s.Failed++
+		return
 	}
-	return true
+	s.Succeeded++
 }
 
+// ExpectedWait returns how long a request of the account that arrives now would wait,
+// by the measured drain of the account's queue. It reports false before enough is measured.
+func (q *Queue) ExpectedWait(now time.Time, account string) (time.Duration, bool) {
+	a, ok := q.accounts[q.key(account)]
+	if !ok {
+		return 0, false
+	}
+	return a.drain.wait(now, len(a.waiting))
+}
+
+// Dirty reports whether the state changed since the last report, apart from progress.
+func (q *Queue) Dirty() bool { return q.dirty }
+
+// Idle reports whether nothing waits or runs.
+func (q *Queue) Idle() bool { return len(q.runs) == 0 && len(q.waiting) == 0 }
+
 // Report returns the whole state for the dispatcher.
 func (q *Queue) Report(now time.Time) Report {
-	q.seq++
 	q.dirty = false
 	r := Report{
-		DaemonIncarnation:     q.daemonIncarnation,
-		Seq:                   q.seq,
-		DispatcherIncarnation: q.dispatcher,
-		LastGrantID:           q.lastGrant,
+		Incarnation: q.incarnation,
+		Seq:         q.link.sent(now),
+		Dispatcher:  q.link.dispatcher,
+		LastGrant:   q.link.lastGrant,
 	}
 	for id, a := range q.accounts {
-		r.Demands = append(r.Demands, demandOf(now, id, a))
+		if len(a.waiting) > 0 || now.Sub(a.changed) < mention {
+			r.Demands = append(r.Demands, q.demandOf(now, id, a))
+		}
+	}
+	for key, e := range q.ended {
+		if now.Sub(e.changed) < mention {
+			r.Ended = append(r.Ended, Ended{Account: key.account, Pool: key.pool, Cost: e.cost})
+		}
+	}
+	for _, s := range q.results {
+		if now.Sub(s.changed) < mention {
+			r.Results = append(r.Results, s.Results)
+		}
 	}
 	for _, run := range q.runs {
 		r.Runs = append(r.Runs, q.runOf(run))
 	}
-	sort.Slice(r.Demands, func(i, j int) bool { return r.Demands[i].Account < r.Demands[j].Account })
-	sort.Slice(r.Runs, func(i, j int) bool { return r.Runs[i].GrantID < r.Runs[j].GrantID })
+	r.sort()
 	return r
 }
 
-func demandOf(now time.Time, id string, a *accountQueue) Demand {
-	d := Demand{Account: id, Waiting: len(a.waiting), Ended: a.ended, VirtualTime: a.virtualTime}
+// sort puts the lists into an order that depends on their content alone.
+func (r *Report) sort() {
+	sort.Slice(r.Demands, func(i, j int) bool { return r.Demands[i].Account < r.Demands[j].Account })
+	sort.Slice(r.Results, func(i, j int) bool { return r.Results[i].Server < r.Results[j].Server })
+	sort.Slice(r.Runs, func(i, j int) bool { return r.Runs[i].ID.less(r.Runs[j].ID) })
+	sort.Slice(r.Ended, func(i, j int) bool {
+		a, b := r.Ended[i], r.Ended[j]
+		return a.Account < b.Account || (a.Account == b.Account && a.Pool < b.Pool)
+	})
+}
+
+func (id GrantID) less(other GrantID) bool {
+	if id.Dispatcher != other.Dispatcher {
+		return id.Dispatcher < other.Dispatcher
+	}
+	return id.Seq < other.Seq
+}
+
+func (q *Queue) demandOf(now time.Time, id string, a *accountQueue) Demand {
+	d := Demand{Account: id, Waiting: len(a.waiting), VirtualTime: a.virtualTime}
 	if len(a.waiting) > 0 {
-		d.OldestWait = now.Sub(a.waiting[0].Arrived)
-		d.Estimate = a.waiting[0].Estimate
+		first := a.waiting[0]
+		d.OldestWait = now.Sub(first.Arrived)
+		d.Estimate = q.estimates.estimate(first.Account, first.Hint)
+		d.Prefer = q.prefixes.server(first.Prefix)
 	}
 	return d
 }
 
-func (q *Queue) runOf(run *runState) Run {
-	id := run.grantID
-	if run.dispatcher != q.dispatcher {
-		id = foreignGrantID(id)
-	}
+func (q *Queue) runOf(r *run) Run {
 	return Run{
-		GrantID:  id,
-		Account:  run.request.Account,
-		Server:   run.server,
-		Cost:     run.cost,
-		Estimate: run.request.Estimate,
+		ID:       r.grant.ID,
+		Origin:   r.grant.Origin,
+		Account:  q.key(r.request.Account),
+		Server:   r.grant.Server,
+		Cost:     r.cost,
+		Estimate: r.estimate,
 	}
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -10,10 +10,9 @@
 
 // ServerSpec is a backend server as the configuration names it.
 type ServerSpec struct {
-	ID      string
-	Address string
-	Slots   int
-	Open    bool // receives new work
+	ID    string
+	Slots int
+	Open  bool // receives new work
 }
 
 // Order tells which waiting request a grant goes to.
@@ -25,56 +24,103 @@
 	OrderFIFO Order = "fifo" // to the request that arrived first
 )
 
+// AccountSpec is an account as the configuration names it.
+type AccountSpec struct {
+	Weight      float64
+	MaxInFlight int // over the fleet; 0 is no limit
+}
+
 // Pool is what a dispatcher needs of the configuration.
 type Pool struct {
-	Service string
-	Order   Order
-	Standby int // grants beyond the slots of each server
-	Servers []ServerSpec
-	Weights map[string]float64 // by account
+	Name     string // unique among the pools of the service
+	Standby  int    // grants beyond the slots of each server
+	Servers  []ServerSpec
+	Accounts map[string]AccountSpec
+}
+
+// GrantID identifies a grant among all dispatchers that a pool ever had.
+type GrantID struct {
+	Dispatcher uint64 // incarnation
+	Seq        uint64
+}
+
+// Origin names the grant of another pool that a grant passes on.
+type Origin struct {
+	Pool string // empty when the grant is for a server of the dispatcher's own pool
+	ID   GrantID
 }
 
-// Demand is what one account wants and got through one daemon.
+// Demand is what one account wants through a reporter, and what it got.
 type Demand struct {
 	Account     string
 	Waiting     int
 	OldestWait  time.Duration
-	Estimate    Cost // of the first waiting request
-	Ended       Cost // cumulative cost of ended runs under grants of the dispatcher's incarnation
-	VirtualTime float64
+	Estimate    Cost    // of the first waiting request
+	Prefer      string  // server that holds the prefix of the first waiting request
+	VirtualTime float64 // highest that a grant has told the reporter
+	Served      Cost    // by the servers of the reporting pool since its dispatcher began
+	Running     int     // on the servers of the reporting pool
 }
 
-// Run is a grant that a daemon holds.
+// Ended is the cumulative cost of an account's ended runs under one dispatcher incarnation.
+type Ended struct {
+	Account string
+	Pool    string // that the servers belong to; empty for the pool reported to
+	Cost    Cost
+}
+
+// Results counts the ended runs of a server since the reporter began.
+type Results struct {
+	Server    string
+	Failed    uint64
+	Succeeded uint64
+}
+
+// Run is a grant that a reporter holds.
 type Run struct {
-	GrantID  uint64
+	ID       GrantID
+	Origin   Origin
 	Account  string
 	Server   string
 	Cost     Cost // so far
 	Estimate Cost // at the end
 }
 
-// Report is the whole state of a daemon at a dispatcher. Higher (DaemonIncarnation, Seq) wins.
+// Report is the whole state of a reporter at a dispatcher: of a daemon, or of another
+// pool of the service. The higher (Incarnation, Seq) wins. An account without a demand
+// has none; its other values have not changed for a while.
 type Report struct {
-	DaemonIncarnation     uint64
-	Seq                   uint64
-	DispatcherIncarnation uint64 // that LastGrantID, Ended and Runs refer to
-	LastGrantID           uint64 // every grant up to it that is not in Runs has ended
-	Demands               []Demand
-	Runs                  []Run
+	Incarnation uint64
+	Seq         uint64
+	FromPool    string // empty when a daemon reports
+	Dispatcher  uint64 // incarnation that LastGrant and Ended refer to
+	LastGrant   uint64 // every grant up to it that is not in Runs has ended
+	Demands     []Demand
+	Ended       []Ended
+	Runs        []Run
+	Results     []Results
 }
 
-// Grant allows a daemon to start one request of the account on the server within the lease.
+// Grant allows its receiver to start one request of the account on the server.
 type Grant struct {
-	ID          uint64
+	ID          GrantID
+	Origin      Origin
 	Account     string
 	Server      string
-	Charged     Cost
-	VirtualTime float64
-	Lease       time.Duration
+	VirtualTime float64 // of the account after the charge
+}
+
+// Batch is the grants to one reporter that follow from its report ReportSeq. They lapse
+// GrantLease after the reporter sent that report.
+type Batch struct {
+	Dispatcher uint64
+	ReportSeq  uint64
+	Grants     []Grant
 }
 
-// Send is the action that sends grants to a daemon.
+// Send is the action that sends a batch to a daemon, or to the dispatcher of another pool.
 type Send struct {
-	Daemon string
-	Grants []Grant
+	Reporter string
+	Pool     bool // Reporter names a pool
+	Batch    Batch
 }
--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/cost"
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/filter"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
@@ -51,6 +52,14 @@
 	}
 	r.Granted = time.Now()
 	defer func() { lease.End(r.Cost) }()
+	err = h.run(ctx, r, lease)
+	if serverFault(ctx, err) {
+		lease.Fail()
+	}
+	return err
+}
+
+func (h *handler) run(ctx context.Context, r *filter.Request, lease *dispatch.Lease) error {
 	if r.Chat == nil {
 		return h.plain(ctx, r, lease)
 	}
@@ -60,27 +69,51 @@
 	return h.whole(ctx, r, lease)
 }
 
+// serverFault reports whether the backend server failed, and not the caller.
+func serverFault(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	code := result.CodeOf(err)
+	return code == result.NoServerJoined || code.Class() != result.NotRun
+}
+
 func (h *handler) acquire(ctx context.Context, r *filter.Request) (*dispatch.Lease, error) {
 	deadline := r.Received.Add(time.Duration(r.Service.Deadline))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return h.opts.Acquirer.Acquire(ctx, dispatch.Request{
-		Service:  r.Service.ID,
-		Account:  r.Account.ID,
-		Bytes:    int64(len(r.Body)),
-		Estimate: estimate(r),
+		Service: r.Service.ID,
+		Account: r.Account.ID,
+		Bytes:   int64(len(r.Body)),
+		Hint:    hint(r),
+		Prefix:  prefix(r),
 	})
 }
 
-func estimate(r *filter.Request) float64 {
+// hint tells what is known of the cost before the run: the prompt for sure, and the
+// caller's limit of generated tokens.
+func hint(r *filter.Request) core.Hint {
 	if r.Chat == nil {
-		return cost.Call
+		return core.Hint{Least: cost.Call, Guess: cost.Call, Limit: cost.Call}
 	}
-	generated := r.Chat.MaxTokens
-	if generated == 0 {
-		generated = defaultMaxTokens
+	prompt := cost.PromptTokens(len(r.Body))
+	h := core.Hint{
+		Least: cost.Tokens(prompt, 0),
+		Guess: cost.Tokens(prompt, defaultMaxTokens),
+	}
+	if r.Chat.MaxTokens > 0 {
+		h.Limit = cost.Tokens(prompt, r.Chat.MaxTokens)
+		h.Guess = h.Limit
+	}
+	return h
+}
+
+func prefix(r *filter.Request) []uint64 {
+	if r.Chat == nil {
+		return nil
 	}
-	return cost.Tokens(cost.PromptTokens(len(r.Body)), generated)
+	return r.Chat.Prefix
 }
 
 // failure gives an error of the backend its result code.
--- a/internal/filter/decode/decode.go
+++ b/internal/filter/decode/decode.go
@@ -83,7 +83,7 @@
 	if b.Model == "" || len(b.Messages) == 0 {
 		return result.New(result.BodyMalformed, "the body lacks model or messages")
 	}
-	r.Chat = &filter.Chat{Model: b.Model, Stream: b.Stream}
+	r.Chat = &filter.Chat{Model: b.Model, Stream: b.Stream, Prefix: prefixHashes(b.Messages)}
 	if b.StreamOptions != nil {
 		r.Chat.IncludeUsage = b.StreamOptions.IncludeUsage
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -39,7 +39,8 @@
 	Model        string
 	Stream       bool
 	IncludeUsage bool
-	MaxTokens    int // 0 when the caller sets no limit
+	MaxTokens    int      // 0 when the caller sets no limit
+	Prefix       []uint64 // hashes of ever longer leading parts of the messages
 }
 
 // Handler answers a request. An error that it returns has not been written to the caller.
