Drive the dispatch core in virtual time and compare ways of sharing

Cause: no figures for the choice of scope, estimate and standby window. Change: test/virtual delivers the core's messages with delay and faults and measures the fairness gap from the callers' side; test/measure/policy prints figures. Two faults found with it are mended: estimates learn from one ended run, or from all accounts' runs, in place of four of the account's own; and a pool that is first heard of no longer has the estimates of its running grants taken for service given before (they are told apart now).

--- a/internal/controller/dispatch/dispatch.go
+++ b/internal/controller/dispatch/dispatch.go
@@ -158,7 +158,7 @@
 	q, ok := c.queues[service]
 	if !ok {
 		q = &serviceQueue{
-			queue:   core.NewQueue(c.opts.Incarnation, c.opts.Order),
+			queue:   core.NewQueue(core.QueueOptions{Incarnation: c.opts.Incarnation, Order: c.opts.Order}),
 			waiters: map[core.RequestID]chan core.Start{},
 			leases:  map[core.RequestID]*Lease{},
 		}
--- a/internal/controller/dispatch/proto.go
+++ b/internal/controller/dispatch/proto.go
@@ -41,6 +41,7 @@
 		Prefer:       d.Prefer,
 		VirtualTime:  d.VirtualTime,
 		Served:       d.Served,
+		Charged:      d.Charged,
 		Running:      uint32(d.Running),
 	}
 }
@@ -96,6 +97,7 @@
 		Prefer:      d.Prefer,
 		VirtualTime: d.VirtualTime,
 		Served:      d.Served,
+		Charged:     d.Charged,
 		Running:     int(d.Running),
 	}
 }
--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -29,9 +29,12 @@
 type remoteService struct {
 	base    Cost // served before this dispatcher counted
 	served  Cost
+	charged Cost
 	running int
 }
 
+func (r *remoteService) service() Cost { return r.served - r.base + r.charged }
+
 func newAccount(id string, offset float64) *account {
 	return &account{
 		id:      id,
@@ -45,7 +48,7 @@
 func (a *account) service() Cost {
 	sum := a.settled + a.running
 	for _, r := range a.remote {
-		sum += r.served - r.base
+		sum += r.service()
 	}
 	return sum
 }
@@ -85,17 +88,18 @@
 
 // setRemote takes in the level of another pool. A pool that was not heard before counts from
 // its first level on; with raw it counts from its beginning.
-func (a *account) setRemote(pool string, served Cost, running int, raw bool) {
+func (a *account) setRemote(pool string, level *Demand, raw bool) {
 	r, ok := a.remote[pool]
 	if !ok {
 		r = &remoteService{}
 		if !raw {
-			r.base = served
+			r.base = level.Served
 		}
 		a.remote[pool] = r
 	}
-	r.served = served
-	r.running = running
+	r.served = level.Served
+	r.charged = level.Charged
+	r.running = level.Running
 }
 
 // dropRemote keeps the service of a pool that ended and stops counting it.
@@ -104,10 +108,23 @@
 	if !ok {
 		return
 	}
-	a.offset += (r.served - r.base) / a.spec.Weight
+	a.offset += r.service() / a.spec.Weight
 	delete(a.remote, pool)
 }
 
+// replace takes in a reporter's demand in the place of its last one.
+func (a *account) replace(n *node, demand *Demand) {
+	if old, ok := a.demands[n]; ok {
+		a.backlog -= old.Waiting
+	}
+	a.backlog += demand.Waiting
+	if demand.Waiting == 0 {
+		delete(a.demands, n)
+		return
+	}
+	a.demands[n] = demand
+}
+
 // source returns the reporter whose first request of the account has waited longest. The
 // demand of another pool counts as hopMargin younger. With localOnly pools are left out.
 func (a *account) source(localOnly bool) *node {
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -7,9 +7,9 @@
 
 // Sizes of the estimator.
 const (
-	estimateSamples  = 64
-	estimateLeast    = 4 // samples before the account's own costs count
-	estimateQuantile = 0.75
+	estimateSamples = 64
+	// DefaultQuantile is the part of an account's ended costs that an estimate covers.
+	DefaultQuantile = 0.75
 )
 
 // Hint is what a request tells of its cost before it runs.
@@ -19,8 +19,12 @@
 	Limit Cost // highest whole cost; 0 when there is none
 }
 
-// estimator holds, by account, the ended costs beyond the sure part.
-type estimator map[string]*samples
+// estimator holds the ended costs beyond the sure part, by account and of all accounts.
+type estimator struct {
+	quantile float64
+	accounts map[string]*samples
+	all      samples
+}
 
 type samples struct {
 	ring  []Cost
@@ -28,17 +32,26 @@
 	value Cost // quantile
 }
 
+func newEstimator(quantile float64) *estimator {
+	if quantile == 0 {
+		quantile = DefaultQuantile
+	}
+	return &estimator{quantile: quantile, accounts: map[string]*samples{}}
+}
+
 // ended takes in the cost of a run.
-func (e estimator) ended(account string, h Hint, cost Cost) {
-	s, ok := e[account]
+func (e *estimator) ended(account string, h Hint, cost Cost) {
+	s, ok := e.accounts[account]
 	if !ok {
 		s = &samples{}
-		e[account] = s
+		e.accounts[account] = s
 	}
-	s.add(max(0, cost-h.Least))
+	extra := max(0, cost-h.Least)
+	s.add(extra, e.quantile)
+	e.all.add(extra, e.quantile)
 }
 
-func (s *samples) add(cost Cost) {
+func (s *samples) add(cost Cost, quantile float64) {
 	if len(s.ring) < estimateSamples {
 		s.ring = append(s.ring, cost)
 	} else {
@@ -46,22 +59,22 @@
 		s.next = (s.next + 1) % estimateSamples
 	}
 	sorted := slices.Sorted(slices.Values(s.ring))
-	s.value = sorted[int(estimateQuantile*float64(len(sorted)-1))]
+	s.value = sorted[int(math.Ceil(quantile*float64(len(sorted)-1)))]
 }
 
 // estimate returns the cost to charge when the request starts: a quantile of the account's
-// own ended costs, between the sure part and the limit.
-func (e estimator) estimate(account string, h Hint) Cost {
+// own ended costs, of all accounts' when it has none, or the guess before any run has
+// ended; between the sure part and the limit.
+func (e *estimator) estimate(account string, h Hint) Cost {
 	cost := h.Guess
-	if s, ok := e[account]; ok && len(s.ring) >= estimateLeast {
+	if s, ok := e.accounts[account]; ok {
 		cost = h.Least + s.value
+	} else if len(e.all.ring) > 0 {
+		cost = h.Least + e.all.value
 	}
 	cost = max(cost, h.Least)
 	if h.Limit > 0 {
 		cost = min(cost, h.Limit)
 	}
-	if math.IsNaN(cost) || cost < 0 {
-		return 0
-	}
 	return cost
 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -221,7 +221,7 @@
 	}
 	for id := range n.demands {
 		if !mentioned[id] {
-			d.setDemand(n, &Demand{Account: id})
+			d.dropDemand(n, id)
 		}
 	}
 	n.demands = mentioned
@@ -229,8 +229,8 @@
 
 func (d *Dispatcher) setDemand(n *node, demand *Demand) {
 	a := d.account(demand.Account)
-	if n.key.pool && demand.Served != 0 {
-		a.setRemote(n.key.name, demand.Served, demand.Running, n.raw)
+	if n.key.pool {
+		a.setRemote(n.key.name, demand, n.raw)
 	}
 	if !d.warm {
 		a.told = a.told || demand.VirtualTime > 0
@@ -238,25 +238,24 @@
 	}
 	demand.Waiting = max(0, demand.Waiting-n.unseen[demand.Account])
 	before := a.backlog
-	if old, ok := a.demands[n]; ok {
-		a.backlog -= old.Waiting
-	}
-	a.backlog += demand.Waiting
-	a.demands[n] = demand
-	if demand.Waiting == 0 {
-		delete(a.demands, n)
-	}
+	a.replace(n, demand)
 	if before == 0 && a.backlog > 0 {
 		a.raise(d.floor) // idleness earns no credit
 	}
 	d.backlog.update(a)
 }
 
+func (d *Dispatcher) dropDemand(n *node, id string) {
+	a := d.account(id)
+	a.replace(n, &Demand{Account: id})
+	d.backlog.update(a)
+}
+
 // forget drops a reporter that is silent.
 func (d *Dispatcher) forget(now time.Time, n *node) {
 	d.dropGrants(now, n)
 	for id := range n.demands {
-		d.setDemand(n, &Demand{Account: id})
+		d.dropDemand(n, id)
 	}
 	if n.key.pool {
 		d.dropRemote(n.key.name)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -38,7 +38,7 @@
 	runs        map[RequestID]*run
 	ended       map[endedKey]*endedCost
 	results     map[string]*serverResults
-	estimates   estimator
+	estimates   *estimator
 	prefixes    prefixMemory
 	dirty       bool
 }
@@ -75,17 +75,24 @@
 	changed time.Time
 }
 
+// QueueOptions set up a Queue.
+type QueueOptions struct {
+	Incarnation uint64 // of the daemon
+	Order       Order
+	Quantile    float64 // of ended costs that an estimate covers; DefaultQuantile when 0
+}
+
 // NewQueue returns an empty queue of a daemon.
-func NewQueue(incarnation uint64, order Order) *Queue {
+func NewQueue(opts QueueOptions) *Queue {
 	return &Queue{
-		incarnation: incarnation,
-		order:       order,
+		incarnation: opts.Incarnation,
+		order:       opts.Order,
 		accounts:    map[string]*accountQueue{},
 		waiting:     map[string]*waiting{},
 		runs:        map[RequestID]*run{},
 		ended:       map[endedKey]*endedCost{},
 		results:     map[string]*serverResults{},
-		estimates:   estimator{},
+		estimates:   newEstimator(opts.Quantile),
 		prefixes:    newPrefixMemory(),
 	}
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -58,7 +58,8 @@
 	Estimate    Cost    // of the first waiting request
 	Prefer      string  // server that holds the prefix of the first waiting request
 	VirtualTime float64 // highest that a grant has told the reporter
-	Served      Cost    // by the servers of the reporting pool since its dispatcher began
+	Served      Cost    // by ended runs on the servers of the reporting pool since its dispatcher began
+	Charged     Cost    // for running ones
 	Running     int     // on the servers of the reporting pool
 }
 
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -131,7 +131,7 @@
 
 // exchangeDemand returns what waits for the account at this pool's daemons.
 func (d *Dispatcher) exchangeDemand(now time.Time, a *account) (Demand, bool) {
-	demand := Demand{Account: a.id, Served: a.settled + a.running, Running: a.inFlight}
+	demand := Demand{Account: a.id, Served: a.settled, Charged: a.running, Running: a.inFlight}
 	for n, local := range a.demands {
 		if n.key.pool {
 			continue
--- /dev/null
+++ b/test/measure/policy/main.go
@@ -0,0 +1,86 @@
+// Command policy compares ways of sharing capacity in virtual time, and prints one
+// name=value line for each figure.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/dispatch"
+	"github.com/filbertrill/filbertrill/test/virtual"
+)
+
+func main() {
+	only := flag.String("only", "", "Regular expression of the size.load.way to run; all when empty.")
+	flag.Parse()
+	pattern := regexp.MustCompile(*only)
+	for _, size := range sizes() {
+		for _, l := range loads() {
+			for _, way := range ways() {
+				if pattern.MatchString(size.name + "." + l.name + "." + way.name) {
+					run(size, l, way)
+				}
+			}
+		}
+	}
+}
+
+// way is a way of sharing capacity.
+type way struct {
+	name     string
+	scope    virtual.Scope
+	order    dispatch.Order
+	standby  int
+	exchange time.Duration
+}
+
+func ways() []way {
+	return []way{
+		{name: "ideal", scope: virtual.Ideal},
+		{name: "zone", scope: virtual.Zone},
+		{name: "zone_standby1", scope: virtual.Zone, standby: 1},
+		{name: "zone_exchange50ms", scope: virtual.Zone, exchange: 50 * time.Millisecond},
+		{name: "region", scope: virtual.Region},
+		{name: "daemon_fair", scope: virtual.Daemon},
+		{name: "daemon_fifo", scope: virtual.Daemon, order: dispatch.OrderFIFO},
+	}
+}
+
+func run(s size, l load, w way) {
+	opts := virtual.Options{
+		Seed:     1,
+		Scope:    w.scope,
+		Order:    w.order,
+		Standby:  w.standby,
+		Exchange: w.exchange,
+		Zones:    zones,
+		Daemons:  daemons,
+		Servers:  s.servers(),
+		Accounts: l.accounts(),
+		HintOff:  l.hintOff,
+		Local:    virtual.Link{Delay: 300 * time.Microsecond, Jitter: 100 * time.Microsecond},
+		Remote: virtual.Link{
+			Delay:     5 * time.Millisecond,
+			Jitter:    3 * time.Millisecond,
+			Stall:     0.01,
+			StallTime: 200 * time.Millisecond,
+		},
+		Rate:   rate,
+		Length: length,
+		Settle: settle,
+	}
+	r := virtual.New(opts).Run(0)
+	seconds := length.Seconds()
+	show := func(name string, value float64) {
+		fmt.Printf("%s.%s.%s.%s=%.3f\n", s.name, l.name, w.name, name, value)
+	}
+	show("gap_start", r.GapStart)
+	show("gap_delivered", r.GapDelivered)
+	show("utilisation", r.Utilisation)
+	show("small_wait_p50_s", r.Wait(smallAccount, 0.5).Seconds())
+	show("small_wait_p99_s", r.Wait(smallAccount, 0.99).Seconds())
+	show("remote_messages_per_s", float64(r.RemoteMessages)/seconds)
+	show("remote_bytes_per_s", float64(r.RemoteBytes)/seconds)
+}
--- /dev/null
+++ b/test/virtual/clock.go
@@ -0,0 +1,67 @@
+// Package virtual drives the pure dispatch decisions of a small fleet in virtual time:
+// it delivers their messages late, twice or never, and runs requests on idle servers of
+// its own. It knows nothing of sockets or processes.
+package virtual
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// clock runs events in the order of their times.
+type clock struct {
+	now    time.Time
+	seq    int
+	events events
+	rand   *rand.Rand
+}
+
+func newClock(seed uint64) *clock {
+	return &clock{now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (c *clock) after(d time.Duration, do func()) {
+	c.seq++
+	heap.Push(&c.events, event{at: c.now.Add(d), seq: c.seq, do: do})
+}
+
+func (c *clock) every(d time.Duration, do func()) {
+	c.after(d, func() {
+		do()
+		c.every(d, do)
+	})
+}
+
+func (c *clock) runUntil(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
--- /dev/null
+++ b/test/virtual/fleet.go
@@ -0,0 +1,212 @@
+package virtual
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/dispatch"
+)
+
+// Intervals of the daemons, as in the daemon's defaults.
+const (
+	tickInterval   = 20 * time.Millisecond
+	reportInterval = 100 * time.Millisecond
+)
+
+// Rand is the random source of costs.
+type Rand = rand.Rand
+
+// Fleet is a run in progress.
+type Fleet struct {
+	*clock
+	opts    Options
+	daemons []*daemon
+	pools   []*pool
+	servers map[string]*engine
+	links   map[[2]int]time.Time // when the last message of a link arrives
+	load    *load
+	Result  Result
+	nextInc uint64
+}
+
+type daemon struct {
+	id       string
+	index    int
+	zone     int
+	queue    *dispatch.Queue
+	flushing bool
+	reported time.Time
+	owner    int // daemon that its last report went to
+}
+
+// pool is a pool with the daemon that is its dispatcher.
+type pool struct {
+	name       string
+	zone       int
+	members    []int
+	owner      int
+	dispatcher *dispatch.Dispatcher
+	flushing   bool
+	paused     bool
+}
+
+// New returns a fleet at the start of its run.
+func New(opts Options) *Fleet {
+	opts.setDefaults()
+	f := &Fleet{
+		clock:   newClock(opts.Seed),
+		opts:    opts,
+		servers: map[string]*engine{},
+		links:   map[[2]int]time.Time{},
+	}
+	f.load = newLoad(f)
+	for i, s := range opts.Servers {
+		id := fmt.Sprintf("s%02d", i)
+		f.servers[id] = &engine{fleet: f, zone: s.Zone, slots: s.Slots}
+	}
+	for i := range opts.Daemons {
+		d := &daemon{id: fmt.Sprintf("d%02d", i), index: i, zone: i % opts.Zones, owner: -1}
+		d.queue = dispatch.NewQueue(dispatch.QueueOptions{Incarnation: 1, Order: opts.Order, Quantile: opts.Quantile})
+		f.daemons = append(f.daemons, d)
+	}
+	f.makePools()
+	f.every(tickInterval, f.tick)
+	f.every(opts.Exchange, func() { f.exchange(true) })
+	return f
+}
+
+func (f *Fleet) makePools() {
+	switch f.opts.Scope {
+	case Zone:
+		for z := range f.opts.Zones {
+			f.addPool(fmt.Sprintf("z%d", z), z, func(d *daemon) bool { return d.zone == z })
+		}
+	case Daemon:
+		for _, own := range f.daemons {
+			f.addPool(own.id, own.zone, func(d *daemon) bool { return d == own })
+		}
+	default:
+		f.addPool("region", 0, func(*daemon) bool { return true })
+	}
+}
+
+func (f *Fleet) addPool(name string, zone int, has func(*daemon) bool) {
+	p := &pool{name: name, zone: zone}
+	for _, d := range f.daemons {
+		if has(d) {
+			p.members = append(p.members, d.index)
+		}
+	}
+	f.pools = append(f.pools, p)
+	f.Begin(p.name, p.members[0])
+}
+
+// Begin makes a daemon the dispatcher of a pool, without knowledge of what the earlier one did.
+func (f *Fleet) Begin(name string, owner int) {
+	p := f.pool(name)
+	f.nextInc++
+	p.owner = owner
+	var expected []string
+	for _, i := range p.members {
+		expected = append(expected, f.daemons[i].id)
+	}
+	p.dispatcher = dispatch.NewDispatcher(f.now, f.nextInc, f.spec(p), expected)
+	for _, i := range p.members {
+		f.flush(f.daemons[i])
+	}
+}
+
+// After calls do at a time of the run.
+func (f *Fleet) After(d time.Duration, do func()) { f.after(d, do) }
+
+// Run runs for the length of the options and a further time without new load, and
+// returns the result.
+func (f *Fleet) Run(further time.Duration) Result {
+	f.runUntil(f.now.Add(f.opts.Length + further))
+	return f.load.meter.result()
+}
+
+// Pause keeps the pool's dispatcher from handling anything until Pause with false.
+func (f *Fleet) Pause(name string, paused bool) { f.pool(name).paused = paused }
+
+func (f *Fleet) pool(name string) *pool {
+	for _, p := range f.pools {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) home(d *daemon) *pool {
+	for _, p := range f.pools {
+		for _, i := range p.members {
+			if i == d.index {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) spec(p *pool) dispatch.Pool {
+	spec := dispatch.Pool{Name: p.name, Standby: f.opts.Standby, Accounts: map[string]dispatch.AccountSpec{}}
+	for i, s := range f.opts.Servers {
+		slots := s.Slots
+		switch {
+		case f.opts.Scope == Zone && s.Zone != p.zone:
+			continue
+		case f.opts.Scope == Daemon:
+			slots = s.Slots / f.opts.Daemons
+			if (p.members[0]+i)%f.opts.Daemons < s.Slots%f.opts.Daemons {
+				slots++
+			}
+		}
+		if slots > 0 {
+			spec.Servers = append(spec.Servers, dispatch.ServerSpec{ID: fmt.Sprintf("s%02d", i), Slots: slots, Open: true})
+		}
+	}
+	for i, a := range f.opts.Accounts {
+		spec.Accounts[accountID(i)] = dispatch.AccountSpec{Weight: a.Weight, MaxInFlight: a.MaxInFlight}
+	}
+	return spec
+}
+
+// send delivers a message between daemons; a link keeps the order unless a message repeats.
+func (f *Fleet) send(from, to int, bytes int, do func()) {
+	if from == to {
+		f.after(0, do)
+		return
+	}
+	link := f.opts.Local
+	if f.daemons[from].zone != f.daemons[to].zone {
+		link = f.opts.Remote
+		f.Result.RemoteMessages++
+		f.Result.RemoteBytes += bytes
+	}
+	if f.rand.Float64() < link.Drop {
+		return
+	}
+	arrival := f.now.Add(f.delay(link))
+	key := [2]int{from, to}
+	if last := f.links[key]; arrival.Before(last) {
+		arrival = last
+	}
+	f.links[key] = arrival
+	f.after(arrival.Sub(f.now), do)
+	if f.rand.Float64() < link.Repeat {
+		f.after(arrival.Sub(f.now)+f.delay(link)*10, do)
+	}
+}
+
+func (f *Fleet) delay(link Link) time.Duration {
+	d := link.Delay
+	if link.Jitter > 0 {
+		d += time.Duration((2*f.rand.Float64() - 1) * float64(link.Jitter))
+	}
+	if f.rand.Float64() < link.Stall {
+		d += link.StallTime
+	}
+	return d
+}
--- /dev/null
+++ b/test/virtual/load.go
@@ -0,0 +1,171 @@
+package virtual
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/dispatch"
+)
+
+func accountID(i int) string { return fmt.Sprintf("a%03d", i) }
+
+// request is one request of a caller.
+type request struct {
+	id      dispatch.RequestID
+	account int
+	daemon  *daemon
+	cost    float64
+	arrived time.Time
+	started time.Time // on the server
+	runs    int
+}
+
+// load makes the callers' requests and measures what they get.
+type load struct {
+	fleet    *Fleet
+	requests map[dispatch.RequestID]*request
+	next     dispatch.RequestID
+	meter    *meter
+}
+
+func newLoad(f *Fleet) *load {
+	l := &load{fleet: f, requests: map[dispatch.RequestID]*request{}}
+	l.meter = newMeter(f)
+	for i, a := range f.opts.Accounts {
+		f.after(a.Begin, func() { l.begin(i, a) })
+	}
+	return l
+}
+
+func (l *load) begin(i int, a Account) {
+	if a.Outstanding == 0 {
+		l.arrive(i, a)
+		return
+	}
+	for n := range a.Outstanding {
+		l.submit(i, a.Daemons[n%len(a.Daemons)])
+	}
+}
+
+// arrive submits requests at random times.
+func (l *load) arrive(i int, a Account) {
+	if !l.offers(a) {
+		return
+	}
+	l.submit(i, a.Daemons[l.fleet.rand.IntN(len(a.Daemons))])
+	wait := time.Duration(l.fleet.rand.ExpFloat64() * float64(a.Every))
+	l.fleet.after(wait, func() { l.arrive(i, a) })
+}
+
+func (l *load) offers(a Account) bool {
+	end := a.End
+	if end == 0 {
+		end = l.fleet.opts.Length
+	}
+	return l.fleet.now.Sub(l.meter.begun) < end
+}
+
+func (l *load) submit(account, at int) {
+	f := l.fleet
+	l.next++
+	d := f.daemons[at]
+	r := &request{id: l.next, account: account, daemon: d, arrived: f.now}
+	r.cost = f.opts.Accounts[account].Cost(f.rand)
+	l.requests[r.id] = r
+	l.meter.wait(r, 1)
+	d.queue.Enqueue(dispatch.Request{ID: r.id, Account: accountID(account), Hint: l.hint(r), Arrived: f.now})
+	f.flush(d)
+}
+
+// hint is right up to the factor of the options, which is too high for one half of the
+// accounts and too low for the other. The ideal dispatcher is told the cost.
+func (l *load) hint(r *request) dispatch.Hint {
+	off := l.fleet.opts.HintOff
+	if r.account%2 == 1 {
+		off = 1 / off
+	}
+	if l.fleet.opts.HintOff == 1 {
+		return dispatch.Hint{Least: r.cost, Guess: r.cost, Limit: r.cost}
+	}
+	return dispatch.Hint{Guess: r.cost * off}
+}
+
+func (l *load) start(d *daemon, s dispatch.Start) {
+	r := l.requests[s.Request]
+	r.runs++
+	server := l.fleet.servers[s.Server]
+	link := l.fleet.opts.Local
+	if server.zone != d.zone {
+		link = l.fleet.opts.Remote
+	}
+	l.meter.wait(r, -1)
+	l.meter.granted(r)
+	l.fleet.after(l.fleet.delay(link), func() { server.admit(r) })
+}
+
+// progress tells the daemon's queue the cost of its running requests so far.
+func (l *load) progress(d *daemon) {
+	for _, r := range l.meter.running {
+		if r.daemon == d {
+			d.queue.Progress(r.id, l.fleet.delivered(r))
+		}
+	}
+}
+
+func (l *load) end(r *request) {
+	delete(l.requests, r.id)
+	r.daemon.queue.End(l.fleet.now, r.id, r.cost, false)
+	l.fleet.flush(r.daemon)
+	a := l.fleet.opts.Accounts[r.account]
+	if a.Outstanding > 0 && l.offers(a) {
+		l.submit(r.account, r.daemon.index)
+	}
+}
+
+// delivered returns the cost of a running request so far.
+func (f *Fleet) delivered(r *request) float64 {
+	return min(r.cost, f.now.Sub(r.started).Seconds()*f.opts.Rate)
+}
+
+// engine is a backend server: up to its slots run, the rest wait in order.
+type engine struct {
+	fleet   *Fleet
+	zone    int
+	slots   int
+	running int
+	waiting []*request
+}
+
+func (e *engine) admit(r *request) {
+	total := e.running + len(e.waiting) + 1
+	e.fleet.Result.MostOver = max(e.fleet.Result.MostOver, total-e.slots)
+	if e.running >= e.slots {
+		e.waiting = append(e.waiting, r)
+		return
+	}
+	e.run(r)
+}
+
+func (e *engine) run(r *request) {
+	e.running++
+	f := e.fleet
+	r.started = f.now
+	f.load.meter.started(r)
+	f.after(time.Duration(r.cost/f.opts.Rate*float64(time.Second)), func() { e.done(r) })
+}
+
+func (e *engine) done(r *request) {
+	f := e.fleet
+	e.running--
+	if len(e.waiting) > 0 {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.run(next)
+	}
+	f.load.meter.finished(r)
+	link := f.opts.Local
+	if e.zone != r.daemon.zone {
+		link = f.opts.Remote
+	}
+	f.after(f.delay(link), func() { f.load.end(r) })
+}
--- /dev/null
+++ b/test/virtual/messages.go
@@ -0,0 +1,118 @@
+package virtual
+
+import "github.com/filbertrill/filbertrill/internal/dispatch"
+
+// Sizes of messages on the wire, in bytes: what a report and a batch take without their
+// lists, and one entry of a list.
+const (
+	headBytes  = 60
+	entryBytes = 40
+)
+
+func reportBytes(r dispatch.Report) int {
+	return headBytes + entryBytes*(len(r.Demands)+len(r.Ended)+len(r.Runs)+len(r.Results))
+}
+
+// tick drives timers and reports progress.
+func (f *Fleet) tick() {
+	for _, p := range f.pools {
+		if !p.paused {
+			f.deliver(p, p.dispatcher.Tick(f.now))
+		}
+	}
+	for _, d := range f.daemons {
+		if !d.queue.Idle() && f.now.Sub(d.reported) >= reportInterval {
+			f.report(d)
+		}
+	}
+}
+
+// flush reports once all events of this moment are done.
+func (f *Fleet) flush(d *daemon) {
+	if d.flushing {
+		return
+	}
+	d.flushing = true
+	f.after(0, func() { f.report(d) })
+}
+
+func (f *Fleet) report(d *daemon) {
+	d.flushing = false
+	d.reported = f.now
+	f.load.progress(d)
+	p := f.home(d)
+	r := d.queue.Report(f.now)
+	f.send(d.index, p.owner, reportBytes(r), func() { f.handleReport(p, d.id, r) })
+}
+
+func (f *Fleet) handleReport(p *pool, from string, r dispatch.Report) {
+	if p.paused {
+		return
+	}
+	f.deliver(p, p.dispatcher.Report(f.now, from, r))
+	f.exchangeUrgent(p)
+}
+
+func (f *Fleet) deliver(p *pool, sends []dispatch.Send) {
+	for _, s := range sends {
+		bytes := headBytes + entryBytes*len(s.Batch.Grants)
+		if s.Pool {
+			other := f.pool(s.Reporter)
+			f.send(p.owner, other.owner, bytes, func() { f.relay(other, p.name, s.Batch) })
+			continue
+		}
+		for _, d := range f.daemons {
+			if d.id == s.Reporter {
+				f.send(p.owner, d.index, bytes, func() { f.grants(d, s.Batch) })
+			}
+		}
+	}
+}
+
+func (f *Fleet) relay(p *pool, from string, b dispatch.Batch) {
+	if p.paused {
+		return
+	}
+	f.deliver(p, p.dispatcher.Relay(f.now, from, b))
+	f.exchangeUrgent(p)
+}
+
+func (f *Fleet) grants(d *daemon, b dispatch.Batch) {
+	for _, start := range d.queue.Grants(f.now, b) {
+		f.load.start(d, start)
+	}
+	f.flush(d)
+}
+
+func (f *Fleet) exchange(due bool) {
+	for _, p := range f.pools {
+		if p.paused {
+			continue
+		}
+		for _, other := range f.pools {
+			if other != p && f.opts.Scope == Zone && (due || p.dispatcher.Urgent(other.name)) {
+				f.exchangeWith(p, other)
+			}
+		}
+	}
+}
+
+// exchangeUrgent tells other pools of free slots once all events of this moment are done.
+func (f *Fleet) exchangeUrgent(p *pool) {
+	if p.flushing {
+		return
+	}
+	p.flushing = true
+	f.after(0, func() {
+		p.flushing = false
+		f.exchange(false)
+	})
+}
+
+func (f *Fleet) exchangeWith(p, other *pool) {
+	r, ok := p.dispatcher.Exchange(f.now, other.name)
+	if !ok {
+		return
+	}
+	f.send(p.owner, other.owner, reportBytes(r), func() { f.handleReport(other, "", r) })
+}
--- /dev/null
+++ b/test/virtual/meter.go
@@ -0,0 +1,157 @@
+package virtual
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/dispatch"
+)
+
+const sampleInterval = 10 * time.Millisecond
+
+// Result is what the callers saw. Gaps are in units of the largest cost over weight.
+type Result struct {
+	GapStart       float64
+	GapDelivered   float64
+	Utilisation    float64
+	RemoteMessages int
+	RemoteBytes    int
+	MostOver       int // requests in a server beyond its slots
+	Ended          int
+	Waiting        int // at the end
+	RanTwice       int
+	Waits          [][]time.Duration // by account
+}
+
+// Wait returns a quantile of an account's waits.
+func (r *Result) Wait(account int, quantile float64) time.Duration {
+	waits := slices.Sorted(slices.Values(r.Waits[account]))
+	if len(waits) == 0 {
+		return 0
+	}
+	return waits[int(quantile*float64(len(waits)-1))]
+}
+
+// meter measures the fairness gap: for each pair of accounts, the range of the difference
+// of their normalised service while both wait without a pause.
+type meter struct {
+	fleet     *Fleet
+	begun     time.Time
+	running   map[dispatch.RequestID]*request
+	waiting   []int
+	starts    []float64 // normalised service counted by start
+	ended     []float64 // normalised service of ended requests
+	largest   float64   // cost over weight
+	byStart   pairs
+	delivered pairs
+	busy      float64 // slot-seconds
+}
+
+type pairs map[[2]int]*[2]float64
+
+func newMeter(f *Fleet) *meter {
+	n := len(f.opts.Accounts)
+	f.Result.Waits = make([][]time.Duration, n)
+	m := &meter{
+		fleet:     f,
+		begun:     f.now,
+		running:   map[dispatch.RequestID]*request{},
+		waiting:   make([]int, n),
+		starts:    make([]float64, n),
+		ended:     make([]float64, n),
+		byStart:   pairs{},
+		delivered: pairs{},
+	}
+	f.every(sampleInterval, m.sample)
+	return m
+}
+
+func (m *meter) settled() bool { return m.fleet.now.Sub(m.begun) >= m.fleet.opts.Settle }
+
+func (m *meter) weight(account int) float64 { return m.fleet.opts.Accounts[account].Weight }
+
+func (m *meter) wait(r *request, n int) {
+	m.waiting[r.account] += n
+	if m.waiting[r.account] > 0 {
+		return
+	}
+	for other := range m.waiting {
+		delete(m.byStart, pair(r.account, other))
+		delete(m.delivered, pair(r.account, other))
+	}
+}
+
+func pair(i, j int) [2]int { return [2]int{min(i, j), max(i, j)} }
+
+func (m *meter) granted(r *request) {
+	if r.runs > 1 {
+		m.fleet.Result.RanTwice++
+	}
+	normalised := r.cost / m.weight(r.account)
+	m.largest = max(m.largest, normalised)
+	m.starts[r.account] += normalised
+	if !m.settled() {
+		return
+	}
+	wait := m.fleet.now.Sub(r.arrived)
+	m.fleet.Result.Waits[r.account] = append(m.fleet.Result.Waits[r.account], wait)
+	for other := range m.waiting {
+		m.note(m.byStart, &m.fleet.Result.GapStart, r.account, other, m.starts)
+	}
+}
+
+func (m *meter) started(r *request) { m.running[r.id] = r }
+
+func (m *meter) finished(r *request) {
+	delete(m.running, r.id)
+	m.ended[r.account] += r.cost / m.weight(r.account)
+	m.fleet.Result.Ended++
+}
+
+// sample takes in the service delivered so far and the slots in use.
+func (m *meter) sample() {
+	if !m.settled() || m.fleet.now.Sub(m.begun) > m.fleet.opts.Length {
+		return
+	}
+	for _, e := range m.fleet.servers {
+		m.busy += float64(e.running) * sampleInterval.Seconds()
+	}
+	service := slices.Clone(m.ended)
+	for _, r := range m.running {
+		service[r.account] += m.fleet.delivered(r) / m.weight(r.account)
+	}
+	for i := range service {
+		for j := range i {
+			m.note(m.delivered, &m.fleet.Result.GapDelivered, i, j, service)
+		}
+	}
+}
+
+// result returns what was measured.
+func (m *meter) result() Result {
+	r := m.fleet.Result
+	r.GapStart /= m.largest
+	r.GapDelivered /= m.largest
+	measured := (m.fleet.opts.Length - m.fleet.opts.Settle).Seconds()
+	r.Utilisation = m.busy / measured / float64(m.fleet.opts.slots())
+	for _, n := range m.waiting {
+		r.Waiting += n
+	}
+	return r
+}
+
+func (m *meter) note(p pairs, worst *float64, i, j int, service []float64) {
+	if i == j || m.waiting[i] == 0 || m.waiting[j] == 0 {
+		return
+	}
+	key := pair(i, j)
+	difference := service[key[0]] - service[key[1]]
+	r, ok := p[key]
+	if !ok {
+		r = &[2]float64{math.Inf(1), math.Inf(-1)}
+		p[key] = r
+	}
+	r[0], r[1] = min(r[0], difference), max(r[1], difference)
+	*worst = max(*worst, r[1]-r[0])
+}
