--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-slopes soak fuzz clean
+	measure measure-policy measure-slopes soak fuzz clean
 
 all: build
 
@@ -50,6 +50,9 @@
 measure:
 	$(GO) run ./test/measure
 
+measure-policy: # ways of sharing capacity, in virtual time
+	$(GO) run ./test/measure/policy
+
 measure-slopes:
 	$(GO) run ./test/measure --slopes
 
--- a/internal/controller/dispatch/dispatch.go
+++ b/internal/controller/dispatch/dispatch.go
@@ -17,7 +17,7 @@
 const (
 	DefaultReportInterval   = 100 * time.Millisecond // of running requests' progress
 	DefaultTickInterval     = 20 * time.Millisecond
-	DefaultExchangeInterval = 100 * time.Millisecond // between the dispatchers of a service
+	DefaultExchangeInterval = 50 * time.Millisecond // between the dispatchers of a service
 )
 
 // Members tells who may hold roles.
--- a/internal/controller/dispatch/pool.go
+++ b/internal/controller/dispatch/pool.go
@@ -6,14 +6,19 @@
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 )
 
-// poolInterval is how often a dispatcher's pool is derived again from the members.
-const poolInterval = time.Second
+const (
+	// poolInterval is how often a dispatcher's pool is derived again from the members.
+	poolInterval = time.Second
+	// wholeInterval is how often a dispatcher tells the other pools its whole state.
+	wholeInterval = time.Second
+)
 
 // poolState is a pool whose dispatcher is, or lately was, this daemon.
 type poolState struct {
 	dispatcher *core.Dispatcher
 	peers      map[string]string // member that last reported for another pool
-	exchanged  time.Time
+	exchanged  time.Time         // last report to the other pools
+	told       time.Time         // last whole report to them
 	derived    time.Time
 	owned      time.Time // last time that the pool fell to this daemon
 }
@@ -69,24 +74,38 @@
 		if !isMember(t.owner(key), c.opts.SelfID) {
 			continue
 		}
-		due := tick && now.Sub(p.exchanged) >= c.opts.ExchangeInterval
-		if due {
-			p.exchanged = now
-		}
+		report := p.reportTo(now, c.opts.ExchangeInterval, tick)
 		for _, pool := range t.pools(c.config, key.service) {
-			if pool != key.pool && (due || p.dispatcher.Urgent(pool)) {
-				c.exchangeWith(now, t, p, poolKey{key.service, pool})
+			if pool != key.pool {
+				c.exchangeWith(now, t, p, poolKey{key.service, pool}, report)
 			}
 		}
 	}
 }
 
-func (c *Controller) exchangeWith(now time.Time, t topology, p *poolState, other poolKey) {
+// exchangeFunc returns what there is to tell another pool, if anything.
+type exchangeFunc func(now time.Time, pool string) (core.Report, bool)
+
+// reportTo returns the kind of report that is due.
+func (p *poolState) reportTo(now time.Time, interval time.Duration, tick bool) exchangeFunc {
+	switch {
+	case tick && now.Sub(p.told) >= wholeInterval:
+		p.told = now
+		p.exchanged = now
+		return p.dispatcher.Exchange
+	case tick && now.Sub(p.exchanged) >= interval:
+		p.exchanged = now
+		return p.dispatcher.Changes
+	}
+	return p.dispatcher.Urgent
+}
+
+func (c *Controller) exchangeWith(now time.Time, t topology, p *poolState, other poolKey, report exchangeFunc) {
 	owner := t.owner(other)
 	if owner == nil {
 		return
 	}
-	if r, ok := p.dispatcher.Exchange(now, other.pool); ok {
+	if r, ok := report(now, other.pool); ok {
 		c.sendReport(now, other, owner, r)
 	}
 }
--- a/internal/controller/dispatch/proto.go
+++ b/internal/controller/dispatch/proto.go
@@ -16,6 +16,8 @@
 		DispatcherIncarnation: r.Dispatcher,
 		LastGrantId:           r.LastGrant,
 		DaemonIncarnation:     r.Incarnation,
+		Partial:               r.Partial,
+		Released:              r.Released,
 	}
 	for _, d := range r.Demands {
 		m.Demands = append(m.Demands, demandToProto(d))
@@ -72,6 +74,8 @@
 		FromPool:    m.FromPool,
 		Dispatcher:  m.DispatcherIncarnation,
 		LastGrant:   m.LastGrantId,
+		Partial:     m.Partial,
+		Released:    m.Released,
 	}
 	for _, d := range m.Demands {
 		r.Demands = append(r.Demands, demandFromProto(d))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,7 +13,7 @@
 	WarmUp = time.Second
 	// hopMargin is how much longer a request of another pool must have waited to go first
 	// among those of its account.
-	hopMargin = 100 * time.Millisecond
+	hopMargin = 1000 * time.Millisecond
 )
 
 // Dispatcher grants the slots of one pool, that is of one service in one zone, to the
@@ -35,6 +35,7 @@
 	backlog     backlog
 	floor       float64 // virtual time of the last start, never falls
 	lastGrant   uint64
+	begun       []*account // that began to wait in the report at hand
 	created     time.Time
 	warm        bool
 	expected    map[string]bool // daemons whose first report is awaited
@@ -128,6 +129,9 @@
 func (d *Dispatcher) touch(now time.Time, a *account) {
 	a.changed = now
 	d.backlog.update(a)
+	for _, u := range d.upstreams {
+		u.partial.account(a.id)
+	}
 }
 
 // Report takes in a report and returns the grants that follow from it.
@@ -140,7 +144,21 @@
 		return nil
 	}
 	delete(d.expected, from)
-	return d.schedule(now)
+	actions := d.schedule(now)
+	d.bid()
+	return actions
+}
+
+// bid tells the other pools at once of accounts that began to wait and found no slot here.
+func (d *Dispatcher) bid() {
+	for _, a := range d.begun {
+		for _, u := range d.upstreams {
+			if a.backlog > 0 {
+				u.partial.bid(a.id)
+			}
+		}
+	}
+	d.begun = d.begun[:0]
 }
 
 // Superseded reports whether the report's sender has heard a later dispatcher, so that
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // reporter names a sender of reports: a daemon, or another pool of the service.
 type reporter struct {
@@ -145,20 +148,33 @@
 		g.cost = run.Cost
 		d.recharge(now, g, max(run.Cost, run.Estimate))
 	}
+	for _, seq := range r.Released {
+		if g, ok := n.grants[GrantID{Dispatcher: r.Dispatcher, Seq: seq}]; ok {
+			n.ack(g)
+			d.releaseEnded(now, n, g, r)
+		}
+	}
+	if r.Partial {
+		return
+	}
 	for id, g := range n.grants {
 		if id.Dispatcher == d.incarnation && r.Dispatcher == d.incarnation && id.Seq <= r.LastGrant {
 			n.ack(g)
 		}
-		if !g.acked || held[id] {
-			continue
-		}
-		if g.origin.Pool == "" && r.Dispatcher == d.incarnation {
-			g.account.settled -= g.base // the ended cost counts it as well
+		if g.acked && !held[id] {
+			d.releaseEnded(now, n, g, r)
 		}
-		d.release(now, n, g)
 	}
 }
 
+// releaseEnded ends a grant whose whole cost the reporter counts as ended.
+func (d *Dispatcher) releaseEnded(now time.Time, n *node, g *grant, r Report) {
+	if g.origin.Pool == "" && r.Dispatcher == d.incarnation {
+		g.account.settled -= g.base
+	}
+	d.release(now, n, g)
+}
+
 // adopt takes over a run that an earlier dispatcher granted, and charged.
 func (d *Dispatcher) adopt(now time.Time, n *node, run Run) *grant {
 	charge := max(run.Cost, run.Estimate)
@@ -220,11 +236,12 @@
 		d.setDemand(n, &demand)
 	}
 	for id := range n.demands {
-		if !mentioned[id] {
+		if !mentioned[id] && !r.Partial {
 			d.dropDemand(n, id)
+			delete(n.demands, id)
 		}
 	}
-	n.demands = mentioned
+	maps.Copy(n.demands, mentioned)
 }
 
 func (d *Dispatcher) setDemand(n *node, demand *Demand) {
@@ -241,6 +258,9 @@
 	a.replace(n, demand)
 	if before == 0 && a.backlog > 0 {
 		a.raise(d.floor) // idleness earns no credit
+		if !n.key.pool {
+			d.begun = append(d.begun, a)
+		}
 	}
 	d.backlog.update(a)
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -90,6 +90,10 @@
 // Report is the whole state of a reporter at a dispatcher: of a daemon, or of another
 // pool of the service. The higher (Incarnation, Seq) wins. An account without a demand
 // has none; its other values have not changed for a while.
+//
+// A partial report holds the whole values of some accounts, and of no others: it says
+// nothing on accounts and runs that it leaves out. Losing one costs the time until the
+// next whole report.
 type Report struct {
 	Incarnation uint64
 	Seq         uint64
@@ -99,6 +103,8 @@
 	Demands     []Demand
 	Ended       []Ended
 	Runs        []Run
+	Partial     bool
+	Released    []uint64 // of a partial report: grants that ended lately
 	Results     []Results
 }
 
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -9,7 +9,33 @@
 	held    map[GrantID]*grant // passed on, by the other pool's id
 	ended   map[string]*endedCost
 	results map[string]*serverResults
-	urgent  bool // the other pool has a slot free of which it does not know
+	partial partial
+}
+
+// partial collects what the other pool should know before the next whole report.
+type partial struct {
+	released []uint64
+	accounts map[string]bool
+	urgent   bool // the other pool may have a free slot and not know that it is wanted
+}
+
+func (p *partial) empty() bool { return len(p.released)+len(p.accounts) == 0 }
+
+func (p *partial) release(account string, id GrantID) {
+	p.released = append(p.released, id.Seq)
+	p.bid(account)
+}
+
+func (p *partial) bid(account string) {
+	p.account(account)
+	p.urgent = true
+}
+
+func (p *partial) account(id string) {
+	if p.accounts == nil {
+		p.accounts = map[string]bool{}
+	}
+	p.accounts[id] = true
 }
 
 func (d *Dispatcher) upstream(pool string) *upstream {
@@ -36,7 +62,7 @@
 
 func (u *upstream) release(g *grant) {
 	delete(u.held, g.origin.ID)
-	u.urgent = true
+	u.partial.release(g.account.id, g.origin.ID)
 }
 
 // passResults keeps the results of a server of another pool for that pool.
@@ -81,19 +107,13 @@
 	a := d.account(g.Account)
 	n := a.source(true)
 	if n == nil || u.link.lapsed(now, b.ReportSeq) {
-		u.urgent = true
+		u.partial.release(g.Account, g.ID)
 		return nil, Grant{}
 	}
 	origin := Origin{Pool: pool, ID: g.ID}
 	return n, d.grant(now, n, a, g.Server, a.demands[n].Estimate, origin)
 }
 
-// Urgent reports whether an exchange with the pool should not wait for its interval.
-func (d *Dispatcher) Urgent(pool string) bool {
-	u, ok := d.upstreams[pool]
-	return ok && u.urgent && d.warm
-}
-
 // Exchange returns the report to another pool's dispatcher, and false when there is
 // nothing to tell.
 func (d *Dispatcher) Exchange(now time.Time, pool string) (Report, bool) {
@@ -101,7 +121,7 @@
 		return Report{}, false
 	}
 	u := d.upstream(pool)
-	r := Report{Incarnation: d.incarnation, FromPool: d.pool.Name, Dispatcher: u.link.dispatcher, LastGrant: u.link.lastGrant}
+	r := d.reportTo(u)
 	for _, a := range d.accounts {
 		if demand, ok := d.exchangeDemand(now, a); ok {
 			r.Demands = append(r.Demands, demand)
@@ -120,15 +140,57 @@
 	for id, g := range u.held {
 		r.Runs = append(r.Runs, Run{ID: id, Account: g.account.id, Server: g.server, Cost: g.cost, Estimate: g.charge})
 	}
-	if len(r.Demands)+len(r.Ended)+len(r.Results)+len(r.Runs) == 0 && !u.urgent {
+	if len(r.Demands)+len(r.Ended)+len(r.Results)+len(r.Runs) == 0 && u.partial.empty() {
+		return Report{}, false
+	}
+	u.partial = partial{}
+	r.Seq = u.link.sent(now)
+	r.sort()
+	return r, true
+}
+
+// Urgent returns the partial report that another pool should have at once, and false when
+// there is none.
+func (d *Dispatcher) Urgent(now time.Time, pool string) (Report, bool) {
+	u, ok := d.upstreams[pool]
+	if !ok || !u.partial.urgent {
+		return Report{}, false
+	}
+	return d.Changes(now, pool)
+}
+
+// Changes returns the partial report on what changed since the last report to the pool,
+// and false when nothing did.
+func (d *Dispatcher) Changes(now time.Time, pool string) (Report, bool) {
+	u, ok := d.upstreams[pool]
+	if !ok || !d.warm || u.partial.empty() {
 		return Report{}, false
 	}
-	u.urgent = false
+	r := d.reportTo(u)
+	r.Partial = true
+	r.Released = u.partial.released
+	for id := range u.partial.accounts {
+		demand, _ := d.exchangeDemand(now, d.account(id))
+		r.Demands = append(r.Demands, demand)
+		if e, ok := u.ended[id]; ok {
+			r.Ended = append(r.Ended, Ended{Account: id, Cost: e.cost})
+		}
+	}
+	u.partial = partial{}
 	r.Seq = u.link.sent(now)
 	r.sort()
 	return r, true
 }
 
+func (d *Dispatcher) reportTo(u *upstream) Report {
+	return Report{
+		Incarnation: d.incarnation,
+		FromPool:    d.pool.Name,
+		Dispatcher:  u.link.dispatcher,
+		LastGrant:   u.link.lastGrant,
+	}
+}
+
 // exchangeDemand returns what waits for the account at this pool's daemons.
 func (d *Dispatcher) exchangeDemand(now time.Time, a *account) (Demand, bool) {
 	demand := Demand{Account: a.id, Served: a.settled, Charged: a.running, Running: a.inFlight}
--- a/test/measure/policy/main.go
+++ b/test/measure/policy/main.go
@@ -41,7 +41,7 @@
 		{name: "ideal", scope: virtual.Ideal},
 		{name: "zone", scope: virtual.Zone},
 		{name: "zone_standby1", scope: virtual.Zone, standby: 1},
-		{name: "zone_exchange50ms", scope: virtual.Zone, exchange: 50 * time.Millisecond},
+		{name: "zone_exchange200ms", scope: virtual.Zone, exchange: 200 * time.Millisecond},
 		{name: "region", scope: virtual.Region},
 		{name: "daemon_fair", scope: virtual.Daemon},
 		{name: "daemon_fifo", scope: virtual.Daemon, order: dispatch.OrderFIFO},
--- a/test/virtual/fleet.go
+++ b/test/virtual/fleet.go
@@ -20,14 +20,15 @@
 // Fleet is a run in progress.
 type Fleet struct {
 	*clock
-	opts    Options
-	daemons []*daemon
-	pools   []*pool
-	servers map[string]*engine
-	links   map[[2]int]time.Time // when the last message of a link arrives
-	load    *load
-	Result  Result
-	nextInc uint64
+	opts      Options
+	daemons   []*daemon
+	pools     []*pool
+	servers   map[string]*engine
+	links     map[[2]int]time.Time // when the last message of a link arrives
+	load      *load
+	Result    Result
+	nextInc   uint64
+	exchanges int
 }
 
 type daemon struct {
--- a/test/virtual/messages.go
+++ b/test/virtual/messages.go
@@ -1,12 +1,17 @@
 package virtual
 
-import "github.com/filbertrill/filbertrill/internal/dispatch"
+import (
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/dispatch"
+)
 
 // Sizes of messages on the wire, in bytes: what a report and a batch take without their
 // lists, and one entry of a list.
 const (
 	headBytes  = 60
 	entryBytes = 40
+	wholeEvery = 10 // exchanges
 )
 
 func reportBytes(r dispatch.Report) int {
@@ -85,13 +90,21 @@
 }
 
 func (f *Fleet) exchange(due bool) {
+	report := (*dispatch.Dispatcher).Urgent
+	if due {
+		f.exchanges++
+		report = (*dispatch.Dispatcher).Changes
+	}
+	if due && f.exchanges%wholeEvery == 1 {
+		report = (*dispatch.Dispatcher).Exchange
+	}
 	for _, p := range f.pools {
 		if p.paused {
 			continue
 		}
 		for _, other := range f.pools {
-			if other != p && f.opts.Scope == Zone && (due || p.dispatcher.Urgent(other.name)) {
-				f.exchangeWith(p, other)
+			if other != p && f.opts.Scope == Zone {
+				f.exchangeWith(p, other, report)
 			}
 		}
 	}
@@ -109,8 +122,10 @@
 	})
 }
 
-func (f *Fleet) exchangeWith(p, other *pool) {
-	r, ok := p.dispatcher.Exchange(f.now, other.name)
+type exchangeFunc func(d *dispatch.Dispatcher, now time.Time, pool string) (dispatch.Report, bool)
+
+func (f *Fleet) exchangeWith(p, other *pool, report exchangeFunc) {
+	r, ok := report(p.dispatcher, f.now, other.name)
 	if !ok {
 		return
 	}
--- a/test/virtual/options.go
+++ b/test/virtual/options.go
@@ -66,7 +66,7 @@
 
 func (o *Options) setDefaults() {
 	if o.Exchange == 0 {
-		o.Exchange = 100 * time.Millisecond
+		o.Exchange = 50 * time.Millisecond
 	}
 	if o.HintOff == 0 {
 		o.HintOff = 1
