Tell unknown, missing and contradictory settings apart at start

Cause: a misspelled flag, a missing one and a bad value all ended with code 5003, and a misspelled environment variable went unnoticed. Change: ParseSettings gives 5001 to 5004 and refuses unknown FILBERTRILL_ variables; a table test.

--- a/cmd/filbertrilld/main.go
+++ b/cmd/filbertrilld/main.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/filbertrill/filbertrill/internal/daemon"
@@ -31,14 +30,10 @@
 
 func run() error {
 	proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never})
-	var settings daemon.Settings
-	parser, err := kong.New(&settings, kong.Name("filbertrilld"), kong.Description("Router daemon of filbertrill."))
+	settings, err := daemon.ParseSettings(os.Args[1:], os.Environ(), os.Stdout, os.Exit)
 	if err != nil {
 		return err
 	}
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		return result.Wrap(err, result.SettingInvalid, "%v", err)
-	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
 		return result.Wrap(err, result.SettingInvalid, "--log-level %q", settings.LogLevel)
--- /dev/null
+++ b/internal/daemon/settings_test.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+func good(extra ...string) []string {
+	return append([]string{
+		"--id=d1", "--zone=z1", "--region=r1", "--listen=127.0.0.1:8080", "--peer=127.0.0.1:8081",
+		"--secret=0123456789abcdef", "--log=http://127.0.0.1:8082",
+	}, extra...)
+}
+
+func TestParseSettings(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		env  []string
+		code result.Code
+		text string
+	}{
+		{"good", good(), nil, result.OK, ""},
+		{"unknown flag", good("--lsiten=x"), nil, result.SettingUnknown, "--lsiten"},
+		{"stray argument", good("stray"), nil, result.SettingUnknown, "stray"},
+		{"unknown variable", good(), []string{"FILBERTRILL_ZNOE=z"}, result.SettingUnknown, "FILBERTRILL_ZNOE"},
+		{"tool's variable", good(), []string{"FILBERTRILL_DAEMON=x"}, result.OK, ""},
+		{"missing", good()[1:], nil, result.SettingMissing, "--id"},
+		{"bad address", good("--listen=host:1"), nil, result.SettingInvalid, "--listen"},
+		{"bad seed", good("--seeds=10.0.0.1"), nil, result.SettingInvalid, "--seeds"},
+		{"bad route", good("--peer-route=10.0.0.1:1=x"), nil, result.SettingInvalid, "--peer-route"},
+		{"short secret", good("--secret=short"), nil, result.SettingInvalid, "--secret"},
+		{"bad log", good("--log=ftp://x"), nil, result.SettingInvalid, "--log"},
+		{"bad list", good("--instances=x"), nil, result.SettingInvalid, "--instances"},
+		{"bad duration", good("--log-timeout=fast"), nil, result.SettingInvalid, "--log-timeout"},
+		{"bad level", good("--log-level=loud"), nil, result.SettingInvalid, "--log-level"},
+		{"zero body", good("--max-body=0"), nil, result.SettingInvalid, "--max-body"},
+		{"bodies contradict", good("--max-held=5"), nil, result.SettingContradictory, "--max-held"},
+		{"same address", good("--peer=127.0.0.1:8080"), nil, result.SettingContradictory, "--peer"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ParseSettings(c.args, c.env, &bytes.Buffer{}, nil)
+			require.Equal(t, c.code, result.CodeOf(err))
+			if err != nil {
+				require.Contains(t, err.Error(), c.text)
+				require.NotContains(t, err.Error(), "\n")
+				require.NotContains(t, err.Error(), "short")
+			}
+		})
+	}
+}
+
+func TestHelpShowsUnitsAndDefaults(t *testing.T) {
+	var out bytes.Buffer
+	exited := false
+	_, _ = ParseSettings([]string{"--help"}, nil, &out, func(int) { exited = true })
+	require.True(t, exited)
+	require.Contains(t, out.String(), "bytes")
+	require.Contains(t, out.String(), "--log-timeout=2s")
+}
