--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -51,18 +51,19 @@
 
 // Silence swallows all data both ways and closes nothing, on open and new connections.
 func (l *Link) Silence() error {
-	return errors.CombineErrors(
-		l.toxic("timeout", "upstream", `{"timeout":0}`),
-		l.toxic("timeout", "downstream", `{"timeout":0}`),
-	)
+	return l.toxicBothWays("timeout", `{"timeout":0}`)
 }
 
 // Delay adds latency with jitter, in milliseconds, in each direction.
 func (l *Link) Delay(latency, jitter int) error {
 	attributes := fmt.Sprintf(`{"latency":%d,"jitter":%d}`, latency, jitter)
+	return l.toxicBothWays("latency", attributes)
+}
+
+func (l *Link) toxicBothWays(kind, attributes string) error {
 	return errors.CombineErrors(
-		l.toxic("latency", "upstream", attributes),
-		l.toxic("latency", "downstream", attributes),
+		l.toxic(kind, "upstream", attributes),
+		l.toxic(kind, "downstream", attributes),
 	)
 }
 
@@ -142,6 +143,17 @@
 	return failed
 }
 
+// Between calls do for the links between daemons of different data centres, both ways.
+func (n *Network) Between(zone func(i int) string, do func(*Link) error) error {
+	var failed error
+	for pair, link := range n.peers {
+		if zone(pair[0]) != zone(pair[1]) {
+			failed = errors.CombineErrors(failed, do(link))
+		}
+	}
+	return failed
+}
+
 // Part cuts the given daemons off from all others, both ways. The log stays reachable.
 func (n *Network) Part(daemons ...int) error {
 	return n.each(setOf(daemons), func(l *Link) error { l.Cut(); return nil })
--- /dev/null
+++ b/test/cluster/stall.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2/toxics"
+)
+
+// stallKind is the name of StallToxic in specifications.
+const stallKind = "stall"
+
+func init() { toxics.Register(stallKind, new(StallToxic)) }
+
+// StallToxic holds up a connection for a retransmission timeout with a probability for
+// each chunk: over TCP a lost packet delays everything behind it.
+type StallToxic struct {
+	Probability float64 `json:"probability"`
+	Delay       int64   `json:"delay"` // milliseconds
+}
+
+// Pipe implements toxics.Toxic.
+func (t *StallToxic) Pipe(stub *toxics.ToxicStub) {
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case chunk := <-stub.Input:
+			if chunk == nil {
+				stub.Close()
+				return
+			}
+			if rand.Float64() < t.Probability {
+				time.Sleep(time.Duration(t.Delay) * time.Millisecond)
+			}
+			stub.Output <- chunk
+		}
+	}
+}
+
+// Lossy adds stalls of a retransmission timeout, in milliseconds, in each direction.
+func (l *Link) Lossy(probability float64, timeout int) error {
+	attributes := fmt.Sprintf(`{"probability":%g,"delay":%d}`, probability, timeout)
+	return l.toxicBothWays(stallKind, attributes)
+}
--- /dev/null
+++ b/test/load/caller.go
@@ -0,0 +1,100 @@
+// Package load drives a fleet with callers and records what they see.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/cost"
+)
+
+// Call is one chat completion that a caller asks for.
+type Call struct {
+	Account string
+	Key     string
+	Address string // of the daemon or engine, ip:port
+	Model   string
+	Prompt  int // words
+	Answer  int // tokens that the engine generates
+	Limit   int // tokens that the caller states as its limit, the hint of the cost
+}
+
+// Outcome is what the caller saw of a call.
+type Outcome struct {
+	Account string
+	Sent    time.Time
+	Tokens  []time.Time // arrival of each token
+	Ended   time.Time
+	Prompt  int    // tokens
+	Code    string // result code of a refusal
+	Err     error
+}
+
+// Whole reports whether the answer came to its end.
+func (o *Outcome) Whole() bool { return o.Err == nil && o.Code == "" }
+
+// Cost returns the cost of the whole answer.
+func (o *Outcome) Cost() float64 { return cost.Tokens(o.Prompt, len(o.Tokens)) }
+
+// NewClient returns an HTTP client for many concurrent callers.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+}
+
+// Do runs the call and reads its whole answer.
+func (c Call) Do(ctx context.Context, client *http.Client) *Outcome {
+	out := &Outcome{Account: c.Account, Sent: time.Now(), Prompt: c.Prompt + promptOverhead}
+	out.Err = c.stream(ctx, client, out)
+	out.Ended = time.Now()
+	return out
+}
+
+// promptOverhead counts the role and the word that sets the answer's length.
+const promptOverhead = 2
+
+func (c Call) stream(ctx context.Context, client *http.Client, out *Outcome) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+"/v1/chat/completions", bytes.NewReader(c.body()))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		out.Code = resp.Header.Get("X-Result-Code")
+		return nil
+	}
+	return readTokens(resp, out)
+}
+
+func (c Call) body() []byte {
+	words := strings.Repeat("word ", c.Prompt) + fmt.Sprintf("answer=%d", c.Answer)
+	return fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		c.Model, c.Limit, words)
+}
+
+func readTokens(resp *http.Response, out *Outcome) error {
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		switch {
+		case bytes.Equal(line, []byte("data: [DONE]")):
+			return nil
+		case bytes.HasPrefix(line, []byte("event: error")):
+			return errors.New("the answer ended with an error event")
+		case bytes.Contains(line, []byte(`"content":"w`)):
+			out.Tokens = append(out.Tokens, time.Now())
+		}
+	}
+	return errors.CombineErrors(errors.New("the answer was cut"), scanner.Err())
+}
--- /dev/null
+++ b/test/load/gap.go
@@ -0,0 +1,125 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/cost"
+)
+
+// Counting tells when service counts.
+type Counting int
+
+// The ways of counting.
+const (
+	ByStart     Counting = iota // the whole cost when the answer starts
+	ByDelivered                 // the prompt at the first token, each token when it comes
+)
+
+// Gap returns the fairness gap as callers see it: the largest difference in service over
+// weight between two accounts, over any interval in which both have requests that wait
+// for their start. Outcomes that started nothing count as waiting until their end.
+func Gap(outcomes []*Outcome, weights map[string]float64, counting Counting, from, to time.Time) float64 {
+	g := newGapMeter(weights)
+	for _, e := range gapEvents(outcomes, counting) {
+		if e.at.After(to) {
+			break
+		}
+		g.apply(e, !e.at.Before(from))
+	}
+	return g.largest
+}
+
+// gapEvent changes the waiting requests or the service of an account.
+type gapEvent struct {
+	at      time.Time
+	account string
+	waiting int
+	service float64
+}
+
+func gapEvents(outcomes []*Outcome, counting Counting) []gapEvent {
+	var events []gapEvent
+	for _, o := range outcomes {
+		started := o.Ended
+		if len(o.Tokens) > 0 {
+			started = o.Tokens[0]
+		}
+		events = append(events, gapEvent{at: o.Sent, account: o.Account, waiting: 1})
+		events = append(events, gapEvent{at: started, account: o.Account, waiting: -1, service: serviceAtStart(o, counting)})
+		if counting == ByDelivered {
+			for _, t := range o.Tokens {
+				events = append(events, gapEvent{at: t, account: o.Account, service: cost.GeneratedTokenWeight})
+			}
+		}
+	}
+	slices.SortStableFunc(events, func(a, b gapEvent) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	return events
+}
+
+func serviceAtStart(o *Outcome, counting Counting) float64 {
+	if len(o.Tokens) == 0 {
+		return 0
+	}
+	if counting == ByStart {
+		return o.Cost()
+	}
+	return cost.Tokens(o.Prompt, 0)
+}
+
+// gapMeter follows, for each pair of accounts, the range of the difference of their
+// service since both became backlogged.
+type gapMeter struct {
+	weights map[string]float64
+	waiting map[string]int
+	service map[string]float64
+	pairs   map[[2]string]*pairRange
+	largest float64
+}
+
+type pairRange struct{ low, high float64 }
+
+func newGapMeter(weights map[string]float64) *gapMeter {
+	return &gapMeter{
+		weights: weights,
+		waiting: map[string]int{},
+		service: map[string]float64{},
+		pairs:   map[[2]string]*pairRange{},
+	}
+}
+
+func (g *gapMeter) apply(e gapEvent, measured bool) {
+	g.service[e.account] += e.service / g.weights[e.account]
+	for other := range g.weights {
+		if other != e.account {
+			g.pair(e.account, other, measured)
+		}
+	}
+	g.waiting[e.account] += e.waiting
+	for other := range g.weights {
+		if other != e.account {
+			g.pair(e.account, other, measured)
+		}
+	}
+}
+
+func (g *gapMeter) pair(a, b string, measured bool) {
+	if a > b {
+		a, b = b, a
+	}
+	key := [2]string{a, b}
+	if g.waiting[a] <= 0 || g.waiting[b] <= 0 || !measured {
+		delete(g.pairs, key)
+		return
+	}
+	d := g.service[a] - g.service[b]
+	r, ok := g.pairs[key]
+	if !ok {
+		g.pairs[key] = &pairRange{low: d, high: d}
+		return
+	}
+	r.low = min(r.low, d)
+	r.high = max(r.high, d)
+	g.largest = max(g.largest, r.high-r.low)
+}
--- /dev/null
+++ b/test/load/gap_test.go
@@ -0,0 +1,32 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestGapCountsOnlyJointBacklog(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	outcome := func(account string, sent, start, tokens int) *Outcome {
+		o := &Outcome{Account: account, Sent: at(sent), Prompt: 10}
+		for i := range tokens {
+			o.Tokens = append(o.Tokens, at(start+i))
+		}
+		o.Ended = at(start + tokens)
+		return o
+	}
+	weights := map[string]float64{"a": 1, "b": 1}
+	outcomes := []*Outcome{
+		outcome("a", 0, 1, 5),   // b is not backlogged: does not count
+		outcome("b", 10, 30, 1), // b waits from 10 to 30
+		outcome("a", 10, 12, 5), // counts 10+2*5 for a while both wait
+		outcome("a", 10, 40, 1),
+	}
+	require.InDelta(t, 20, Gap(outcomes, weights, ByStart, at(0), at(100)), 1e-9)
+	require.InDelta(t, 20, Gap(outcomes, weights, ByDelivered, at(0), at(100)), 1e-9)
+	require.Zero(t, Gap(outcomes, weights, ByStart, at(50), at(100)))
+	// a leads by 20/2 at 12; the start of b at 30 ends the interval and counts with 12.
+	require.InDelta(t, 12, Gap(outcomes, map[string]float64{"a": 2, "b": 1}, ByStart, at(0), at(100)), 1e-9)
+}
--- /dev/null
+++ b/test/load/summary.go
@@ -0,0 +1,56 @@
+package load
+
+import (
+	"slices"
+	"time"
+)
+
+// Tokens counts the tokens that arrived within the window.
+func Tokens(outcomes []*Outcome, from, to time.Time) int {
+	n := 0
+	for _, o := range outcomes {
+		for _, t := range o.Tokens {
+			if !t.Before(from) && t.Before(to) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Waits returns the times to the first token of the requests sent within the window by the
+// accounts that keep accepts, in ascending order. A request that got none counts until its end.
+func Waits(outcomes []*Outcome, keep func(account string) bool, from, to time.Time) []time.Duration {
+	var waits []time.Duration
+	for _, o := range outcomes {
+		if !keep(o.Account) || o.Sent.Before(from) || !o.Sent.Before(to) {
+			continue
+		}
+		started := o.Ended
+		if len(o.Tokens) > 0 {
+			started = o.Tokens[0]
+		}
+		waits = append(waits, started.Sub(o.Sent))
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+// Quantile returns the q-quantile of sorted durations, or 0 when there are none.
+func Quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// LargestCost returns the cost of the most expensive whole answer.
+func LargestCost(outcomes []*Outcome) float64 {
+	largest := 0.0
+	for _, o := range outcomes {
+		if o.Whole() {
+			largest = max(largest, o.Cost())
+		}
+	}
+	return largest
+}
--- /dev/null
+++ b/test/measure/dispatch/main.go
@@ -0,0 +1,188 @@
+// Command dispatch measures the ways of sharing capacity in one run, under the same loads,
+// with real daemons and stand-ins behind slow and lossy links. It prints name=value lines.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/filbertrill/filbertrill/test/cluster"
+	"github.com/filbertrill/filbertrill/test/load"
+)
+
+type flags struct {
+	Bin      string        `help:"Folder of the programs." default:"bin"`
+	Length   time.Duration `help:"Length of each run." default:"12s"`
+	Warm     time.Duration `help:"Time at the beginning of each run that does not count." default:"3s"`
+	Loads    []string      `help:"Loads to run; all when empty."`
+	Ways     []string      `help:"Ways to run; all when empty."`
+	Servers  int           `help:"Model runners: 12 for the association, 9 for the division." default:"12"`
+	Standby  int           `help:"Standby window of the service, in grants for each server." default:"0"`
+	LogsFile string        `help:"File for the processes' logs." default:""`
+}
+
+// Sizes of the fleet, as both users have them.
+const (
+	daemons  = 7
+	slots    = 4
+	interval = 20 * time.Millisecond // between two tokens
+)
+
+// Links between data centres.
+const (
+	linkLatencyMS    = 5
+	linkJitterMS     = 3
+	linkLoss         = 0.01
+	retransmissionMS = 200
+)
+
+// way is one way of sharing capacity.
+type way struct {
+	name string
+	args []string
+}
+
+var ways = []way{
+	{"zone", []string{"--dispatch-scope", "zone", "--dispatch-order", "fair"}},
+	{"region", []string{"--dispatch-scope", "region", "--dispatch-order", "fair"}},
+	{"alone-fair", []string{"--dispatch-scope", "daemon", "--dispatch-order", "fair"}},
+	{"alone-fifo", []string{"--dispatch-scope", "daemon", "--dispatch-order", "fifo"}},
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f)
+	if err := run(f); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(f flags) error {
+	logs := io.Discard
+	if f.LogsFile != "" {
+		file, err := os.Create(f.LogsFile)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		logs = file
+	}
+	direct, err := directRate(f, logs)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("direct.tokens_per_second=%.0f\n", direct)
+	for _, spec := range loads() {
+		if len(f.Loads) > 0 && !slices.Contains(f.Loads, spec.name) {
+			continue
+		}
+		reportIdeal(f, spec)
+		for _, w := range ways {
+			if len(f.Ways) > 0 && !slices.Contains(f.Ways, w.name) {
+				continue
+			}
+			if err := measure(f, spec, w, direct, logs); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// reportIdeal prints the figures of one exact dispatcher with instant messages.
+func reportIdeal(f flags, spec loadSpec) {
+	outcomes := load.Ideal(spec.callers(daemons, f.Length), weights(), f.Servers*slots, interval, f.Length)
+	start := time.Unix(0, 0)
+	report(spec.name+".ideal", outcomes, start.Add(f.Warm), start.Add(f.Length), 0)
+}
+
+// measure runs a load on a fresh fleet.
+func measure(f flags, spec loadSpec, w way, direct float64, logs io.Writer) error {
+	fleet, err := newFleet(f, w, logs)
+	if err != nil {
+		return err
+	}
+	defer fleet.close()
+	ctx, cancel := context.WithTimeout(context.Background(), f.Length)
+	defer cancel()
+	start := time.Now()
+	before := make(chan int64, 1)
+	time.AfterFunc(f.Warm, func() { before <- fleet.meter.Bytes() })
+	outcomes := load.Run(ctx, spec.callers(daemons, f.Length), fleet.target())
+	name := spec.name + "." + w.name
+	report(name, outcomes, start.Add(f.Warm), start.Add(f.Length), direct)
+	seconds := (f.Length - f.Warm).Seconds()
+	fmt.Printf("%s.control_bytes_per_second=%.0f\n", name, float64(fleet.meter.Bytes()-<-before)/seconds)
+	return nil
+}
+
+func report(name string, outcomes []*load.Outcome, from, to time.Time, direct float64) {
+	largest := load.LargestCost(outcomes)
+	byStart := load.Gap(outcomes, weights(), load.ByStart, from, to)
+	delivered := load.Gap(outcomes, weights(), load.ByDelivered, from, to)
+	fmt.Printf("%s.gap_start=%.2f\n", name, byStart/largest)
+	fmt.Printf("%s.gap_delivered=%.2f\n", name, delivered/largest)
+	if direct > 0 {
+		rate := float64(load.Tokens(outcomes, from, to)) / to.Sub(from).Seconds()
+		fmt.Printf("%s.utilisation=%.3f\n", name, rate/direct)
+	}
+	reportWaits(name+".small", outcomes, func(a string) bool { return !isLarge(a) }, from, to)
+	reportWaits(name+".large", outcomes, isLarge, from, to)
+	reportFailures(name, outcomes)
+}
+
+func reportWaits(name string, outcomes []*load.Outcome, keep func(string) bool, from, to time.Time) {
+	waits := load.Waits(outcomes, keep, from, to)
+	fmt.Printf("%s.wait_p50_ms=%d\n", name, load.Quantile(waits, 0.5).Milliseconds())
+	fmt.Printf("%s.wait_p99_ms=%d\n", name, load.Quantile(waits, 0.99).Milliseconds())
+}
+
+// reportFailures counts refusals, and answers that were cut for another reason than the end of the run.
+func reportFailures(name string, outcomes []*load.Outcome) {
+	refused, cut := 0, 0
+	for _, o := range outcomes {
+		switch {
+		case o.Code != "":
+			refused++
+		case o.Err != nil && !strings.Contains(o.Err.Error(), context.DeadlineExceeded.Error()):
+			cut++
+		}
+	}
+	fmt.Printf("%s.refused=%d\n%s.cut=%d\n", name, refused, name, cut)
+}
+
+// directRate returns the tokens per second of the same backend servers when callers
+// saturate them without daemons.
+func directRate(f flags, logs io.Writer) (float64, error) {
+	c, err := cluster.New(cluster.Options{Bin: f.Bin, Logs: logs, Zones: []string{"z1"}})
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	servers, err := startEngines(f, c)
+	if err != nil {
+		return 0, err
+	}
+	target := load.Target{Model: model}
+	for _, s := range servers {
+		target.Addresses = append(target.Addresses, s.Address)
+	}
+	callers := evenLoad(len(servers), f.Length)
+	for i := range callers {
+		callers[i].Daemon = i
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Length)
+	defer cancel()
+	start := time.Now()
+	outcomes := load.Run(ctx, callers, target)
+	tokens := load.Tokens(outcomes, start.Add(f.Warm), start.Add(f.Length))
+	return float64(tokens) / (f.Length - f.Warm).Seconds(), nil
+}
--- a/test/standin/engine/messages.go
+++ b/test/standin/engine/messages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -63,6 +64,21 @@
 	return tokens
 }
 
+// naturalLengthPrefix begins the prompt word that tells after how many tokens the engine
+// ends the answer by itself, as in "answer=40".
+const naturalLengthPrefix = "answer="
+
+// naturalLength returns the number of tokens that the prompt asks for, if any.
+func naturalLength(prompt []string) (int, bool) {
+	for _, word := range prompt {
+		if text, ok := strings.CutPrefix(word, naturalLengthPrefix); ok {
+			n, err := strconv.Atoi(text)
+			return n, err == nil && n > 0
+		}
+	}
+	return 0, false
+}
+
 // limit returns the number of answer tokens that the request names, if any.
 func (c chatRequest) limit() (int, bool) {
 	if c.MaxCompletionTokens != nil {
--- a/test/standin/engine/serve.go
+++ b/test/standin/engine/serve.go
@@ -65,6 +65,9 @@
 		id = uuid.NewString()
 	}
 	prompt := req.promptTokens()
+	if n, ok := naturalLength(prompt); ok && n < limit {
+		limit, capped = n, false
+	}
 	return &run{
 		id:           id,
 		key:          r.Header.Get("Idempotency-Key"),
