Exchange heartbeats by data centre, and reports between delegates

Ruled out: gossip of records with per-member counters (every daemon's share of traffic still grows with the fleet), a flat ring (detection grows with it), an ordered group view (state of all roles is soft, so order buys nothing).

Change: heartbeats stay inside a data centre; its delegate, a pure function of the members, reports the whole list by digest to the delegates of the region, one of them to other regions. Records travel when the digest changes, or on request. A view that did not tick for 3 s keeps its last members and is not ready for roles until peers echo a later seq. Links ping only after messages, back off, and tell a refused secret once.

Runs: go test ./internal/member ./internal/peer pass. Virtual time, 7 daemons in 3 data centres: a dead one is out of every view after 2.7 s to 3.45 s. The property test found two faults while it was written: messages that waited for a paused daemon moved times into the future, and a far daemon replaced at its address came back from a relayed report. On the code before, TestWrongSecretIsLoggedOnce and TestIdleLinkSendsNothing fail; the silent and the slow link passed there already.

--- /dev/null
+++ b/internal/controller/members/list.go
@@ -0,0 +1,70 @@
+package members
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/member"
+)
+
+// followList asks the platform's list until the context ends. Its answers lag; they only
+// tell where further daemons may be found.
+func (c *Controller) followList(ctx context.Context) {
+	c.refreshList(ctx)
+	if c.opts.List == nil {
+		return
+	}
+	ticker := time.NewTicker(c.opts.ListInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.refreshList(ctx)
+		}
+	}
+}
+
+func (c *Controller) refreshList(ctx context.Context) {
+	listed, err := c.readList(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteList(err)
+	if err == nil {
+		c.listed = listed
+	}
+	places := append([]member.Place{}, c.listed...)
+	for _, seed := range c.opts.Seeds {
+		places = append(places, member.Place{Address: seed})
+	}
+	c.view.SetPlaces(places)
+}
+
+// noteList logs the first failure and its end.
+func (c *Controller) noteList(err error) {
+	if err != nil && c.listErr == nil {
+		c.opts.Logger.Warn("Instance list does not answer, keeping the last one.", "error", err)
+	}
+	if err == nil && c.listErr != nil {
+		c.opts.Logger.Info("Instance list answers again.")
+	}
+	c.listErr = err
+}
+
+func (c *Controller) readList(ctx context.Context) ([]member.Place, error) {
+	if c.opts.List == nil {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ListInterval)
+	defer cancel()
+	instances, err := c.opts.List.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	places := make([]member.Place, 0, len(instances))
+	for _, i := range instances {
+		places = append(places, member.Place{Address: i.PeerAddress, Zone: i.Zone})
+	}
+	return places, nil
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -1,4 +1,5 @@
-// Package members runs the heartbeats between daemons and keeps the view of the fleet's members.
+// Package members runs the pure view of package member: it owns its timers, the messages
+// between daemons and the platform's list.
 package members
 
 import (
@@ -7,8 +8,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
@@ -18,6 +17,8 @@
 const (
 	DefaultHeartbeatInterval = 500 * time.Millisecond
 	DefaultListInterval      = 2 * time.Second
+	// flushDelay gathers changes that come together into one message.
+	flushDelay = 50 * time.Millisecond
 )
 
 // Sender sends a message to the peer at an address.
@@ -35,18 +36,21 @@
 	HeartbeatInterval time.Duration
 	ListInterval      time.Duration
 	Logger            *slog.Logger
-	// Refresh fills in the fields of the daemon's own record before each heartbeat.
+	// Refresh fills in the fields of the daemon's own record before each beat.
 	Refresh func(self *pb.Member)
 }
 
 // Controller keeps the view. Its methods may be called from any goroutine.
 type Controller struct {
 	opts Options
+	wake chan struct{}
 
-	mu     sync.Mutex
-	view   *member.View
-	self   *pb.Member
-	listed []string
+	mu      sync.Mutex
+	view    *member.View
+	listed  []member.Place
+	listErr error
+	zones   map[string]string // data centre by peer address
+	health  map[string]health // by member id
 }
 
 // NewController returns a controller that knows only its own daemon.
@@ -57,121 +61,162 @@
 	if opts.ListInterval == 0 {
 		opts.ListInterval = DefaultListInterval
 	}
-	self := proto.Clone(opts.Self).(*pb.Member)
-	return &Controller{opts: opts, self: self, view: member.NewView(self, time.Now())}
+	return &Controller{
+		opts:   opts,
+		wake:   make(chan struct{}, 1),
+		view:   member.NewView(opts.Self, time.Now()),
+		zones:  map[string]string{},
+		health: map[string]health{},
+	}
 }
 
 // Run sends heartbeats until the context ends.
 func (c *Controller) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.followList(ctx) })
 	heartbeat := time.NewTicker(c.opts.HeartbeatInterval)
 	defer heartbeat.Stop()
-	list := time.NewTicker(c.opts.ListInterval)
-	defer list.Stop()
-	c.refreshList(ctx)
-	c.beat(time.Now())
+	c.beat()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-heartbeat.C:
-			c.beat(now)
-		case <-list.C:
-			c.refreshList(ctx)
+		case <-heartbeat.C:
+			c.beat()
+		case <-c.wake:
+			if !sleep(ctx, flushDelay) {
+				return
+			}
+			c.flush()
 		}
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (c *Controller) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 // SetState changes the daemon's own state and tells the peers at once.
 func (c *Controller) SetState(state pb.MemberState) {
-	c.mu.Lock()
-	c.self.State = state
-	c.mu.Unlock()
-	c.beat(time.Now())
+	c.update(func(self *pb.Member) { self.State = state })
+	c.flush()
 }
 
 // SetClientAddress sets the address that callers are told.
 func (c *Controller) SetClientAddress(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.self.ClientAddress = address
+	c.update(func(self *pb.Member) { self.ClientAddress = address })
 }
 
-func (c *Controller) refreshList(ctx context.Context) {
-	if c.opts.List == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, c.opts.ListInterval)
-	defer cancel()
-	instances, err := c.opts.List.Instances(ctx)
-	if err != nil {
-		c.opts.Logger.Warn("Instance list did not answer, keeping the last one.", "error", err)
+// Refresh takes in changes of the daemon's own record before the next beat.
+func (c *Controller) Refresh() {
+	if c.opts.Refresh == nil {
 		return
 	}
-	addresses := make([]string, 0, len(instances))
-	for _, i := range instances {
-		addresses = append(addresses, i.PeerAddress)
-	}
+	c.update(c.opts.Refresh)
 	c.mu.Lock()
-	c.listed = addresses
+	urgent := c.view.Urgent()
 	c.mu.Unlock()
+	if urgent {
+		c.signal()
+	}
 }
 
-// beat sends one heartbeat to every known peer.
-func (c *Controller) beat(now time.Time) {
+func (c *Controller) update(change func(self *pb.Member)) {
 	c.mu.Lock()
-	c.self.Seq++
+	defer c.mu.Unlock()
+	c.view.Update(time.Now(), change)
+}
+
+// beat sends what is due.
+func (c *Controller) beat() {
+	c.mu.Lock()
+	now := time.Now()
 	if c.opts.Refresh != nil {
-		c.opts.Refresh(c.self)
+		c.view.Update(now, c.opts.Refresh)
 	}
-	c.view.Observe(proto.Clone(c.self).(*pb.Member), now)
-	c.view.Expire(now)
-	heartbeat := c.heartbeat(now)
-	targets := c.targets()
+	out := c.view.Tick(now)
+	c.logChanges(now)
+	keep := c.retained(out)
 	c.mu.Unlock()
+	c.opts.Sender.Retain(keep)
+	c.send(out)
+}
 
-	c.opts.Sender.Retain(targets)
-	for address := range targets {
-		c.opts.Sender.Send(address, &pb.Envelope{Body: &pb.Envelope_Heartbeat{Heartbeat: heartbeat}})
+// flush sends news before the next beat.
+func (c *Controller) flush() {
+	c.mu.Lock()
+	var out []member.Send
+	if c.view.Urgent() {
+		out = c.view.Flush(time.Now())
 	}
+	c.mu.Unlock()
+	c.send(out)
 }
 
-// heartbeat returns the daemon's record and those of the live members, so that members
-// learn of each other through any common peer.
-func (c *Controller) heartbeat(now time.Time) *pb.Heartbeat {
-	h := &pb.Heartbeat{Self: proto.Clone(c.self).(*pb.Member)}
-	for _, m := range c.view.Live(now) {
-		if m.Id != c.self.Id {
-			h.Others = append(h.Others, m)
-		}
+func (c *Controller) send(out []member.Send) {
+	for _, s := range out {
+		c.opts.Sender.Send(s.Address, s.Message)
 	}
-	return h
 }
 
-func (c *Controller) targets() map[string]bool {
-	targets := map[string]bool{}
-	for _, a := range c.opts.Seeds {
-		targets[a] = true
+// retained are the addresses of members and of those now written to. It also notes the
+// data centres of the addresses.
+func (c *Controller) retained(out []member.Send) map[string]bool {
+	keep := map[string]bool{}
+	for _, s := range out {
+		keep[s.Address] = true
 	}
-	for _, a := range c.listed {
-		targets[a] = true
+	clear(c.zones)
+	for _, place := range c.listed {
+		c.zones[place.Address] = place.Zone
+		keep[place.Address] = true
 	}
 	for _, s := range c.view.All() {
-		targets[s.Member.PeerAddress] = true
+		c.zones[s.Member.PeerAddress] = s.Member.Zone
+		keep[s.Member.PeerAddress] = true
+	}
+	for _, seed := range c.opts.Seeds {
+		keep[seed] = true
 	}
-	delete(targets, c.self.PeerAddress)
-	return targets
+	return keep
 }
 
-// Heartbeat takes in a peer's heartbeat.
-func (c *Controller) Heartbeat(h *pb.Heartbeat, now time.Time) {
+// Handle takes in a message of a peer. It reports false for one of another kind.
+func (c *Controller) Handle(env *pb.Envelope) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range append([]*pb.Member{h.Self}, h.Others...) {
-		if m.GetId() == "" || m.Id == c.self.Id {
-			continue
-		}
-		c.view.Observe(m, now)
+	now := time.Now()
+	var out []member.Send
+	switch body := env.Body.(type) {
+	case *pb.Envelope_Heartbeat:
+		c.view.Heartbeat(now, env.From, env.Incarnation, body.Heartbeat)
+	case *pb.Envelope_ZoneReports:
+		out = c.view.Reports(now, env.From, env.Incarnation, body.ZoneReports)
+	case *pb.Envelope_ZoneRequest:
+		out = c.view.Request(now, env.From, body.ZoneRequest)
+	default:
+		c.mu.Unlock()
+		return false
 	}
+	urgent := c.view.Urgent()
+	c.mu.Unlock()
+	c.send(out)
+	if urgent {
+		c.signal()
+	}
+	return true
 }
 
 // Live returns the members that may hold roles.
@@ -181,6 +226,14 @@
 	return c.view.Live(now)
 }
 
+// Ready reports whether this daemon may act on roles that its view gives it. It is false
+// after a start or a pause until peers have answered.
+func (c *Controller) Ready(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Ready(now)
+}
+
 // All returns every known member.
 func (c *Controller) All() []member.Status {
 	c.mu.Lock()
@@ -192,24 +245,36 @@
 func (c *Controller) Self() *pb.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return proto.Clone(c.self).(*pb.Member)
+	return c.view.Self()
 }
 
 // Address returns the peer address of a member, or the empty string.
 func (c *Controller) Address(id string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.view.All() {
-		if s.Member.Id == id {
-			return s.Member.PeerAddress
-		}
+	if s := c.view.Get(id); s != nil {
+		return s.Member.PeerAddress
 	}
 	return ""
 }
 
-// Suspected reports whether a member's heartbeats stay out.
+// Zone returns the data centre of a peer address, or the empty string.
+func (c *Controller) Zone(address string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.zones[address]
+}
+
+// Suspected reports whether a member's signs of life stay out.
 func (c *Controller) Suspected(s member.Status, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.view.Suspected(&s, now)
 }
+
+// Reason tells why a member is suspected; it is empty for others.
+func (c *Controller) Reason(s member.Status, now time.Time) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Reason(&s, now)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -184,9 +184,10 @@
 
 // handle routes a message of a peer to its controller.
 func (d *Daemon) handle(env *pb.Envelope) {
+	if d.members.Handle(env) {
+		return
+	}
 	switch body := env.Body.(type) {
-	case *pb.Envelope_Heartbeat:
-		d.members.Heartbeat(body.Heartbeat, time.Now())
 	case *pb.Envelope_DemandReport:
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
--- /dev/null
+++ b/internal/member/owner.go
@@ -0,0 +1,64 @@
+package member
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// Owner returns the member that a key belongs to, by rendezvous hashing (Thaler and
+// Ravishankar 1998), or nil when there are no members. Draining members own nothing
+// while another is left.
+func Owner(key string, members []*pb.Member) *pb.Member {
+	var best *pb.Member
+	var bestScore uint64
+	bestDraining := true
+	for _, m := range members {
+		draining := m.State == pb.MemberState_MEMBER_STATE_DRAINING
+		score := Score(key, m.Id)
+		better := best == nil || (bestDraining && !draining)
+		if !better && draining == bestDraining {
+			better = score > bestScore
+		}
+		if better {
+			best, bestScore, bestDraining = m, score, draining
+		}
+	}
+	return best
+}
+
+// Score is the rendezvous weight of a member for a key.
+func Score(key, memberID string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + memberID)
+}
+
+// fleet groups the live members by data centre and region.
+type fleet struct {
+	zones   map[string][]*pb.Member
+	regions map[string][]string // data centres
+}
+
+func groupByZone(live []*pb.Member) fleet {
+	f := fleet{zones: map[string][]*pb.Member{}, regions: map[string][]string{}}
+	for _, m := range live {
+		if len(f.zones[m.Zone]) == 0 {
+			f.regions[m.Region] = append(f.regions[m.Region], m.Zone)
+		}
+		f.zones[m.Zone] = append(f.zones[m.Zone], m)
+	}
+	return f
+}
+
+// delegate returns the member that speaks for a data centre, or nil.
+func (f fleet) delegate(zone string) *pb.Member {
+	return Owner("delegate/"+zone, f.zones[zone])
+}
+
+// regionDelegate returns the delegate that speaks for a region, or nil.
+func (f fleet) regionDelegate(region string) *pb.Member {
+	var delegates []*pb.Member
+	for _, zone := range f.regions[region] {
+		delegates = append(delegates, f.delegate(zone))
+	}
+	return Owner("region/"+region, delegates)
+}
--- /dev/null
+++ b/internal/member/report.go
@@ -0,0 +1,297 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// held is the newest report of a source in another data centre.
+type held struct {
+	report  *pb.ZoneReport // without members
+	members []*pb.Member
+	heard   time.Time // when the source made it, by this daemon's clock
+	direct  bool      // came from outside the data centre
+	abroad  bool      // came from outside the region
+	news    bool      // not yet passed on
+	newSet  bool      // the members are not yet passed on
+	lost    bool      // the source is heard no longer
+}
+
+// ownReport is what this daemon last told of its own data centre.
+type ownReport struct {
+	digest  uint64
+	applied int64
+	behind  []uint64
+}
+
+// setDigest is over the records of members in the order of their ids.
+func setDigest(members []*pb.Member) uint64 {
+	h := xxhash.New()
+	for _, m := range members {
+		hashRecord(h, m)
+	}
+	return h.Sum64()
+}
+
+// makeReport lists the members of the own data centre, those that have just left included.
+func (v *View) makeReport(now time.Time) *pb.ZoneReport {
+	r := &pb.ZoneReport{
+		Source:      v.self.Id,
+		Incarnation: v.self.Incarnation,
+		Seq:         v.self.Seq,
+		Zone:        v.self.Zone,
+		Region:      v.self.Region,
+		Applied:     -1,
+	}
+	var known []*pb.Member
+	for _, s := range v.All() {
+		if s.Member.Zone == v.self.Zone && !v.Suspected(&s, now) {
+			known = append(known, s.Member)
+		}
+	}
+	for _, m := range known {
+		r.Applied = max(r.Applied, m.AppliedOffset)
+	}
+	anyBehind := false
+	for _, m := range known {
+		behind := uint64(r.Applied - m.AppliedOffset)
+		anyBehind = anyBehind || behind > 0
+		r.Behind = append(r.Behind, behind)
+		r.Loads = append(r.Loads, m.Load)
+		r.Members = append(r.Members, bareRecord(m))
+	}
+	if !anyBehind {
+		r.Behind = nil
+	}
+	r.Digest = setDigest(r.Members)
+	return r
+}
+
+// bareRecord is a record without what changes often.
+func bareRecord(m *pb.Member) *pb.Member {
+	return &pb.Member{
+		Id:            m.Id,
+		Incarnation:   m.Incarnation,
+		PeerAddress:   m.PeerAddress,
+		ClientAddress: m.ClientAddress,
+		Zone:          m.Zone,
+		Region:        m.Region,
+		State:         m.State,
+	}
+}
+
+// Reports takes in what another daemon knows of other data centres.
+func (v *View) Reports(now time.Time, from string, incarnation uint64, m *pb.ZoneReports) []Send {
+	v.checkPause(now)
+	if from == "" || from == v.self.Id {
+		return nil
+	}
+	v.hear(from, incarnation, m.Seq, m.Echo, m.Zone, now)
+	var unresolved []string
+	for _, r := range m.Reports {
+		if r.Zone == v.self.Zone || r.Source == v.self.Id {
+			continue
+		}
+		if !v.take(now, from, m.Zone, r) {
+			unresolved = append(unresolved, r.Source)
+		}
+	}
+	var out []Send
+	if len(unresolved) > 0 {
+		request := &pb.ZoneRequest{Address: v.self.PeerAddress, Sources: unresolved}
+		body := &pb.Envelope_ZoneRequest{ZoneRequest: request}
+		out = append(out, Send{Address: m.Address, Message: &pb.Envelope{Body: body}})
+	}
+	return append(out, v.introduce(now, from, m)...)
+}
+
+// introduce answers a daemon of the same data centre that has no record of this one, and
+// tells the own delegate of a data centre that addressed this daemon in its place.
+func (v *View) introduce(now time.Time, from string, m *pb.ZoneReports) []Send {
+	if m.Zone == v.self.Zone {
+		if v.members[from] == nil {
+			return []Send{{Address: m.Address, Message: v.heartbeat("")}}
+		}
+		return nil
+	}
+	d := groupByZone(v.Live(now)).delegate(v.self.Zone)
+	if d == nil || d.Id == v.self.Id {
+		return nil
+	}
+	var passed []*pb.ZoneReport
+	for _, r := range m.Reports {
+		if h := v.reports[r.Source]; h != nil {
+			passed = append(passed, v.passOn(h, now, true, false))
+		}
+	}
+	return []Send{{Address: d.PeerAddress, Message: v.envelope(d.Id, passed)}}
+}
+
+// take takes in one report. It reports false when the report's members are not known.
+func (v *View) take(now time.Time, from, carrierZone string, r *pb.ZoneReport) bool {
+	h := v.reports[r.Source]
+	if h != nil && !v.newerReport(h, r, now) {
+		if r.SourceLost && r.Incarnation == h.report.Incarnation && r.Seq == h.report.Seq {
+			v.drop(r.Source, h.heard)
+			v.noteLost(now)
+		}
+		return true
+	}
+	members := v.resolve(h, r)
+	if members == nil {
+		return false
+	}
+	evidence := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	next := &held{report: r, members: members, heard: evidence, direct: carrierZone != v.self.Zone}
+	next.abroad = next.direct && v.regionOf(from) != v.self.Region
+	next.newSet = h == nil || h.report.Digest != r.Digest || h.newSet
+	next.news = next.newSet || h.news || h.report.Applied != r.Applied || !slices.Equal(h.report.Behind, r.Behind)
+	v.urgent = v.urgent || next.news
+	if h != nil {
+		v.dropMissing(h.members, members, evidence)
+	}
+	v.reports[r.Source] = next
+	v.observeReport(next, from, now)
+	next.report = proto.Clone(r).(*pb.ZoneReport)
+	next.report.Members = nil
+	return true
+}
+
+func (v *View) newerReport(h *held, r *pb.ZoneReport, now time.Time) bool {
+	if r.Incarnation != h.report.Incarnation {
+		return r.Incarnation > h.report.Incarnation || now.Sub(h.heard) > FarAfter
+	}
+	return r.Seq > h.report.Seq
+}
+
+func (v *View) regionOf(id string) string {
+	if s := v.members[id]; s != nil {
+		return s.Member.Region
+	}
+	return ""
+}
+
+// resolve returns the members of a report: those that it carries, or those already held
+// under its digest.
+func (v *View) resolve(h *held, r *pb.ZoneReport) []*pb.Member {
+	if len(r.Members) > 0 {
+		if setDigest(r.Members) != r.Digest {
+			return nil
+		}
+		return r.Members
+	}
+	if h != nil && h.report.Digest == r.Digest {
+		return h.members
+	}
+	for _, other := range v.reports {
+		if other.report.Zone == r.Zone && other.report.Digest == r.Digest {
+			return other.members
+		}
+	}
+	return nil
+}
+
+func (v *View) dropMissing(before, after []*pb.Member, evidence time.Time) {
+	present := map[string]bool{}
+	for _, m := range after {
+		present[m.Id] = true
+	}
+	for _, m := range before {
+		if !present[m.Id] {
+			v.drop(m.Id, evidence)
+		}
+	}
+}
+
+// observeReport refreshes the members that a report vouches for.
+func (v *View) observeReport(h *held, from string, now time.Time) {
+	r := h.report
+	for i, bare := range h.members {
+		m := proto.Clone(bare).(*pb.Member)
+		m.AppliedOffset = r.Applied
+		if i < len(r.Behind) {
+			m.AppliedOffset -= int64(r.Behind[i])
+		}
+		if i < len(r.Loads) {
+			m.Load = r.Loads[i]
+		}
+		v.observe(m, h.heard, v.limit(m, r.Source, from), now)
+	}
+	if r.SourceLost {
+		v.drop(r.Source, h.heard)
+	}
+}
+
+// limit is the silence after which a member of another data centre is suspected.
+func (v *View) limit(m *pb.Member, source, from string) time.Duration {
+	switch {
+	case m.Region != v.self.Region:
+		return FarAfter
+	case m.Id != source:
+		return VouchedAfter
+	case from == source:
+		return SuspectAfter
+	}
+	return RelayedAfter
+}
+
+// Request answers a daemon that lacks the members of reports.
+func (v *View) Request(now time.Time, from string, m *pb.ZoneRequest) []Send {
+	var reports []*pb.ZoneReport
+	for _, source := range m.Sources {
+		if source == v.self.Id {
+			reports = append(reports, v.makeReport(now))
+		} else if h := v.reports[source]; h != nil {
+			reports = append(reports, v.passOn(h, now, true, true))
+		}
+	}
+	if len(reports) == 0 {
+		return nil
+	}
+	return []Send{{Address: m.Address, Message: v.envelope(from, reports)}}
+}
+
+// passOn copies a held report for another daemon.
+func (v *View) passOn(h *held, now time.Time, withMembers, withLoads bool) *pb.ZoneReport {
+	r := proto.Clone(h.report).(*pb.ZoneReport)
+	r.AgeMs = uint32(max(0, now.Sub(h.heard).Milliseconds()))
+	r.SourceLost = v.sourceLost(h, now)
+	if withMembers {
+		r.Members = h.members
+	}
+	if !withLoads {
+		r.Loads = nil
+	}
+	return r
+}
+
+// sourceLost reports whether the source is suspected and nothing newer is known of it.
+func (v *View) sourceLost(h *held, now time.Time) bool {
+	s := v.members[h.report.Source]
+	return s == nil || (v.Suspected(s, now) && !s.Heard.After(h.heard))
+}
+
+// noteLost makes news of sources that have just been lost.
+func (v *View) noteLost(now time.Time) {
+	for _, h := range v.reports {
+		if !h.lost && v.sourceLost(h, now) {
+			h.lost, h.news, v.urgent = true, true, true
+		}
+	}
+}
+
+func (v *View) envelope(to string, reports []*pb.ZoneReport) *pb.Envelope {
+	m := &pb.ZoneReports{
+		Address: v.self.PeerAddress,
+		Zone:    v.self.Zone,
+		Seq:     v.self.Seq,
+		Echo:    v.heardSeq(to),
+		Reports: reports,
+	}
+	return &pb.Envelope{Body: &pb.Envelope_ZoneReports{ZoneReports: m}}
+}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -1,85 +1,231 @@
-// Package member holds the pure view of the fleet's members and the roles that follow from it.
+// Package member holds the pure view of the fleet's members: who is live, which roles
+// follow from it, and the messages that keep the views of all daemons alike.
+//
+// Daemons of a data centre send each other heartbeats. One of them, the delegate, sends
+// the list of the members that it hears to the delegates of the region's other data
+// centres, and one delegate of each region to those of other regions. Every list is
+// passed on whole or by its digest, so a lost, repeated or late message does no harm.
 package member
 
 import (
-	"sort"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
-// Times of the failure detector.
+// Times of the failure detector. All are compared with ages on the daemon's own
+// monotonic clock.
 const (
-	// SuspectAfter is the age of a member's last heartbeat beyond which it gets no role.
+	// SuspectAfter is the silence after which a directly heard member gets no role.
 	SuspectAfter = 3 * time.Second
+	// RelayedAfter is the silence after which another data centre's delegate, heard
+	// through this data centre's own, gets no role.
+	RelayedAfter = 5 * time.Second
+	// VouchedAfter is the silence after which a member that only its delegate vouches
+	// for gets no role. It covers the change of two delegates.
+	VouchedAfter = 7 * time.Second
+	// FarAfter is the silence after which a member of another region gets no role.
+	FarAfter = 30 * time.Second
 	// ForgetAfter is the age beyond which a member is removed from the view.
 	ForgetAfter = 60 * time.Second
+	// LeftFor is how long a member that has left is kept, for the others to learn of it.
+	LeftFor = 15 * time.Second
 )
 
-// Status is a member with the time that it was last heard of.
+// Status is a member with the time of the newest evidence that it lives.
 type Status struct {
 	Member *pb.Member
 	Heard  time.Time
+
+	limit time.Duration // silence after which it is suspected
+	lost  bool          // whoever vouched for it has ceased to
+}
+
+// Place is an address from the settings or the platform's list.
+type Place struct {
+	Address string
+	Zone    string // empty when unknown
 }
 
-// View is what a daemon knows of the members, itself included.
+// Send is the action that sends a message to an address.
+type Send struct {
+	Address string
+	Message *pb.Envelope
+}
+
+// View is what a daemon knows of the members, itself included. Records that it hands
+// out are never changed.
 type View struct {
-	self    string
+	self    *pb.Member
+	changed uint64 // seq of the last change of the own record but for load and offset
+
 	members map[string]*Status
+	order   []string // ids of members, ordered; nil when stale
+	peers   map[string]*correspondent
+	reports map[string]*held // of other data centres, by source
+	own     ownReport
+	places  []Place
+
+	beats  uint64
+	urgent bool
+	pause  pauseCheck
 }
 
 // NewView returns a view that holds only the daemon itself.
 func NewView(self *pb.Member, now time.Time) *View {
-	v := &View{self: self.Id, members: map[string]*Status{}}
-	v.members[self.Id] = &Status{Member: proto.Clone(self).(*pb.Member), Heard: now}
+	v := &View{
+		self:    proto.Clone(self).(*pb.Member),
+		members: map[string]*Status{},
+		peers:   map[string]*correspondent{},
+		reports: map[string]*held{},
+	}
+	v.self.Seq = max(self.Seq, firstSeq(self.Incarnation))
+	v.changed = v.self.Seq + 1
+	v.pause = pauseCheck{lastTick: now, since: now, seq: v.self.Seq + 1, expected: 1, grace: startGrace}
+	v.observeSelf(now)
 	return v
 }
 
-// Observe takes in a member's record. Only a higher (incarnation, seq) refreshes it.
-// It reports whether the record was newer.
-func (v *View) Observe(m *pb.Member, now time.Time) bool {
+// SetPlaces sets the addresses where further daemons may be found.
+func (v *View) SetPlaces(places []Place) { v.places = places }
+
+// Self returns a copy of the daemon's own record.
+func (v *View) Self() *pb.Member { return proto.Clone(v.self).(*pb.Member) }
+
+// Update changes the daemon's own record. A change that peers have to know makes the
+// next messages urgent.
+func (v *View) Update(now time.Time, change func(self *pb.Member)) {
+	before := proto.Clone(v.self).(*pb.Member)
+	change(v.self)
+	if recordHash(before) != recordHash(v.self) || before.ConfigDigest != v.self.ConfigDigest {
+		v.changed = v.self.Seq + 1
+		v.urgent = true
+	}
+	if before.AppliedOffset != v.self.AppliedOffset {
+		v.urgent = true
+	}
+	v.observeSelf(now)
+}
+
+// Urgent reports whether something changed that peers have to know before the next beat.
+func (v *View) Urgent() bool { return v.urgent }
+
+func (v *View) observeSelf(now time.Time) {
+	if _, ok := v.members[v.self.Id]; !ok {
+		v.order = nil
+	}
+	v.members[v.self.Id] = &Status{Member: v.Self(), Heard: now}
+}
+
+// observe takes in evidence of a member.
+func (v *View) observe(m *pb.Member, evidence time.Time, limit time.Duration, now time.Time) {
+	if m.Id == v.self.Id {
+		return
+	}
 	old, ok := v.members[m.Id]
-	if ok && !newer(m, old.Member) {
-		return false
+	if ok && m.Incarnation < old.Member.Incarnation && !v.Suspected(old, now) {
+		return
+	}
+	if ok && m.Incarnation == old.Member.Incarnation && !evidence.After(old.Heard) {
+		return
+	}
+	if !ok {
+		if !v.takeAddress(m, evidence) {
+			return
+		}
+		v.order = nil
+	}
+	v.members[m.Id] = &Status{Member: m, Heard: evidence, limit: limit}
+}
+
+// takeAddress removes the earlier member at a new member's address. It reports false when
+// the known one is the later.
+func (v *View) takeAddress(m *pb.Member, evidence time.Time) bool {
+	for id, s := range v.members {
+		if s.Member.PeerAddress != m.PeerAddress {
+			continue
+		}
+		if id == v.self.Id || !s.Heard.Before(evidence) {
+			return false
+		}
+		delete(v.members, id)
 	}
-	v.members[m.Id] = &Status{Member: m, Heard: now}
 	return true
 }
 
-func newer(a, b *pb.Member) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+// drop marks a member whose source vouches for it no longer.
+func (v *View) drop(id string, evidence time.Time) {
+	if s, ok := v.members[id]; ok && !s.Heard.After(evidence) {
+		s.lost = true
 	}
-	return a.Seq > b.Seq
 }
 
-// Expire removes members that were not heard of for ForgetAfter.
-func (v *View) Expire(now time.Time) {
+// expire removes what was not heard of for long.
+func (v *View) expire(now time.Time) {
 	for id, s := range v.members {
-		if id != v.self && now.Sub(s.Heard) > ForgetAfter {
+		age := now.Sub(s.Heard)
+		left := s.Member.State == pb.MemberState_MEMBER_STATE_LEFT && age > LeftFor
+		if id != v.self.Id && (left || age > ForgetAfter) {
 			delete(v.members, id)
+			v.order = nil
+		}
+	}
+	for id, p := range v.peers {
+		if now.Sub(p.heard) > ForgetAfter {
+			delete(v.peers, id)
+		}
+	}
+	for id, h := range v.reports {
+		if now.Sub(h.heard) > ForgetAfter {
+			delete(v.reports, id)
 		}
 	}
 }
 
-// Suspected reports whether the member's heartbeats stay out.
+// Suspected reports whether the member's signs of life stay out.
 func (v *View) Suspected(s *Status, now time.Time) bool {
-	return s.Member.Id != v.self && now.Sub(s.Heard) > SuspectAfter
+	if s.Member.Id == v.self.Id {
+		return false
+	}
+	return s.lost || v.pause.effective(now).Sub(s.Heard) > s.limit
+}
+
+// Reason tells why a member is suspected; it is empty for others.
+func (v *View) Reason(s *Status, now time.Time) string {
+	switch {
+	case !v.Suspected(s, now):
+		return ""
+	case s.lost:
+		return "its data centre hears it no longer"
+	case s.Member.Zone == v.self.Zone:
+		return "no heartbeat"
+	}
+	return "no report from its data centre"
 }
 
 // All returns every known member, ordered by id.
 func (v *View) All() []Status {
-	out := make([]Status, 0, len(v.members))
-	for _, s := range v.members {
-		out = append(out, *s)
+	if v.order == nil {
+		for id := range v.members {
+			v.order = append(v.order, id)
+		}
+		slices.Sort(v.order)
+	}
+	out := make([]Status, 0, len(v.order))
+	for _, id := range v.order {
+		if s, ok := v.members[id]; ok {
+			out = append(out, *s)
+		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Member.Id < out[j].Member.Id })
 	return out
 }
 
+// Get returns a known member, or nil.
+func (v *View) Get(id string) *Status { return v.members[id] }
+
 // Live returns the members that are neither suspected nor left, ordered by id.
 func (v *View) Live(now time.Time) []*pb.Member {
 	var out []*pb.Member
@@ -91,29 +237,3 @@
 	}
 	return out
 }
-
-// Owner returns the member that a key belongs to, by rendezvous hashing (Thaler and
-// Ravishankar 1998), or nil when there are no members. Draining members own nothing
-// while another is left.
-func Owner(key string, members []*pb.Member) *pb.Member {
-	var best *pb.Member
-	var bestScore uint64
-	bestDraining := true
-	for _, m := range members {
-		draining := m.State == pb.MemberState_MEMBER_STATE_DRAINING
-		score := Score(key, m.Id)
-		better := best == nil || (bestDraining && !draining)
-		if !better && draining == bestDraining {
-			better = score > bestScore
-		}
-		if better {
-			best, bestScore, bestDraining = m, score, draining
-		}
-	}
-	return best
-}
-
-// Score is the rendezvous weight of a member for a key.
-func Score(key, memberID string) uint64 {
-	return xxhash.Sum64String(key + "\x00" + memberID)
-}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -99,10 +99,8 @@
 	}
 	for _, m := range s.opts.Members.All() {
 		status := &pb.MemberStatus{Member: m.Member, AgeMs: now.Sub(m.Heard).Milliseconds()}
-		if s.opts.Members.Suspected(m, now) {
-			status.Suspected = true
-			status.Reason = "no heartbeat"
-		}
+		status.Reason = s.opts.Members.Reason(m, now)
+		status.Suspected = status.Reason != ""
 		out.Members = append(out.Members, status)
 	}
 	for _, m := range s.opts.Members.Live(now) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"net"
-	"sync/atomic"
+	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcconn"
-
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
-// redialDelay is the pause before a link is dialed again.
-const redialDelay = 200 * time.Millisecond
+// Pauses before a link is dialed again; they double while no connection stands.
+const (
+	redialDelay    = 200 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
+)
 
 // link sends messages to one peer. It replaces its connection when a Pong stays out,
 // which finds connections that went silent without being closed.
@@ -23,6 +22,7 @@
 	queue   chan *pb.Envelope
 	ctx     context.Context
 	cancel  context.CancelFunc
+	refused bool // the peer's last answer was that the secret does not match
 }
 
 func newLink(m *Mesh, address string) *link {
@@ -39,51 +39,36 @@
 }
 
 func (l *link) run() {
+	delay := redialDelay
 	for l.ctx.Err() == nil {
-		err := l.session()
+		answered, err := l.session()
 		if l.ctx.Err() != nil {
 			return
 		}
-		l.mesh.opts.Logger.Debug("Link ended, dialing again.", "peer", l.address, "error", err)
+		delay = min(2*delay, maxRedialDelay)
+		if answered {
+			delay = redialDelay
+		}
+		l.note(answered, err)
 		select {
 		case <-l.ctx.Done():
-		case <-time.After(redialDelay):
+		case <-time.After(delay):
 		}
 	}
 }
 
-// session dials once and sends until the connection fails or falls silent.
-func (l *link) session() error {
-	ctx, cancel := context.WithCancel(l.ctx)
-	defer cancel()
-	dialer := net.Dialer{Timeout: l.mesh.opts.DialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", l.mesh.dialAddress(l.address))
-	if err != nil {
-		l.discard()
-		return err
+// note logs why a connection ended. A peer that refuses the secret is told once, until it
+// takes a connection.
+func (l *link) note(answered bool, err error) {
+	refused := err != nil && strings.Contains(err.Error(), ErrUnauthenticated.Error())
+	if refused && !l.refused {
+		l.mesh.opts.Logger.Warn("Peer refuses the secret or the clock of this daemon.", "peer", l.address, "error", err)
 	}
-	conn := drpcconn.New(raw)
-	defer func() { _ = conn.Close() }()
-	// Closing the socket unblocks a write that waits on a silent connection.
-	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
-	defer stop()
-
-	stream, err := pb.NewDRPCMeshClient(conn).Session(withToken(ctx, l.mesh.opts.Secret, l.mesh.opts.ID))
-	if err != nil {
-		return err
+	if answered && l.refused {
+		l.mesh.opts.Logger.Info("Peer takes the secret again.", "peer", l.address)
 	}
-	var lastPong atomic.Int64
-	lastPong.Store(time.Now().UnixNano())
-	go func() {
-		defer cancel()
-		for {
-			if _, err := stream.Recv(); err != nil {
-				return
-			}
-			lastPong.Store(time.Now().UnixNano())
-		}
-	}()
-	return l.pump(ctx, cancel, stream, &lastPong)
+	l.refused = refused || (l.refused && !answered)
+	l.mesh.opts.Logger.Debug("Link ended, dialing again.", "peer", l.address, "error", err)
 }
 
 // discard drops messages that would be stale by the time a connection stands.
@@ -97,57 +82,14 @@
 	}
 }
 
-func (l *link) pump(ctx context.Context, cancel func(), stream pb.DRPCMesh_SessionClient, lastPong *atomic.Int64) error {
-	ticker := time.NewTicker(l.mesh.opts.PingInterval)
-	defer ticker.Stop()
-	go l.watch(ctx, cancel, lastPong)
-	seq := uint64(0)
-	for {
-		var env *pb.Envelope
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case env = <-l.queue:
-		case <-ticker.C:
-			seq++
-			env = &pb.Envelope{
-				From:        l.mesh.opts.ID,
-				Incarnation: l.mesh.opts.Incarnation,
-				Body:        &pb.Envelope_Ping{Ping: &pb.Ping{Seq: seq}},
-			}
-		}
-		if err := stream.Send(env); err != nil {
-			return err
-		}
-		l.mesh.opts.Counter(proto.Size(env), true, kind(env), l.address)
-	}
-}
-
-// watch cancels the session when no Pong came within the timeout.
-func (l *link) watch(ctx context.Context, cancel func(), lastPong *atomic.Int64) {
-	ticker := time.NewTicker(l.mesh.opts.PingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			silence := now.Sub(time.Unix(0, lastPong.Load()))
-			if silence > l.mesh.opts.PongTimeout {
-				l.mesh.opts.Logger.Info("Replaced a silent link.", "peer", l.address, "silence", silence)
-				cancel()
-				return
-			}
-		}
-	}
-}
-
 func kind(env *pb.Envelope) string {
 	switch env.Body.(type) {
 	case *pb.Envelope_Ping:
 		return "ping"
 	case *pb.Envelope_Heartbeat:
 		return "heartbeat"
+	case *pb.Envelope_ZoneReports, *pb.Envelope_ZoneRequest:
+		return "zone_reports"
 	case *pb.Envelope_DemandReport:
 		return "demand"
 	case *pb.Envelope_GrantBatch:
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -30,13 +30,15 @@
 	DialTimeout  time.Duration
 	QueueLength  int // messages that wait for one peer; further ones are dropped
 	Logger       *slog.Logger
-	Counter      func(bytes int, sent bool, kind string, peer string) // counts the payload of control messages; may be nil
+	// Counter counts the payload of control messages; peer is the address of the peer for
+	// a sent message or a Pong received, and its member id otherwise. It may be nil.
+	Counter func(bytes int, sent bool, kind string, peer string)
 }
 
 // Defaults of Options.
 const (
 	DefaultPingInterval = 500 * time.Millisecond
-	DefaultPongTimeout  = 2 * time.Second
+	DefaultPongTimeout  = 1500 * time.Millisecond
 	DefaultDialTimeout  = 2 * time.Second
 	DefaultQueueLength  = 1024
 )
@@ -51,6 +53,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	refusals refusals
 }
 
 // NewMesh returns a mesh that is not yet serving.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 // Session implements the Mesh service.
 func (s *sessionServer) Session(stream pb.DRPCMesh_SessionStream) error {
 	if err := checkToken(stream.Context(), s.mesh.opts.Secret, time.Now()); err != nil {
+		s.mesh.refusals.note(stream.Context(), err, s.mesh.opts.Logger)
 		return err
 	}
 	for {
@@ -26,9 +27,11 @@
 		}
 		s.mesh.opts.Counter(proto.Size(env), false, kind(env), env.From)
 		if ping := env.GetPing(); ping != nil {
-			if err := stream.Send(&pb.Pong{Seq: ping.Seq}); err != nil {
+			pong := &pb.Pong{Seq: ping.Seq}
+			if err := stream.Send(pong); err != nil {
 				return errors.Wrap(err, "answer ping")
 			}
+			s.mesh.opts.Counter(proto.Size(pong), true, "pong", env.From)
 			continue
 		}
 		s.mesh.opts.Handler(env)
