Let a Ctrl-C stop the sample fleet in order

Cause: the terminal's interrupt reached the stand-ins too, so they ended before the daemons had drained; and go run answered with status 1. Change: processes of test fleets have a group of their own; make run starts the built fleet.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 	./scripts/generate-check.sh
 
 run: build # a fleet on this machine; ONCE=1 ends after one round
-	$(GO) run ./test/fleet $(if $(ONCE),--once)
+	@$(GO) build -o bin/ ./test/fleet
+	@./bin/fleet $(if $(ONCE),--once)
 
 measure: build # the ways of sharing capacity, in one run
 	$(GO) run ./test/measure/dispatch
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -33,6 +33,8 @@
 func Start(name, bin string, logs io.Writer, args ...string) (*Process, error) {
 	p := &Process{Name: name, cmd: exec.Command(bin, args...), done: make(chan struct{})}
 	p.cmd.Stderr = logs
+	// A Ctrl-C in the terminal is for the starter, which stops the processes in order.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
