Add the engine client with resume, retry budgets, server health and resume tokens

Cause: the engine client could neither resume nor cancel, and told an event of another attempt by an error. Ruled out: go-zero's breaker for health (it refuses by chance, and per call site); tokens kept in a daemon's memory (they die with the daemon). An error event that some engines send without a type, and an end marker without a final event, count as failures. The relay does not use it yet, so this commit does not build as a whole.

--- a/internal/answer/event.go
+++ b/internal/answer/event.go
@@ -20,6 +20,7 @@
 type Received struct {
 	Attempt string // that the event names; empty when its id is malformed
 	Offset  int    // place in the answer, from 0; NoOffset when the event has no id
+	Final   bool   // it tells why the answer ends
 }
 
 // Ended is the end marker of the engine's stream.
--- a/internal/answer/machine.go
+++ b/internal/answer/machine.go
@@ -31,6 +31,7 @@
 	next     int
 	resumes  int
 	silences int
+	final    bool // the event that tells why the answer ends was forwarded
 	over     bool
 }
 
@@ -97,18 +98,19 @@
 		return m.broken(now)
 	}
 	m.next++
+	m.final = m.final || e.Final
 	m.resumes = 0
 	m.silences = 0
 	return Action{Kind: Forward}
 }
 
-// ended takes the end marker for the end only after an event: an engine that ends
-// without a word has failed.
+// ended takes the end marker for the end only after the final event. A continued answer
+// may have had that before.
 func (m *Machine) ended(now time.Time) Action {
-	if !m.Begun() {
-		return m.giveUp(now, result.ServerFailed, result.ServerError, true)
+	if m.final || m.opts.Continued {
+		return Action{Kind: Finish}
 	}
-	return Action{Kind: Finish}
+	return m.broken(now)
 }
 
 // connected counts as life before the first event, while the engine may hold the
--- a/internal/answer/machine_test.go
+++ b/internal/answer/machine_test.go
@@ -27,11 +27,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		buffered := rapid.Bool().Draw(t, "buffered")
 		m := machine(func(o *Options) { o.Buffered = buffered })
-		forwarded, over := 0, false
+		forwarded, over, final := 0, false, false
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			var e Event = Received{
 				Attempt: rapid.SampledFrom([]string{"a", "a", "a", "b", ""}).Draw(t, "attempt"),
 				Offset:  rapid.IntRange(max(0, forwarded-2), forwarded+1).Draw(t, "offset"),
+				Final:   rapid.IntRange(0, 3).Draw(t, "final") == 0,
 			}
 			if rapid.IntRange(0, 5).Draw(t, "other") == 0 {
 				e = rapid.SampledFrom(events).Draw(t, "event")
@@ -43,10 +44,13 @@
 			}
 			switch action.Kind {
 			case Forward:
-				require.Equal(t, Received{Attempt: "a", Offset: forwarded}, e)
+				received := e.(Received)
+				require.Equal(t, "a", received.Attempt)
+				require.Equal(t, forwarded, received.Offset)
+				final = final || received.Final
 				forwarded++
 			case Finish:
-				require.Positive(t, forwarded)
+				require.True(t, final)
 				over = true
 			case Resume:
 				require.Equal(t, forwarded-1, action.Last)
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -1,58 +1,26 @@
-// Package backend holds the clients of model engines and plain services.
 package backend
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/url"
 	"strconv"
-	"strings"
-	"time"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tmaxmax/go-sse"
 )
 
-// HeaderRequestID carries the id of an attempt, which the engine echoes.
-const HeaderRequestID = "X-Request-Id"
+// headerLastEventID names the last event that the client has.
+const headerLastEventID = "Last-Event-ID"
 
-// Sizes and times of the clients.
-const (
-	dialTimeout     = 2 * time.Second
-	maxEventBytes   = 4 << 20
-	maxAnswerBytes  = 64 << 20
-	idleConnections = 256 // kept for each backend server
-	idleTimeout     = 30 * time.Second
-)
-
-// Errors of the clients.
-var (
-	// ErrNotSent means that no byte of the request can have reached the backend server.
-	ErrNotSent = errors.New("request was not sent")
-	// ErrForeignEvent means that an event belongs to another attempt.
-	ErrForeignEvent = errors.New("event of another attempt")
-)
+// maxErrorBytes bounds what is read of an answer other than 200.
+const maxErrorBytes = 1 << 20
 
-// NewTransport returns the transport to backend servers. It is net/http's own and not
-// go-zero's httpc, whose breaker would refuse requests that a server could run.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, errors.Mark(err, ErrNotSent)
-			}
-			return conn, nil
-		},
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-}
+// ErrForgotten means that the engine does not know the attempt.
+var ErrForgotten = errors.New("engine does not know the attempt")
 
 // Engine is a client of model engines.
 type Engine struct {
@@ -64,120 +32,82 @@
 	return &Engine{client: &http.Client{Transport: transport}}
 }
 
-// Event is one server-sent event of an answer.
-type Event struct {
-	Offset int    // of the token in the answer, from 0; -1 for an event without one
-	Data   string // JSON of a chunk, or Done
-}
-
-// Done is the data of the last event of an answer.
-const Done = "[DONE]"
-
-// StatusError is an answer of a backend server other than 200.
-type StatusError struct {
-	Status int
-	Body   []byte
-}
-
-// Error tells the status.
-func (e *StatusError) Error() string { return "backend server answered " + strconv.Itoa(e.Status) }
-
-// Stream posts the request and returns its events until the answer ends. The caller
-// stops the engine by ending the context.
-func (e *Engine) Stream(ctx context.Context, address, attempt string, body []byte) (func(func(Event, error) bool), error) {
-	resp, err := e.post(ctx, address, attempt, body)
-	if err != nil {
-		return nil, err
-	}
-	return events(resp.Body, attempt), nil
-}
-
-func (e *Engine) post(ctx context.Context, address, attempt string, body []byte) (*http.Response, error) {
-	url := "http://" + address + "/v1/chat/completions"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+// Start posts the request, which asks for a stream, and returns its stream. It returns a
+// StatusError for an answer other than 200, and an error marked ErrNotSent when no byte of the
+// request can have reached the engine. Ending the context closes the connection.
+func (e *Engine) Start(ctx context.Context, address, attempt string, body []byte) (*Stream, error) {
+	connected := &atomic.Bool{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, attempt)
-	resp, err := e.client.Do(req)
-	if err != nil {
-		return nil, errors.Wrap(err, "post to engine")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, statusError(resp)
+	stream, err := e.open(req, attempt)
+	if err != nil && !connected.Load() {
+		return nil, errors.Mark(err, ErrNotSent)
 	}
-	return resp, nil
+	return stream, err
 }
 
-func statusError(resp *http.Response) error {
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+// Resume continues the stream of an attempt after the event at offset last; -1 is from the
+// start. It returns an error marked ErrForgotten when the engine does not know the attempt.
+func (e *Engine) Resume(ctx context.Context, address, attempt string, last int) (*Stream, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, attemptURL(address, attempt), nil)
 	if err != nil {
-		return errors.Wrap(err, "read error answer")
+		return nil, errors.Wrap(err, "resume")
 	}
-	return &StatusError{Status: resp.StatusCode, Body: body}
-}
-
-func events(body io.ReadCloser, attempt string) func(func(Event, error) bool) {
-	return func(yield func(Event, error) bool) {
-		defer func() { _ = body.Close() }()
-		for raw, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
-			if err != nil {
-				yield(Event{}, errors.Wrap(err, "read event"))
-				return
-			}
-			event, err := parseEvent(raw, attempt)
-			if errors.Is(err, ErrForeignEvent) {
-				continue
-			}
-			if !yield(event, err) || err != nil {
-				return
-			}
-		}
+	if last >= 0 {
+		req.Header.Set(headerLastEventID, attempt+":"+strconv.Itoa(last))
+	}
+	stream, err := e.open(req, attempt)
+	var status *StatusError
+	if errors.As(err, &status) && status.Status < http.StatusInternalServerError && status.Status != http.StatusTooManyRequests {
+		return nil, errors.Mark(err, ErrForgotten)
 	}
+	return stream, err
 }
 
-// parseEvent checks that the event belongs to the attempt.
-func parseEvent(raw sse.Event, attempt string) (Event, error) {
-	event := Event{Offset: -1, Data: raw.Data}
-	if raw.LastEventID == "" {
-		return event, nil
-	}
-	id, offset, ok := strings.Cut(raw.LastEventID, ":")
-	if !ok || id != attempt {
-		return Event{}, ErrForeignEvent
+// Cancel ends the attempt at the engine. An engine that does not run it is no error.
+func (e *Engine) Cancel(ctx context.Context, address, attempt string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, attemptURL(address, attempt), nil)
+	if err != nil {
+		return errors.Wrap(err, "cancel")
 	}
-	n, err := strconv.Atoi(offset)
+	resp, err := e.client.Do(req)
 	if err != nil {
-		return Event{}, errors.Wrapf(err, "event id %q", raw.LastEventID)
+		return errors.Wrap(err, "cancel")
 	}
-	event.Offset = n
-	return event, nil
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return statusError(resp)
+	}
+	return nil
 }
 
-// Usage is the count of tokens that an engine reports at the end of an answer.
-type Usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
+func attemptURL(address, attempt string) string {
+	return "http://" + address + "/v1/chat/completions/" + url.PathEscape(attempt)
 }
 
-// Whole posts the request and returns the whole answer with its usage.
-func (e *Engine) Whole(ctx context.Context, address, attempt string, body []byte) ([]byte, Usage, error) {
-	resp, err := e.post(ctx, address, attempt, body)
-	if err != nil {
-		return nil, Usage{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+func (e *Engine) open(req *http.Request, attempt string) (*Stream, error) {
+	resp, err := e.client.Do(req)
 	if err != nil {
-		return nil, Usage{}, errors.Wrap(err, "read answer")
+		return nil, errors.Wrap(err, "connect to engine")
 	}
-	var parsed struct {
-		Usage Usage `json:"usage"`
+	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }()
+		return nil, statusError(resp)
 	}
-	if err := json.Unmarshal(answer, &parsed); err != nil {
-		return nil, Usage{}, errors.Wrap(err, "answer is not JSON")
+	return &Stream{body: resp.Body, attempt: attempt}, nil
+}
+
+func statusError(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return errors.Wrap(err, "read error answer")
 	}
-	return answer, parsed.Usage, nil
+	return &StatusError{Status: resp.StatusCode, Header: resp.Header, Body: body}
 }
--- /dev/null
+++ b/internal/health/health.go
@@ -0,0 +1,102 @@
+// Package health holds the pure decisions on which backend servers a daemon avoids,
+// from the outcomes of its own attempts. It has no clock, goroutine or lock.
+package health
+
+import "time"
+
+// Bounds of the decisions.
+const (
+	Failures     = 3 // in a row that close a server
+	FirstClosure = time.Second
+	MaxClosure   = 30 * time.Second
+)
+
+// State tells whether a server is used.
+type State int
+
+// The states of a server.
+const (
+	Open      State = iota
+	Closed          // avoided until the closure ends
+	Probation       // one attempt at a time decides whether it opens
+)
+
+// Tracker keeps the outcomes of each server. It is not safe for concurrent use.
+type Tracker struct {
+	servers map[string]*server
+}
+
+type server struct {
+	failures int // in a row
+	closures int // in a row
+	until    time.Time
+	probe    time.Time // start of the attempt on probation; zero for none
+}
+
+// NewTracker returns a tracker that takes every server for open.
+func NewTracker() *Tracker { return &Tracker{servers: map[string]*server{}} }
+
+// Succeeded records an attempt that the server answered.
+func (t *Tracker) Succeeded(id string) { delete(t.servers, id) }
+
+// Failed records an attempt that the server did not answer or refused.
+func (t *Tracker) Failed(now time.Time, id string) {
+	s, ok := t.servers[id]
+	if !ok {
+		s = &server{}
+		t.servers[id] = s
+	}
+	s.failures++
+	if s.failures < Failures || now.Before(s.until) {
+		return // an attempt that began before the closure does not prolong it
+	}
+	s.until = now.Add(min(FirstClosure<<min(s.closures, 10), MaxClosure))
+	s.closures++
+	s.probe = time.Time{}
+}
+
+// State returns the state of a server.
+func (t *Tracker) State(now time.Time, id string) State {
+	s, ok := t.servers[id]
+	switch {
+	case !ok || s.closures == 0:
+		return Open
+	case now.Before(s.until):
+		return Closed
+	default:
+		return Probation
+	}
+}
+
+// Admit reports whether an attempt on the server may start. On probation it admits one
+// attempt, and another when that one has no outcome after the longest closure.
+func (t *Tracker) Admit(now time.Time, id string) bool {
+	switch t.State(now, id) {
+	case Closed:
+		return false
+	case Probation:
+		s := t.servers[id]
+		if !s.probe.IsZero() && now.Sub(s.probe) < MaxClosure {
+			return false
+		}
+		s.probe = now
+	}
+	return true
+}
+
+// Until returns when the closure of a server ends; the zero time when it is not closed.
+func (t *Tracker) Until(id string) time.Time {
+	if s, ok := t.servers[id]; ok {
+		return s.until
+	}
+	return time.Time{}
+}
+
+// Keep drops the servers that the function does not name.
+func (t *Tracker) Keep(known func(id string) bool) {
+	for id := range t.servers {
+		if !known(id) {
+			delete(t.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,47 @@
+// Package retry bounds how many requests run again on another backend server.
+package retry
+
+import "time"
+
+// Settings of a Budget.
+const (
+	Share     = 0.1 // retries for each request
+	PerSecond = 1.0 // retries allowed without any requests
+	Burst     = 10  // retries saved up at most
+)
+
+// Budget is a token bucket that requests fill and retries empty, so that retries stay a
+// fixed share of the requests when many backend servers fail at once (the retry budget of
+// the SRE book, chapter 21). It is not safe for concurrent use.
+type Budget struct {
+	tokens float64
+	filled time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(now time.Time) *Budget { return &Budget{tokens: Burst, filled: now} }
+
+// Request adds the share of one request.
+func (b *Budget) Request(now time.Time) {
+	b.fill(now)
+	b.add(Share)
+}
+
+// Take takes one retry, and reports false when the budget is empty.
+func (b *Budget) Take(now time.Time) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) fill(now time.Time) {
+	if elapsed := now.Sub(b.filled); elapsed > 0 {
+		b.filled = now
+		b.add(PerSecond * elapsed.Seconds())
+	}
+}
+
+func (b *Budget) add(tokens float64) { b.tokens = min(Burst, b.tokens+tokens) }
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,35 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestRetriesStayAShareOfRequests lets every request ask for retries without end.
+func TestRetriesStayAShareOfRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		b := NewBudget(now)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(-5, 50).Draw(t, "ms")) * time.Millisecond)
+			requests++
+			b.Request(now)
+			for b.Take(now) {
+				retries++
+			}
+		}
+		allowed := Burst + Share*float64(requests) + PerSecond*(500*50*time.Millisecond).Seconds()
+		require.LessOrEqual(t, float64(retries), allowed)
+	})
+	b := NewBudget(time.Unix(1000, 0))
+	for range Burst {
+		require.True(t, b.Take(time.Unix(1000, 0)))
+	}
+	require.False(t, b.Take(time.Unix(1000, 0)))
+	require.True(t, b.Take(time.Unix(1002, 0)))
+}
