--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,12 +16,6 @@
 	"github.com/filbertrill/filbertrill/internal/controller/members"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
-	"github.com/filbertrill/filbertrill/internal/filter"
-	"github.com/filbertrill/filbertrill/internal/filter/admit"
-	"github.com/filbertrill/filbertrill/internal/filter/attempt"
-	"github.com/filbertrill/filbertrill/internal/filter/decode"
-	"github.com/filbertrill/filbertrill/internal/filter/identify"
-	"github.com/filbertrill/filbertrill/internal/filter/record"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/operator"
 	"github.com/filbertrill/filbertrill/internal/peer"
@@ -128,6 +122,7 @@
 		Incarnation: incarnation,
 		Members:     d.members,
 		Sender:      d.mesh,
+		Load:        backend.NewEngine(backend.NewTransport()).Load,
 		Zone:        d.settings.Zone,
 		Scope:       dispatch.Scope(d.settings.DispatchScope),
 		Order:       core.Order(d.settings.DispatchOrder),
@@ -149,12 +144,14 @@
 
 func (d *Daemon) openEntry() error {
 	host, port := hostPort(d.settings.Listen)
+	attempts := d.attemptOptions()
 	server, err := entry.NewServer(entry.Options{
 		Host:    host,
 		Port:    port,
 		Config:  d.config.Current,
 		Members: d.members,
-		Chain:   d.chain(),
+		Chain:   d.chain(attempts),
+		Resume:  d.resumeChain(attempts),
 		Metrics: d.scrape,
 		Logger:  logging.For(logging.Entry),
 	})
@@ -162,26 +159,6 @@
 	return err
 }
 
-func (d *Daemon) chain() filter.Handler {
-	transport := backend.NewTransport()
-	last := attempt.New(attempt.Options{
-		Acquirer: d.dispatch,
-		Engine:   backend.NewEngine(transport),
-		Plain:    backend.NewPlain(transport),
-		Metrics:  d.metrics,
-	})
-	return filter.Chain(last,
-		record.New(d.metrics, logging.For(logging.Entry)),
-		identify.New(),
-		decode.New(d.settings.MaxBody),
-		admit.New(admit.Options{
-			Queues:     d.dispatch,
-			MaxBytes:   d.settings.MaxHeld,
-			RetryAfter: func(string, string) time.Duration { return time.Second },
-		}),
-	)
-}
-
 // handle routes a message of a peer to its controller.
 func (d *Daemon) handle(env *pb.Envelope) {
 	if d.members.Handle(env) {
@@ -191,7 +168,7 @@
 	case *pb.Envelope_DemandReport:
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
-		d.dispatch.GrantBatch(body.GrantBatch)
+		d.dispatch.GrantBatch(env.From, body.GrantBatch, time.Now())
 	}
 }
 
