--- /dev/null
+++ b/test/measure/slopes/dispatch.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/dispatch"
+)
+
+// Sizes of a pool at the size to come: one model in one data centre.
+const (
+	poolDaemons  = 22
+	poolServers  = 4
+	poolAccounts = 65 // backlogged at once
+	poolRuns     = 14 // of each daemon
+)
+
+// dispatchSeries measures a dispatcher that takes in a daemon's report and grants the slot
+// that it freed, and the heap of its state.
+func dispatchSeries() []series {
+	return []series{
+		{"dispatch.report_runs", "us", "run", []int{4, 14, 50, 200}, func(n int) float64 { return reportTime(poolDaemons, poolAccounts, n) }},
+		{"dispatch.report_accounts", "us", "account", []int{16, 65, 200, 650}, func(n int) float64 { return reportTime(poolDaemons, n, poolRuns) }},
+		{"dispatch.report_daemons", "us", "daemon", []int{3, 7, 22, 50}, func(n int) float64 { return reportTime(n, poolAccounts, poolRuns) }},
+		{"dispatch.heap", "bytes", "daemon", []int{3, 7, 22, 50}, func(n int) float64 {
+			return heapBytes(func() any { return newPool(n, poolAccounts, poolRuns) })
+		}},
+	}
+}
+
+// pool is a dispatcher with daemons whose accounts are all backlogged.
+type pool struct {
+	now        time.Time
+	dispatcher *dispatch.Dispatcher
+	queues     []*dispatch.Queue
+	accounts   int
+	next       dispatch.RequestID
+	running    [][]dispatch.RequestID
+}
+
+func newPool(daemons, accounts, runs int) *pool {
+	p := &pool{now: time.Unix(1, 0), accounts: accounts, running: make([][]dispatch.RequestID, daemons)}
+	spec := dispatch.Pool{Name: "z01", Accounts: map[string]dispatch.AccountSpec{}}
+	for i := range accounts {
+		spec.Accounts[accountName(i)] = dispatch.AccountSpec{Weight: 1}
+	}
+	slots := (daemons*runs + poolServers - 1) / poolServers
+	for i := range poolServers {
+		spec.Servers = append(spec.Servers, dispatch.ServerSpec{ID: fmt.Sprintf("server-%d", i), Slots: slots, Open: true})
+	}
+	var names []string
+	for i := range daemons {
+		names = append(names, daemonName(i))
+		p.queues = append(p.queues, dispatch.NewQueue(uint64(i+1), dispatch.OrderFair))
+	}
+	p.dispatcher = dispatch.NewDispatcher(p.now, 1, spec, names)
+	for i := range daemons {
+		for range runs + 2*accounts {
+			p.enqueue(i)
+		}
+	}
+	for range 3 {
+		for i := range daemons {
+			p.report(i)
+		}
+	}
+	return p
+}
+
+func accountName(i int) string { return fmt.Sprintf("account-%04d", i) }
+
+func daemonName(i int) string { return fmt.Sprintf("d%03d", i) }
+
+func (p *pool) enqueue(daemon int) {
+	p.next++
+	p.queues[daemon].Enqueue(dispatch.Request{
+		ID: p.next, Account: accountName(int(p.next) % p.accounts), Arrived: p.now,
+		Hint: dispatch.Hint{Least: 10, Guess: 500, Limit: 1000},
+	})
+}
+
+// report sends a daemon's report and delivers the grants that follow.
+func (p *pool) report(daemon int) {
+	p.now = p.now.Add(time.Millisecond)
+	sends := p.dispatcher.Report(p.now, daemonName(daemon), p.queues[daemon].Report(p.now))
+	for _, s := range sends {
+		var to int
+		if _, err := fmt.Sscanf(s.Reporter, "d%d", &to); err != nil {
+			panic(err)
+		}
+		for _, start := range p.queues[to].Grants(p.now, s.Batch) {
+			p.running[to] = append(p.running[to], start.Request)
+		}
+	}
+}
+
+// turn ends a daemon's oldest run and brings a new request in its place.
+func (p *pool) turn(daemon int) {
+	if runs := p.running[daemon]; len(runs) > 0 {
+		p.queues[daemon].End(p.now, runs[0], 300, false)
+		p.running[daemon] = runs[1:]
+	}
+	p.enqueue(daemon)
+	p.report(daemon)
+}
+
+// reportTime is the time of one end, one arrival, the report of both and the grant.
+func reportTime(daemons, accounts, runs int) float64 {
+	p := newPool(daemons, accounts, runs)
+	daemon := 0
+	return microseconds(func() {
+		daemon = (daemon + 1) % daemons
+		p.turn(daemon)
+	})
+}
