--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -49,6 +49,7 @@
 	StreamBroken    Code = 2001
 	ServerFailed    Code = 2002
 	AnswerIdleLimit Code = 2003
+	CallerGone      Code = 2010
 )
 
 // Requests whose outcome is unknown.
@@ -57,6 +58,7 @@
 	ServerSilent          Code = 3002
 	EarlierOutcomeUnknown Code = 3003
 	Internal              Code = 3004
+	ServerError           Code = 3010
 )
 
 // Requests of operators.
