Test the dispatch core over seeds in virtual time

Cause: the core had no tests. Change: random small fleets, with loss, repeats, stalls, takeovers and pauses: every request runs once, no server gets more than slots and standby while no dispatcher changes, and the gap stays within the derived bound. A run that was not sent counts as neither success nor failure of its server.

--- /dev/null
+++ b/internal/dispatch/property_test.go
@@ -0,0 +1,166 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/filbertrill/filbertrill/test/virtual"
+)
+
+// Sizes of the random runs.
+const (
+	seeds      = 1000
+	rate       = 100.0 // cost that a slot delivers in a second
+	largest    = 200.0 // cost
+	smallest   = 20.0  // cost
+	loadTime   = 6 * time.Second
+	drainTime  = 5 * time.Minute
+	farMost    = 8 * time.Millisecond
+	stall      = 200 * time.Millisecond
+	exchange   = 50 * time.Millisecond
+	shareLimit = 2.0
+)
+
+func cost(r *virtual.Rand) float64 { return smallest + (largest-smallest)*r.Float64()*r.Float64() }
+
+// scenario returns a random small fleet whose accounts wait all the time.
+func scenario(seed uint64) (virtual.Options, *rand.Rand) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	o := virtual.Options{
+		Seed:    seed,
+		Scope:   []virtual.Scope{virtual.Zone, virtual.Zone, virtual.Region}[r.IntN(3)],
+		Zones:   1 + r.IntN(3),
+		Standby: r.IntN(2),
+		Local:   virtual.Link{Delay: 300 * time.Microsecond},
+		Remote:  virtual.Link{Delay: 5 * time.Millisecond, Jitter: 3 * time.Millisecond, Stall: 0.01, StallTime: stall},
+		Rate:    rate,
+		Length:  loadTime,
+	}
+	o.Daemons = o.Zones + r.IntN(3)
+	for i := range 1 + r.IntN(5) {
+		o.Servers = append(o.Servers, virtual.Server{Zone: i % o.Zones, Slots: 1 + r.IntN(4)})
+	}
+	for range 2 + r.IntN(5) {
+		a := virtual.Account{Weight: float64(1 + r.IntN(3)), Outstanding: 6 + r.IntN(12), Cost: cost}
+		for range 1 + r.IntN(3) {
+			a.Daemons = append(a.Daemons, r.IntN(o.Daemons))
+		}
+		o.Accounts = append(o.Accounts, a)
+	}
+	return o, r
+}
+
+// bounds returns the greatest gaps, by start and delivered, that docs/design/dispatch.md
+// derives, in multiples of the largest cost over weight. The lag is how old a pool's
+// knowledge of another may be.
+func bounds(o virtual.Options, lag time.Duration) (byStart, delivered float64) {
+	sum, most := 0.0, 0.0
+	for _, a := range o.Accounts {
+		sum += a.Weight
+		most = max(most, a.Weight)
+	}
+	slots := make([]int, o.Zones)
+	for _, s := range o.Servers {
+		slots[s.Zone] += s.Slots + o.Standby
+	}
+	held := 0.0
+	for _, n := range slots {
+		held += max(1, math.Ceil(shareLimit*float64(n)*most/sum))
+	}
+	shortest := time.Duration(smallest / rate * float64(time.Second))
+	unseen := held * (1 + math.Ceil(float64(lag)/float64(shortest)))
+	byStart = 4 * (unseen + held + 1)
+	return byStart, byStart + 2*held
+}
+
+// overSeeds runs the check for each seed, on all processors.
+func overSeeds(t *testing.T, check func(seed uint64) error) {
+	n := seeds
+	if testing.Short() {
+		n /= 20
+	}
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for seed := range n {
+		group.Go(func() error { return check(uint64(seed)) })
+	}
+	require.NoError(t, group.Wait())
+}
+
+// whole checks that every request ran once.
+func whole(seed uint64, r virtual.Result) error {
+	if r.RanTwice > 0 || r.Ended != r.Submitted || r.Waiting > 0 {
+		return fmt.Errorf("seed %d: %d submitted, %d ended, %d wait, %d ran twice", seed, r.Submitted, r.Ended, r.Waiting, r.RanTwice)
+	}
+	return nil
+}
+
+func within(seed uint64, o virtual.Options, r virtual.Result, lag time.Duration) error {
+	byStart, delivered := bounds(o, lag)
+	if r.GapStart > byStart || r.GapDelivered > delivered {
+		return fmt.Errorf("seed %d: gap %.1f by start, above %.1f, or %.1f delivered, above %.1f",
+			seed, r.GapStart, byStart, r.GapDelivered, delivered)
+	}
+	return nil
+}
+
+const quietLag = exchange + 2*farMost + stall
+
+func TestGapStaysWithinTheDerivedBound(t *testing.T) {
+	overSeeds(t, func(seed uint64) error {
+		o, _ := scenario(seed)
+		r := virtual.New(o).Run(drainTime)
+		if r.MostOver > o.Standby {
+			return fmt.Errorf("seed %d: a server had %d requests beyond its slots", seed, r.MostOver)
+		}
+		if err := whole(seed, r); err != nil {
+			return err
+		}
+		return within(seed, o, r, quietLag)
+	})
+}
+
+func TestLostAndRepeatedMessagesDoNoHarm(t *testing.T) {
+	overSeeds(t, func(seed uint64) error {
+		o, r := scenario(seed)
+		for _, link := range []*virtual.Link{&o.Local, &o.Remote} {
+			link.Drop = 0.3 * r.Float64()
+			link.Repeat = 0.3 * r.Float64()
+		}
+		result := virtual.New(o).Run(drainTime)
+		if result.MostOver > o.Standby {
+			return fmt.Errorf("seed %d: a server had %d requests beyond its slots", seed, result.MostOver)
+		}
+		return whole(seed, result)
+	})
+}
+
+func TestTakeoversAndPausesLoseNoRequest(t *testing.T) {
+	overSeeds(t, func(seed uint64) error {
+		o, r := scenario(seed)
+		o.Remote.Drop = 0.1 * r.Float64()
+		f := virtual.New(o)
+		for range 1 + r.IntN(4) {
+			name := "region"
+			if o.Scope == virtual.Zone {
+				name = fmt.Sprintf("z%d", r.IntN(o.Zones))
+			}
+			at := time.Duration(r.Int64N(int64(loadTime)))
+			if r.IntN(2) == 0 {
+				f.After(at, func() { f.Begin(name, r.IntN(o.Daemons)) })
+				continue
+			}
+			f.After(at, func() { f.Pause(name, true) })
+			f.After(at+time.Duration(r.Int64N(int64(8*time.Second))), func() { f.Pause(name, false) })
+		}
+		result := f.Run(drainTime)
+		return whole(seed, result)
+	})
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -234,8 +234,8 @@
 	}
 }
 
-// End ends a running request at its final cost. A failed run is one that the server
-// did not answer as it should.
+// End ends a running request at its final cost, which is 0 when it was not sent. A failed
+// run is one that the server did not answer as it should.
 func (q *Queue) End(now time.Time, id RequestID, cost Cost, failed bool) {
 	r, ok := q.runs[id]
 	if !ok {
@@ -245,7 +245,9 @@
 	q.dirty = true
 	q.account(r.request.Account).changed = now
 	q.endedOf(r).add(now, cost)
-	q.resultsOf(r.grant.Server).add(now, failed)
+	if failed || cost > 0 {
+		q.resultsOf(r.grant.Server).add(now, failed)
+	}
 	if !failed && cost > 0 {
 		q.estimates.ended(r.request.Account, r.request.Hint, cost)
 	}
--- a/test/virtual/fleet.go
+++ b/test/virtual/fleet.go
@@ -121,10 +121,14 @@
 // After calls do at a time of the run.
 func (f *Fleet) After(d time.Duration, do func()) { f.after(d, do) }
 
-// Run runs for the length of the options and a further time without new load, and
-// returns the result.
+// Run runs for the length of the options, and without new load until all requests have
+// ended, but no longer than the further time. It returns the result.
 func (f *Fleet) Run(further time.Duration) Result {
-	f.runUntil(f.now.Add(f.opts.Length + further))
+	end := f.now.Add(f.opts.Length)
+	f.runUntil(end)
+	for f.now.Before(end.Add(further)) && f.Result.Ended < f.Result.Submitted {
+		f.runUntil(f.now.Add(time.Second))
+	}
 	return f.load.meter.result()
 }
 
--- a/test/virtual/load.go
+++ b/test/virtual/load.go
@@ -68,6 +68,7 @@
 func (l *load) submit(account, at int) {
 	f := l.fleet
 	l.next++
+	f.Result.Submitted++
 	d := f.daemons[at]
 	r := &request{id: l.next, account: account, daemon: d, arrived: f.now}
 	r.cost = f.opts.Accounts[account].Cost(f.rand)
--- a/test/virtual/meter.go
+++ b/test/virtual/meter.go
@@ -18,6 +18,7 @@
 	RemoteMessages int
 	RemoteBytes    int
 	MostOver       int // requests in a server beyond its slots
+	Submitted      int
 	Ended          int
 	Waiting        int // at the end
 	RanTwice       int
