Test the gap, the flood and the use of capacity against their targets

Cause: the derived bound is wide: a reversed order passed it in runs of 6 s. Change: runs of 40 s at the users' size, against 4 and 8 largest costs by start, twice that with hints 10x wrong; the gap for 6x time, 4x accounts, 10x load, 3x daemons, 6 zones and callers at one daemon; the wait of a small account in a flood; utilisation 97%.

--- /dev/null
+++ b/internal/dispatch/target_test.go
@@ -0,0 +1,145 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/test/virtual"
+)
+
+// Targets for the gap counted by start, in multiples of the largest cost over weight.
+const (
+	targetOneZone   = 4.0
+	targetRegion    = 8.0
+	wrongHintFactor = 2.0
+)
+
+// fleetOptions is a fleet of the users' size: 7 daemons and 12 servers.
+func fleetOptions(zones int) virtual.Options {
+	o := virtual.Options{
+		Seed:    1,
+		Scope:   virtual.Zone,
+		Zones:   zones,
+		Daemons: 7,
+		Local:   virtual.Link{Delay: 300 * time.Microsecond},
+		Remote:  virtual.Link{Delay: 5 * time.Millisecond, Jitter: 3 * time.Millisecond, Stall: 0.01, StallTime: stall},
+		Rate:    rate,
+		Length:  40 * time.Second,
+	}
+	for i := range 12 {
+		o.Servers = append(o.Servers, virtual.Server{Zone: i % zones, Slots: 4})
+	}
+	addAccounts(&o, 16, 40)
+	return o
+}
+
+// addAccounts adds accounts of which every second one has its callers at one daemon only.
+func addAccounts(o *virtual.Options, n, outstanding int) {
+	everywhere := []int{0, 1, 2, 3, 4, 5, 6}
+	for i := range n {
+		at := everywhere
+		if i%2 == 1 {
+			at = []int{i % o.Daemons}
+		}
+		o.Accounts = append(o.Accounts, virtual.Account{Weight: 1, Daemons: at, Outstanding: outstanding, Cost: cost})
+	}
+}
+
+func TestGapMeetsTheTargets(t *testing.T) {
+	cases := []struct {
+		name    string
+		zones   int
+		hintOff float64
+		target  float64
+	}{
+		{"one zone", 1, 1, targetOneZone},
+		{"three zones", 3, 1, targetRegion},
+		{"one zone, wrong hints", 1, 10, wrongHintFactor * targetOneZone},
+		{"three zones, wrong hints", 3, 10, wrongHintFactor * targetRegion},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(5) {
+				o := fleetOptions(c.zones)
+				o.Seed, o.HintOff = seed, c.hintOff
+				r := virtual.New(o).Run(0)
+				require.LessOrEqual(t, r.GapStart, c.target, "seed %d", seed)
+			}
+		})
+	}
+}
+
+func TestGapDoesNotGrow(t *testing.T) {
+	cases := map[string]func(o *virtual.Options){
+		"time":     func(o *virtual.Options) { o.Length *= 6 },
+		"accounts": func(o *virtual.Options) { addAccounts(o, 48, 40) },
+		"load": func(o *virtual.Options) {
+			for i := range o.Accounts {
+				o.Accounts[i].Outstanding *= 10
+			}
+		},
+		"daemons": func(o *virtual.Options) { o.Daemons *= 3 },
+		"zones": func(o *virtual.Options) {
+			o.Zones = 6
+			for i := range o.Servers {
+				o.Servers[i].Zone = i % o.Zones
+			}
+		},
+		"placement": func(o *virtual.Options) {
+			for i := range o.Accounts {
+				o.Accounts[i].Daemons = []int{0}
+			}
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := fleetOptions(3)
+			change(&o)
+			require.LessOrEqual(t, virtual.New(o).Run(0).GapStart, targetRegion)
+		})
+	}
+}
+
+// A small account's request waits for a slot of one full run, and for at most one request
+// of each other account that is level with it.
+func TestFloodStarvesNoSmallAccount(t *testing.T) {
+	o := fleetOptions(3)
+	oneRun := time.Duration(largest / rate * float64(time.Second))
+	slots := 12 * 4
+	bound := oneRun + time.Duration(len(o.Accounts)+1)*oneRun/time.Duration(slots) + quietLag
+	for _, at := range [][]int{{0}, {0, 1, 2, 3, 4, 5, 6}} {
+		t.Run(fmt.Sprintf("through %d daemons", len(at)), func(t *testing.T) {
+			t.Parallel()
+			o := fleetOptions(3)
+			small := 15
+			for i := range o.Accounts {
+				o.Accounts[i].Outstanding = 12
+			}
+			o.Accounts[0] = virtual.Account{Weight: 1, Daemons: at, Outstanding: 12_000, Cost: cost}
+			o.Accounts[small] = virtual.Account{Weight: 1, Daemons: []int{1, 4}, Every: 2 * time.Second, Cost: cost}
+			r := virtual.New(o).Run(0)
+			require.LessOrEqual(t, r.Wait(small, 1), bound)
+		})
+	}
+}
+
+func TestCapacityIsUsedWhereverCallersAre(t *testing.T) {
+	const target = 0.97
+	for name, at := range map[string][]int{"one daemon": {0}, "one zone": {0, 3, 6}, "everywhere": {0, 1, 2, 3, 4, 5, 6}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := fleetOptions(3)
+			o.Settle = 5 * time.Second
+			o.Standby = 1
+			for i := range o.Accounts {
+				o.Accounts[i].Daemons = at
+			}
+			require.GreaterOrEqual(t, virtual.New(o).Run(0).Utilisation, target)
+		})
+	}
+}
