Let one request of another zone wait in an engine for a slot

Cause: with all callers at one daemon, slots of other zones were idle for a round trip. Change: a server gets one grant beyond its slots when it goes to another pool's callers; plain services get none.

--- a/internal/controller/dispatch/pools.go
+++ b/internal/controller/dispatch/pools.go
@@ -15,6 +15,10 @@
 // regionPool is the name of the only pool of a service in ScopeRegion.
 const regionPool = "region"
 
+// engineHopStandby is how many requests of other zones may wait in an engine for a slot.
+// Plain services get none, since not all of them queue.
+const engineHopStandby = 1
+
 // poolKey names a pool: the servers of a service that share one dispatcher.
 type poolKey struct {
 	service string
@@ -114,6 +118,9 @@
 	pool := core.Pool{Name: key.pool, Accounts: map[string]core.AccountSpec{}}
 	if s, ok := config.Service(key.service); ok {
 		pool.Standby = s.Standby
+		if s.Kind == ticket.ServiceModel {
+			pool.HopStandby = engineHopStandby
+		}
 	}
 	for _, s := range config.ServersOf(key.service) {
 		if slots := t.slots(s, key.pool); slots > 0 {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -22,13 +22,24 @@
 			break
 		}
 		n := a.source(false)
-		s := d.freeServer(now, a.demands[n].Prefer)
+		s := d.freeServer(now, d.standby(n), a.demands[n].Prefer)
+		if s == nil {
+			break
+		}
 		g := d.grant(now, n, a, s.spec.ID, a.demands[n].Estimate, Origin{})
 		d.addGrant(batches, n, g)
 	}
 	return sends(batches)
 }
 
+// standby returns how many grants beyond a server's slots the reporter may get.
+func (d *Dispatcher) standby(n *node) int {
+	if n.key.pool {
+		return max(d.pool.Standby, d.pool.HopStandby)
+	}
+	return d.pool.Standby
+}
+
 func (d *Dispatcher) addGrant(batches map[*node]*Batch, n *node, g Grant) {
 	b, ok := batches[n]
 	if !ok {
@@ -43,7 +54,7 @@
 		return false
 	}
 	for _, s := range d.servers {
-		if s.running < s.window(now, d.pool.Standby) {
+		if s.running < s.window(now, max(d.pool.Standby, d.pool.HopStandby)) {
 			return true
 		}
 	}
@@ -52,10 +63,10 @@
 
 // freeServer returns the preferred server when it has a free slot, or the server with the
 // largest free share.
-func (d *Dispatcher) freeServer(now time.Time, prefer string) *server {
+func (d *Dispatcher) freeServer(now time.Time, standby int, prefer string) *server {
 	var best *server
 	for _, s := range d.servers {
-		if s.running >= s.window(now, d.pool.Standby) {
+		if s.running >= s.window(now, standby) {
 			continue
 		}
 		if s.spec.ID == prefer && s.running < s.window(now, 0) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -32,10 +32,13 @@
 
 // Pool is what a dispatcher needs of the configuration.
 type Pool struct {
-	Name     string // unique among the pools of the service
-	Standby  int    // grants beyond the slots of each server
-	Servers  []ServerSpec
-	Accounts map[string]AccountSpec
+	Name    string // unique among the pools of the service
+	Standby int    // grants beyond the slots of each server
+	// HopStandby is the grants beyond the slots for requests of other pools, so that a slot
+	// is not idle while a grant and its request travel between zones.
+	HopStandby int
+	Servers    []ServerSpec
+	Accounts   map[string]AccountSpec
 }
 
 // GrantID identifies a grant among all dispatchers that a pool ever had.
--- a/test/virtual/options.go
+++ b/test/virtual/options.go
@@ -46,22 +46,23 @@
 
 // Options describe a run.
 type Options struct {
-	Seed     uint64
-	Scope    Scope
-	Order    dispatch.Order
-	Zones    int
-	Daemons  int // daemon i is in zone i modulo Zones
-	Servers  []Server
-	Accounts []Account
-	Standby  int
-	Local    Link    // inside a zone
-	Remote   Link    // between zones
-	HintOff  float64 // factor by which hints are wrong; an account's are all too high or all too low
-	Quantile float64 // of estimates; the default when 0
-	Rate     float64 // cost that a slot delivers in a second
-	Length   time.Duration
-	Exchange time.Duration
-	Settle   time.Duration // start of the measurement
+	Seed       uint64
+	Scope      Scope
+	Order      dispatch.Order
+	Zones      int
+	Daemons    int // daemon i is in zone i modulo Zones
+	Servers    []Server
+	Accounts   []Account
+	Standby    int
+	HopStandby int
+	Local      Link    // inside a zone
+	Remote     Link    // between zones
+	HintOff    float64 // factor by which hints are wrong; an account's are all too high or all too low
+	Quantile   float64 // of estimates; the default when 0
+	Rate       float64 // cost that a slot delivers in a second
+	Length     time.Duration
+	Exchange   time.Duration
+	Settle     time.Duration // start of the measurement
 }
 
 func (o *Options) setDefaults() {
