Serve callers over TLS when a certificate is set

Cause: the callers' side had no TLS although callers connect directly, with keys in headers. Ruled out: a balancer that ends TLS, since none stands in front.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,6 +148,8 @@
 	server, err := entry.NewServer(entry.Options{
 		Host:    host,
 		Port:    port,
+		TLSCert: d.settings.TLSCert,
+		TLSKey:  d.settings.TLSKey,
 		Config:  d.config.Current,
 		Members: d.members,
 		Chain:   d.chain(attempts),
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,10 +2,12 @@
 package daemon
 
 import (
-	"errors"
+	"crypto/tls"
+	"maps"
 	"net"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +28,9 @@
 	Seeds         []string          `help:"Peer addresses of other daemons, ip:port." env:"FILBERTRILL_SEEDS"`
 	Secret        string            `help:"Secret that daemons and operators share, at least 16 bytes." env:"FILBERTRILL_SECRET" required:""`
 
+	TLSCert string `name:"tls-cert" help:"File of the certificate chain for callers, PEM; callers are served without TLS when empty." env:"FILBERTRILL_TLS_CERT"`
+	TLSKey  string `name:"tls-key" help:"File of the certificate's private key, PEM." env:"FILBERTRILL_TLS_KEY"`
+
 	Log        string        `help:"URL of the platform's log." env:"FILBERTRILL_LOG" required:""`
 	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
 	Instances  string        `help:"URL of the platform's instance list; the seeds alone when empty." env:"FILBERTRILL_INSTANCES"`
@@ -47,28 +52,11 @@
 
 // Check returns a result error for the first setting that is wrong.
 func (s *Settings) Check() error {
-	addresses := map[string]string{"listen": s.Listen, "peer": s.Peer}
-	for _, seed := range s.Seeds {
-		addresses["seeds"] = seed
-		if err := checkAddress("seeds", seed); err != nil {
-			return err
-		}
-	}
-	if s.Advertise != "" {
-		addresses["advertise"] = s.Advertise
-	}
-	if s.AdvertisePeer != "" {
-		addresses["advertise-peer"] = s.AdvertisePeer
-	}
-	for from, to := range s.PeerRoutes {
-		if err := errors.Join(checkAddress("peer-route", from), checkAddress("peer-route", to)); err != nil {
-			return err
-		}
+	if err := s.checkAddresses(); err != nil {
+		return err
 	}
-	for name, address := range addresses {
-		if err := checkAddress(name, address); err != nil {
-			return err
-		}
+	if err := s.checkTLS(); err != nil {
+		return err
 	}
 	if len(s.Secret) < minSecretBytes {
 		return result.New(result.SettingInvalid, "--secret has fewer than %d bytes", minSecretBytes)
@@ -84,6 +72,45 @@
 	return s.checkSizes()
 }
 
+// named is the value of a setting with its name.
+type named struct{ name, value string }
+
+func (s *Settings) checkAddresses() error {
+	addresses := []named{{"listen", s.Listen}, {"peer", s.Peer}}
+	if s.Advertise != "" {
+		addresses = append(addresses, named{"advertise", s.Advertise})
+	}
+	if s.AdvertisePeer != "" {
+		addresses = append(addresses, named{"advertise-peer", s.AdvertisePeer})
+	}
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, named{"seeds", seed})
+	}
+	for _, from := range slices.Sorted(maps.Keys(s.PeerRoutes)) {
+		addresses = append(addresses, named{"peer-route", from}, named{"peer-route", s.PeerRoutes[from]})
+	}
+	for _, a := range addresses {
+		if err := checkAddress(a.name, a.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkTLS reads the certificate, so that a bad one ends the start.
+func (s *Settings) checkTLS() error {
+	if (s.TLSCert == "") != (s.TLSKey == "") {
+		return result.New(result.SettingContradictory, "--tls-cert and --tls-key go together")
+	}
+	if s.TLSCert == "" {
+		return nil
+	}
+	if _, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey); err != nil {
+		return result.Wrap(err, result.SettingInvalid, "--tls-cert and --tls-key: %v", err)
+	}
+	return nil
+}
+
 func (s *Settings) checkSizes() error {
 	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 || s.WriteLimit <= 0 {
 		return result.New(result.SettingInvalid, "--max-body, --max-held, --log-timeout and --write-limit must be positive")
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -40,6 +40,8 @@
 		{"bad level", good("--log-level=loud"), nil, result.SettingInvalid, "--log-level"},
 		{"zero body", good("--max-body=0"), nil, result.SettingInvalid, "--max-body"},
 		{"bodies contradict", good("--max-held=5"), nil, result.SettingContradictory, "--max-held"},
+		{"certificate without key", good("--tls-cert=c.pem"), nil, result.SettingContradictory, "--tls-key"},
+		{"no such certificate", good("--tls-cert=none.pem", "--tls-key=none.pem"), nil, result.SettingInvalid, "--tls-cert"},
 		{"same address", good("--peer=127.0.0.1:8080"), nil, result.SettingContradictory, "--peer"},
 	}
 	for _, c := range cases {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,7 +36,9 @@
 // Options configure a Server.
 type Options struct {
 	Host    string
-	Port    int // 0 for any
+	Port    int    // 0 for any
+	TLSCert string // files of the certificate and its key; no TLS when empty
+	TLSKey  string
 	Config  func() *ticket.Config
 	Members Members
 	Chain   filter.Handler
@@ -58,6 +60,8 @@
 	s := &Server{opts: opts, bound: make(chan net.Addr, 1)}
 	conf := rest.RestConf{Host: opts.Host, Port: opts.Port}
 	conf.Name = "filbertrilld"
+	conf.CertFile = opts.TLSCert
+	conf.KeyFile = opts.TLSKey
 	conf.Log.Mode = "console"
 	conf.Log.Stat = false
 	// Every go-zero middleware is off: its shedding, breaker, timeout and body cap would
