Show whole answers, resumed streams and true refusals with real processes

The stand-in's ledger now tells the request's user field, by which the soak finds out whether a request told as not run was seen.

--- /dev/null
+++ b/test/integration/answers/soak_long_test.go
@@ -0,0 +1,15 @@
+//go:build soak
+
+package answers
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSoak runs seeds for three minutes in all.
+func TestSoak(t *testing.T) {
+	for seed := range uint64(3) {
+		newSoak(t).run(seed+100, time.Minute, 60*time.Millisecond)
+	}
+}
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	r.ctx, r.stop = context.WithCancelCause(e.ctx)
-	r.index = e.ledger.Start(runs.Run{RequestID: r.id, Key: r.key, Path: r.path, Started: e.opts.Now()})
+	r.index = e.ledger.Start(runs.Run{RequestID: r.id, Key: r.key, Path: r.path, User: r.user, Started: e.opts.Now()})
 	e.runs[r.id] = append(e.runs[r.id], r)
 	e.wg.Add(1)
 	go e.execute(r, e.slots.join())
--- a/test/standin/engine/messages.go
+++ b/test/standin/engine/messages.go
@@ -11,6 +11,7 @@
 	Model               string        `json:"model"`
 	Messages            []chatMessage `json:"messages"`
 	Stream              bool          `json:"stream"`
+	User                string        `json:"user"`
 	MaxTokens           *int          `json:"max_tokens"`
 	MaxCompletionTokens *int          `json:"max_completion_tokens"`
 	StreamOptions       struct {
--- a/test/standin/engine/run.go
+++ b/test/standin/engine/run.go
@@ -25,6 +25,7 @@
 	id           string
 	key          string
 	path         string
+	user         string
 	model        string
 	created      time.Time
 	prompt       []string // prompt tokens; only the generation reads them
@@ -113,9 +114,12 @@
 	}
 }
 
-// token returns the answer token at the offset; it depends on nothing but the request id.
-func (r *run) token(offset int) string {
-	hash := xxhash.Sum64String(r.id + ":" + strconv.Itoa(offset))
+// token returns the answer token at the offset.
+func (r *run) token(offset int) string { return Token(r.id, offset) }
+
+// Token returns the answer token of a request id at the offset; it depends on nothing else.
+func Token(id string, offset int) string {
+	hash := xxhash.Sum64String(id + ":" + strconv.Itoa(offset))
 	return "w" + strconv.FormatUint(hash%vocabulary, 10) + " "
 }
 
--- a/test/standin/engine/serve.go
+++ b/test/standin/engine/serve.go
@@ -72,6 +72,7 @@
 		id:           id,
 		key:          r.Header.Get("Idempotency-Key"),
 		path:         r.URL.Path,
+		user:         req.User,
 		model:        req.Model,
 		created:      e.opts.Now(),
 		prompt:       prompt,
--- a/test/standin/runs/runs.go
+++ b/test/standin/runs/runs.go
@@ -22,6 +22,7 @@
 	RequestID string     `json:"request_id"`
 	Key       string     `json:"key"`
 	Path      string     `json:"path"`
+	User      string     `json:"user,omitempty"` // that the request names
 	Started   time.Time  `json:"started"`
 	Ended     *time.Time `json:"ended,omitempty"`
 	Outcome   string     `json:"outcome"`
