--- a/internal/daemon/chain.go
+++ b/internal/daemon/chain.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"time"
-
 	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/filter"
 	"github.com/filbertrill/filbertrill/internal/filter/admit"
@@ -25,7 +23,7 @@
 		Metrics:    d.metrics,
 		Logger:     logging.For(logging.Backend),
 		WriteLimit: d.settings.WriteLimit,
-		RetryAfter: retryAfter,
+		RetryAfter: d.dispatch.RetryAfter,
 	}
 }
 
@@ -38,7 +36,7 @@
 		admit.New(admit.Options{
 			Queues:     d.dispatch,
 			MaxBytes:   d.settings.MaxHeld,
-			RetryAfter: retryAfter,
+			RetryAfter: d.dispatch.RetryAfter,
 		}),
 	)
 }
@@ -50,6 +48,3 @@
 		identify.New(),
 	)
 }
-
-// retryAfter is when a refused caller should come back.
-func retryAfter(string, string) time.Duration { return time.Second }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
@@ -121,6 +122,7 @@
 		Incarnation: incarnation,
 		Members:     d.members,
 		Sender:      d.mesh,
+		Load:        backend.NewEngine(backend.NewTransport()).Load,
 		Zone:        d.settings.Zone,
 		Scope:       dispatch.Scope(d.settings.DispatchScope),
 		Order:       core.Order(d.settings.DispatchOrder),
@@ -146,6 +148,8 @@
 	server, err := entry.NewServer(entry.Options{
 		Host:    host,
 		Port:    port,
+		TLSCert: d.settings.TLSCert,
+		TLSKey:  d.settings.TLSKey,
 		Config:  d.config.Current,
 		Members: d.members,
 		Chain:   d.chain(attempts),
@@ -159,13 +163,14 @@
 
 // handle routes a message of a peer to its controller.
 func (d *Daemon) handle(env *pb.Envelope) {
+	if d.members.Handle(env) {
+		return
+	}
 	switch body := env.Body.(type) {
-	case *pb.Envelope_Heartbeat:
-		d.members.Heartbeat(body.Heartbeat, time.Now())
 	case *pb.Envelope_DemandReport:
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
-		d.dispatch.GrantBatch(body.GrantBatch)
+		d.dispatch.GrantBatch(env.From, body.GrantBatch, time.Now())
 	}
 }
 
--- a/internal/filter/attempt/chat.go
+++ b/internal/filter/attempt/chat.go
@@ -67,7 +67,9 @@
 		h.servers.succeeded(run.server.ID)
 		return false, passStatus(r.Writer, run.rejection)
 	}
-	h.learn(run, action)
+	if h.learn(run, action) {
+		lease.Fail()
+	}
 	switch action.Kind {
 	case answer.Finish:
 		return false, nil
@@ -83,8 +85,8 @@
 	return again, err
 }
 
-// learn records the outcome for the server's health.
-func (h *handler) learn(run *run, action answer.Action) {
+// learn records the outcome for the server's health, and reports whether it failed.
+func (h *handler) learn(run *run, action answer.Action) bool {
 	switch action.Kind {
 	case answer.Finish:
 		h.servers.succeeded(run.server.ID)
@@ -92,7 +94,9 @@
 		if h.servers.failed(run.server.ID, time.Now()) {
 			h.opts.Logger.Warn("Avoiding a backend server.", "server", run.server.ID, "error", run.err)
 		}
+		return true
 	}
+	return false
 }
 
 func (h *handler) newRun(r *filter.Request, lease *dispatch.Lease, n int, body []byte) *run {
