Fuzz what engines send and test the engine client

Cause: engine events and resume tokens come from outside. The client is shown not to send a request twice on a connection that closes after reading, and to tell a request that no server took in from one that may have run.

--- /dev/null
+++ b/internal/backend/stream_test.go
@@ -0,0 +1,155 @@
+package backend
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/answer"
+)
+
+type openGuard struct{}
+
+func (openGuard) BeforeRead() error { return nil }
+func (openGuard) AfterRead()        {}
+
+func TestMessages(t *testing.T) {
+	cases := map[string]answer.Event{
+		"id: a:3\ndata: {\"x\":1}\n\n":                                      answer.Received{Attempt: "a", Offset: 3},
+		"id: a:b:3\ndata: {}\n\n":                                           answer.Received{Attempt: "a:b", Offset: 3},
+		"id: a:0\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n":   answer.Received{Attempt: "a", Final: true},
+		"id: a:0\ndata: {\"choices\":[{\"finish_reason\" : null}]}\n\n":     answer.Received{Attempt: "a"},
+		"id: a:0\ndata: {\"c\":\"\\\"finish_reason\\\":\\\"stop\\\"\"}\n\n": answer.Received{Attempt: "a"},
+		"id: a:-1\ndata: {}\n\n":                                            answer.Received{},
+		"id: 7\ndata: {}\n\n":                                               answer.Received{},
+		"data: {}\n\n":                                                      answer.Received{Offset: answer.NoOffset},
+		"data: [DONE]\n\n":                                                  answer.Ended{},
+		"event: error\ndata: {}\n\n":                                        answer.Failed{},
+		"data: {\"error\":{\"code\":500}}\n\n":                              answer.Failed{},
+	}
+	for raw, want := range cases {
+		stream := &Stream{body: io.NopCloser(strings.NewReader(raw))}
+		for m, err := range stream.Events(openGuard{}) {
+			require.NoError(t, err)
+			require.Equal(t, want, m.Event, raw)
+			break
+		}
+	}
+}
+
+func TestUsageOf(t *testing.T) {
+	usage, only, found := UsageOf(`{"choices":[],"usage": {"prompt_tokens":2,"completion_tokens":3}}`)
+	require.Equal(t, Usage{PromptTokens: 2, CompletionTokens: 3}, usage)
+	require.True(t, only && found)
+	_, _, found = UsageOf(`{"choices":[{"delta":{"content":"\"usage\":{}"}}],"usage":null}`)
+	require.False(t, found)
+}
+
+// TestNotSent tells a request that no server took in from one that may have run.
+func TestNotSent(t *testing.T) {
+	transport := NewTransport()
+	defer transport.CloseIdleConnections()
+	engine := NewEngine(transport)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = engine.Start(t.Context(), address, "a", []byte("{}"))
+	require.True(t, errors.Is(err, ErrNotSent), "%v", err)
+
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	_, err = engine.Start(t.Context(), server.Listener.Addr().String(), "a", []byte("{}"))
+	require.Error(t, err)
+	require.False(t, errors.Is(err, ErrNotSent), "%v", err)
+}
+
+// TestStaleConnection reuses a connection that the engine closes once the request is read: the
+// transport must not send the request again by itself.
+func TestStaleConnection(t *testing.T) {
+	seen := make(chan string, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		seen <- r.Header.Get(HeaderRequestID)
+		if r.Header.Get(HeaderRequestID) == "second" {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "id: first:0\ndata: {}\n\ndata: [DONE]\n\n")
+	}))
+	defer server.Close()
+	transport := NewTransport()
+	defer transport.CloseIdleConnections()
+	engine := NewEngine(transport)
+	stream, err := engine.Start(t.Context(), server.Listener.Addr().String(), "first", []byte("{}"))
+	require.NoError(t, err)
+	for m, err := range stream.Events(openGuard{}) {
+		require.NoError(t, err)
+		if _, ended := m.Event.(answer.Ended); ended {
+			break
+		}
+	}
+	_, err = engine.Start(t.Context(), server.Listener.Addr().String(), "second", []byte("{}"))
+	require.Error(t, err)
+	require.Len(t, seen, 2, "one for each request")
+}
+
+// FuzzStream feeds what an engine may send: the caller gets offsets 0, 1, 2 … of its own
+// attempt only, and an end only after the final event.
+func FuzzStream(f *testing.F) {
+	event := func(attempt string, offset int, data string) string {
+		return fmt.Sprintf("id: %s:%d\ndata: %s\n\n", attempt, offset, data)
+	}
+	final := `{"choices":[{"finish_reason":"stop"}]}`
+	for _, seed := range []string{
+		event("a", 0, "{}") + event("a", 1, final) + "data: [DONE]\n\n",
+		event("a", 0, "{}") + event("b", 1, final) + "data: [DONE]\n\n",
+		event("a", 0, "{}") + event("a", 0, "{}") + event("a", 2, final),
+		"data: {}\n\n", "data: [DONE]\n\n", "event: error\ndata: x\n\n", "id: a:0\r\ndata: {}\r\r: ping\n\nid:\n\n",
+		event("a", 0, "{\"choices\":[{\"delta\":{\"tool_calls\":[{\"index\":0}]}}]}"), "id: a:99999999999999999999\ndata: {}\n\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		now := time.Unix(1000, 0)
+		machine := answer.New(answer.Options{Attempt: "a", Repeatable: true, Deadline: now.Add(time.Second)})
+		stream := &Stream{body: io.NopCloser(strings.NewReader(raw)), attempt: "a"}
+		var whole answer.Whole
+		forwarded, final := 0, false
+		for m, err := range stream.Events(openGuard{}) {
+			if err != nil {
+				return
+			}
+			action := machine.Step(now, m.Event)
+			switch action.Kind {
+			case answer.Forward:
+				received := m.Event.(answer.Received)
+				require.Equal(t, "a", received.Attempt)
+				require.Equal(t, forwarded, received.Offset)
+				forwarded++
+				final = final || received.Final
+				if whole.Add(m.Data) == nil {
+					_, err := whole.JSON()
+					require.NoError(t, err)
+				}
+				UsageOf(m.Data)
+			case answer.Finish:
+				require.True(t, final)
+				return
+			case answer.Ignore:
+			default:
+				return
+			}
+		}
+	})
+}
