Decide which attempt of an unrepeatable request may run

Cause: a caller that asks again at another daemon must not cause a second run.

Ruled out: a lease that a second daemon takes over when the holder is silent, since a paused holder may still run and plain servers check no fencing number.

Conclusion: safe as long as the log keeps records for the window and four times the skew; without late appends also when it forgets earlier.

--- /dev/null
+++ b/internal/claim/codec.go
@@ -0,0 +1,74 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// Encode returns the batch as a value of the log.
+func Encode(b Batch) ([]byte, error) {
+	m := &pb.ClaimBatch{Daemon: b.Daemon, Incarnation: b.Incarnation, TimeMs: b.At.UnixMilli()}
+	for _, r := range b.Records {
+		m.Records = append(m.Records, recordToProto(r))
+	}
+	data, err := proto.Marshal(m)
+	return data, errors.Wrap(err, "encode claims")
+}
+
+func recordToProto(r Record) *pb.ClaimRecord {
+	m := &pb.ClaimRecord{Kind: pb.ClaimKind(r.Kind), Key: r.Key[:], Attempt: r.Attempt[:]}
+	if r.Kind == KindClaim {
+		m.Content = r.Content[:]
+	}
+	if o := r.Outcome; o != nil {
+		m.Outcome = &pb.ClaimOutcome{Status: uint32(o.Status), Header: o.Header, Body: o.Body, Cut: o.Cut}
+	}
+	return m
+}
+
+// Decode reads a value of the log. It returns an error for a value that is no batch.
+func Decode(data []byte) (Batch, error) {
+	var m pb.ClaimBatch
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return Batch{}, errors.Wrap(err, "decode claims")
+	}
+	if m.TimeMs <= 0 || m.Daemon == "" {
+		return Batch{}, errors.New("decode claims: time or daemon is missing")
+	}
+	b := Batch{Daemon: m.Daemon, Incarnation: m.Incarnation, At: time.UnixMilli(m.TimeMs)}
+	for _, r := range m.Records {
+		record, err := recordFromProto(r)
+		if err != nil {
+			return Batch{}, err
+		}
+		b.Records = append(b.Records, record)
+	}
+	return b, nil
+}
+
+func recordFromProto(m *pb.ClaimRecord) (Record, error) {
+	r := Record{Kind: Kind(m.Kind)}
+	valid := copyHash(r.Key[:], m.Key) && copyHash(r.Attempt[:], m.Attempt)
+	switch r.Kind {
+	case KindClaim:
+		valid = valid && copyHash(r.Content[:], m.Content)
+	case KindRelease:
+	case KindOutcome:
+		valid = valid && m.Outcome != nil
+	default:
+		valid = false
+	}
+	if !valid {
+		return Record{}, errors.New("decode claims: a record is not valid")
+	}
+	if o := m.Outcome; o != nil {
+		r.Outcome = &Outcome{Status: int(o.Status), Header: o.Header, Body: o.Body, Cut: o.Cut}
+	}
+	return r, nil
+}
+
+func copyHash(to, from []byte) bool { return len(from) == len(to) && copy(to, from) == len(to) }
