Run claims over the platform's log

Cause: the pure Book needs its calls of the log, timers and waiting callers. The controller starts at most one append and one read at a time, as the Book asks. MemoryLog serves keys that a daemon issued itself.

--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -91,3 +91,11 @@
 	Answer  Answer
 	Outcome *Outcome // of Replay; of Unknown when the body was not kept
 }
+
+var answerNames = map[Answer]string{
+	Run: "run", Replay: "replay", Unknown: "unknown", Reused: "reused",
+	Unclaimed: "unclaimed", Unavailable: "unavailable", Forgotten: "forgotten",
+}
+
+// String returns the name of the answer, as metrics carry it.
+func (a Answer) String() string { return answerNames[a] }
--- /dev/null
+++ b/internal/controller/claims/claims.go
@@ -0,0 +1,258 @@
+// Package claims runs a claim.Book: it owns the calls of the log, the timers and the
+// callers that wait.
+package claims
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/claim"
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
+
+// Defaults of Options.
+const (
+	DefaultTopic        = "filbertrill-claims"
+	DefaultTickInterval = 10 * time.Millisecond
+	DefaultCallTimeout  = 2 * time.Second
+	readLimit           = 500 // records a read
+)
+
+// Metrics receives what becomes of claims.
+type Metrics interface {
+	ObserveClaim(answer string, d time.Duration)
+	SetClaims(asks, keys, unwritten int)
+}
+
+// Options configure a Controller.
+type Options struct {
+	Log          platform.Log
+	Topic        string
+	Book         claim.Options
+	TickInterval time.Duration
+	CallTimeout  time.Duration
+	Logger       *slog.Logger
+	Metrics      Metrics // may be nil
+}
+
+// Controller answers asks. Its methods may be called from any goroutine.
+type Controller struct {
+	opts Options
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex
+	book    *claim.Book
+	ctx     context.Context // of the calls; ended while Run does not run
+	waiters map[claim.Attempt]chan claim.Verdict
+	down    bool
+}
+
+// NewController returns a controller that answers once Run runs.
+func NewController(opts Options) *Controller {
+	if opts.Topic == "" {
+		opts.Topic = DefaultTopic
+	}
+	if opts.TickInterval == 0 {
+		opts.TickInterval = DefaultTickInterval
+	}
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = DefaultCallTimeout
+	}
+	if opts.Book.Window == 0 {
+		opts.Book.Window = claim.DefaultWindow
+	}
+	if opts.Book.Skew == 0 {
+		opts.Book.Skew = claim.DefaultSkew
+	}
+	return &Controller{opts: opts, book: claim.NewBook(opts.Book), waiters: map[claim.Attempt]chan claim.Verdict{}}
+}
+
+// Run drives the book until the context ends, and waits for the calls of the log.
+func (c *Controller) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	ticker := time.NewTicker(c.opts.TickInterval)
+	defer ticker.Stop()
+	defer c.wg.Wait()
+	for {
+		c.step(claim.Tick{})
+		c.report()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Claim asks whether the attempt may run. After claim.Run the caller must call End once.
+// It returns the context's error when that ends first; the attempt then does not run.
+func (c *Controller) Claim(ctx context.Context, ask claim.Ask) (claim.Verdict, error) {
+	began := time.Now()
+	settled := make(chan claim.Verdict, 1)
+	c.mu.Lock()
+	c.waiters[ask.Attempt] = settled
+	c.mu.Unlock()
+	c.step(claim.Asked{Ask: ask})
+	select {
+	case v := <-settled:
+		c.observe(v.Answer, time.Since(began))
+		return v, nil
+	case <-ctx.Done():
+	}
+	c.withdraw(ask.Attempt, settled)
+	return claim.Verdict{}, ctx.Err()
+}
+
+// withdraw gives up an ask whose caller has gone, also when it was just told to run.
+func (c *Controller) withdraw(attempt claim.Attempt, settled chan claim.Verdict) {
+	c.step(claim.Abandoned{Attempt: attempt})
+	c.mu.Lock()
+	delete(c.waiters, attempt)
+	c.mu.Unlock()
+	select {
+	case v := <-settled:
+		if v.Answer == claim.Run {
+			c.End(attempt, nil)
+		}
+	default:
+	}
+}
+
+// End records the end of an attempt that was told to run. The outcome is nil when no byte of
+// it was sent to a backend server.
+func (c *Controller) End(attempt claim.Attempt, outcome *claim.Outcome) {
+	c.step(claim.Ended{Attempt: attempt, Outcome: outcome})
+}
+
+// Flush waits until all records are in the log. It reports false when the context ends first.
+func (c *Controller) Flush(ctx context.Context) bool {
+	ticker := time.NewTicker(c.opts.TickInterval)
+	defer ticker.Stop()
+	for {
+		c.mu.Lock()
+		unwritten := c.book.Unwritten()
+		c.mu.Unlock()
+		if unwritten == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// step hands the book an event and starts what it asks for.
+func (c *Controller) step(event claim.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, action := range c.book.Step(time.Now(), event) {
+		switch a := action.(type) {
+		case claim.Settle:
+			c.settle(a.Verdict)
+		case claim.AppendBatch:
+			c.call(func(ctx context.Context) claim.Event { return c.append(ctx, a.Batch) })
+		case claim.ReadLog:
+			c.call(func(ctx context.Context) claim.Event { return c.read(ctx, a.From) })
+		case claim.FindFirst:
+			c.call(c.findFirst)
+		}
+	}
+}
+
+func (c *Controller) settle(v claim.Verdict) {
+	if settled, ok := c.waiters[v.Attempt]; ok {
+		delete(c.waiters, v.Attempt)
+		settled <- v
+	}
+}
+
+// call runs a call of the log and hands its answer to the book. c.mu is held.
+func (c *Controller) call(do func(ctx context.Context) claim.Event) {
+	parent := c.ctx
+	if parent == nil {
+		parent = context.Background()
+	}
+	if parent.Err() != nil {
+		return // the process ends
+	}
+	c.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(parent, c.opts.CallTimeout)
+		defer cancel()
+		c.step(do(ctx))
+	})
+}
+
+func (c *Controller) append(ctx context.Context, batch claim.Batch) claim.Event {
+	value, err := claim.Encode(batch)
+	if err != nil {
+		c.opts.Logger.Error("Claims can't be encoded.", "error", err)
+		return claim.AppendFailed{Certain: true}
+	}
+	offsets, err := c.opts.Log.Append(ctx, c.opts.Topic, [][]byte{value})
+	if err != nil {
+		c.opts.Logger.Debug("Append of claims got no answer.", "error", err)
+		return claim.AppendFailed{Certain: errors.Is(err, platform.ErrNotAppended)}
+	}
+	return claim.Appended{Offset: offsets[0]}
+}
+
+func (c *Controller) read(ctx context.Context, from int64) claim.Event {
+	records, err := c.opts.Log.Read(ctx, c.opts.Topic, from, readLimit)
+	if errors.Is(err, platform.ErrForgotten) {
+		c.opts.Logger.Warn("Log has forgotten claims that were not read yet.", "offset", from)
+		return claim.Forgot{}
+	}
+	if err != nil {
+		return claim.ReadFailed{}
+	}
+	batches := make([]claim.Batch, len(records))
+	for i, r := range records {
+		batches[i] = c.decode(r)
+	}
+	return claim.Read{Batches: batches, AtEnd: len(records) < readLimit}
+}
+
+func (c *Controller) decode(r platform.Record) claim.Batch {
+	batch, err := claim.Decode(r.Value)
+	if err != nil {
+		c.opts.Logger.Warn("Skipped a record of the claims topic.", "offset", r.Offset, "error", err)
+	}
+	return batch
+}
+
+func (c *Controller) observe(answer claim.Answer, d time.Duration) {
+	if c.opts.Metrics != nil {
+		c.opts.Metrics.ObserveClaim(answer.String(), d)
+	}
+}
+
+// report sets the gauges and logs when the log goes down or answers again.
+func (c *Controller) report() {
+	c.mu.Lock()
+	asks, keys := c.book.Size()
+	unwritten := c.book.Unwritten()
+	since := c.book.Down()
+	down := !since.IsZero() && time.Since(since) > c.opts.CallTimeout
+	changed := down != c.down
+	c.down = down
+	c.mu.Unlock()
+	if c.opts.Metrics != nil {
+		c.opts.Metrics.SetClaims(asks, keys, unwritten)
+	}
+	if !changed {
+		return
+	}
+	if down {
+		c.opts.Logger.Warn("Log does not answer, unrepeatable requests are refused.", "unwritten", unwritten)
+		return
+	}
+	c.opts.Logger.Info("Log answers again.")
+}
--- /dev/null
+++ b/internal/controller/claims/memory.go
@@ -0,0 +1,58 @@
+package claims
+
+import (
+	"context"
+	"sync"
+
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
+
+// memoryKept is the number of records that a MemoryLog keeps.
+const memoryKept = 1024
+
+// MemoryLog is a log of one daemon's own, for the keys that it issued itself. It ends with
+// the process. Its only reader follows it closely, so that it keeps the last records only.
+type MemoryLog struct {
+	mu      sync.Mutex
+	first   int64
+	records [][]byte
+}
+
+var _ platform.Log = (*MemoryLog)(nil)
+
+// Append adds the values. It never fails.
+func (l *MemoryLog) Append(_ context.Context, _ string, values [][]byte) ([]int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offsets := make([]int64, len(values))
+	for i, value := range values {
+		offsets[i] = l.first + int64(len(l.records))
+		l.records = append(l.records, value)
+	}
+	if surplus := len(l.records) - memoryKept; surplus > 0 {
+		l.records = append([][]byte(nil), l.records[surplus:]...)
+		l.first += int64(surplus)
+	}
+	return offsets, nil
+}
+
+// Read returns up to limit records from the offset on.
+func (l *MemoryLog) Read(_ context.Context, _ string, offset int64, limit int) ([]platform.Record, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if offset < l.first {
+		return nil, platform.ErrForgotten
+	}
+	var out []platform.Record
+	for i := offset - l.first; i < int64(len(l.records)) && len(out) < limit; i++ {
+		out = append(out, platform.Record{Offset: l.first + i, Value: l.records[i]})
+	}
+	return out, nil
+}
+
+// Bounds returns the offsets kept.
+func (l *MemoryLog) Bounds(context.Context, string) (platform.Bounds, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return platform.Bounds{First: l.first, Next: l.first + int64(len(l.records))}, nil
+}
