Run unrepeatable requests of plain services at most once

Cause: plain services marked not repeatable ran once for each request of a caller, so that a caller that asked again was stamped twice; a silent server held the caller for ever; a caller that went away cancelled a run whose outcome it then could not learn. Ruled out: 1204 for every key while the log fails, since a key that ran at another daemon would be told as not run.

--- a/internal/daemon/chain.go
+++ b/internal/daemon/chain.go
@@ -33,6 +33,7 @@
 		record.New(d.metrics, logging.For(logging.Entry)),
 		identify.New(),
 		decode.New(d.settings.MaxBody),
+		d.once.filter(d),
 		admit.New(admit.Options{
 			Queues:     d.dispatch,
 			MaxBytes:   d.settings.MaxHeld,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,7 @@
 	config   *config.Controller
 	dispatch *dispatch.Controller
 	entry    *entry.Server
+	once     *onceOnly
 
 	drain     chan struct{}
 	drainOnce sync.Once
@@ -133,6 +134,7 @@
 		Logger:   logging.For(logging.Config),
 		OnChange: d.configChanged,
 	})
+	d.once = d.newOnceOnly(incarnation)
 	*operators = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -153,6 +155,7 @@
 		Chain:   d.chain(attempts),
 		Resume:  d.resumeChain(attempts),
 		Metrics: d.scrape,
+		Keys:    d.once,
 		Logger:  logging.For(logging.Entry),
 	})
 	d.entry = server
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -42,7 +42,10 @@
 		advertised = address.String()
 	}
 	d.members.SetClientAddress(advertised)
-	for _, run := range []func(context.Context){d.config.Run, d.members.Run, d.dispatch.Run, d.serveWhenConfigured} {
+	parts := []func(context.Context){
+		d.config.Run, d.members.Run, d.dispatch.Run, d.once.logged.Run, d.once.issued.Run, d.serveWhenConfigured,
+	}
+	for _, run := range parts {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Go(func() { _ = d.mesh.Serve(d.listener) })
@@ -86,6 +89,7 @@
 	if err := d.entry.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "finish requests")
 	}
+	d.once.flush(ctx)
 	d.members.SetState(pb.MemberState_MEMBER_STATE_LEFT)
 	sleep(ctx, idlePoll)
 	d.logger.Info("Stopped.")
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -30,6 +30,9 @@
 	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
 	Instances  string        `help:"URL of the platform's instance list; the seeds alone when empty." env:"FILBERTRILL_INSTANCES"`
 
+	ClaimTimeout time.Duration `help:"How long an unrepeatable request waits for its claim to be in the log." env:"FILBERTRILL_CLAIM_TIMEOUT" default:"2s"`
+	ClaimWindow  time.Duration `help:"Age at which an idempotency key is no longer taken. The log must keep records for two minutes longer." env:"FILBERTRILL_CLAIM_WINDOW" default:"10m"`
+
 	MaxBody int64 `help:"Longest request body, in bytes." env:"FILBERTRILL_MAX_BODY" default:"33554432"`
 	MaxHeld int64 `help:"Request bodies held at once, in bytes." env:"FILBERTRILL_MAX_HELD" default:"268435456"`
 
@@ -88,6 +91,9 @@
 	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 || s.WriteLimit <= 0 {
 		return result.New(result.SettingInvalid, "--max-body, --max-held, --log-timeout and --write-limit must be positive")
 	}
+	if s.ClaimTimeout <= 0 || s.ClaimWindow <= 0 {
+		return result.New(result.SettingInvalid, "--claim-timeout and --claim-window must be positive")
+	}
 	if s.MaxHeld < s.MaxBody {
 		return result.New(result.SettingContradictory, "--max-held is below --max-body")
 	}
--- /dev/null
+++ b/internal/entry/keys.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// maxKeys bounds the keys of one answer.
+const maxKeys = 100
+
+// KeyIssuer makes idempotency keys that only this daemon takes.
+type KeyIssuer interface {
+	Issue(account string, now time.Time) string
+	Lifetime() time.Duration
+}
+
+type keyList struct {
+	Keys       []string `json:"keys"`
+	Entry      string   `json:"entry"` // the only address that takes the keys
+	LifetimeMS int64    `json:"lifetime_ms"`
+}
+
+// serveKeys issues as many keys as the query's count asks for.
+func (s *Server) serveKeys(w http.ResponseWriter, h *http.Request) {
+	_, account, err := s.identified(h)
+	if err != nil {
+		result.WriteHTTP(w, err)
+		return
+	}
+	count, err := keyCount(h)
+	if err != nil {
+		result.WriteHTTP(w, err)
+		return
+	}
+	list := keyList{
+		Entry:      s.opts.Members.Self().ClientAddress,
+		LifetimeMS: s.opts.Keys.Lifetime().Milliseconds(),
+	}
+	for range count {
+		list.Keys = append(list.Keys, s.opts.Keys.Issue(account.ID, time.Now()))
+	}
+	writeJSON(w, list)
+}
+
+func keyCount(h *http.Request) (int, error) {
+	raw := h.URL.Query().Get("count")
+	if raw == "" {
+		return 1, nil
+	}
+	n, err := strconv.Atoi(raw)
+	if err != nil || n < 1 || n > maxKeys {
+		return 0, result.New(result.BodyMalformed, "count must be from 1 to %d", maxKeys)
+	}
+	return n, nil
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,6 +42,7 @@
 	Chain   filter.Handler
 	Resume  filter.Handler // of GET /v1/resume
 	Metrics http.Handler
+	Keys    KeyIssuer
 	Logger  *slog.Logger
 }
 
@@ -74,6 +75,7 @@
 		{Method: http.MethodGet, Path: "/v1/resume", Handler: s.serveResume},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: s.serveModels},
 		{Method: http.MethodGet, Path: "/v1/entries", Handler: s.serveEntries},
+		{Method: http.MethodGet, Path: "/v1/keys", Handler: s.serveKeys},
 		{Method: http.MethodGet, Path: "/healthz", Handler: serveHealth},
 		{Method: http.MethodGet, Path: "/readyz", Handler: s.serveReady},
 		{Method: http.MethodGet, Path: "/metrics", Handler: opts.Metrics.ServeHTTP},
--- /dev/null
+++ b/internal/filter/once/once.go
@@ -0,0 +1,200 @@
+// Package once lets an unrepeatable request of a plain service run at most once by its
+// idempotency key. See the README of this folder.
+package once
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/claim"
+	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+// The headers of callers and of answers.
+const (
+	HeaderKey      = "Idempotency-Key"
+	HeaderFirst    = "X-First-Attempt" // "true": the caller never sent the key before
+	HeaderReplayed = "X-Replayed"      // "true": the answer of an earlier run
+	HeaderEntry    = "X-Entry"         // the address that takes an issued key
+)
+
+// retryAfter is when a caller should come back whose claim could not be recorded.
+const retryAfter = time.Second
+
+// Claims decides which attempt runs.
+type Claims interface {
+	Claim(ctx context.Context, ask claim.Ask) (claim.Verdict, error)
+	End(attempt claim.Attempt, outcome *claim.Outcome)
+}
+
+// Options configure the filter.
+type Options struct {
+	Logged Claims // for keys of callers
+	Issued Claims // for keys that this daemon issued
+	Issuer claim.Issuer
+	// EntryOf returns the address for callers of a daemon, or the empty string.
+	EntryOf func(daemon string) string
+	Window  time.Duration // age at which a key is no longer taken
+	Skew    time.Duration // how far two clocks may differ
+	Timeout time.Duration // for recording a claim
+	MaxBody int           // bytes of an answer kept for callers that ask again
+}
+
+// New returns the filter.
+func New(opts Options) filter.Filter {
+	return func(next filter.Handler) filter.Handler { return &handler{opts: opts, next: next} }
+}
+
+type handler struct {
+	opts Options
+	next filter.Handler
+}
+
+// Handle passes on what is repeatable and what has no key: the daemon makes one attempt of it.
+func (h *handler) Handle(ctx context.Context, r *filter.Request) error {
+	if r.Chat != nil || r.Service.Repeatable {
+		return h.next.Handle(ctx, r)
+	}
+	texts := r.HTTP.Header.Values(HeaderKey)
+	if len(texts) == 0 {
+		return h.next.Handle(ctx, r)
+	}
+	key, err := h.parse(r, texts)
+	if err != nil {
+		return err
+	}
+	claims, err := h.claims(r, key)
+	if err != nil {
+		return err
+	}
+	ask, err := h.ask(r, key)
+	if err != nil {
+		return err
+	}
+	verdict, err := claims.Claim(ctx, ask)
+	if err != nil {
+		return result.Wrap(err, result.CallerGone, "the caller went away")
+	}
+	if verdict.Answer == claim.Run {
+		return h.run(ctx, r, claims, ask.Attempt)
+	}
+	return answer(r, verdict)
+}
+
+func (h *handler) parse(r *filter.Request, texts []string) (claim.Key, error) {
+	if len(texts) > 1 {
+		return claim.Key{}, result.New(result.IdempotencyKeyInvalid, "the request has more than one idempotency key")
+	}
+	key, err := h.opts.Issuer.Parse(r.Account.ID, texts[0])
+	if err != nil {
+		return claim.Key{}, result.Wrap(err, result.IdempotencyKeyInvalid, "%v", err)
+	}
+	if key.Time.After(r.Received.Add(h.opts.Skew)) {
+		return claim.Key{}, result.New(result.IdempotencyKeyInvalid, "the idempotency key was made in the future: check the clock")
+	}
+	return key, nil
+}
+
+// claims returns who decides on the key. An issued key runs only in its issuer's memory.
+func (h *handler) claims(r *filter.Request, key claim.Key) (Claims, error) {
+	if !key.Issued() {
+		return h.opts.Logged, nil
+	}
+	if key.Issuer != h.opts.Issuer.Daemon {
+		address := h.opts.EntryOf(key.Issuer)
+		r.Writer.Header().Set(HeaderEntry, address)
+		return nil, unknown(r, result.ClaimsUnavailable, result.EarlierRequestUnknown,
+			"the idempotency key is only taken by its issuer %s at %q", key.Issuer, address)
+	}
+	if key.Incarnation != h.opts.Issuer.Incarnation {
+		return nil, unknown(r, result.IdempotencyKeyInvalid, result.EarlierOutcomeUnknown,
+			"the daemon that issued the idempotency key has restarted")
+	}
+	return h.opts.Issued, nil
+}
+
+func (h *handler) ask(r *filter.Request, key claim.Key) (claim.Ask, error) {
+	attempt, err := claim.NewAttempt(r.ID)
+	if err != nil {
+		return claim.Ask{}, err
+	}
+	waitBy := r.Received.Add(time.Duration(r.Service.Deadline))
+	claimBy := r.Received.Add(h.opts.Timeout)
+	if waitBy.Before(claimBy) {
+		claimBy = waitBy
+	}
+	return claim.Ask{
+		Attempt: attempt,
+		Key:     key.Hash(r.Account.ID),
+		Content: claim.ContentHash(r.Service.ID, r.HTTP.Method, r.Path, r.Body),
+		KeyTime: key.Time,
+		ClaimBy: claimBy,
+		WaitBy:  waitBy,
+	}, nil
+}
+
+// run passes the request on and records how it ended, whatever happens.
+func (h *handler) run(ctx context.Context, r *filter.Request, claims Claims, attempt claim.Attempt) error {
+	outcome := &claim.Outcome{}
+	defer func() { claims.End(attempt, outcome) }()
+	err := h.next.Handle(ctx, r)
+	outcome = h.outcome(r, err)
+	return err
+}
+
+// outcome returns nil when no byte of the request can have reached a backend server.
+func (h *handler) outcome(r *filter.Request, err error) *claim.Outcome {
+	if r.Answer != nil {
+		return h.kept(r.Answer)
+	}
+	neverGranted := r.Granted.IsZero()
+	if err != nil && (neverGranted || result.From(err).Class() == result.NotRun) {
+		return nil
+	}
+	return &claim.Outcome{}
+}
+
+func (h *handler) kept(a *filter.Answer) *claim.Outcome {
+	o := &claim.Outcome{Status: a.Status, Header: a.Header, Body: a.Body}
+	if len(a.Body) > h.opts.MaxBody {
+		o.Header, o.Body, o.Cut = nil, nil, true
+	}
+	return o
+}
+
+// answer answers a request that does not run.
+func answer(r *filter.Request, v claim.Verdict) error {
+	switch v.Answer {
+	case claim.Replay:
+		r.Writer.Header().Set(HeaderReplayed, "true")
+		earlier := filter.Answer{Status: v.Outcome.Status, Header: v.Outcome.Header, Body: v.Outcome.Body}
+		return earlier.Write(r.Writer)
+	case claim.Reused:
+		return result.New(result.IdempotencyKeyReused, "the idempotency key was used before with other content")
+	case claim.Unclaimed:
+		return result.New(result.ClaimsUnavailable, "the claim could not be recorded").After(retryAfter)
+	case claim.Unavailable:
+		return unknown(r, result.ClaimsUnavailable, result.EarlierRequestUnknown,
+			"this request was not run, and whether an earlier one with its key ran can't be told now")
+	case claim.Forgotten:
+		return unknown(r, result.IdempotencyKeyInvalid, result.EarlierOutcomeUnknown,
+			"the idempotency key is older than the log tells")
+	}
+	if v.Outcome != nil && v.Outcome.Status != 0 {
+		return result.New(result.EarlierOutcomeUnknown, "an earlier request ran and was answered %s; its answer was not kept",
+			http.StatusText(v.Outcome.Status))
+	}
+	return result.New(result.EarlierOutcomeUnknown, "an earlier request may have run, and its outcome is not known")
+}
+
+// unknown refuses a request that was not run. Only when the caller says that it never sent
+// the key before is its key known not to have run either.
+func unknown(r *filter.Request, first, again result.Code, format string, args ...any) error {
+	code := again
+	if r.HTTP.Header.Get(HeaderFirst) == "true" {
+		code = first
+	}
+	return result.New(code, format, args...).After(retryAfter)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -21,6 +21,7 @@
 	Dispatch Part = "dispatch"
 	Entry    Part = "entry"
 	Backend  Part = "backend"
+	Claims   Part = "claims"
 	Peer     Part = "peer"
 	Daemon   Part = "daemon"
 )
--- /dev/null
+++ b/internal/telemetry/claims.go
@@ -0,0 +1,40 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+var claimBuckets = milliseconds(1, 2, 5, 10, 15, 20, 30, 50, 75, 100, 250, 500, 1000, 2000, 5000, 10_000)
+
+// claimMetrics holds the metrics of unrepeatable requests.
+type claimMetrics struct {
+	scope     tally.Scope
+	asks      tally.Gauge
+	keys      tally.Gauge
+	unwritten tally.Gauge
+}
+
+func newClaimMetrics(root tally.Scope) claimMetrics {
+	return claimMetrics{
+		scope:     root,
+		asks:      root.Gauge("claim_open"),
+		keys:      root.Gauge("claim_keys"),
+		unwritten: root.Gauge("claim_unwritten"),
+	}
+}
+
+// ObserveClaim records the time from an unrepeatable request to the answer whether it may run.
+func (m *Metrics) ObserveClaim(answer string, d time.Duration) {
+	tags := map[string]string{"answer": answer}
+	m.claims.scope.Tagged(tags).Histogram("claim_seconds", claimBuckets).RecordDuration(d)
+}
+
+// SetClaims sets the numbers of open claims, of keys remembered, and of records that are
+// not known to be in the log.
+func (m *Metrics) SetClaims(asks, keys, unwritten int) {
+	m.claims.asks.Update(float64(asks))
+	m.claims.keys.Update(float64(keys))
+	m.claims.unwritten.Update(float64(unwritten))
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	results  resultCounters
 	control  map[controlKey]tally.Counter
 	state    stateGauges
+	claims   claimMetrics
 }
 
 // New returns the metrics, the handler that serves them, and a closer that makes
@@ -70,6 +71,7 @@
 		results:  resultCounters{scope: scope},
 		control:  newControlCounters(scope),
 		state:    newStateGauges(scope),
+		claims:   newClaimMetrics(scope),
 	}
 	return m, reporter.HTTPHandler(), closer
 }
