--- a/test/standin/faults/faults.go
+++ b/test/standin/faults/faults.go
@@ -38,6 +38,9 @@
 	DelayMS         int64  `json:"delay_ms"`         // delay of Slow, in milliseconds
 	DuplicateEvents bool   `json:"duplicate_events"` // send each stream event twice
 	ForeignID       string `json:"foreign_id"`       // send one event under this request id
+	Every           int    `json:"every"`            // meets each so-many-th request only; 0 meets all
+	Only            string `json:"only"`             // on the log, "append" or "read"; empty meets both
+	Topic           string `json:"topic"`            // on the log, the topic met; empty meets all
 }
 
 // Delay returns the delay of the fault.
@@ -45,6 +48,11 @@
 	return time.Duration(f.DelayMS) * time.Millisecond
 }
 
+// meets reports whether the fault is for requests of the kind and topic.
+func (f Fault) meets(kind, topic string) bool {
+	return (f.Only == "" || f.Only == kind) && (f.Topic == "" || f.Topic == topic)
+}
+
 // Switch holds the fault in force. Its zero value holds none. It is safe for concurrent use.
 type Switch struct {
 	mu    sync.Mutex
@@ -64,10 +72,20 @@
 }
 
 // Take returns the fault that the next request meets.
-func (s *Switch) Take() Fault {
+func (s *Switch) Take() Fault { return s.TakeFor("", "") }
+
+// TakeFor returns the fault that the next request of a kind and topic meets.
+func (s *Switch) TakeFor(kind, topic string) Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fault := s.fault
+	if !fault.meets(kind, topic) {
+		return Fault{Mode: None}
+	}
+	s.turn++
+	if fault.Every > 1 && s.turn%fault.Every != 0 {
+		return Fault{Mode: None}
+	}
 	if fault.Mode == "" {
 		fault.Mode = None
 	}
@@ -77,7 +95,6 @@
 			s.fault = Fault{Mode: None}
 		}
 	}
-	s.turn++
 	if fault.Mode == Flap && s.turn%2 == 0 {
 		fault.Mode = None
 	}
--- a/test/standin/logstore/server.go
+++ b/test/standin/logstore/server.go
@@ -38,9 +38,9 @@
 		store: &store{opts: opts, topics: map[string]*topic{}},
 		mux:   http.NewServeMux(),
 	}
-	s.mux.HandleFunc("POST /topics/{topic}", s.faulty(s.produce))
-	s.mux.HandleFunc("GET /topics/{topic}/partitions/{partition}/messages", s.faulty(s.consume))
-	s.mux.HandleFunc("GET /topics/{topic}/partitions/{partition}/offsets", s.faulty(s.offsets))
+	s.mux.HandleFunc("POST /topics/{topic}", s.faulty("append", s.produce))
+	s.mux.HandleFunc("GET /topics/{topic}/partitions/{partition}/messages", s.faulty("read", s.consume))
+	s.mux.HandleFunc("GET /topics/{topic}/partitions/{partition}/offsets", s.faulty("read", s.offsets))
 	s.mux.Handle("POST /admin/faults", &s.faults)
 	s.mux.HandleFunc("GET /admin/topics", s.topics)
 	return s
@@ -62,9 +62,9 @@
 }
 
 // faulty shows the fault in force around a handler.
-func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+func (s *Server) faulty(kind string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		fault := s.faults.Take()
+		fault := s.faults.TakeFor(kind, r.PathValue("topic"))
 		switch fault.Mode {
 		case faults.Down, faults.Flap:
 			writeError(w, http.StatusServiceUnavailable, codeUnavailable, "log is not available")
