--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -66,17 +66,7 @@
 	if r.Chat != nil {
 		return h.chat(ctx, r)
 	}
-	lease, err := h.acquire(ctx, r)
-	if err != nil {
-		return err
-	}
-	r.Granted = time.Now()
-	defer func() { lease.End(r.Cost) }()
-	err = h.plain(ctx, r, lease)
-	if serverFault(ctx, err) {
-		lease.Fail()
-	}
-	return err
+	return h.plain(ctx, r)
 }
 
 // deadline returns until when the answer must begin.
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -58,6 +58,7 @@
 	ServerSilent          Code = 3002
 	EarlierOutcomeUnknown Code = 3003
 	Internal              Code = 3004
+	EarlierRequestUnknown Code = 3005
 	ServerError           Code = 3010
 )
 
