Keep stacks out of the log, and probe a lone backend server without growing pauses

Cause: slog prints errors with %+v, which shows the stacks of cockroachdb/errors, 60 lines for one failure. Change: errors are logged by their message; the pause grows only beside a healthy server.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -102,10 +102,22 @@
 // SetUnreachable takes in that a server did not tell its load.
 func (d *Dispatcher) SetUnreachable(now time.Time, id string) {
 	if s, ok := d.servers[id]; ok {
-		s.results(now, 1, 0)
+		d.results(now, s, 1, 0)
 	}
 }
 
+// results takes in ended runs of a server. A server without a healthy one beside it is
+// probed without growing pauses, since the pool has nothing else to offer.
+func (d *Dispatcher) results(now time.Time, s *server, failed, succeeded uint64) {
+	limit := probeDelay
+	for _, other := range d.servers {
+		if other != s && other.healthy() {
+			limit = maxProbeDelay
+		}
+	}
+	s.results(now, failed, succeeded, limit)
+}
+
 func (d *Dispatcher) server(id string) *server {
 	s, ok := d.servers[id]
 	if !ok {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -221,7 +221,7 @@
 		}
 		n.results[s.Server] = s
 		if own, ok := d.servers[s.Server]; ok {
-			own.results(now, failed, succeeded)
+			d.results(now, own, failed, succeeded)
 		} else if !n.key.pool {
 			d.passResults(now, s.Server, failed, succeeded)
 		}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -64,8 +64,11 @@
 	return window
 }
 
-// results takes in newly ended runs.
-func (s *server) results(now time.Time, failed, succeeded uint64) {
+// healthy reports whether the server is open and not on probation.
+func (s *server) healthy() bool { return s.spec.Open && s.failures < failureLimit }
+
+// results takes in newly ended runs. The pauses between probes grow up to limit.
+func (s *server) results(now time.Time, failed, succeeded uint64, limit time.Duration) {
 	if succeeded > 0 {
 		s.failures = 0
 		s.delay = 0
@@ -78,7 +81,7 @@
 	if s.failures < failureLimit {
 		return
 	}
-	s.delay = min(max(2*s.delay, probeDelay), maxProbeDelay)
+	s.delay = min(max(2*s.delay, probeDelay), limit)
 	s.probeAt = now.Add(s.delay)
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -61,13 +61,22 @@
 	if w == nil {
 		w = os.Stderr
 	}
-	options := &slog.HandlerOptions{Level: o.Level}
+	options := &slog.HandlerOptions{Level: o.Level, ReplaceAttr: shortError}
 	if o.JSON {
 		return slog.NewJSONHandler(w, options)
 	}
 	return slog.NewTextHandler(w, options)
 }
 
+// shortError replaces an error by its message: slog would print the stack that the errors
+// of cockroachdb/errors carry.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // prefixHandler puts a prefix before the message of each record.
 type prefixHandler struct {
 	next   slog.Handler
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"github.com/cockroachdb/errors"
 	"log/slog"
 	"testing"
 
@@ -70,3 +71,12 @@
 	logx.Error("failed")
 	assert.Equal(t, "daemon: failed", record(t, out)["msg"])
 }
+
+func TestErrorsAreShort(t *testing.T) {
+	for _, json := range []bool{false, true} {
+		out := setup(t, Options{JSON: json})
+		For(Peer).Info("Failed.", "error", errors.Wrap(errors.New("inner"), "outer"))
+		assert.Contains(t, out.String(), "outer: inner")
+		assert.NotContains(t, out.String(), "stack trace")
+	}
+}
