--- /dev/null
+++ b/test/integration/dispatch/callers_test.go
@@ -0,0 +1,153 @@
+// Package dispatch holds sessions on fair shares while dispatchers, zones and backend
+// servers fail.
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/test/cluster"
+	"github.com/filbertrill/filbertrill/test/load"
+)
+
+func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
+
+// Sizes of the calls: about 200 ms each.
+const (
+	answerTokens = 20
+	tokenTime    = "10ms"
+	pollTime     = 50 * time.Millisecond
+)
+
+// callers send calls one after the other until their test ends.
+type callers struct {
+	mu     sync.Mutex
+	whole  int
+	codes  map[string]int
+	errors []error
+	waits  []time.Duration // to the first token
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// startCallers starts n callers of an account at a daemon.
+func startCallers(f *cluster.Fleet, t *testing.T, account string, daemon, n int) *callers {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &callers{codes: map[string]int{}, cancel: cancel}
+	call := callOf(f, account, daemon)
+	client := load.NewClient()
+	for range n {
+		c.done.Go(func() {
+			for ctx.Err() == nil {
+				c.note(ctx, call.Do(ctx, client))
+			}
+		})
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+func callOf(f *cluster.Fleet, account string, daemon int) load.Call {
+	return load.Call{
+		Account: account,
+		Key:     "key-" + account,
+		Address: f.Daemons[daemon].Address,
+		Model:   "drafter",
+		Prompt:  10,
+		Answer:  answerTokens,
+		Limit:   answerTokens,
+	}
+}
+
+func (c *callers) note(ctx context.Context, out *load.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case out.Whole():
+		c.whole++
+		c.waits = append(c.waits, out.Tokens[0].Sub(out.Sent))
+	case ctx.Err() != nil:
+	case out.Code != "":
+		c.codes[out.Code]++
+		time.Sleep(pollTime)
+	default:
+		c.errors = append(c.errors, out.Err)
+		time.Sleep(pollTime)
+	}
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.done.Wait()
+}
+
+func (c *callers) answered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.whole
+}
+
+// awaitMore waits until so many further calls are answered whole.
+func (c *callers) awaitMore(t *testing.T, n int) {
+	t.Helper()
+	target := c.answered() + n
+	require.Eventually(t, func() bool { return c.answered() >= target }, 2*cluster.Patience, pollTime)
+}
+
+// requireWhole checks that every call so far was answered whole.
+func (c *callers) requireWhole(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Empty(t, c.errors)
+	require.Empty(t, c.codes)
+}
+
+// engineLoad returns the number of requests that an engine has.
+func engineLoad(t *testing.T, engine *cluster.Process) int {
+	t.Helper()
+	var load struct{ Running, Waiting int }
+	getJSON(t, "http://"+engine.Address+"/load", &load)
+	return load.Running + load.Waiting
+}
+
+// engineRuns returns the number of runs that an engine ever began.
+func engineRuns(t *testing.T, engine *cluster.Process) int {
+	t.Helper()
+	var runs []json.RawMessage
+	getJSON(t, "http://"+engine.Address+"/admin/runs", &runs)
+	return len(runs)
+}
+
+func getJSON(t *testing.T, url string, value any) {
+	t.Helper()
+	resp, err := http.Get(url)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(value))
+}
+
+// dispatcherOf returns the place of the daemon that is the dispatcher of the drafter in a
+// zone, among the daemons d1 to dn of the places given.
+func dispatcherOf(f *cluster.Fleet, zone string, places ...int) int {
+	var members []*pb.Member
+	for _, i := range places {
+		members = append(members, &pb.Member{Id: f.Daemons[i].Name, State: pb.MemberState_MEMBER_STATE_LIVE})
+	}
+	owner := member.Owner("drafter/"+zone, members).Id
+	for _, i := range places {
+		if f.Daemons[i].Name == owner {
+			return i
+		}
+	}
+	return -1
+}
