--- a/test/integration/dispatch/faults_test.go
+++ b/test/integration/dispatch/faults_test.go
@@ -26,6 +26,7 @@
 func otherOfZone(i int) int { return (i + 2) % 4 }
 
 func TestDispatcherKilled(t *testing.T) {
+	t.Parallel()
 	f, engines := twoZones(t, nil)
 	owner := dispatcherOf(f, "z1", 0, 2)
 	c := startCallers(f, t, "small", otherOfZone(owner), 8)
@@ -85,6 +86,7 @@
 }
 
 func TestAllDaemonsRestartedCold(t *testing.T) {
+	t.Parallel()
 	f, _ := twoZones(t, nil)
 	startCallers(f, t, "small", 0, 4).awaitMore(t, 10)
 	for _, d := range f.Daemons {
@@ -100,6 +102,7 @@
 }
 
 func TestFailingServerIsLeftAloneAndComesBack(t *testing.T) {
+	t.Parallel()
 	f, engines := twoZones(t, nil)
 	c := startCallers(f, t, "small", 0, 6)
 	c.awaitMore(t, 20)
@@ -112,6 +115,7 @@
 }
 
 func TestDeadServerIsLeftAlone(t *testing.T) {
+	t.Parallel()
 	f, engines := twoZones(t, nil)
 	c := startCallers(f, t, "small", 0, 6)
 	c.awaitMore(t, 20)
@@ -120,6 +124,7 @@
 }
 
 func TestDispatcherAndServerFailAtOnce(t *testing.T) {
+	t.Parallel()
 	f, engines := twoZones(t, nil)
 	owner := dispatcherOf(f, "z1", 0, 2)
 	c := startCallers(f, t, "small", otherOfZone(owner), 6)
