Prefer daemons and servers that share a prompt prefix

Change: three servers are remembered for a prefix, and among an account's daemons one whose first request fits the free server goes first unless another has waited 1 s longer.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -145,6 +146,24 @@
 	return best
 }
 
+// holder returns the daemon whose first request of the account has its prefix on the server
+// and has waited not much less than that of the given source, or the source.
+func (a *account) holder(source *node, server string) *node {
+	best := source
+	for n, demand := range a.demands {
+		if n.key.pool || !slices.Contains(demand.Prefer, server) {
+			continue
+		}
+		if demand.OldestWait+prefixMargin < a.demands[source].OldestWait {
+			continue
+		}
+		if best == source || n.key.name < best.key.name {
+			best = n
+		}
+	}
+	return best
+}
+
 // backlog is a heap of the accounts that wait, the least virtual time first.
 type backlog struct {
 	accounts []*account
--- a/internal/dispatch/prefix.go
+++ b/internal/dispatch/prefix.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Sizes of the prefix memory.
 const (
@@ -8,23 +11,32 @@
 	// PrefixWindow is how many requests of an account may pass its first one, so as to
 	// run where their prompt prefix is cached.
 	PrefixWindow = 4
+	// prefixMargin is how much longer another daemon's first request of the account may have
+	// waited than one whose prefix is cached on the free server.
+	prefixMargin = time.Second
 )
 
-// prefixMemory knows on which server each prompt prefix ran last. It prefers among the
+// prefixServers is how many servers the memory keeps for a prefix.
+const prefixServers = 3
+
+// prefixMemory knows on which servers each prompt prefix ran lately. It prefers among the
 // requests of one account and among free servers, so it takes nothing from another account.
 type prefixMemory struct {
-	servers map[uint64]string
-	order   []uint64 // oldest first
+	servers map[uint64][]string // the latest first
+	order   []uint64            // oldest first
 }
 
-func newPrefixMemory() prefixMemory { return prefixMemory{servers: map[uint64]string{}} }
+func newPrefixMemory() prefixMemory { return prefixMemory{servers: map[uint64][]string{}} }
 
 func (p *prefixMemory) ran(prefix []uint64, server string) {
 	for _, hash := range prefix {
-		if _, ok := p.servers[hash]; !ok {
+		servers, ok := p.servers[hash]
+		if !ok {
 			p.order = append(p.order, hash)
 		}
-		p.servers[hash] = server
+		servers = slices.DeleteFunc(servers, func(s string) bool { return s == server })
+		servers = slices.Insert(servers, 0, server)
+		p.servers[hash] = servers[:min(prefixServers, len(servers))]
 	}
 	for len(p.order) > prefixMemorySize {
 		delete(p.servers, p.order[0])
@@ -32,14 +44,14 @@
 	}
 }
 
-// server returns where the longest known part of the prefix ran last, or the empty string.
-func (p *prefixMemory) server(prefix []uint64) string {
+// holders returns where the longest known part of the prefix ran lately.
+func (p *prefixMemory) holders(prefix []uint64) []string {
 	for _, hash := range slices.Backward(prefix) {
-		if server, ok := p.servers[hash]; ok {
-			return server
+		if servers, ok := p.servers[hash]; ok {
+			return slices.Clone(servers)
 		}
 	}
-	return ""
+	return nil
 }
 
 // choose returns the place of the request to start on the server: one whose prefix is
@@ -47,7 +59,7 @@
 func (p *prefixMemory) choose(a *accountQueue, server string) int {
 	if a.overtaken < PrefixWindow {
 		for i := range min(PrefixWindow, len(a.waiting)) {
-			if p.server(a.waiting[i].Prefix) != server {
+			if !slices.Contains(p.holders(a.waiting[i].Prefix), server) {
 				continue
 			}
 			if i > 0 {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -357,7 +357,7 @@
 		first := a.waiting[0]
 		d.OldestWait = now.Sub(first.Arrived)
 		d.Estimate = q.estimates.estimate(first.Account, first.Hint)
-		d.Prefer = q.prefixes.server(first.Prefix)
+		d.Prefer = q.prefixes.holders(first.Prefix)
 	}
 	return d
 }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 		if s == nil {
 			break
 		}
+		if !n.key.pool {
+			n = a.holder(n, s.spec.ID)
+		}
 		g := d.grant(now, n, a, s.spec.ID, a.demands[n].Estimate, Origin{})
 		d.addGrant(batches, n, g)
 	}
@@ -63,13 +67,13 @@
 
 // freeServer returns the preferred server when it has a free slot, or the server with the
 // largest free share.
-func (d *Dispatcher) freeServer(now time.Time, standby int, prefer string) *server {
+func (d *Dispatcher) freeServer(now time.Time, standby int, prefer []string) *server {
 	var best *server
 	for _, s := range d.servers {
 		if s.running >= s.window(now, standby) {
 			continue
 		}
-		if s.spec.ID == prefer && s.running < s.window(now, 0) {
+		if slices.Contains(prefer, s.spec.ID) && s.running < s.window(now, 0) {
 			return s
 		}
 		if best == nil || s.load() < best.load() || (s.load() == best.load() && s.spec.ID < best.spec.ID) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -58,12 +58,12 @@
 	Account     string
 	Waiting     int
 	OldestWait  time.Duration
-	Estimate    Cost    // of the first waiting request
-	Prefer      string  // server that holds the prefix of the first waiting request
-	VirtualTime float64 // highest that a grant has told the reporter
-	Served      Cost    // by ended runs on the servers of the reporting pool since its dispatcher began
-	Charged     Cost    // for running ones
-	Running     int     // on the servers of the reporting pool
+	Estimate    Cost     // of the first waiting request
+	Prefer      []string // servers that may hold the prefix of the first waiting request
+	VirtualTime float64  // highest that a grant has told the reporter
+	Served      Cost     // by ended runs on the servers of the reporting pool since its dispatcher began
+	Charged     Cost     // for running ones
+	Running     int      // on the servers of the reporting pool
 }
 
 // Ended is the cumulative cost of an account's ended runs under one dispatcher incarnation.
--- a/test/measure/policy/loads.go
+++ b/test/measure/policy/loads.go
@@ -8,14 +8,16 @@
 
 // Sizes of the users' fleets and of the loads.
 const (
-	zones        = 3
-	daemons      = 7
-	accounts     = 16
-	smallAccount = accounts - 1
-	slots        = 4   // of each server
-	rate         = 100 // cost that a slot delivers in a second
-	length       = 60 * time.Second
-	settle       = 5 * time.Second
+	zones          = 3
+	daemons        = 7
+	accounts       = 16
+	smallAccount   = accounts - 1
+	slots          = 4   // of each server
+	sharedPrefixes = 8   // of each account
+	cachedPrefixes = 32  // on each server: a quarter of all
+	rate           = 100 // cost that a slot delivers in a second
+	length         = 60 * time.Second
+	settle         = 5 * time.Second
 )
 
 type size struct {
@@ -47,6 +49,7 @@
 		{name: "bunched_zone", accounts: func() []virtual.Account { return placed(0, 3, 6) }},
 		{name: "flood", accounts: flood},
 		{name: "dawn", accounts: dawn},
+		{name: "prefixes", accounts: prefixes},
 		{name: "wrong_hints", accounts: even, hintOff: 10},
 	}
 }
@@ -77,6 +80,15 @@
 
 func even() []virtual.Account { return placed(everywhere()...) }
 
+// prefixes has requests that share their prompts' beginnings with others of the account.
+func prefixes() []virtual.Account {
+	all := even()
+	for i := range all {
+		all[i].Prefixes = sharedPrefixes
+	}
+	return all
+}
+
 // flood has one account with many times the others' load, and a small one with a request now and then.
 func flood() []virtual.Account {
 	all := even()
--- a/test/measure/policy/main.go
+++ b/test/measure/policy/main.go
@@ -29,12 +29,13 @@
 
 // way is a way of sharing capacity.
 type way struct {
-	name     string
-	scope    virtual.Scope
-	order    dispatch.Order
-	standby  int
-	hop      int
-	exchange time.Duration
+	name       string
+	scope      virtual.Scope
+	order      dispatch.Order
+	standby    int
+	hop        int
+	exchange   time.Duration
+	noAffinity bool
 }
 
 func ways() []way {
@@ -44,6 +45,7 @@
 		{name: "zone_hop0", scope: virtual.Zone},
 		{name: "zone_standby1", scope: virtual.Zone, standby: 1},
 		{name: "zone_exchange200ms", scope: virtual.Zone, hop: 1, exchange: 200 * time.Millisecond},
+		{name: "zone_no_affinity", scope: virtual.Zone, hop: 1, noAffinity: true},
 		{name: "region", scope: virtual.Region},
 		{name: "daemon_fair", scope: virtual.Daemon},
 		{name: "daemon_fifo", scope: virtual.Daemon, order: dispatch.OrderFIFO},
@@ -70,9 +72,11 @@
 			Stall:     0.01,
 			StallTime: 200 * time.Millisecond,
 		},
-		Rate:   rate,
-		Length: length,
-		Settle: settle,
+		CachedPrefixes: cachedPrefixes,
+		NoAffinity:     w.noAffinity,
+		Rate:           rate,
+		Length:         length,
+		Settle:         settle,
 	}
 	r := virtual.New(opts).Run(0)
 	seconds := length.Seconds()
@@ -84,6 +88,9 @@
 	show("utilisation", r.Utilisation)
 	show("small_wait_p50_s", r.Wait(smallAccount, 0.5).Seconds())
 	show("small_wait_p99_s", r.Wait(smallAccount, 0.99).Seconds())
+	if r.Prefixed > 0 {
+		show("prefix_hit_rate", float64(r.PrefixHits)/float64(r.Prefixed))
+	}
 	show("remote_messages_per_s", float64(r.RemoteMessages)/seconds)
 	show("remote_bytes_per_s", float64(r.RemoteBytes)/seconds)
 }
--- a/test/virtual/load.go
+++ b/test/virtual/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/dispatch"
@@ -15,6 +16,7 @@
 	account int
 	daemon  *daemon
 	cost    float64
+	prefix  uint64 // 0 is none
 	arrived time.Time
 	started time.Time // on the server
 	runs    int
@@ -72,12 +74,22 @@
 	d := f.daemons[at]
 	r := &request{id: l.next, account: account, daemon: d, arrived: f.now}
 	r.cost = f.opts.Accounts[account].Cost(f.rand)
+	if n := f.opts.Accounts[account].Prefixes; n > 0 {
+		r.prefix = uint64(account*n + f.rand.IntN(n) + 1)
+	}
 	l.requests[r.id] = r
 	l.meter.wait(r, 1)
-	d.queue.Enqueue(dispatch.Request{ID: r.id, Account: accountID(account), Hint: l.hint(r), Arrived: f.now})
+	d.queue.Enqueue(dispatch.Request{ID: r.id, Account: accountID(account), Hint: l.hint(r), Prefix: l.prefix(r), Arrived: f.now})
 	f.flush(d)
 }
 
+func (l *load) prefix(r *request) []uint64 {
+	if r.prefix == 0 || l.fleet.opts.NoAffinity {
+		return nil
+	}
+	return []uint64{r.prefix}
+}
+
 // hint is right up to the factor of the options, which is too high for one half of the
 // accounts and too low for the other. The ideal dispatcher is told the cost.
 func (l *load) hint(r *request) dispatch.Hint {
@@ -135,6 +147,24 @@
 	slots   int
 	running int
 	waiting []*request
+	cache   []uint64 // prefixes, the most recently used last
+}
+
+// lookUp counts whether the request's prefix is cached, and caches it.
+func (e *engine) lookUp(r *request) {
+	if r.prefix == 0 {
+		return
+	}
+	result := &e.fleet.Result
+	result.Prefixed++
+	if i := slices.Index(e.cache, r.prefix); i >= 0 {
+		result.PrefixHits++
+		e.cache = slices.Delete(e.cache, i, i+1)
+	}
+	e.cache = append(e.cache, r.prefix)
+	if len(e.cache) > e.fleet.opts.CachedPrefixes {
+		e.cache = e.cache[1:]
+	}
 }
 
 func (e *engine) admit(r *request) {
@@ -149,6 +179,7 @@
 
 func (e *engine) run(r *request) {
 	e.running++
+	e.lookUp(r)
 	f := e.fleet
 	r.started = f.now
 	f.load.meter.started(r)
--- a/test/virtual/meter.go
+++ b/test/virtual/meter.go
@@ -22,6 +22,8 @@
 	Ended          int
 	Waiting        int // at the end
 	RanTwice       int
+	Prefixed       int               // requests with a shared prefix
+	PrefixHits     int               // of them, those that found it cached
 	Waits          [][]time.Duration // by account
 }
 
--- a/test/virtual/options.go
+++ b/test/virtual/options.go
@@ -41,28 +41,31 @@
 	Outstanding int           // requests kept waiting or running; 0 with Every
 	Every       time.Duration // mean time between requests when Outstanding is 0
 	Cost        func(c *Rand) float64
+	Prefixes    int           // prompts' beginnings that its requests share; 0 is none
 	Begin, End  time.Duration // of its load; End 0 is the end of the run
 }
 
 // Options describe a run.
 type Options struct {
-	Seed       uint64
-	Scope      Scope
-	Order      dispatch.Order
-	Zones      int
-	Daemons    int // daemon i is in zone i modulo Zones
-	Servers    []Server
-	Accounts   []Account
-	Standby    int
-	HopStandby int
-	Local      Link    // inside a zone
-	Remote     Link    // between zones
-	HintOff    float64 // factor by which hints are wrong; an account's are all too high or all too low
-	Quantile   float64 // of estimates; the default when 0
-	Rate       float64 // cost that a slot delivers in a second
-	Length     time.Duration
-	Exchange   time.Duration
-	Settle     time.Duration // start of the measurement
+	Seed           uint64
+	Scope          Scope
+	Order          dispatch.Order
+	Zones          int
+	Daemons        int // daemon i is in zone i modulo Zones
+	Servers        []Server
+	Accounts       []Account
+	Standby        int
+	HopStandby     int
+	CachedPrefixes int     // that a server keeps, the least recently used go
+	NoAffinity     bool    // daemons do not know the prefixes
+	Local          Link    // inside a zone
+	Remote         Link    // between zones
+	HintOff        float64 // factor by which hints are wrong; an account's are all too high or all too low
+	Quantile       float64 // of estimates; the default when 0
+	Rate           float64 // cost that a slot delivers in a second
+	Length         time.Duration
+	Exchange       time.Duration
+	Settle         time.Duration // start of the measurement
 }
 
 func (o *Options) setDefaults() {
