Spread tickets among daemons and bound the age of what they know

Cause: each daemon read the log by itself. One without the log never heard of a ticket, a cold one had no state while the log was down, a daemon that was cut off or frozen started work by an old configuration without end, a log whose head was cut had no state left to start from, and an append without an answer ended the submit.

Ruled out: heartbeats as proof of freshness (a thawed daemon reads old ones from its sockets, and a restarted peer no longer knows what it confirmed).

Change: package configsync holds the decisions (delegate, push targets, roster, freshness, state record). Answers to pings carry the applied offset and the age of the peer's knowledge; the age counts from the sending of the ping. Records go from daemon to daemon; a daemon far behind gets the whole state. The owner of a key records the state in the log. Submits are told by the ticket's digest and read back.

Ready means: knows all that was accepted before its own start.

--- /dev/null
+++ b/internal/configsync/delegate.go
@@ -0,0 +1,67 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// Prefixes and names of the keys that roles belong to.
+const (
+	delegateKey    = "config-delegate/" // and the zone
+	stateRecordKey = "state-record"
+)
+
+// Delegate returns the member that reads the log for a zone, or nil when the zone has none.
+func Delegate(zone string, live []*pb.Member) *pb.Member {
+	var inZone []*pb.Member
+	for _, m := range live {
+		if m.Zone == zone {
+			inZone = append(inZone, m)
+		}
+	}
+	return member.Owner(delegateKey+zone, inZone)
+}
+
+// OwnsStateRecords reports whether the member appends the state records.
+func OwnsStateRecords(self string, live []*pb.Member) bool {
+	owner := member.Owner(stateRecordKey, live)
+	return owner != nil && owner.Id == self
+}
+
+// Intervals are the times between two reads of the log.
+type Intervals struct {
+	Delegate time.Duration
+	Others   time.Duration
+}
+
+// Poll returns the time until the next read of the log. A daemon whose knowledge is older
+// than half the limit reads as often as a delegate: its delegate may be cut off.
+func (i Intervals) Poll(delegate bool, age, limit time.Duration) time.Duration {
+	if delegate || age > limit/2 {
+		return i.Delegate
+	}
+	return i.Others
+}
+
+// PushTargets returns the members that a daemon tells of new records. Those from the log
+// go to the delegate of every zone; a delegate passes all on to the members of its zone.
+func PushTargets(self *pb.Member, live []*pb.Member, fromPeer bool) []*pb.Member {
+	delegates := map[string]string{}
+	for _, m := range live {
+		if _, ok := delegates[m.Zone]; !ok {
+			delegates[m.Zone] = Delegate(m.Zone, live).Id
+		}
+	}
+	isDelegate := delegates[self.Zone] == self.Id
+	var targets []*pb.Member
+	for _, m := range live {
+		toDelegate := !fromPeer && delegates[m.Zone] == m.Id
+		toZone := isDelegate && m.Zone == self.Zone
+		if m.Id != self.Id && (toDelegate || toZone) {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/configsync/freshness.go
@@ -0,0 +1,127 @@
+package configsync
+
+import (
+	"slices"
+	"time"
+)
+
+// Source tells how a daemon knows every accepted ticket.
+type Source string
+
+// The sources.
+const (
+	SourceNone     Source = ""
+	SourceLog      Source = "log"      // it read the log to its end
+	SourcePeer     Source = "peer"     // a peer that knows told it
+	SourceMajority Source = "majority" // a majority of the members has nothing newer
+)
+
+// Attestation is a peer's answer on its configuration. The peer gave it after the call was sent.
+type Attestation struct {
+	Member   string
+	Sent     time.Time     // when the call began, by the asking daemon's clock
+	Applied  int64         // offset of the last record that the peer applied
+	Ready    bool          // the peer has a state, and KnownAge holds
+	KnownAge time.Duration // the peer had every ticket accepted this long before it answered
+}
+
+// Freshness keeps the latest time up to which a daemon surely has every accepted ticket.
+// A ticket is accepted once a majority of the members has applied it, so a majority that
+// has nothing newer rules out an accepted ticket which is not known here.
+type Freshness struct {
+	self    string
+	started time.Time // of the daemon
+	known   time.Time
+	source  Source
+	heard   map[string]Attestation
+}
+
+// NewFreshness returns the freshness of a daemon that started at the given time and knows nothing.
+func NewFreshness(self string, started time.Time) *Freshness {
+	return &Freshness{self: self, started: started, heard: map[string]Attestation{}}
+}
+
+// Ready reports whether the daemon has every ticket that was accepted before it started.
+// Until then it serves nobody and does not count in a majority: an earlier incarnation may
+// have confirmed tickets that were forgotten with it.
+func (f *Freshness) Ready() bool { return !f.known.IsZero() }
+
+// Known returns the time up to which the daemon has every accepted ticket, zero for never.
+func (f *Freshness) Known() (time.Time, Source) { return f.known, f.source }
+
+// Age is the time since the daemon last knew every accepted ticket. It takes the larger of
+// the monotonic and the wall clock: the monotonic one may stand still while a virtual
+// machine is suspended.
+func Age(known, now time.Time) time.Duration {
+	return max(now.Sub(known), now.Round(0).Sub(known.Round(0)))
+}
+
+// LogRead notes a read of the log that began at started, reached the end, and is applied.
+func (f *Freshness) LogRead(started time.Time) { f.raise(started, SourceLog) }
+
+func (f *Freshness) raise(known time.Time, source Source) {
+	if known.Before(f.started) {
+		return
+	}
+	if known.After(f.known) {
+		f.known, f.source = known, source
+	}
+}
+
+// Attest takes in a peer's answer. An answer to an earlier call than the last one is ignored.
+func (f *Freshness) Attest(a Attestation) {
+	if a.Member == f.self {
+		return
+	}
+	if last, ok := f.heard[a.Member]; ok && !a.Sent.After(last.Sent) {
+		return
+	}
+	f.heard[a.Member] = a
+}
+
+// Evaluate derives the freshness from the answers of peers that have nothing newer than
+// the daemon, whose own applied offset is given.
+func (f *Freshness) Evaluate(now time.Time, applied int64, roster *Roster) {
+	var times []time.Time
+	for id, a := range f.heard {
+		if !roster.Has(id) {
+			delete(f.heard, id)
+			continue
+		}
+		if !a.Ready || a.Applied > applied {
+			continue
+		}
+		times = append(times, a.Sent)
+		f.raise(a.Sent.Add(-a.KnownAge), SourcePeer)
+	}
+	if f.Ready() {
+		times = append(times, now)
+		f.evaluateMajority(times, roster.Majority())
+	}
+}
+
+func (f *Freshness) evaluateMajority(times []time.Time, majority int) {
+	if len(times) < majority {
+		return
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	f.raise(times[majority-1], SourceMajority)
+}
+
+// Ahead reports whether the member is known to have applied more than the given offset.
+func (f *Freshness) Ahead(applied int64) bool {
+	for _, a := range f.heard {
+		if a.Applied > applied {
+			return true
+		}
+	}
+	return false
+}
+
+// AppliedBy returns the last offset that the member is known to have applied, -1 for none.
+func (f *Freshness) AppliedBy(id string) int64 {
+	if a, ok := f.heard[id]; ok {
+		return a.Applied
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/configsync/staterecord.go
@@ -0,0 +1,50 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
+
+// StateRecordLimits are the settings of state records.
+type StateRecordLimits struct {
+	Interval time.Duration // longest time between two
+	Every    int64         // most records between the base of the last and the end of the log
+}
+
+// StateRecordFacts is what a daemon knows of the log and of its state records.
+type StateRecordFacts struct {
+	Bounds  platform.Bounds // as last observed
+	Applied int64           // by this daemon
+	Base    int64           // highest base of the state records that the log keeps; -1 for none
+	Offset  int64           // of that state record; -1 for none
+	Seen    time.Time       // when that state record was first seen, or the daemon started
+}
+
+// StateRecordDue reports whether the log needs a new state record.
+func StateRecordDue(now time.Time, f StateRecordFacts, limits StateRecordLimits) bool {
+	if f.Applied < 0 || f.Applied+1 < f.Bounds.Next {
+		return false // nothing to record, or more to apply first
+	}
+	if f.Offset < f.Bounds.First && f.Bounds.First > 0 {
+		return true // the log keeps none
+	}
+	if now.Sub(f.Seen) >= limits.Interval {
+		return true
+	}
+	if f.Bounds.Next-f.Base-1 > limits.Every {
+		return true
+	}
+	return headIsNear(f)
+}
+
+// headIsNear reports whether the log has forgotten records, and half of what it keeps was
+// written after the last state record: its state is then half way to being forgotten.
+func headIsNear(f StateRecordFacts) bool {
+	if f.Bounds.First == 0 {
+		return false
+	}
+	kept := f.Bounds.Next - f.Bounds.First
+	left := f.Base + 1 - f.Bounds.First
+	return left < kept/2
+}
--- a/internal/controller/config/config.go
+++ b/internal/controller/config/config.go
@@ -1,9 +1,9 @@
-// Package config follows the configuration topic of the platform's log and publishes
-// the state that results from it.
+// Package config runs the decisions of package configsync: it follows the configuration
+// topic of the platform's log, spreads its records among the daemons, and publishes the
+// state that results from them.
 package config
 
 import (
-	"context"
 	"encoding/json"
 	"log/slog"
 	"sync"
@@ -12,139 +12,183 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
 // Defaults of Options.
 const (
-	DefaultTopic        = "filbertrill-config"
-	DefaultPollInterval = 250 * time.Millisecond
-	DefaultReadTimeout  = 2 * time.Second
-	readLimit           = 500 // records a read
+	DefaultTopic               = "filbertrill-config"
+	DefaultPollInterval        = 250 * time.Millisecond
+	DefaultPollOthers          = 2 * time.Second
+	DefaultReadTimeout         = 2 * time.Second
+	DefaultStaleAfter          = 2500 * time.Millisecond
+	DefaultStateRecordInterval = time.Hour
+	DefaultStateRecordEvery    = 200
+	tickInterval               = 250 * time.Millisecond
+	readLimit                  = 500 // records a read
 )
 
+// Members tells who is in the fleet. The controller calls it without holding its lock.
+type Members interface {
+	Self() *pb.Member
+	Live(now time.Time) []*pb.Member
+	All() []member.Status
+	Listed() (addresses []string, answered bool)
+	Address(id string) string
+}
+
+// Sender sends a message to the peer at an address.
+type Sender interface {
+	Send(address string, env *pb.Envelope)
+}
+
 // Options configure a Controller.
 type Options struct {
+	SelfID       string
+	Seeds        []string
+	Members      Members
+	Sender       Sender
 	Log          platform.Log
 	Topic        string
-	PollInterval time.Duration
+	PollInterval time.Duration // between two reads of the log by a delegate
+	PollOthers   time.Duration // between two reads of the log by other daemons
 	ReadTimeout  time.Duration
+	StaleAfter   time.Duration // age of the knowledge above which no new work starts
+	StateRecords configsync.StateRecordLimits
 	Logger       *slog.Logger
-	// OnChange is called with each new configuration, in order, from one goroutine.
+	// OnChange is called with each new configuration, in order.
 	OnChange func(*ticket.Config)
 }
 
-// Controller applies the log to the state. The applied offset only grows.
+func (o *Options) applyDefaults() {
+	if o.Topic == "" {
+		o.Topic = DefaultTopic
+	}
+	defaults := map[*time.Duration]time.Duration{
+		&o.PollInterval:          DefaultPollInterval,
+		&o.PollOthers:            DefaultPollOthers,
+		&o.ReadTimeout:           DefaultReadTimeout,
+		&o.StaleAfter:            DefaultStaleAfter,
+		&o.StateRecords.Interval: DefaultStateRecordInterval,
+	}
+	for field, value := range defaults {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	if o.StateRecords.Every == 0 {
+		o.StateRecords.Every = DefaultStateRecordEvery
+	}
+}
+
+// Controller applies records to the state. The applied offset only grows.
 type Controller struct {
 	opts Options
+	wake chan struct{} // asks for a read of the log now
 
-	mu       sync.Mutex
-	state    *ticket.State
-	lastRead time.Time
-	lastErr  error
+	mu          sync.Mutex
+	state       *ticket.State
+	ring        configsync.Ring
+	digests     *configsync.Digests
+	fresh       *configsync.Freshness
+	roster      *configsync.Roster
+	records     stateRecords
+	lastRead    time.Time // when a read of the log last succeeded
+	lastErr     error
+	lastRequest request
+	warned      map[string]int64 // offset at which a peer's digest differed, by member
 
 	current atomic.Pointer[ticket.Config]
+	known   atomic.Pointer[knowledge]
+	applied atomic.Pointer[appliedState]
 }
 
-// NewController returns a controller without a configuration.
-func NewController(opts Options) *Controller {
-	if opts.Topic == "" {
-		opts.Topic = DefaultTopic
-	}
-	if opts.PollInterval == 0 {
-		opts.PollInterval = DefaultPollInterval
-	}
-	if opts.ReadTimeout == 0 {
-		opts.ReadTimeout = DefaultReadTimeout
-	}
-	return &Controller{opts: opts, state: ticket.NewState()}
+// appliedState is what Applied returns. It needs no lock, since the members' controller
+// asks for it under its own.
+type appliedState struct {
+	offset int64
+	digest string
 }
 
-// Current returns the configuration, or nil while there is none.
-func (c *Controller) Current() *ticket.Config { return c.current.Load() }
+// source tells where records came from.
+type source int
 
-// Run follows the log until the context ends.
-func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(c.opts.PollInterval)
-	defer ticker.Stop()
-	for {
-		c.sync(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+const (
+	fromLog source = iota // read or appended by this daemon
+	fromPeer
+)
+
+// knowledge is what Fresh reads without the lock.
+type knowledge struct {
+	at     time.Time
+	source configsync.Source
 }
 
-// sync reads until nothing new is in the log.
-func (c *Controller) sync(ctx context.Context) {
-	for ctx.Err() == nil {
-		n, err := c.readOnce(ctx)
-		c.noteRead(err)
-		if err != nil || n < readLimit {
-			return
-		}
+// NewController returns a controller without a configuration.
+func NewController(opts Options) *Controller {
+	opts.applyDefaults()
+	now := time.Now()
+	c := &Controller{
+		opts:    opts,
+		wake:    make(chan struct{}, 1),
+		state:   ticket.NewState(),
+		digests: configsync.NewDigests(),
+		fresh:   configsync.NewFreshness(opts.SelfID, now),
+		roster:  configsync.NewRoster(opts.SelfID),
+		records: newStateRecords(now),
+		warned:  map[string]int64{},
 	}
+	c.known.Store(&knowledge{})
+	c.applied.Store(&appliedState{offset: c.state.Applied(), digest: c.state.Digest()})
+	return c
 }
 
-func (c *Controller) noteRead(err error) {
+// Current returns the configuration, or nil while there is none. It is nil as well until
+// the daemon has once known every accepted ticket.
+func (c *Controller) Current() *ticket.Config { return c.current.Load() }
+
+// Apply takes in records in the order of their offsets. Records that are applied already are ignored.
+func (c *Controller) Apply(records []platform.Record) { c.apply(records, fromLog) }
+
+func (c *Controller) apply(records []platform.Record, from source) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil && c.lastErr == nil {
-		c.opts.Logger.Warn("Log does not answer, serving on with the last configuration.", "error", err)
-	}
-	if err == nil && c.lastErr != nil {
-		c.opts.Logger.Info("Log answers again.")
+	before := c.state.Applied()
+	for _, r := range records {
+		c.applyOne(r)
 	}
-	c.lastErr = err
-	if err == nil {
-		c.lastRead = time.Now()
+	advanced := c.state.Applied() > before
+	if advanced {
+		c.noteApplied()
 	}
-}
-
-func (c *Controller) readOnce(ctx context.Context) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
-	defer cancel()
-	c.mu.Lock()
-	next := c.state.Next()
+	c.evaluate(time.Now())
 	c.mu.Unlock()
-	records, err := c.opts.Log.Read(ctx, c.opts.Topic, next, readLimit)
-	if errors.Is(err, platform.ErrForgotten) {
-		return c.readFromFirst(ctx)
-	}
-	if err != nil {
-		return 0, err
+	if advanced {
+		c.push(from)
 	}
-	c.Apply(records)
-	return len(records), nil
 }
 
-// readFromFirst looks for a state record in what the log still keeps.
-func (c *Controller) readFromFirst(ctx context.Context) (int, error) {
-	bounds, err := c.opts.Log.Bounds(ctx, c.opts.Topic)
-	if err != nil {
-		return 0, err
-	}
-	records, err := c.opts.Log.Read(ctx, c.opts.Topic, bounds.First, readLimit)
-	if err != nil {
-		return 0, err
-	}
-	c.Apply(records)
-	return len(records), nil
+// noteApplied publishes the applied offset. The caller holds the lock.
+func (c *Controller) noteApplied() {
+	now := &appliedState{offset: c.state.Applied(), digest: c.state.Digest()}
+	c.digests.Add(now.offset, now.digest)
+	c.applied.Store(now)
 }
 
-// Apply takes in records in the order of their offsets. Records that are applied already are ignored.
-func (c *Controller) Apply(records []platform.Record) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	before := c.state.Config()
-	for _, r := range records {
-		verdict := c.state.Apply(r.Offset, r.Value)
-		c.logVerdict(verdict)
+func (c *Controller) applyOne(r platform.Record) {
+	c.noteStateRecord(r, time.Now())
+	verdict := c.state.Apply(r.Offset, r.Value)
+	c.logVerdict(verdict)
+	if verdict.Outcome == ticket.OutcomeAdopted {
+		c.ring.Reset()
+		return
+	}
+	if verdict.Outcome != ticket.OutcomeGap && c.state.Applied() == r.Offset {
+		c.ring.Add(r)
 	}
-	c.publish(before)
 }
 
 func (c *Controller) logVerdict(v ticket.Verdict) {
@@ -153,15 +197,22 @@
 		c.opts.Logger.Info("Applied a ticket.", "number", v.Number, "offset", v.Offset)
 	case ticket.OutcomeRejected:
 		c.opts.Logger.Warn("Rejected a ticket.", "number", v.Number, "offset", v.Offset, "reason", string(v.Reason), "detail", v.Detail)
+	case ticket.OutcomeAdopted:
+		c.opts.Logger.Info("Adopted a state record.", "offset", v.Offset, "base", c.state.Applied())
 	}
 }
 
-func (c *Controller) publish(before *ticket.Config) {
-	config := c.state.Config()
-	if c.state.Applied() < 0 {
+// evaluate derives the freshness, and publishes the configuration once it may be served.
+// The caller holds the lock.
+func (c *Controller) evaluate(now time.Time) {
+	c.fresh.Evaluate(now, c.state.Applied(), c.roster)
+	at, source := c.fresh.Known()
+	c.known.Store(&knowledge{at: at, source: source})
+	if !c.fresh.Ready() || c.state.Applied() < 0 {
 		return
 	}
-	if config == before && c.current.Load() != nil {
+	config := c.state.Config()
+	if config == c.current.Load() {
 		return
 	}
 	c.current.Store(config)
@@ -172,31 +223,37 @@
 
 // Applied returns the offset of the last record applied (-1 for none) and the state's digest.
 func (c *Controller) Applied() (int64, string) {
+	now := c.applied.Load()
+	return now.offset, now.digest
+}
+
+// Verdict returns what is known of a ticket number, and the digest of the ticket that took it.
+func (c *Controller) Verdict(number uint64) (v ticket.Verdict, digest string, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Applied(), c.state.Digest()
+	v, known = c.state.Verdict(number)
+	return v, c.state.KeptDigest(number), known
 }
 
-// Verdict returns what is known of a ticket number.
-func (c *Controller) Verdict(number uint64) (ticket.Verdict, bool) {
+// Lookup returns what became of this very ticket.
+func (c *Controller) Lookup(t ticket.Ticket) (ticket.Verdict, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Verdict(number)
+	return c.state.Lookup(t)
 }
 
 // Snapshot returns the whole state as JSON and the applied offset.
 func (c *Controller) Snapshot() ([]byte, int64, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	data, err := json.Marshal(c.state.Snapshot())
-	return data, c.state.Applied(), errors.Wrap(err, "encode snapshot")
+	data, applied, _, err := c.snapshot()
+	return data, applied, err
 }
 
-// LogHealth returns when the log last answered, and the error of the last read.
-func (c *Controller) LogHealth() (time.Time, error) {
+func (c *Controller) snapshot() (data []byte, applied int64, digest string, err error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lastRead, c.lastErr
+	snapshot, digest := c.state.Snapshot(), c.state.Digest()
+	c.mu.Unlock()
+	data, err = json.Marshal(snapshot)
+	return data, snapshot.AppliedOffset, digest, errors.Wrap(err, "encode snapshot")
 }
 
 // Numbers returns the highest ticket numbers, descending, at most limit of them.
--- /dev/null
+++ b/internal/controller/config/reader.go
@@ -0,0 +1,175 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
+
+// errHeadCut says that the log no longer holds the state.
+var errHeadCut = errors.New("the log has forgotten records that no kept state record replaces")
+
+// Run follows the log and the peers until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.runTicks(ctx) })
+	wg.Go(func() { c.runStateRecords(ctx) })
+	for ctx.Err() == nil {
+		c.sync(ctx)
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-time.After(c.pollDelay(time.Now())):
+		}
+	}
+}
+
+func (c *Controller) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		c.tick(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Wake asks for a read of the log now.
+func (c *Controller) Wake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) pollDelay(now time.Time) time.Duration {
+	knowledge := c.Knowledge(now)
+	age := knowledge.Age
+	if !knowledge.Ever {
+		age = c.opts.StaleAfter
+	}
+	intervals := configsync.Intervals{Delegate: c.opts.PollInterval, Others: c.opts.PollOthers}
+	return intervals.Poll(c.IsDelegate(now), age, c.opts.StaleAfter)
+}
+
+// IsDelegate reports whether this daemon reads the log for its zone.
+func (c *Controller) IsDelegate(now time.Time) bool {
+	delegate := configsync.Delegate(c.opts.Members.Self().Zone, c.opts.Members.Live(now))
+	return delegate != nil && delegate.Id == c.opts.SelfID
+}
+
+// sync reads until nothing new is in the log.
+func (c *Controller) sync(ctx context.Context) {
+	for ctx.Err() == nil {
+		end, err := c.readOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		c.noteRead(err)
+		if err != nil || end {
+			return
+		}
+	}
+}
+
+func (c *Controller) noteRead(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && c.lastErr == nil {
+		c.opts.Logger.Warn("Log does not answer, serving on with the last configuration.", "error", err)
+	}
+	if err == nil && c.lastErr != nil {
+		c.opts.Logger.Info("Log answers again.")
+	}
+	c.lastErr = err
+	if err == nil {
+		c.lastRead = time.Now()
+	}
+}
+
+// LogHealth returns when the log last answered, and the error of the last read.
+func (c *Controller) LogHealth() (time.Time, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastRead, c.lastErr
+}
+
+func (c *Controller) next() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Next()
+}
+
+// readOnce reads and applies records, and reports whether that was the end of the log.
+func (c *Controller) readOnce(ctx context.Context) (end bool, err error) {
+	next := c.next()
+	started := time.Now()
+	records, err := c.read(ctx, next)
+	if errors.Is(err, platform.ErrForgotten) {
+		return false, c.readKept(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	c.Apply(records)
+	if len(records) == readLimit {
+		return false, nil
+	}
+	c.reachedEnd(started, next+int64(len(records)))
+	return true, nil
+}
+
+// reachedEnd notes that a read which began at started found no record from the end on.
+func (c *Controller) reachedEnd(started time.Time, end int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Next() < end {
+		return
+	}
+	c.fresh.LogRead(started)
+	c.evaluate(time.Now())
+}
+
+func (c *Controller) read(ctx context.Context, offset int64) ([]platform.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
+	defer cancel()
+	return c.opts.Log.Read(ctx, c.opts.Topic, offset, readLimit)
+}
+
+func (c *Controller) bounds(ctx context.Context) (platform.Bounds, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
+	defer cancel()
+	return c.opts.Log.Bounds(ctx, c.opts.Topic)
+}
+
+// readKept looks through all that the log keeps for the latest state record.
+func (c *Controller) readKept(ctx context.Context) error {
+	bounds, err := c.bounds(ctx)
+	if err != nil {
+		return err
+	}
+	for offset := bounds.First; offset < bounds.Next; {
+		records, err := c.read(ctx, offset)
+		if err != nil {
+			return err
+		}
+		if len(records) == 0 {
+			break
+		}
+		c.Apply(records)
+		offset += int64(len(records))
+	}
+	if c.next() < bounds.First {
+		return errHeadCut
+	}
+	return nil
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -47,6 +47,7 @@
 	view   *member.View
 	self   *pb.Member
 	listed []string
+	listOK bool // the list has answered
 }
 
 // NewController returns a controller that knows only its own daemon.
@@ -112,7 +113,7 @@
 		addresses = append(addresses, i.PeerAddress)
 	}
 	c.mu.Lock()
-	c.listed = addresses
+	c.listed, c.listOK = addresses, true
 	c.mu.Unlock()
 }
 
@@ -213,3 +214,10 @@
 	defer c.mu.Unlock()
 	return c.view.Suspected(&s, now)
 }
+
+// Listed returns the peer addresses of the instance list, and whether it has ever answered.
+func (c *Controller) Listed() ([]string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed, c.listOK
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/filbertrill/filbertrill/internal/filter/admit"
 	"github.com/filbertrill/filbertrill/internal/filter/attempt"
 	"github.com/filbertrill/filbertrill/internal/filter/decode"
+	"github.com/filbertrill/filbertrill/internal/filter/fresh"
 	"github.com/filbertrill/filbertrill/internal/filter/identify"
 	"github.com/filbertrill/filbertrill/internal/filter/record"
 	"github.com/filbertrill/filbertrill/internal/logging"
@@ -27,7 +28,6 @@
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
-	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
 // Daemon is one running instance.
@@ -105,6 +105,8 @@
 		Routes:      d.settings.PeerRoutes,
 		Handler:     d.handle,
 		Operator:    operators,
+		Attest:      func(pong *pb.Pong) { d.config.Attest(pong) },
+		Observe:     func(sent time.Time, pong *pb.Pong) { d.config.Pong(sent, pong) },
 		Logger:      logging.For(logging.Peer),
 	})
 	d.members = members.NewController(members.Options{
@@ -129,11 +131,7 @@
 		Sender:      d.mesh,
 		Logger:      logging.For(logging.Dispatch),
 	})
-	d.config = config.NewController(config.Options{
-		Log:      d.log,
-		Logger:   logging.For(logging.Config),
-		OnChange: d.configChanged,
-	})
+	d.config = d.newConfig()
 	*operators = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -161,7 +159,7 @@
 func (d *Daemon) chain() filter.Handler {
 	transport := backend.NewTransport()
 	last := attempt.New(attempt.Options{
-		Acquirer: d.dispatch,
+		Acquirer: fresh.NewAcquirer(d.dispatch, d.config),
 		Engine:   backend.NewEngine(transport),
 		Plain:    backend.NewPlain(transport),
 		Metrics:  d.metrics,
@@ -170,6 +168,7 @@
 		record.New(d.metrics, logging.For(logging.Entry)),
 		identify.New(),
 		decode.New(d.settings.MaxBody),
+		fresh.New(d.config),
 		admit.New(admit.Options{
 			Queues:     d.dispatch,
 			MaxBytes:   d.settings.MaxHeld,
@@ -183,25 +182,16 @@
 	switch body := env.Body.(type) {
 	case *pb.Envelope_Heartbeat:
 		d.members.Heartbeat(body.Heartbeat, time.Now())
+		d.config.Heartbeat(body.Heartbeat.GetSelf())
 	case *pb.Envelope_DemandReport:
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
 		d.dispatch.GrantBatch(body.GrantBatch)
+	case *pb.Envelope_ConfigRecords:
+		d.config.Records(env.From, body.ConfigRecords)
+	case *pb.Envelope_ConfigRequest:
+		d.config.Request(env.From, body.ConfigRequest)
+	case *pb.Envelope_ConfigReply:
+		d.config.Reply(env.From, body.ConfigReply)
 	}
 }
-
-func (d *Daemon) refresh(self *pb.Member) {
-	self.AppliedOffset, self.ConfigDigest = d.config.Applied()
-}
-
-func (d *Daemon) configChanged(c *ticket.Config) {
-	var accounts, services []string
-	for _, a := range c.Accounts() {
-		accounts = append(accounts, a.ID)
-	}
-	for _, s := range c.Services() {
-		services = append(services, s.ID)
-	}
-	d.metrics.SetKnown(accounts, services)
-	d.dispatch.SetConfig(c)
-}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
@@ -30,6 +31,12 @@
 	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
 	Instances  string        `help:"URL of the platform's instance list; the seeds alone when empty." env:"FILBERTRILL_INSTANCES"`
 
+	ConfigPoll          time.Duration `help:"Time between two reads of the log by the daemon that reads it for its data centre." env:"FILBERTRILL_CONFIG_POLL" default:"250ms"`
+	ConfigPollOthers    time.Duration `help:"Time between two reads of the log by the other daemons." env:"FILBERTRILL_CONFIG_POLL_OTHERS" default:"2s"`
+	StaleAfter          time.Duration `help:"Age of the knowledge of accepted tickets above which the daemon starts no new work." env:"FILBERTRILL_STALE_AFTER" default:"2500ms"`
+	StateRecordInterval time.Duration `help:"Longest time between two records of the whole state in the log; at most a quarter of the time that the log keeps records." env:"FILBERTRILL_STATE_RECORD_INTERVAL" default:"1h"`
+	StateRecordEvery    int64         `help:"Most records of the log that follow the last record of the whole state." env:"FILBERTRILL_STATE_RECORD_EVERY" default:"200"`
+
 	MaxBody int64 `help:"Longest request body, in bytes." env:"FILBERTRILL_MAX_BODY" default:"33554432"`
 	MaxHeld int64 `help:"Request bodies held at once, in bytes." env:"FILBERTRILL_MAX_HELD" default:"268435456"`
 
@@ -37,6 +44,9 @@
 	LogJSON  bool   `help:"Write log lines as JSON." env:"FILBERTRILL_LOG_JSON"`
 }
 
+// minStaleAfter is twice the time between two pings of a link.
+const minStaleAfter = 2 * peer.DefaultPingInterval
+
 // minSecretBytes is the shortest secret accepted.
 const minSecretBytes = 16
 
@@ -83,6 +93,12 @@
 	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 {
 		return result.New(result.SettingInvalid, "--max-body, --max-held and --log-timeout must be positive")
 	}
+	if s.ConfigPoll <= 0 || s.ConfigPollOthers <= 0 || s.StateRecordInterval <= 0 || s.StateRecordEvery <= 0 {
+		return result.New(result.SettingInvalid, "--config-poll, --config-poll-others and the --state-record settings must be positive")
+	}
+	if s.StaleAfter < minStaleAfter {
+		return result.New(result.SettingInvalid, "--stale-after is below %s, two pings between daemons", minStaleAfter)
+	}
 	if s.MaxHeld < s.MaxBody {
 		return result.New(result.SettingContradictory, "--max-held is below --max-body")
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -4,31 +4,76 @@
 	"context"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
-// status tells how far a ticket has come. The offset is that of its record, or -1.
-func (s *Server) status(number uint64, offset int64) *pb.TicketStatus {
-	status := &pb.TicketStatus{Number: number, Offset: offset, Phase: pb.TicketPhase_TICKET_PHASE_UNKNOWN}
+// neverKnown is the age of knowledge that the daemon never had.
+const neverKnown = -1
+
+func (s *Server) newStatus(number uint64) *pb.TicketStatus {
+	return &pb.TicketStatus{
+		Number:     number,
+		Offset:     -1,
+		Phase:      pb.TicketPhase_TICKET_PHASE_UNKNOWN,
+		AnsweredBy: s.opts.SelfID,
+		KnownAgeMs: s.knownAge(time.Now()),
+	}
+}
+
+func (s *Server) knownAge(now time.Time) int64 {
+	k := s.opts.Config.Knowledge(now)
+	if !k.Ever {
+		return neverKnown
+	}
+	return k.Age.Milliseconds()
+}
+
+// statusOf tells how far this very ticket has come; another one of its number is not
+// taken for it. The offset is that of a record of it, or -1.
+func (s *Server) statusOf(t ticket.Ticket, offset int64) *pb.TicketStatus {
+	status := s.newStatus(t.Number)
+	status.Digest = ticket.Digest(t)
 	if offset >= 0 {
+		status.Offset = offset
 		status.Phase = pb.TicketPhase_TICKET_PHASE_LOGGED
 	}
-	verdict, known := s.opts.Config.Verdict(number)
-	if !known || (offset >= 0 && verdict.Offset > offset) {
-		return status
+	if verdict, known := s.opts.Config.Lookup(t); known {
+		s.judge(status, verdict)
 	}
+	return status
+}
+
+// statusOfNumber tells of the ticket that took the number.
+func (s *Server) statusOfNumber(number uint64) *pb.TicketStatus {
+	status := s.newStatus(number)
+	verdict, digest, known := s.opts.Config.Verdict(number)
+	status.Digest = digest
+	if known {
+		s.judge(status, verdict)
+	}
+	return status
+}
+
+func (s *Server) judge(status *pb.TicketStatus, verdict ticket.Verdict) {
 	status.Offset = verdict.Offset
 	if verdict.Outcome == ticket.OutcomeRejected {
 		status.Phase = pb.TicketPhase_TICKET_PHASE_REJECTED
 		status.ResultCode = uint32(rejection(verdict.Reason))
-		status.Detail = verdict.Detail
-		return status
+		status.Detail = rejectionDetail(verdict)
+		return
 	}
 	status.Phase = pb.TicketPhase_TICKET_PHASE_VALID
-	s.countApplied(status)
-	return status
+	s.countApplied(status, time.Now())
+}
+
+func rejectionDetail(v ticket.Verdict) string {
+	if v.Detail == "" {
+		return string(v.Reason)
+	}
+	return string(v.Reason) + ": " + v.Detail
 }
 
 func rejection(reason ticket.Reason) result.Code {
@@ -43,38 +88,57 @@
 	return result.TicketMalformed
 }
 
-// countApplied raises the phase by the members whose heartbeats tell that they applied the offset.
-func (s *Server) countApplied(status *pb.TicketStatus) {
-	own, _ := s.opts.Config.Applied()
-	for _, m := range s.opts.Members.All() {
-		applied := m.Member.AppliedOffset
-		if m.Member.Id == s.opts.SelfID {
-			applied = own
-		}
-		if applied >= status.Offset {
+// countApplied raises the phase by the members whose heartbeats tell that they applied the
+// offset. Accepted is counted of every member known, in force of those that are not suspected.
+func (s *Server) countApplied(status *pb.TicketStatus, now time.Time) {
+	members, unheard := s.opts.Config.Roster(now)
+	liveMissing := 0
+	for _, m := range members {
+		status.OldestFactMs = max(status.OldestFactMs, s.factAge(m, now))
+		if s.appliedBy(m) >= status.Offset {
 			status.AppliedBy = append(status.AppliedBy, m.Member.Id)
-		} else if m.Member.State != pb.MemberState_MEMBER_STATE_LEFT {
-			status.Missing = append(status.Missing, m.Member.Id)
+			continue
+		}
+		status.Missing = append(status.Missing, m.Member.Id)
+		if !s.opts.Members.Suspected(m, now) {
+			liveMissing++
 		}
 	}
-	if len(status.AppliedBy) > len(status.Missing) {
-		status.Phase = pb.TicketPhase_TICKET_PHASE_ACCEPTED
+	if 2*len(status.AppliedBy) <= len(members)+unheard {
+		return
 	}
-	if len(status.Missing) == 0 {
+	status.Phase = pb.TicketPhase_TICKET_PHASE_ACCEPTED
+	if liveMissing == 0 {
 		status.Phase = pb.TicketPhase_TICKET_PHASE_IN_FORCE
 	}
 }
 
+func (s *Server) appliedBy(m member.Status) int64 {
+	if m.Member.Id != s.opts.SelfID {
+		return m.Member.AppliedOffset
+	}
+	own, _ := s.opts.Config.Applied()
+	return own
+}
+
+// factAge is the age of what is known of a member, in milliseconds.
+func (s *Server) factAge(m member.Status, now time.Time) int64 {
+	if m.Member.Id == s.opts.SelfID {
+		return 0
+	}
+	return now.Sub(m.Heard).Milliseconds()
+}
+
 // ShowTicket returns what is known of a ticket.
 func (s *Server) ShowTicket(_ context.Context, in *pb.ShowTicketRequest) (*pb.TicketStatus, error) {
-	return s.status(in.Number, -1), nil
+	return s.statusOfNumber(in.Number), nil
 }
 
 // ListTickets returns the newest tickets.
 func (s *Server) ListTickets(_ context.Context, in *pb.ListTicketsRequest) (*pb.ListTicketsReply, error) {
 	out := &pb.ListTicketsReply{}
 	for _, number := range s.opts.Config.Numbers(int(in.Limit)) {
-		out.Tickets = append(out.Tickets, s.status(number, -1))
+		out.Tickets = append(out.Tickets, s.statusOfNumber(number))
 	}
 	return out, nil
 }
@@ -93,7 +157,21 @@
 	now := time.Now()
 	applied, _ := s.opts.Config.Applied()
 	read, err := s.opts.Config.LogHealth()
-	out := &pb.StatusReply{AnsweredBy: s.opts.SelfID, AppliedOffset: applied, LogAgeMs: now.Sub(read).Milliseconds()}
+	known := s.opts.Config.Knowledge(now)
+	roster, unheard := s.opts.Config.Roster(now)
+	out := &pb.StatusReply{
+		AnsweredBy:    s.opts.SelfID,
+		AppliedOffset: applied,
+		LogAgeMs:      neverKnown,
+		CutOff:        known.CutOff,
+		KnownAgeMs:    s.knownAge(now),
+		KnownBy:       string(known.Source),
+		Delegate:      s.opts.Config.IsDelegate(now),
+		KnownMembers:  uint32(len(roster) + unheard),
+	}
+	if !read.IsZero() {
+		out.LogAgeMs = now.Sub(read).Milliseconds()
+	}
 	if err != nil {
 		out.LogError = err.Error()
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -74,16 +74,21 @@
 	}
 	var lastPong atomic.Int64
 	lastPong.Store(time.Now().UnixNano())
+	pings := &pingTimes{}
 	go func() {
 		defer cancel()
 		for {
-			if _, err := stream.Recv(); err != nil {
+			pong, err := stream.Recv()
+			if err != nil {
 				return
 			}
 			lastPong.Store(time.Now().UnixNano())
+			if sent, ok := pings.sent(pong.Seq); ok {
+				l.mesh.opts.Observe(sent, pong)
+			}
 		}
 	}()
-	return l.pump(ctx, cancel, stream, &lastPong)
+	return l.pump(ctx, cancel, stream, &lastPong, pings)
 }
 
 // discard drops messages that would be stale by the time a connection stands.
@@ -97,7 +102,7 @@
 	}
 }
 
-func (l *link) pump(ctx context.Context, cancel func(), stream pb.DRPCMesh_SessionClient, lastPong *atomic.Int64) error {
+func (l *link) pump(ctx context.Context, cancel func(), stream pb.DRPCMesh_SessionClient, lastPong *atomic.Int64, pings *pingTimes) error {
 	ticker := time.NewTicker(l.mesh.opts.PingInterval)
 	defer ticker.Stop()
 	go l.watch(ctx, cancel, lastPong)
@@ -110,6 +115,7 @@
 		case env = <-l.queue:
 		case <-ticker.C:
 			seq++
+			pings.add(seq, time.Now())
 			env = &pb.Envelope{
 				From:        l.mesh.opts.ID,
 				Incarnation: l.mesh.opts.Incarnation,
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -30,7 +30,11 @@
 	DialTimeout  time.Duration
 	QueueLength  int // messages that wait for one peer; further ones are dropped
 	Logger       *slog.Logger
-	Counter      func(bytes int, sent bool, kind string, peer string) // counts the payload of control messages; may be nil
+	// Attest fills in the answer to a peer's ping; may be nil.
+	Attest func(*pb.Pong)
+	// Observe receives a peer's answer to the ping that was sent at the given time; may be nil.
+	Observe func(sent time.Time, pong *pb.Pong)
+	Counter func(bytes int, sent bool, kind string, peer string) // counts the payload of control messages; may be nil
 }
 
 // Defaults of Options.
@@ -76,6 +80,12 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.Attest == nil {
+		o.Attest = func(*pb.Pong) {}
+	}
+	if o.Observe == nil {
+		o.Observe = func(time.Time, *pb.Pong) {}
+	}
 	if o.Counter == nil {
 		o.Counter = func(int, bool, string, string) {}
 	}
--- a/internal/peer/operator.go
+++ b/internal/peer/operator.go
@@ -8,8 +8,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
 
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/result"
 )
 
 // operatorSender is the sender that operators' tools name in their token.
@@ -75,9 +77,13 @@
 // guarded runs the call when its token is valid.
 func guarded[In, Out any](ctx context.Context, g *operatorGuard, in In, call func(context.Context, In) (*Out, error)) (*Out, error) {
 	if err := g.check(ctx); err != nil {
-		return nil, err
+		return nil, drpcerr.WithCode(err, uint64(result.OperatorUnauthenticated))
 	}
-	return call(ctx, in)
+	out, err := call(ctx, in)
+	if err != nil {
+		return nil, drpcerr.WithCode(err, uint64(result.CodeOf(err)))
+	}
+	return out, nil
 }
 
 func (g *operatorGuard) SubmitTicket(ctx context.Context, in *pb.SubmitTicketRequest) (*pb.SubmitTicketReply, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,7 +26,9 @@
 		}
 		s.mesh.opts.Counter(proto.Size(env), false, kind(env), env.From)
 		if ping := env.GetPing(); ping != nil {
-			if err := stream.Send(&pb.Pong{Seq: ping.Seq}); err != nil {
+			pong := &pb.Pong{Seq: ping.Seq, Member: s.mesh.opts.ID, Incarnation: s.mesh.opts.Incarnation}
+			s.mesh.opts.Attest(pong)
+			if err := stream.Send(pong); err != nil {
 				return errors.Wrap(err, "answer ping")
 			}
 			continue
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -12,6 +12,7 @@
 	membersLive   tally.Gauge
 	appliedOffset tally.Gauge
 	logAge        tally.Gauge
+	knownAge      tally.Gauge
 	cutOff        tally.Gauge
 }
 
@@ -21,6 +22,7 @@
 		membersLive:   scope.Gauge("members_live"),
 		appliedOffset: scope.Gauge("applied_offset"),
 		logAge:        scope.Gauge("log_age_seconds"),
+		knownAge:      scope.Gauge("config_known_age_seconds"),
 		cutOff:        scope.Gauge("cut_off"),
 	}
 }
@@ -50,6 +52,11 @@
 	m.state.logAge.Update(d.Seconds())
 }
 
+// SetKnownAge sets the time since the daemon last surely had every accepted ticket.
+func (m *Metrics) SetKnownAge(d time.Duration) {
+	m.state.knownAge.Update(d.Seconds())
+}
+
 // SetCutOff sets whether the daemon is cut off: 1 or 0.
 func (m *Metrics) SetCutOff(cutOff bool) {
 	value := 0.0
