Give filbertrillctl the exit codes of the result codes

Cause: the tool had exit codes of its own, and a daemon's coded refusal reached it as text. Change: codes travel with drpc errors; 0 done, 1 not run, 2 command line, 4 unknown, 5 try later. Ticket and status answers show the ages of facts.

--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -5,17 +5,19 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/result"
 )
 
-// The exit codes.
+// The exit codes. They are those of the result codes.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
-	ExitUsage    = 2
-	ExitInvalid  = 3 // the ticket file has faults
-	ExitRejected = 4 // the ticket was rejected
-	ExitPending  = 5 // not there yet, or the outcome is unknown
-	ExitNoDaemon = 6 // no daemon could be reached; nothing was sent
+	ExitOK       = result.ExitOK
+	ExitFailed   = result.ExitNotRun   // failed on this side, or would fail again
+	ExitUsage    = result.ExitSettings // the command line is wrong
+	ExitInvalid  = result.ExitNotRun   // the ticket file has faults
+	ExitRejected = result.ExitNotRun   // the ticket was rejected
+	ExitPending  = result.ExitUnknown  // not there yet, or the outcome is unknown
+	ExitNoDaemon = result.ExitTryLater // no daemon could be reached; nothing was sent
 )
 
 // exitError is an error with an exit code. A nil cause prints nothing.
--- a/internal/ctl/phase.go
+++ b/internal/ctl/phase.go
@@ -45,6 +45,10 @@
 	Detail     string          `json:"detail"`
 	AppliedBy  []string        `json:"appliedBy"`
 	Missing    []string        `json:"missing"`
+	Digest     string          `json:"digest"`     // of the ticket that took the number; sometimes only its leading part
+	AnsweredBy string          `json:"answeredBy"` // daemon
+	KnownAgeMS int64           `json:"knownAgeMs"` // the daemon had every accepted ticket this long ago; -1 when never
+	FactAgeMS  int64           `json:"factAgeMs"`  // oldest heartbeat behind appliedBy and missing
 	Ticket     json.RawMessage `json:"ticket,omitempty"`
 }
 
@@ -56,8 +60,12 @@
 		Detail:     status.GetDetail(),
 		AppliedBy:  sortedNames(status.GetAppliedBy()),
 		Missing:    sortedNames(status.GetMissing()),
+		Digest:     status.GetDigest(),
+		AnsweredBy: status.GetAnsweredBy(),
+		KnownAgeMS: status.GetKnownAgeMs(),
+		FactAgeMS:  status.GetOldestFactMs(),
 	}
-	if status.GetPhase() != pb.TicketPhase_TICKET_PHASE_UNKNOWN {
+	if status.GetPhase() != pb.TicketPhase_TICKET_PHASE_UNKNOWN && status.GetOffset() >= 0 {
 		offset := status.GetOffset()
 		view.Offset = &offset
 	}
@@ -90,6 +98,10 @@
 		{"detail", orDash(view.Detail)},
 		{"applied by", orDash(strings.Join(view.AppliedBy, ", "))},
 		{"missing", orDash(strings.Join(view.Missing, ", "))},
+		{"digest", orDash(view.Digest)},
+		{"answered by", orDash(view.AnsweredBy)},
+		{"knowledge age", ageText(view.KnownAgeMS)},
+		{"oldest fact", ageText(view.FactAgeMS)},
 	}
 	return s.table(head, rows)
 }
@@ -100,3 +112,11 @@
 	}
 	return text
 }
+
+// ageText is an age in milliseconds as text; a negative one means never.
+func ageText(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return milliseconds(ms)
+}
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,8 +11,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
 
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/result"
 )
 
 // columnGap is the space between the columns of a table, in characters.
@@ -42,10 +45,29 @@
 
 // failure tells how far the tries of a call came.
 type failure struct {
-	sent   []string // daemons that may have got the request
+	sent   []string    // daemons that may have carried out the request
+	code   result.Code // of the first daemon that refused the request; OK for none
 	errors []string
 }
 
+// note adds the error of a daemon that was reached, and the code that came with it.
+func (f *failure) note(address string, err error) {
+	code := result.Code(drpcerr.Code(err))
+	if code.Known() && code.Class() == result.NotRun && code != result.OK {
+		f.code = cmp.Or(f.code, code)
+		return
+	}
+	f.sent = append(f.sent, address)
+}
+
+// refused returns the error of a request that daemons answered and none carried out, or nil.
+func (f *failure) refused() error {
+	if f.code == result.OK || len(f.sent) > 0 {
+		return nil
+	}
+	return withExit(result.ExitCode(f.code), errors.Wrapf(f, "%v", f.code))
+}
+
 // Error names every daemon with its error.
 func (f *failure) Error() string { return strings.Join(f.errors, "; ") }
 
@@ -63,7 +85,7 @@
 			return reply, address, nil
 		}
 		if sent {
-			failed.sent = append(failed.sent, address)
+			failed.note(address, err)
 		}
 		failed.errors = append(failed.errors, fmt.Sprintf("%s: %v", address, err))
 	}
@@ -105,10 +127,13 @@
 	if !errors.As(err, &failed) {
 		return err
 	}
+	if refused := failed.refused(); refused != nil {
+		return refused
+	}
 	if len(failed.sent) == 0 {
 		return withExit(ExitNoDaemon, errors.Wrap(err, "no daemon can be reached"))
 	}
-	return withExit(ExitFailed, errors.Wrap(err, "no daemon answered"))
+	return withExit(ExitNoDaemon, errors.Wrap(err, "no daemon answered"))
 }
 
 // changeError is the error of a request that may have taken effect.
@@ -117,6 +142,9 @@
 	if !errors.As(err, &failed) {
 		return err
 	}
+	if refused := failed.refused(); refused != nil {
+		return refused
+	}
 	if len(failed.sent) == 0 {
 		return withExit(ExitNoDaemon, errors.Wrapf(err, "nothing sent: no daemon can be reached"))
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -22,6 +22,10 @@
 	LogAgeMS      int64              `json:"logAgeMs"` // since the log last answered
 	LogError      string             `json:"logError"`
 	CutOff        bool               `json:"cutOff"`
+	KnownAgeMS    int64              `json:"knownAgeMs"` // the daemon had every accepted ticket this long ago; -1 when never
+	KnownBy       string             `json:"knownBy"`    // log, peer or majority
+	Delegate      bool               `json:"delegate"`   // reads the log for its data centre
+	KnownMembers  uint32             `json:"knownMembers"`
 	Members       []memberView       `json:"members"`
 	Servers       []serverStatusView `json:"servers"`
 	Entries       []string           `json:"entries"`
@@ -86,6 +90,10 @@
 		LogAgeMS:      reply.GetLogAgeMs(),
 		LogError:      reply.GetLogError(),
 		CutOff:        reply.GetCutOff(),
+		KnownAgeMS:    reply.GetKnownAgeMs(),
+		KnownBy:       reply.GetKnownBy(),
+		Delegate:      reply.GetDelegate(),
+		KnownMembers:  reply.GetKnownMembers(),
 		Members:       []memberView{},
 		Servers:       []serverStatusView{},
 		Entries:       append([]string{}, reply.GetEntries()...),
@@ -134,8 +142,10 @@
 }
 
 func (s *session) printSummary(view statusView) error {
-	return s.printf("answered by: %s\napplied offset: %d\nlog age: %s\nlog error: %s\ncut off: %t\n\n",
-		view.AnsweredBy, view.AppliedOffset, milliseconds(view.LogAgeMS), orDash(view.LogError), view.CutOff)
+	return s.printf("answered by: %s\napplied offset: %d\nlog age: %s\nlog error: %s\ncut off: %t\n"+
+		"knowledge age: %s\nknown by: %s\nreads for its data centre: %t\nmembers counted: %d\n\n",
+		view.AnsweredBy, view.AppliedOffset, ageText(view.LogAgeMS), orDash(view.LogError), view.CutOff,
+		ageText(view.KnownAgeMS), orDash(view.KnownBy), view.Delegate, view.KnownMembers)
 }
 
 func milliseconds(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -51,7 +52,7 @@
 	if err != nil {
 		return s.submitFailed(t.Number, c.Wait, err)
 	}
-	code, message := judge(status.GetPhase(), wait)
+	code, message := judge(status, wait)
 	if err := s.printSubmitted(submitted{
 		ticketView: newTicketView(status),
 		Daemon:     daemon,
@@ -92,17 +93,29 @@
 }
 
 // judge returns the exit code and what to tell the operator.
-func judge(phase, wait pb.TicketPhase) (code int, message string) {
+func judge(status *pb.TicketStatus, wait pb.TicketPhase) (code int, message string) {
+	phase := status.GetPhase()
+	told := result.Code(status.GetResultCode())
 	switch {
 	case phase == pb.TicketPhase_TICKET_PHASE_REJECTED:
-		return ExitRejected, "rejected: the ticket has no effect"
-	case phase == pb.TicketPhase_TICKET_PHASE_UNKNOWN:
-		return ExitPending, "outcome unknown: the daemon can't tell whether the log took the ticket; submit again is safe"
-	case phase >= wait:
+		return ExitRejected, coded(told, "rejected: the ticket has no effect")
+	case phase != pb.TicketPhase_TICKET_PHASE_UNKNOWN && phase >= wait:
 		return ExitOK, ""
+	case phase != pb.TicketPhase_TICKET_PHASE_UNKNOWN:
+		return ExitPending, coded(told, "stopped at "+phaseName(phase)+" before "+phaseName(wait)+
+			": the ticket is in the log and goes on; submit again is safe")
+	case told != result.OK && told.Class() == result.NotRun:
+		return result.ExitCode(told), coded(told, "nothing was logged")
 	}
-	return ExitPending, "stopped at " + phaseName(phase) + " before " + phaseName(wait) +
-		": the ticket is in the log and goes on; submit again is safe"
+	return ExitPending, coded(told, "outcome unknown: the daemon can't tell whether the log took the ticket; submit again is safe")
+}
+
+// coded puts the daemon's result code before the message.
+func coded(code result.Code, message string) string {
+	if code == result.OK {
+		return message
+	}
+	return code.String() + ": " + message
 }
 
 // submitFailed prints the result of a submit without an answer for scripts.
@@ -124,9 +137,9 @@
 	return err
 }
 
-func (s *session) printSubmitted(result submitted) error {
+func (s *session) printSubmitted(out submitted) error {
 	if s.json {
-		return s.printJSON(result)
+		return s.printJSON(out)
 	}
-	return s.printTicket(result.ticketView)
+	return s.printTicket(out.ticketView)
 }
