--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -102,6 +102,9 @@
 	}
 	c.add(p)
 	if i < len(c.Daemons) {
+		if err := c.unlistInstance(c.Daemons[i].Field("peers")); err != nil {
+			return nil, err
+		}
 		c.Daemons[i] = p
 	} else {
 		c.Daemons = append(c.Daemons, p)
@@ -119,6 +122,20 @@
 	return PostJSON("http://"+c.List.Address+"/admin/instances", body)
 }
 
+// unlistInstance takes a replaced instance off the list, as the platform does.
+func (c *Cluster) unlistInstance(peer string) error {
+	body := strings.NewReader(fmt.Sprintf(`{"address":%q}`, peer))
+	req, err := http.NewRequest(http.MethodDelete, "http://"+c.List.Address+"/admin/instances", body)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 // PostJSON posts a body to a control address of a stand-in.
 func PostJSON(url, body string) error {
 	resp, err := http.Post(url, "application/json", strings.NewReader(body))
@@ -200,6 +217,24 @@
 	return string(out), errors.Wrapf(err, "filbertrillctl %s: %s", strings.Join(args[:2], " "), out)
 }
 
+// CtlAt runs filbertrillctl against daemon i alone and returns its output.
+func (c *Cluster) CtlAt(i int, args ...string) (string, error) {
+	args = append(args, "--daemon", c.Daemons[i].Field("peers"), "--secret", Secret)
+	cmd := exec.Command(filepath.Join(c.opts.Bin, "filbertrillctl"), args...)
+	out, err := cmd.CombinedOutput()
+	return string(out), errors.Wrapf(err, "filbertrillctl %s", strings.Join(args[:2], " "))
+}
+
+// SubmitAt hands a ticket to daemon i alone, with further flags.
+func (c *Cluster) SubmitAt(i int, t ticket.Ticket, flags ...string) (string, error) {
+	file, err := writeTicket(t)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = os.Remove(file) }()
+	return c.CtlAt(i, append([]string{"ticket", "submit", file}, flags...)...)
+}
+
 // AwaitReady waits until every daemon is ready to serve.
 func (c *Cluster) AwaitReady(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
--- /dev/null
+++ b/test/integration/config/config_test.go
@@ -0,0 +1,143 @@
+// Package config holds sessions on how the configuration spreads and holds under failures.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+)
+
+func TestMain(m *testing.M) { os.Exit(cluster.Main(m)) }
+
+// poll is the time between two looks at something that is awaited.
+const poll = 50 * time.Millisecond
+
+// fleet is a fleet under test behind a network of links.
+type fleet struct {
+	*cluster.Fleet
+	t       *testing.T
+	network *cluster.Network
+}
+
+func start(t *testing.T, opts cluster.Options) *fleet {
+	network, err := cluster.NewNetwork(3)
+	require.NoError(t, err)
+	t.Cleanup(network.Close)
+	opts.Network = network
+	return &fleet{Fleet: cluster.StartFleet(t, opts), t: t, network: network}
+}
+
+// logFault puts a fault of the log in force.
+func (f *fleet) logFault(fault string) {
+	f.t.Helper()
+	require.NoError(f.t, cluster.PostJSON("http://"+f.Log.Address+"/admin/faults", fault))
+}
+
+const (
+	logDown  = `{"mode":"down"}`
+	logUp    = `{"mode":"none"}`
+	logFlaps = `{"mode":"flap"}`
+	logSlow  = `{"mode":"slow","delay_ms":500}`
+	logLoses = `{"mode":"lose_answer"}`
+)
+
+// accountTicket is a ticket that sets one account and nothing else.
+func accountTicket(number uint64, account string, weight float64) ticket.Ticket {
+	t := ticket.Ticket{Number: number, Author: "test", Reason: fmt.Sprintf("weight %v", weight)}
+	t.Accounts = []ticket.Account{{ID: account, Weight: weight, KeyHashes: []string{cluster.KeyHash("key-" + account)}}}
+	return t
+}
+
+// submitAt hands a ticket to daemon i and requires the exit code.
+func (f *fleet) submitAt(i, exit int, t ticket.Ticket, flags ...string) string {
+	f.t.Helper()
+	out, err := f.SubmitAt(i, t, flags...)
+	require.Equal(f.t, exit, exitCode(err), out)
+	return out
+}
+
+func exitCode(err error) int {
+	var exited *exec.ExitError
+	if errors.As(err, &exited) {
+		return exited.ExitCode()
+	}
+	return 0
+}
+
+// status is what sessions need of filbertrillctl status.
+type status struct {
+	AppliedOffset int64  `json:"appliedOffset"`
+	CutOff        bool   `json:"cutOff"`
+	KnownAgeMS    int64  `json:"knownAgeMs"`
+	KnownBy       string `json:"knownBy"`
+	Members       []struct {
+		ID           string `json:"id"`
+		ConfigDigest string `json:"configDigest"`
+	} `json:"members"`
+}
+
+func (f *fleet) status(i int) (s status) {
+	f.t.Helper()
+	out, err := f.CtlAt(i, "--output", "json", "status")
+	require.NoError(f.t, err, out)
+	require.NoError(f.t, json.Unmarshal([]byte(out), &s))
+	return s
+}
+
+// weight returns an account's weight at daemon i, and 0 when it has none.
+func (f *fleet) weight(i int, account string) float64 {
+	f.t.Helper()
+	out, err := f.CtlAt(i, "--output", "json", "accounts")
+	require.NoError(f.t, err, out)
+	var accounts []struct {
+		Value ticket.Account `json:"value"`
+	}
+	require.NoError(f.t, json.Unmarshal([]byte(out), &accounts), out)
+	for _, a := range accounts {
+		if a.Value.ID == account {
+			return a.Value.Weight
+		}
+	}
+	return 0
+}
+
+func (f *fleet) requireWeight(i int, account string, weight float64) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.weight(i, account) == weight }, cluster.Patience, poll)
+}
+
+// call sends a small request to daemon i and returns the result code.
+func (f *fleet) call(i int) string {
+	f.t.Helper()
+	_, header, _ := f.Call(i, "key-small", http.MethodPost, "/v1/chat/completions", chatBody)
+	return header.Get("X-Result-Code")
+}
+
+const chatBody = `{"model":"drafter","messages":[{"role":"user","content":"x"}],"max_tokens":2}`
+
+// Result codes as callers see them.
+const (
+	whole           = ""
+	noConfiguration = "1201"
+	cutOff          = "1202"
+)
+
+func (f *fleet) requireCall(i int, code string) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.call(i) == code }, cluster.Patience, poll)
+}
+
+func (f *fleet) begin() {
+	f.AddEngine("z1", 8)
+	f.SubmitNext()
+}
--- /dev/null
+++ b/test/integration/config/leave_test.go
@@ -0,0 +1,184 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+	"github.com/filbertrill/filbertrill/test/standin/runs"
+)
+
+// Bounds of the leave sessions.
+const (
+	// leaveBound is how long after acceptance a leaving backend server may get new work.
+	leaveBound = 3 * time.Second
+	// watched is how long the load goes on after the bound.
+	watched = 2 * time.Second
+)
+
+// fault makes daemon 2 fail in some way, and mend returns it.
+type fault struct {
+	name string
+	make func(f *fleet)
+	mend func(f *fleet)
+}
+
+func leaveFaults() []fault {
+	heal := func(f *fleet) { require.NoError(f.t, f.network.Heal()) }
+	part := func(f *fleet) { require.NoError(f.t, f.network.Part(2)) }
+	return []fault{
+		{"none", func(*fleet) {}, func(*fleet) {}},
+		{"cut off from the log", func(f *fleet) { f.network.Log(2).Cut() }, heal},
+		{"cut off from the peers", part, heal},
+		{"cut off from both", func(f *fleet) { part(f); f.network.Log(2).Cut() }, heal},
+		{"silent links", func(f *fleet) {
+			require.NoError(f.t, f.network.Silence(2))
+			require.NoError(f.t, f.network.Log(2).Silence())
+		}, heal},
+		{"frozen", func(f *fleet) { f.Daemons[2].Freeze() }, func(f *fleet) { f.Daemons[2].Thaw() }},
+		{"frozen and cut off", func(f *fleet) { part(f); f.network.Log(2).Cut(); f.Daemons[2].Freeze() },
+			func(f *fleet) { f.Daemons[2].Thaw() }},
+	}
+}
+
+func TestLeavingServerGetsNoWorkAfterTheBound(t *testing.T) {
+	f := start(t, cluster.Options{})
+	faults := leaveFaults()
+	engines := []*cluster.Process{}
+	for range len(faults) + 1 {
+		engines = append(engines, f.AddEngine("z3", 4))
+	}
+	f.SubmitNext()
+	for i, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			f.t = t
+			f.leaveUnderLoad(i, engines[i], fault)
+		})
+		f.t = t
+		require.NoError(t, f.network.Heal())
+		for d := range f.Daemons {
+			f.requireKnowing(d)
+		}
+	}
+}
+
+// requireKnowing waits until daemon i knows every accepted ticket again.
+func (f *fleet) requireKnowing(i int) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return !f.status(i).CutOff }, cluster.Patience, poll)
+}
+
+// leaveUnderLoad lets the server leave while callers press on every daemon.
+func (f *fleet) leaveUnderLoad(server int, engine *cluster.Process, fault fault) {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for i := range f.Daemons {
+		for range 6 {
+			wg.Go(func() { press(ctx, f.Daemons[i].Address) })
+		}
+	}
+	require.Eventually(f.t, func() bool { return len(f.runsOf(engine)) > 5 }, cluster.Patience, poll)
+
+	fault.make(f)
+	f.Ticket.Servers[server].State = ticket.ServerLeaving
+	f.submitAt(0, result.ExitOK, f.Ticket, "--wait", "accepted")
+	accepted := time.Now()
+	f.Ticket.Number++
+	time.Sleep(leaveBound)
+	fault.mend(f)
+	time.Sleep(watched)
+	for _, run := range f.runsOf(engine) {
+		require.LessOrEqual(f.t, run.Started.Sub(accepted), leaveBound, "work started after the bound")
+	}
+}
+
+// press sends requests until the context ends. What comes of them does not matter.
+func press(ctx context.Context, address string) {
+	client := &http.Client{Timeout: cluster.Patience}
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewBufferString(chatBody))
+		if err != nil {
+			return
+		}
+		req.Header.Set("Authorization", "Bearer key-small")
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			time.Sleep(poll)
+		}
+	}
+}
+
+func (f *fleet) runsOf(engine *cluster.Process) []runs.Run {
+	f.t.Helper()
+	resp, err := http.Get("http://" + engine.Address + "/admin/runs")
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var list []runs.Run
+	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&list))
+	return list
+}
+
+func TestCutOffDaemonRefusesAndReturns(t *testing.T) {
+	f := start(t, cluster.Options{})
+	f.begin()
+	require.NoError(t, f.network.Part(2))
+	f.network.Log(2).Cut()
+	f.requireCall(2, cutOff)
+	require.True(t, f.status(2).CutOff)
+	for i := range 2 {
+		require.Equal(t, whole, f.call(i))
+	}
+	require.NoError(t, f.network.Heal())
+	f.requireCall(2, whole)
+}
+
+func TestCutOffPolicyServe(t *testing.T) {
+	f := start(t, cluster.Options{})
+	f.AddEngine("z1", 8)
+	f.Ticket.Services[0].CutOff = ticket.CutOffServe
+	f.Ticket.Services[1].CutOff = ticket.CutOffServe
+	f.AddPlain("z1", 2)
+	f.SubmitNext()
+	require.NoError(t, f.network.Part(2))
+	f.network.Log(2).Cut()
+	require.Eventually(t, func() bool { return f.status(2).CutOff }, cluster.Patience, poll)
+	f.requireCall(2, whole)
+	_, header, body := f.Call(2, "key-small", http.MethodPost, "/v1/services/registry/stamps", `{}`)
+	require.Equal(t, cutOff, header.Get("X-Result-Code"), body)
+}
+
+func TestLogDownAndPartition(t *testing.T) {
+	f := start(t, cluster.Options{})
+	f.begin()
+	f.logFault(logDown)
+	require.NoError(t, f.network.Part(2))
+	f.requireCall(2, cutOff)
+	for i := range 2 {
+		f.requireCall(i, whole)
+	}
+	f.submitAt(0, result.ExitTryLater, accountTicket(2, "small", 2))
+	f.logFault(logUp)
+	f.submitAt(0, result.ExitOK, accountTicket(2, "small", 2), "--wait", "accepted")
+	require.NoError(t, f.network.Heal())
+	for i := range f.Daemons {
+		f.requireWeight(i, "small", 2)
+		f.requireCall(i, whole)
+	}
+}
