--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-slopes soak fuzz clean
+	measure measure-policy measure-slopes soak fuzz clean
 
 all: build
 
@@ -45,13 +45,17 @@
 	./scripts/generate-check.sh
 
 run: build # a fleet on this machine; ONCE=1 ends after one round
-	$(GO) run ./test/fleet $(if $(ONCE),--once)
+	@$(GO) build -o bin/ ./test/fleet
+	@./bin/fleet $(if $(ONCE),--once)
 
-measure:
-	$(GO) run ./test/measure
+measure: build # the ways of sharing capacity, in one run
+	$(GO) run ./test/measure/dispatch
+
+measure-policy: # ways of sharing capacity, in virtual time
+	$(GO) run ./test/measure/policy
 
 measure-slopes:
-	$(GO) run ./test/measure --slopes
+	$(GO) run ./test/measure/slopes
 
 soak:
 	$(GO) test -run Soak -tags soak -count=1 -timeout=$(SOAK_TIMEOUT) ./test/...
--- a/internal/configsync/delegate.go
+++ b/internal/configsync/delegate.go
@@ -7,22 +7,8 @@
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
-// Prefixes and names of the keys that roles belong to.
-const (
-	delegateKey    = "config-delegate/" // and the zone
-	stateRecordKey = "state-record"
-)
-
-// Delegate returns the member that reads the log for a zone, or nil when the zone has none.
-func Delegate(zone string, live []*pb.Member) *pb.Member {
-	var inZone []*pb.Member
-	for _, m := range live {
-		if m.Zone == zone {
-			inZone = append(inZone, m)
-		}
-	}
-	return member.Owner(delegateKey+zone, inZone)
-}
+// stateRecordKey is the key that the task of state records belongs to.
+const stateRecordKey = "state-record"
 
 // OwnsStateRecords reports whether the member appends the state records.
 func OwnsStateRecords(self string, live []*pb.Member) bool {
@@ -51,7 +37,7 @@
 	delegates := map[string]string{}
 	for _, m := range live {
 		if _, ok := delegates[m.Zone]; !ok {
-			delegates[m.Zone] = Delegate(m.Zone, live).Id
+			delegates[m.Zone] = member.Delegate(m.Zone, live).Id
 		}
 	}
 	isDelegate := delegates[self.Zone] == self.Id
@@ -65,3 +51,16 @@
 	}
 	return targets
 }
+
+// ProbeTargets returns the members to ask at once, given the age of the daemon's knowledge:
+// none while it is fresh, then the delegate of the own zone, then that of every zone.
+func ProbeTargets(self *pb.Member, live []*pb.Member, age, limit time.Duration) []*pb.Member {
+	if age > limit/2 {
+		return PushTargets(self, live, false)
+	}
+	delegate := member.Delegate(self.Zone, live)
+	if age <= limit/4 || delegate == nil || delegate.Id == self.Id {
+		return nil
+	}
+	return []*pb.Member{delegate}
+}
--- a/internal/configsync/freshness.go
+++ b/internal/configsync/freshness.go
@@ -23,6 +23,7 @@
 	Applied  int64         // offset of the last record that the peer applied
 	Ready    bool          // the peer has a state, and KnownAge holds
 	KnownAge time.Duration // the peer had every ticket accepted this long before it answered
+	Relayed  bool          // another peer told of it; KnownAge does not hold
 }
 
 // Freshness keeps the latest time up to which a daemon surely has every accepted ticket.
@@ -33,6 +34,7 @@
 	started time.Time // of the daemon
 	known   time.Time
 	source  Source
+	logEnd  time.Time // beginning of the last read that reached the end of the log
 	heard   map[string]Attestation
 }
 
@@ -57,7 +59,25 @@
 }
 
 // LogRead notes a read of the log that began at started, reached the end, and is applied.
-func (f *Freshness) LogRead(started time.Time) { f.raise(started, SourceLog) }
+func (f *Freshness) LogRead(started time.Time) {
+	f.logEnd = started
+	f.raise(started, SourceLog)
+}
+
+// Witnesses returns the answers that the daemon may pass on: those that it heard itself
+// from the given members. There are none while it reads the log, whose readers need none.
+func (f *Freshness) Witnesses(now time.Time, logLimit time.Duration, members map[string]bool) []Attestation {
+	if !f.logEnd.IsZero() && Age(f.logEnd, now) <= logLimit {
+		return nil
+	}
+	var out []Attestation
+	for id, a := range f.heard {
+		if members[id] && a.Ready && !a.Relayed {
+			out = append(out, a)
+		}
+	}
+	return out
+}
 
 func (f *Freshness) raise(known time.Time, source Source) {
 	if known.Before(f.started) {
@@ -92,7 +112,9 @@
 			continue
 		}
 		times = append(times, a.Sent)
-		f.raise(a.Sent.Add(-a.KnownAge), SourcePeer)
+		if !a.Relayed {
+			f.raise(a.Sent.Add(-a.KnownAge), SourcePeer)
+		}
 	}
 	if f.Ready() {
 		times = append(times, now)
@@ -108,16 +130,6 @@
 	f.raise(times[majority-1], SourceMajority)
 }
 
-// Ahead reports whether the member is known to have applied more than the given offset.
-func (f *Freshness) Ahead(applied int64) bool {
-	for _, a := range f.heard {
-		if a.Applied > applied {
-			return true
-		}
-	}
-	return false
-}
-
 // AppliedBy returns the last offset that the member is known to have applied, -1 for none.
 func (f *Freshness) AppliedBy(id string) int64 {
 	if a, ok := f.heard[id]; ok {
--- a/internal/configsync/ring.go
+++ b/internal/configsync/ring.go
@@ -1,6 +1,10 @@
 package configsync
 
-import "github.com/filbertrill/filbertrill/internal/platform"
+import (
+	"strings"
+
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
 
 // Limits of a Ring.
 const (
@@ -76,8 +80,8 @@
 	}
 }
 
-// Differs reports whether the digest is known to be wrong at the offset.
+// Differs reports whether a digest, or a leading part of one, is known to be wrong at the offset.
 func (d *Digests) Differs(offset int64, digest string) bool {
 	own, ok := d.byOffset[offset]
-	return ok && digest != "" && own != digest
+	return ok && !strings.HasPrefix(own, digest)
 }
--- a/internal/configsync/roster.go
+++ b/internal/configsync/roster.go
@@ -14,6 +14,8 @@
 	silenceOffList = 60 * time.Second
 	// silenceWithoutList is the silence of a member while no instance list answers.
 	silenceWithoutList = 24 * time.Hour
+	// firstContact is how long an instance on the list is awaited before it counts as suspected.
+	firstContact = 10 * time.Second
 )
 
 // Listing is what the platform's instance list and the settings name.
@@ -28,13 +30,13 @@
 type Roster struct {
 	self     string
 	members  map[string]*member.Status
-	replaced map[string]bool // addresses of earlier incarnations of known members
-	unheard  []string        // listed addresses without a known member
+	replaced map[string]bool      // addresses of earlier incarnations of known members
+	unheard  map[string]time.Time // since when addresses are listed without a known member
 }
 
 // NewRoster returns a roster that holds only the daemon itself.
 func NewRoster(self string) *Roster {
-	return &Roster{self: self, members: map[string]*member.Status{}, replaced: map[string]bool{}}
+	return &Roster{self: self, members: map[string]*member.Status{}, replaced: map[string]bool{}, unheard: map[string]time.Time{}}
 }
 
 // Update takes in the view and the listing.
@@ -51,7 +53,7 @@
 			delete(r.members, id)
 		}
 	}
-	r.updateUnheard(listing, listed)
+	r.updateUnheard(now, listing, listed)
 }
 
 func (r *Roster) observe(s *member.Status) {
@@ -74,7 +76,7 @@
 	return silence > silenceWithoutList
 }
 
-func (r *Roster) updateUnheard(listing Listing, listed map[string]bool) {
+func (r *Roster) updateUnheard(now time.Time, listing Listing, listed map[string]bool) {
 	for address := range r.replaced {
 		if listing.Answered && !listed[address] {
 			delete(r.replaced, address)
@@ -88,12 +90,17 @@
 	if !listing.Answered {
 		addresses = listing.Seeds
 	}
-	r.unheard = r.unheard[:0]
+	before := r.unheard
+	r.unheard = map[string]time.Time{}
 	for _, address := range addresses {
-		if known[address] || r.replaced[address] || slices.Contains(r.unheard, address) {
+		if known[address] || r.replaced[address] {
 			continue
 		}
-		r.unheard = append(r.unheard, address)
+		since, ok := before[address]
+		if !ok {
+			since = now
+		}
+		r.unheard[address] = since
 	}
 }
 
@@ -129,5 +136,13 @@
 	return out
 }
 
-// Unheard returns the listed addresses from which no member was heard.
-func (r *Roster) Unheard() []string { return slices.Clone(r.unheard) }
+// Awaited is the number of listed instances that were not heard yet and may still start.
+func (r *Roster) Awaited(now time.Time) int {
+	awaited := 0
+	for _, since := range r.unheard {
+		if now.Sub(since) < firstContact {
+			awaited++
+		}
+	}
+	return awaited
+}
--- a/internal/controller/config/config.go
+++ b/internal/controller/config/config.go
@@ -44,6 +44,7 @@
 // Sender sends a message to the peer at an address.
 type Sender interface {
 	Send(address string, env *pb.Envelope)
+	Ping(address string) // asks for a Pong at once
 }
 
 // Options configure a Controller.
@@ -62,6 +63,8 @@
 	Logger       *slog.Logger
 	// OnChange is called with each new configuration, in order.
 	OnChange func(*ticket.Config)
+	// OnApplied is called after the applied offset grew.
+	OnApplied func()
 }
 
 func (o *Options) applyDefaults() {
@@ -80,6 +83,9 @@
 			*field = value
 		}
 	}
+	if o.OnApplied == nil {
+		o.OnApplied = func() {}
+	}
 	if o.StateRecords.Every == 0 {
 		o.StateRecords.Every = DefaultStateRecordEvery
 	}
@@ -101,6 +107,7 @@
 	lastErr     error
 	lastRequest request
 	warned      map[string]int64 // offset at which a peer's digest differed, by member
+	zoneMates   map[string]bool  // members of the own zone, as of the last tick
 
 	current atomic.Pointer[ticket.Config]
 	known   atomic.Pointer[knowledge]
@@ -168,6 +175,7 @@
 	c.mu.Unlock()
 	if advanced {
 		c.push(from)
+		c.opts.OnApplied()
 	}
 }
 
--- a/internal/controller/config/fresh.go
+++ b/internal/controller/config/fresh.go
@@ -64,43 +64,90 @@
 	return nil
 }
 
-// tick brings the roster and the freshness up to date.
+// tick brings the roster and the freshness up to date, and asks peers when they are due.
 func (c *Controller) tick(now time.Time) {
+	self := c.opts.Members.Self()
 	view := c.opts.Members.All()
 	addresses, answered := c.opts.Members.Listed()
 	listing := configsync.Listing{Answered: answered, Addresses: addresses, Seeds: c.opts.Seeds}
+	mates := map[string]bool{}
+	for _, s := range view {
+		mates[s.Member.Id] = s.Member.Zone == self.Zone
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.zoneMates = mates
 	c.roster.Update(now, view, listing)
 	c.evaluate(now)
+	c.mu.Unlock()
+	c.probe(now, self)
+}
+
+// probe asks peers for what they know while the own knowledge ages.
+func (c *Controller) probe(now time.Time, self *pb.Member) {
+	live := c.opts.Members.Live(now)
+	for _, m := range configsync.ProbeTargets(self, live, c.age(now), c.opts.StaleAfter) {
+		c.opts.Sender.Ping(m.PeerAddress)
+	}
+}
+
+// age is the age of the knowledge, and above the limit when there is none.
+func (c *Controller) age(now time.Time) time.Duration {
+	knowledge := c.Knowledge(now)
+	if !knowledge.Ever {
+		return c.opts.StaleAfter + 1
+	}
+	return knowledge.Age
+}
+
+// Roster is what a majority is counted of.
+type Roster struct {
+	Members []member.Status
+	Size    int // with the instances that are listed but were never heard
+	Awaited int // of those, the ones that may still be starting
 }
 
-// Roster returns the members that a majority is counted of, and the number of those that
-// are listed but were never heard.
-func (c *Controller) Roster(now time.Time) (members []member.Status, unheard int) {
-	c.tick(now)
+// RefreshRoster takes in the members that are known now.
+func (c *Controller) RefreshRoster(now time.Time) { c.tick(now) }
+
+// Roster returns the known members.
+func (c *Controller) Roster(now time.Time) Roster {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.roster.Members(), len(c.roster.Unheard())
+	return Roster{Members: c.roster.Members(), Size: c.roster.Size(), Awaited: c.roster.Awaited(now)}
 }
 
+// digestSent is the length of a digest in a Pong.
+const digestSent = 16
+
 // Attest fills in the answer to a peer's ping.
 func (c *Controller) Attest(pong *pb.Pong) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pong.AppliedOffset = c.state.Applied()
+	applied := c.applied.Load()
+	pong.AppliedOffset, pong.ConfigDigest = applied.offset, applied.digest[:min(digestSent, len(applied.digest))]
 	known, _ := c.fresh.Known()
 	if known.IsZero() {
 		return
 	}
+	now := time.Now()
 	pong.Ready = true
-	// Rounded up: the peer must not take the knowledge for newer than it is.
-	pong.KnownAgeMs = configsync.Age(known, time.Now()).Milliseconds() + 1
+	pong.KnownAgeMs = roundUp(configsync.Age(known, now))
+	for _, a := range c.fresh.Witnesses(now, c.opts.StaleAfter/2, c.zoneMates) {
+		pong.Witnesses = append(pong.Witnesses, &pb.Witness{
+			Member:        a.Member,
+			AppliedOffset: a.Applied,
+			AgeMs:         roundUp(configsync.Age(a.Sent, now)),
+		})
+	}
 }
 
+// roundUp returns whole milliseconds: a peer must not take knowledge for newer than it is.
+func roundUp(d time.Duration) int64 { return d.Milliseconds() + 1 }
+
 // Pong takes in a peer's answer to the ping that was sent at the given time.
 func (c *Controller) Pong(sent time.Time, pong *pb.Pong) {
 	c.mu.Lock()
+	c.compare(pong.Member, pong.AppliedOffset, pong.ConfigDigest)
 	c.fresh.Attest(configsync.Attestation{
 		Member:   pong.Member,
 		Sent:     sent,
@@ -108,6 +155,15 @@
 		Ready:    pong.Ready,
 		KnownAge: time.Duration(pong.KnownAgeMs) * time.Millisecond,
 	})
+	for _, w := range pong.Witnesses {
+		c.fresh.Attest(configsync.Attestation{
+			Member:  w.Member,
+			Sent:    sent.Add(-time.Duration(w.AgeMs) * time.Millisecond),
+			Applied: w.AppliedOffset,
+			Ready:   true,
+			Relayed: true,
+		})
+	}
 	c.evaluate(time.Now())
 	c.mu.Unlock()
 	c.requestIfBehind(pong.Member, pong.AppliedOffset)
--- a/internal/controller/config/peers.go
+++ b/internal/controller/config/peers.go
@@ -74,14 +74,6 @@
 	c.requestIfBehind(from, m.AppliedOffset)
 }
 
-// Heartbeat takes in what a peer tells of its state.
-func (c *Controller) Heartbeat(self *pb.Member) {
-	c.mu.Lock()
-	c.compare(self.GetId(), self.GetAppliedOffset(), self.GetConfigDigest())
-	c.mu.Unlock()
-	c.requestIfBehind(self.GetId(), self.GetAppliedOffset())
-}
-
 // compare warns once of each offset at which a peer has another state.
 func (c *Controller) compare(from string, offset int64, digest string) {
 	if !c.digests.Differs(offset, digest) {
@@ -160,6 +152,7 @@
 	}
 	if adopted {
 		c.push(fromPeer)
+		c.opts.OnApplied()
 	}
 }
 
--- a/internal/controller/config/reader.go
+++ b/internal/controller/config/reader.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/platform"
 )
 
@@ -52,18 +53,13 @@
 }
 
 func (c *Controller) pollDelay(now time.Time) time.Duration {
-	knowledge := c.Knowledge(now)
-	age := knowledge.Age
-	if !knowledge.Ever {
-		age = c.opts.StaleAfter
-	}
 	intervals := configsync.Intervals{Delegate: c.opts.PollInterval, Others: c.opts.PollOthers}
-	return intervals.Poll(c.IsDelegate(now), age, c.opts.StaleAfter)
+	return intervals.Poll(c.IsDelegate(now), c.age(now), c.opts.StaleAfter)
 }
 
 // IsDelegate reports whether this daemon reads the log for its zone.
 func (c *Controller) IsDelegate(now time.Time) bool {
-	delegate := configsync.Delegate(c.opts.Members.Self().Zone, c.opts.Members.Live(now))
+	delegate := member.Delegate(c.opts.Members.Self().Zone, c.opts.Members.Live(now))
 	return delegate != nil && delegate.Id == c.opts.SelfID
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -25,8 +25,9 @@
 			Interval: d.settings.StateRecordInterval,
 			Every:    d.settings.StateRecordEvery,
 		},
-		Logger:   logging.For(logging.Config),
-		OnChange: d.configChanged,
+		Logger:    logging.For(logging.Config),
+		OnChange:  d.configChanged,
+		OnApplied: func() { d.members.Refresh() },
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,14 +14,8 @@
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
-	"github.com/filbertrill/filbertrill/internal/filter"
-	"github.com/filbertrill/filbertrill/internal/filter/admit"
-	"github.com/filbertrill/filbertrill/internal/filter/attempt"
-	"github.com/filbertrill/filbertrill/internal/filter/decode"
-	"github.com/filbertrill/filbertrill/internal/filter/fresh"
-	"github.com/filbertrill/filbertrill/internal/filter/identify"
-	"github.com/filbertrill/filbertrill/internal/filter/record"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/operator"
 	"github.com/filbertrill/filbertrill/internal/peer"
@@ -129,6 +123,10 @@
 		Incarnation: incarnation,
 		Members:     d.members,
 		Sender:      d.mesh,
+		Load:        backend.NewEngine(backend.NewTransport()).Load,
+		Zone:        d.settings.Zone,
+		Scope:       dispatch.Scope(d.settings.DispatchScope),
+		Order:       core.Order(d.settings.DispatchOrder),
 		Logger:      logging.For(logging.Dispatch),
 	})
 	d.config = d.newConfig()
@@ -143,12 +141,16 @@
 
 func (d *Daemon) openEntry() error {
 	host, port := hostPort(d.settings.Listen)
+	attempts := d.attemptOptions()
 	server, err := entry.NewServer(entry.Options{
 		Host:    host,
 		Port:    port,
+		TLSCert: d.settings.TLSCert,
+		TLSKey:  d.settings.TLSKey,
 		Config:  d.config.Current,
 		Members: d.members,
-		Chain:   d.chain(),
+		Chain:   d.chain(attempts),
+		Resume:  d.resumeChain(attempts),
 		Metrics: d.scrape,
 		Logger:  logging.For(logging.Entry),
 	})
@@ -156,37 +158,16 @@
 	return err
 }
 
-func (d *Daemon) chain() filter.Handler {
-	transport := backend.NewTransport()
-	last := attempt.New(attempt.Options{
-		Acquirer: fresh.NewAcquirer(d.dispatch, d.config),
-		Engine:   backend.NewEngine(transport),
-		Plain:    backend.NewPlain(transport),
-		Metrics:  d.metrics,
-	})
-	return filter.Chain(last,
-		record.New(d.metrics, logging.For(logging.Entry)),
-		identify.New(),
-		decode.New(d.settings.MaxBody),
-		fresh.New(d.config),
-		admit.New(admit.Options{
-			Queues:     d.dispatch,
-			MaxBytes:   d.settings.MaxHeld,
-			RetryAfter: func(string, string) time.Duration { return time.Second },
-		}),
-	)
-}
-
 // handle routes a message of a peer to its controller.
 func (d *Daemon) handle(env *pb.Envelope) {
+	if d.members.Handle(env) {
+		return
+	}
 	switch body := env.Body.(type) {
-	case *pb.Envelope_Heartbeat:
-		d.members.Heartbeat(body.Heartbeat, time.Now())
-		d.config.Heartbeat(body.Heartbeat.GetSelf())
 	case *pb.Envelope_DemandReport:
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
-		d.dispatch.GrantBatch(body.GrantBatch)
+		d.dispatch.GrantBatch(env.From, body.GrantBatch, time.Now())
 	case *pb.Envelope_ConfigRecords:
 		d.config.Records(env.From, body.ConfigRecords)
 	case *pb.Envelope_ConfigRequest:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,10 +36,13 @@
 // Options configure a Server.
 type Options struct {
 	Host    string
-	Port    int // 0 for any
+	Port    int    // 0 for any
+	TLSCert string // files of the certificate and its key; no TLS when empty
+	TLSKey  string
 	Config  func() *ticket.Config
 	Members Members
 	Chain   filter.Handler
+	Resume  filter.Handler // of GET /v1/resume
 	Metrics http.Handler
 	Logger  *slog.Logger
 }
@@ -57,6 +60,8 @@
 	s := &Server{opts: opts, bound: make(chan net.Addr, 1)}
 	conf := rest.RestConf{Host: opts.Host, Port: opts.Port}
 	conf.Name = "filbertrilld"
+	conf.CertFile = opts.TLSCert
+	conf.KeyFile = opts.TLSKey
 	conf.Log.Mode = "console"
 	conf.Log.Stat = false
 	// Every go-zero middleware is off: its shedding, breaker, timeout and body cap would
@@ -70,6 +75,7 @@
 	}
 	server.AddRoutes([]rest.Route{
 		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: s.serveChain},
+		{Method: http.MethodGet, Path: "/v1/resume", Handler: s.serveResume},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: s.serveModels},
 		{Method: http.MethodGet, Path: "/v1/entries", Handler: s.serveEntries},
 		{Method: http.MethodGet, Path: "/healthz", Handler: serveHealth},
@@ -121,7 +127,11 @@
 // Shutdown closes the listener and waits until the requests in progress have ended.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
-func (s *Server) serveChain(w http.ResponseWriter, h *http.Request) {
+func (s *Server) serveChain(w http.ResponseWriter, h *http.Request) { s.serve(s.opts.Chain, w, h) }
+
+func (s *Server) serveResume(w http.ResponseWriter, h *http.Request) { s.serve(s.opts.Resume, w, h) }
+
+func (s *Server) serve(chain filter.Handler, w http.ResponseWriter, h *http.Request) {
 	writer := filter.NewWriter(w)
 	config := s.opts.Config()
 	if config == nil {
@@ -135,7 +145,7 @@
 		Received: time.Now(),
 		Config:   config,
 	}
-	if err := s.opts.Chain.Handle(h.Context(), r); err != nil {
+	if err := chain.Handle(h.Context(), r); err != nil {
 		writer.Fail(err)
 	}
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -91,9 +91,9 @@
 // countApplied raises the phase by the members whose heartbeats tell that they applied the
 // offset. Accepted is counted of every member known, in force of those that are not suspected.
 func (s *Server) countApplied(status *pb.TicketStatus, now time.Time) {
-	members, unheard := s.opts.Config.Roster(now)
-	liveMissing := 0
-	for _, m := range members {
+	roster := s.opts.Config.Roster(now)
+	liveMissing := roster.Awaited
+	for _, m := range roster.Members {
 		status.OldestFactMs = max(status.OldestFactMs, s.factAge(m, now))
 		if s.appliedBy(m) >= status.Offset {
 			status.AppliedBy = append(status.AppliedBy, m.Member.Id)
@@ -104,7 +104,7 @@
 			liveMissing++
 		}
 	}
-	if 2*len(status.AppliedBy) <= len(members)+unheard {
+	if 2*len(status.AppliedBy) <= roster.Size {
 		return
 	}
 	status.Phase = pb.TicketPhase_TICKET_PHASE_ACCEPTED
@@ -158,7 +158,6 @@
 	applied, _ := s.opts.Config.Applied()
 	read, err := s.opts.Config.LogHealth()
 	known := s.opts.Config.Knowledge(now)
-	roster, unheard := s.opts.Config.Roster(now)
 	out := &pb.StatusReply{
 		AnsweredBy:    s.opts.SelfID,
 		AppliedOffset: applied,
@@ -167,7 +166,7 @@
 		KnownAgeMs:    s.knownAge(now),
 		KnownBy:       string(known.Source),
 		Delegate:      s.opts.Config.IsDelegate(now),
-		KnownMembers:  uint32(len(roster) + unheard),
+		KnownMembers:  uint32(s.opts.Config.Roster(now).Size),
 	}
 	if !read.IsZero() {
 		out.LogAgeMs = now.Sub(read).Milliseconds()
@@ -177,10 +176,8 @@
 	}
 	for _, m := range s.opts.Members.All() {
 		status := &pb.MemberStatus{Member: m.Member, AgeMs: now.Sub(m.Heard).Milliseconds()}
-		if s.opts.Members.Suspected(m, now) {
-			status.Suspected = true
-			status.Reason = "no heartbeat"
-		}
+		status.Reason = s.opts.Members.Reason(m, now)
+		status.Suspected = status.Reason != ""
 		out.Members = append(out.Members, status)
 	}
 	for _, m := range s.opts.Members.Live(now) {
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -24,13 +24,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	listed := s.refreshList(ctx)
 	offset, err := s.appendOnce(ctx, t)
+	<-listed
 	if err != nil {
 		return reply(s.notLogged(t, err)), nil
 	}
 	return reply(s.await(ctx, t, offset, in.WaitFor)), nil
 }
 
+// refreshList asks for the list of instances, so that a majority is not counted without
+// those that have just started. It closes the channel when that has ended.
+func (s *Server) refreshList(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.opts.Members.RefreshList(ctx)
+		s.opts.Config.RefreshRoster(time.Now())
+	}()
+	return done
+}
+
 func reply(status *pb.TicketStatus) *pb.SubmitTicketReply {
 	return &pb.SubmitTicketReply{Status: status}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -34,13 +34,15 @@
 	Attest func(*pb.Pong)
 	// Observe receives a peer's answer to the ping that was sent at the given time; may be nil.
 	Observe func(sent time.Time, pong *pb.Pong)
-	Counter func(bytes int, sent bool, kind string, peer string) // counts the payload of control messages; may be nil
+	// Counter counts the payload of control messages; peer is the address of the peer for
+	// a sent message or a Pong received, and its member id otherwise. It may be nil.
+	Counter func(bytes int, sent bool, kind string, peer string)
 }
 
 // Defaults of Options.
 const (
 	DefaultPingInterval = 500 * time.Millisecond
-	DefaultPongTimeout  = 2 * time.Second
+	DefaultPongTimeout  = 1500 * time.Millisecond
 	DefaultDialTimeout  = 2 * time.Second
 	DefaultQueueLength  = 1024
 )
@@ -55,6 +57,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	refusals refusals
 }
 
 // NewMesh returns a mesh that is not yet serving.
@@ -135,6 +139,11 @@
 	return l
 }
 
+// Ping asks the peer at the address for an answer at once.
+func (m *Mesh) Ping(address string) {
+	m.Send(address, &pb.Envelope{Body: &pb.Envelope_Ping{Ping: &pb.Ping{}}})
+}
+
 // Retain closes the links to every address that keep does not hold.
 func (m *Mesh) Retain(keep map[string]bool) {
 	m.mu.Lock()
--- a/test/integration/config/spread_test.go
+++ b/test/integration/config/spread_test.go
@@ -112,13 +112,16 @@
 	f.t.Helper()
 	require.Eventually(f.t, func() bool {
 		bounds := f.get("/topics/filbertrill-config/partitions/0/offsets")
-		var b struct{ Beginning_offset, End_offset int64 }
+		var b struct {
+			First int64 `json:"beginning_offset"`
+			Next  int64 `json:"end_offset"`
+		}
 		require.NoError(f.t, json.Unmarshal([]byte(bounds), &b))
-		if b.Beginning_offset == 0 {
+		if b.First == 0 {
 			return true
 		}
-		for _, value := range f.records(b.Beginning_offset) {
-			if s, ok := ticket.StateRecord(value); ok && s.AppliedOffset >= (b.Beginning_offset+b.End_offset)/2-2 {
+		for _, value := range f.records(b.First) {
+			if s, ok := ticket.StateRecord(value); ok && s.AppliedOffset >= (b.First+b.Next)/2-2 {
 				return true
 			}
 		}
