--- a/internal/controller/members/list.go
+++ b/internal/controller/members/list.go
@@ -33,6 +33,7 @@
 	c.noteList(err)
 	if err == nil {
 		c.listed = listed
+		c.listOK = c.opts.List != nil
 	}
 	places := append([]member.Place{}, c.listed...)
 	for _, seed := range c.opts.Seeds {
@@ -68,3 +69,17 @@
 	}
 	return places, nil
 }
+
+// RefreshList asks the platform's list now.
+func (c *Controller) RefreshList(ctx context.Context) { c.refreshList(ctx) }
+
+// Listed returns the peer addresses of the instance list, and whether it has ever answered.
+func (c *Controller) Listed() ([]string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addresses := make([]string, 0, len(c.listed))
+	for _, place := range c.listed {
+		addresses = append(addresses, place.Address)
+	}
+	return addresses, c.listOK
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -49,6 +49,7 @@
 	view    *member.View
 	listed  []member.Place
 	listErr error
+	listOK  bool              // the list has answered
 	zones   map[string]string // data centre by peer address
 	health  map[string]health // by member id
 }
