Steer callers by load, and stop a daemon without closing the door on one

Cause: the lifetime of entry answers was a constant, the order looked at no load, the door closed 2 s after the last answer might have been given by a daemon with an older view, and a daemon that thawed answered from its old view. Controllers called each other under their locks in both orders (members to config, config to dispatch to members).

--- a/internal/controller/members/list.go
+++ b/internal/controller/members/list.go
@@ -7,25 +7,29 @@
 	"github.com/filbertrill/filbertrill/internal/member"
 )
 
+// aloneInterval is the time between two looks at the list of a daemon that knows no other.
+const aloneInterval = 250 * time.Millisecond
+
 // followList asks the platform's list until the context ends. Its answers lag; they only
 // tell where further daemons may be found.
 func (c *Controller) followList(ctx context.Context) {
-	c.refreshList(ctx)
-	if c.opts.List == nil {
-		return
-	}
-	ticker := time.NewTicker(c.opts.ListInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		c.refreshList(ctx)
+		c.signal()
+		if c.opts.List == nil || !sleep(ctx, c.listPause()) {
 			return
-		case <-ticker.C:
-			c.refreshList(ctx)
 		}
 	}
 }
 
+// listPause is shorter while this daemon knows no other.
+func (c *Controller) listPause() time.Duration {
+	if len(c.All()) == 1 {
+		return min(aloneInterval, c.opts.ListInterval)
+	}
+	return c.opts.ListInterval
+}
+
 func (c *Controller) refreshList(ctx context.Context) {
 	listed, err := c.readList(ctx)
 	c.mu.Lock()
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -36,8 +36,16 @@
 	HeartbeatInterval time.Duration
 	ListInterval      time.Duration
 	Logger            *slog.Logger
-	// Refresh fills in the fields of the daemon's own record before each beat.
-	Refresh func(self *pb.Member)
+	// Facts tells what changes in the daemon's own record. It is called without a lock
+	// held, before each beat. It may be nil.
+	Facts func() Facts
+}
+
+// Facts are what a daemon's record tells of its state.
+type Facts struct {
+	AppliedOffset int64
+	ConfigDigest  string
+	Load          uint32 // requests waiting and running
 }
 
 // Controller keeps the view. Its methods may be called from any goroutine.
@@ -49,7 +57,7 @@
 	view    *member.View
 	listed  []member.Place
 	listErr error
-	zones   map[string]string // data centre by peer address
+	zones   map[string]string // data centre by peer address and by member id
 	health  map[string]health // by member id
 }
 
@@ -120,18 +128,19 @@
 	c.update(func(self *pb.Member) { self.ClientAddress = address })
 }
 
-// Refresh takes in changes of the daemon's own record before the next beat.
-func (c *Controller) Refresh() {
-	if c.opts.Refresh == nil {
+// Changed has the daemon's own record refreshed before the next beat.
+func (c *Controller) Changed() { c.signal() }
+
+func (c *Controller) refresh() {
+	if c.opts.Facts == nil {
 		return
 	}
-	c.update(c.opts.Refresh)
-	c.mu.Lock()
-	urgent := c.view.Urgent()
-	c.mu.Unlock()
-	if urgent {
-		c.signal()
-	}
+	facts := c.opts.Facts()
+	c.update(func(self *pb.Member) {
+		self.AppliedOffset = facts.AppliedOffset
+		self.ConfigDigest = facts.ConfigDigest
+		self.Load = facts.Load
+	})
 }
 
 func (c *Controller) update(change func(self *pb.Member)) {
@@ -142,11 +151,9 @@
 
 // beat sends what is due.
 func (c *Controller) beat() {
+	c.refresh()
 	c.mu.Lock()
 	now := time.Now()
-	if c.opts.Refresh != nil {
-		c.view.Update(now, c.opts.Refresh)
-	}
 	out := c.view.Tick(now)
 	c.logChanges(now)
 	keep := c.retained(out)
@@ -157,6 +164,7 @@
 
 // flush sends news before the next beat.
 func (c *Controller) flush() {
+	c.refresh()
 	c.mu.Lock()
 	var out []member.Send
 	if c.view.Urgent() {
@@ -186,6 +194,7 @@
 	}
 	for _, s := range c.view.All() {
 		c.zones[s.Member.PeerAddress] = s.Member.Zone
+		c.zones[s.Member.Id] = s.Member.Zone
 		keep[s.Member.PeerAddress] = true
 	}
 	for _, seed := range c.opts.Seeds {
@@ -258,11 +267,11 @@
 	return ""
 }
 
-// Zone returns the data centre of a peer address, or the empty string.
-func (c *Controller) Zone(address string) string {
+// Zone returns the data centre of a peer address or member id, or the empty string.
+func (c *Controller) Zone(peer string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.zones[address]
+	return c.zones[peer]
 }
 
 // Suspected reports whether a member's signs of life stay out.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,6 +101,7 @@
 		Handler:     d.handle,
 		Operator:    operators,
 		Logger:      logging.For(logging.Peer),
+		Counter:     d.countControl,
 	})
 	d.members = members.NewController(members.Options{
 		Self: &pb.Member{
@@ -111,11 +112,11 @@
 			Region:      d.settings.Region,
 			State:       pb.MemberState_MEMBER_STATE_STARTING,
 		},
-		Seeds:   d.settings.Seeds,
-		List:    d.list,
-		Sender:  d.mesh,
-		Logger:  logging.For(logging.Members),
-		Refresh: d.refresh,
+		Seeds:  d.settings.Seeds,
+		List:   d.list,
+		Sender: d.mesh,
+		Logger: logging.For(logging.Members),
+		Facts:  d.facts,
 	})
 	d.dispatch = dispatch.NewController(dispatch.Options{
 		SelfID:      d.settings.ID,
@@ -154,6 +155,8 @@
 		Resume:  d.resumeChain(attempts),
 		Metrics: d.scrape,
 		Logger:  logging.For(logging.Entry),
+
+		Lifetime: d.settings.EntriesLifetime,
 	})
 	d.entry = server
 	return err
@@ -172,8 +175,9 @@
 	}
 }
 
-func (d *Daemon) refresh(self *pb.Member) {
-	self.AppliedOffset, self.ConfigDigest = d.config.Applied()
+func (d *Daemon) facts() members.Facts {
+	applied, digest := d.config.Applied()
+	return members.Facts{AppliedOffset: applied, ConfigDigest: digest, Load: d.load()}
 }
 
 func (d *Daemon) configChanged(c *ticket.Config) {
@@ -186,4 +190,5 @@
 	}
 	d.metrics.SetKnown(accounts, services)
 	d.dispatch.SetConfig(c)
+	d.members.Changed()
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -7,23 +7,15 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
-// Times of a planned stop.
-const (
-	// drainMargin is added to the lifetime of entry answers, for the age of peers' views.
-	drainMargin = 2 * time.Second
-	idlePoll    = 50 * time.Millisecond
-)
+// idlePoll is the time between two looks for the first configuration.
+const idlePoll = 50 * time.Millisecond
 
 // PeerAddress returns the bound address for other daemons.
 func (d *Daemon) PeerAddress() string { return d.listener.Addr().String() }
 
-// Drain begins a planned stop. Further calls change nothing.
-func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drain) }) }
-
 // Run serves until a planned stop is complete, or at once when the context ends. It calls
 // ready with the bound address for callers once it listens.
 func (d *Daemon) Run(ctx context.Context, ready func(clientAddress string)) error {
@@ -42,7 +34,7 @@
 		advertised = address.String()
 	}
 	d.members.SetClientAddress(advertised)
-	for _, run := range []func(context.Context){d.config.Run, d.members.Run, d.dispatch.Run, d.serveWhenConfigured} {
+	for _, run := range []func(context.Context){d.config.Run, d.members.Run, d.dispatch.Run, d.observe, d.serveWhenConfigured} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Go(func() { _ = d.mesh.Serve(d.listener) })
@@ -69,35 +61,3 @@
 		d.logger.Info("Serving.")
 	}
 }
-
-// untilStopped runs the steps of a planned stop: out of the entry answers, serve on for
-// their lifetime, finish what runs, leave.
-func (d *Daemon) untilStopped(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-d.drain:
-	}
-	d.logger.Info("Draining.", "lifetime", entry.EntriesLifetime)
-	d.members.SetState(pb.MemberState_MEMBER_STATE_DRAINING)
-	if !sleep(ctx, entry.EntriesLifetime+drainMargin) {
-		return nil
-	}
-	if err := d.entry.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "finish requests")
-	}
-	d.members.SetState(pb.MemberState_MEMBER_STATE_LEFT)
-	sleep(ctx, idlePoll)
-	d.logger.Info("Stopped.")
-	return nil
-}
-
-// sleep waits, and reports false when the context ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -38,6 +38,9 @@
 
 	WriteLimit time.Duration `help:"How long a caller may leave its answer unread before the answer is cancelled." env:"FILBERTRILL_WRITE_LIMIT" default:"30s"`
 
+	EntriesLifetime time.Duration `help:"How long callers may keep an answer of /v1/entries." env:"FILBERTRILL_ENTRIES_LIFETIME" default:"10s"`
+	DrainMargin     time.Duration `help:"Added to the lifetime of entries before a stopping daemon closes its door, for other daemons to learn of the stop." env:"FILBERTRILL_DRAIN_MARGIN" default:"7s"`
+
 	LogLevel string `help:"Least level of log lines: debug, info, warn or error." env:"FILBERTRILL_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
 	LogJSON  bool   `help:"Write log lines as JSON." env:"FILBERTRILL_LOG_JSON"`
 }
@@ -88,6 +91,9 @@
 	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 || s.WriteLimit <= 0 {
 		return result.New(result.SettingInvalid, "--max-body, --max-held, --log-timeout and --write-limit must be positive")
 	}
+	if s.EntriesLifetime < time.Millisecond || s.DrainMargin < 0 {
+		return result.New(result.SettingInvalid, "--entries-lifetime must be at least 1ms, and --drain-margin must not be negative")
+	}
 	if s.MaxHeld < s.MaxBody {
 		return result.New(result.SettingContradictory, "--max-held is below --max-body")
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -130,6 +130,15 @@
 	}
 }
 
+// AllWaiting returns the number of waiting requests of all accounts.
+func (q *Queue) AllWaiting() int {
+	n := 0
+	for _, w := range q.waiting {
+		n += w.requests
+	}
+	return n
+}
+
 // Running returns the number of running requests.
 func (q *Queue) Running() int { return len(q.runs) }
 
--- a/internal/entry/entries.go
+++ b/internal/entry/entries.go
@@ -9,8 +9,19 @@
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
-// EntriesLifetime is how long callers may keep an answer of /v1/entries.
-const EntriesLifetime = 10 * time.Second
+// DefaultLifetime is how long callers may keep an answer of /v1/entries.
+const DefaultLifetime = 10 * time.Second
+
+// Limits of an answer.
+const (
+	// maxEntries is the number of addresses in an answer.
+	maxEntries = 8
+	// loadFactor times the mean load of a data centre's daemons is the load beyond which
+	// a daemon is moved behind the others of its data centre.
+	loadFactor = 1.25
+	// loadSlack is a number of requests that no daemon is moved back for.
+	loadSlack = 2
+)
 
 // Entry is one address that callers may use.
 type Entry struct {
@@ -18,31 +29,76 @@
 	Zone    string `json:"zone"`
 }
 
-// Entries orders the live members for an account: the caller's data centre first, and
-// within a data centre by rendezvous hashing, which spreads the accounts.
-func Entries(account, zone string, live []*pb.Member) []Entry {
-	var members []*pb.Member
+// Caller is what the order of entries depends on besides the members.
+type Caller struct {
+	Account string
+	Zone    string
+	Region  string
+}
+
+// Entries orders the live members for a caller: those of its data centre, then those of
+// its region, then others. Among equals the order is by rendezvous hashing, which spreads
+// the accounts, but a daemon with more than its share of the load comes last: consistent
+// hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam 2018), so that a large
+// account spreads over several daemons.
+func Entries(c Caller, live []*pb.Member) []Entry {
+	near := map[int][]*pb.Member{}
 	for _, m := range live {
 		if m.State == pb.MemberState_MEMBER_STATE_LIVE {
-			members = append(members, m)
+			near[c.distance(m)] = append(near[c.distance(m)], m)
 		}
 	}
-	slices.SortFunc(members, func(a, b *pb.Member) int {
-		if (a.Zone == zone) != (b.Zone == zone) {
-			return cmp.Compare(boolRank(a.Zone != zone), boolRank(b.Zone != zone))
+	entries := []Entry{}
+	for distance := range farAway + 1 {
+		for _, m := range c.order(near[distance]) {
+			if len(entries) < maxEntries {
+				entries = append(entries, Entry{Address: m.ClientAddress, Zone: m.Zone})
+			}
 		}
-		return cmp.Compare(member.Score(account, b.Id), member.Score(account, a.Id))
-	})
-	entries := make([]Entry, 0, len(members))
-	for _, m := range members {
-		entries = append(entries, Entry{Address: m.ClientAddress, Zone: m.Zone})
 	}
 	return entries
 }
 
-func boolRank(b bool) int {
-	if b {
+// farAway is the distance to a member of another region.
+const farAway = 2
+
+func (c Caller) distance(m *pb.Member) int {
+	switch {
+	case m.Zone == c.Zone:
+		return 0
+	case m.Region == c.Region:
+		return 1
+	}
+	return farAway
+}
+
+func (c Caller) order(members []*pb.Member) []*pb.Member {
+	limit := loadLimit(members)
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b *pb.Member) int {
+		overA, overB := float64(a.Load) > limit, float64(b.Load) > limit
+		if overA != overB {
+			return cmp.Compare(rank(overA), rank(overB))
+		}
+		return cmp.Compare(member.Score(c.Account, b.Id), member.Score(c.Account, a.Id))
+	})
+	return out
+}
+
+func rank(over bool) int {
+	if over {
 		return 1
 	}
 	return 0
 }
+
+func loadLimit(members []*pb.Member) float64 {
+	if len(members) == 0 {
+		return 0
+	}
+	total := 0.0
+	for _, m := range members {
+		total += float64(m.Load)
+	}
+	return loadFactor*total/float64(len(members)) + loadSlack
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,12 +2,14 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +33,7 @@
 type Members interface {
 	Live(now time.Time) []*pb.Member
 	Self() *pb.Member
+	Ready(now time.Time) bool
 }
 
 // Options configure a Server.
@@ -43,6 +46,8 @@
 	Resume  filter.Handler // of GET /v1/resume
 	Metrics http.Handler
 	Logger  *slog.Logger
+	// Lifetime is how long callers may keep an answer of /v1/entries.
+	Lifetime time.Duration
 }
 
 // Server is the callers' side of a daemon.
@@ -51,6 +56,8 @@
 	rest   *rest.Server
 	bound  chan net.Addr
 	server *http.Server
+	// closing makes each answer tell the caller to close its connection.
+	closing atomic.Bool
 }
 
 // NewServer returns a server that is not yet listening.
@@ -62,7 +69,7 @@
 	conf.Log.Stat = false
 	// Every go-zero middleware is off: its shedding, breaker, timeout and body cap would
 	// refuse or cut requests that the chain has to judge.
-	routes := &servicesRouter{Router: router.NewRouter(), services: http.HandlerFunc(s.serveChain)}
+	routes := &servicesRouter{Router: router.NewRouter(), closing: &s.closing, services: http.HandlerFunc(s.serveChain)}
 	routes.SetNotFoundHandler(http.HandlerFunc(notFound))
 	routes.SetNotAllowedHandler(http.HandlerFunc(notFound))
 	server, err := rest.NewServer(conf, rest.WithRouter(routes))
@@ -87,10 +94,14 @@
 type servicesRouter struct {
 	httpx.Router
 	services http.Handler
+	closing  *atomic.Bool
 }
 
 // ServeHTTP routes a request.
 func (r *servicesRouter) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if r.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if strings.HasPrefix(req.URL.Path, decode.ServicesPrefix) {
 		r.services.ServeHTTP(w, req)
 		return
@@ -120,6 +131,9 @@
 	}
 }
 
+// CloseConnections makes each further answer the last one of its connection.
+func (s *Server) CloseConnections() { s.closing.Store(true) }
+
 // Shutdown closes the listener and waits until the requests in progress have ended.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
@@ -192,12 +206,15 @@
 		result.WriteHTTP(w, err)
 		return
 	}
-	zone := h.Header.Get(HeaderZone)
-	if zone == "" {
-		zone = s.opts.Members.Self().Zone
+	now := time.Now()
+	if !s.opts.Members.Ready(now) {
+		result.WriteHTTP(w, result.New(result.NotReady, "the daemon does not know yet who is live"))
+		return
 	}
-	entries := Entries(account.ID, zone, s.opts.Members.Live(time.Now()))
-	writeJSON(w, entryList{Entries: entries, LifetimeMS: EntriesLifetime.Milliseconds()})
+	self := s.opts.Members.Self()
+	caller := Caller{Account: account.ID, Zone: cmp.Or(h.Header.Get(HeaderZone), self.Zone), Region: self.Region}
+	entries := Entries(caller, s.opts.Members.Live(now))
+	writeJSON(w, entryList{Entries: entries, LifetimeMS: s.opts.Lifetime.Milliseconds()})
 }
 
 func serveHealth(w http.ResponseWriter, _ *http.Request) {
@@ -213,6 +230,10 @@
 		result.WriteHTTP(w, result.New(result.Draining, "the daemon is draining"))
 		return
 	}
+	if !s.opts.Members.Ready(time.Now()) {
+		result.WriteHTTP(w, result.New(result.NotReady, "the daemon does not know yet who is live"))
+		return
+	}
 	_, _ = w.Write([]byte("ready\n"))
 }
 
--- a/internal/member/delegate.go
+++ b/internal/member/delegate.go
@@ -141,7 +141,7 @@
 
 // settled notes that all news was passed on.
 func (v *View) settled() {
-	v.urgent = false
+	v.urgent, v.greet = false, false
 	for _, h := range v.reports {
 		h.news, h.newSet = false, false
 	}
@@ -150,9 +150,6 @@
 // hellos go to addresses of data centres in which no member is heard, from the delegate,
 // and to addresses of unknown data centres, from every daemon.
 func (v *View) hellos(f fleet, now time.Time) []Send {
-	if v.beats%helloEvery != 1 {
-		return nil
-	}
 	ids := map[string]string{}
 	for id, s := range v.members {
 		ids[s.Member.PeerAddress] = id
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -38,7 +38,7 @@
 			out = append(out, v.probes(f)...)
 		}
 	}
-	if !urgent {
+	if v.greet || (!urgent && v.beats%helloEvery == 1) {
 		out = append(out, v.hellos(f, now)...)
 	}
 	v.settled()
--- a/internal/member/pause.go
+++ b/internal/member/pause.go
@@ -11,7 +11,7 @@
 // How long a daemon waits for an echo of its peers before it takes itself to be alone.
 const (
 	startGrace  = time.Second
-	resyncGrace = 2 * SuspectAfter
+	resyncGrace = VouchedAfter + time.Second
 )
 
 // correspondent is a daemon that this one hears directly.
@@ -62,6 +62,7 @@
 	seq       uint64    // first own seq after it
 	expected  int       // peers whose echo of seq ends the resync
 	confirmed bool
+	settled   bool // no member's last sign of life is from before the pause
 	grace     time.Duration
 }
 
@@ -136,12 +137,32 @@
 
 // Ready reports whether the daemon may act on roles that its view gives it. A daemon that
 // has just started, or that did not run for longer than SuspectAfter, first has to hear
-// peers that have heard it since, or to find in a time of grace that there are none.
+// every member of its region that it takes for live, and that peers have heard it since, or
+// to find in a time of grace that there are none.
 func (v *View) Ready(now time.Time) bool {
 	if now.Sub(v.pause.lastTick) > SuspectAfter {
 		return false
 	}
-	return v.pause.confirmed || now.Sub(v.pause.since) > v.pause.grace
+	if now.Sub(v.pause.since) > v.pause.grace {
+		return true
+	}
+	return v.pause.confirmed && v.settledSince(now)
+}
+
+// settledSince reports whether each member of the region was heard since the pause or is
+// suspected by now.
+func (v *View) settledSince(now time.Time) bool {
+	if v.pause.settled {
+		return true
+	}
+	for _, s := range v.members {
+		old := s.Member.Id != v.self.Id && !s.Heard.After(v.pause.since)
+		if old && s.Member.Region == v.self.Region && !v.Suspected(s, now) {
+			return false
+		}
+	}
+	v.pause.settled = true
+	return true
 }
 
 // firstSeq spreads the first seq of incarnations over 40 bits, so that an echo of an
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -71,6 +71,7 @@
 
 	beats  uint64
 	urgent bool
+	greet  bool // there are new places
 	pause  pauseCheck
 }
 
@@ -89,8 +90,14 @@
 	return v
 }
 
-// SetPlaces sets the addresses where further daemons may be found.
-func (v *View) SetPlaces(places []Place) { v.places = places }
+// SetPlaces sets the addresses where further daemons may be found. New ones are tried at
+// once.
+func (v *View) SetPlaces(places []Place) {
+	if !slices.Equal(v.places, places) {
+		v.urgent, v.greet = true, true
+	}
+	v.places = places
+}
 
 // Self returns a copy of the daemon's own record.
 func (v *View) Self() *pb.Member { return proto.Clone(v.self).(*pb.Member) }
@@ -129,7 +136,7 @@
 	if ok && m.Incarnation < old.Member.Incarnation && !v.Suspected(old, now) {
 		return
 	}
-	if ok && m.Incarnation == old.Member.Incarnation && !evidence.After(old.Heard) {
+	if ok && m.Incarnation == old.Member.Incarnation && evidence.Before(old.Heard) {
 		return
 	}
 	if !ok {
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -34,13 +34,14 @@
 	KindConfigRecords Kind = "config_records"
 	KindConfigRequest Kind = "config_request"
 	KindConfigReply   Kind = "config_reply"
+	KindZoneReports   Kind = "zone_reports"
 	KindLog           Kind = "log" // calls to the platform's log
 	KindOther         Kind = Other
 )
 
 var kinds = []Kind{
 	KindPing, KindPong, KindHeartbeat, KindBidReport, KindGrantBatch, KindRunReport,
-	KindConfigRecords, KindConfigRequest, KindConfigReply, KindLog, KindOther,
+	KindConfigRecords, KindConfigRequest, KindConfigReply, KindZoneReports, KindLog, KindOther,
 }
 
 type controlKey struct {
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -203,23 +203,35 @@
 // AwaitReady waits until every daemon is ready to serve.
 func (c *Cluster) AwaitReady(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
-	for _, d := range c.Daemons {
-		for {
-			resp, err := http.Get("http://" + d.Address + "/readyz")
-			if err == nil {
-				_ = resp.Body.Close()
-				if resp.StatusCode == http.StatusOK {
-					break
-				}
-			}
-			if time.Now().After(deadline) {
-				return errors.Newf("%s is not ready", d.Name)
-			}
-			time.Sleep(20 * time.Millisecond)
+	for i := range c.Daemons {
+		if err := c.AwaitDaemon(i, time.Until(deadline)); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// AwaitDaemon waits until daemon i is ready to serve.
+func (c *Cluster) AwaitDaemon(i int, timeout time.Duration) error {
+	d := c.Daemons[i]
+	deadline := time.Now().Add(timeout)
+	for {
+		resp, err := http.Get("http://" + d.Address + "/readyz")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return errors.Newf("%s is not ready", d.Name)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // Close ends every process.
 func (c *Cluster) Close() { c.killAll() }
+
+// SetBin uses the programs of another cluster, to ask some of its daemons by Ctl.
+func (c *Cluster) SetBin(of *Cluster) { c.opts.Bin = of.opts.Bin }
--- a/test/integration/path/path_test.go
+++ b/test/integration/path/path_test.go
@@ -78,7 +78,7 @@
 }
 
 func TestPlannedStopOfTheFleet(t *testing.T) {
-	f := cluster.StartFleet(t, cluster.Options{})
+	f := cluster.StartFleet(t, cluster.Options{DaemonArgs: []string{"--entries-lifetime", "1s", "--drain-margin", "500ms"}})
 	f.AddEngine("z1", 4)
 	f.SubmitNext()
 	for _, d := range f.Daemons {
--- a/test/measure/slopes/entry.go
+++ b/test/measure/slopes/entry.go
@@ -18,11 +18,11 @@
 	var live []*pb.Member
 	for i := range members {
 		live = append(live, &pb.Member{
-			Id: fmt.Sprintf("d%03d", i), Zone: fmt.Sprintf("z%02d", i%18), ClientAddress: "10.0.0.1:8080",
+			Id: fmt.Sprintf("d%03d", i), Zone: fmt.Sprintf("z%02d", i%18), Region: fmt.Sprintf("r%d", i%18/4), ClientAddress: "10.0.0.1:8080",
 			State: pb.MemberState_MEMBER_STATE_LIVE,
 		})
 	}
-	return microseconds(func() { entry.Entries("account-0001", "z01", live) })
+	return microseconds(func() { entry.Entries(entry.Caller{Account: "account-0001", Zone: "z01", Region: "r0"}, live) })
 }
 
 // telemetrySeries measures the histograms of client accounts.
