--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,7 @@
 	config   *config.Controller
 	dispatch *dispatch.Controller
 	entry    *entry.Server
+	once     *onceOnly
 
 	drain     chan struct{}
 	drainOnce sync.Once
@@ -134,6 +135,7 @@
 		Logger:   logging.For(logging.Config),
 		OnChange: d.configChanged,
 	})
+	d.once = d.newOnceOnly(incarnation)
 	*operators = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -149,11 +151,14 @@
 	server, err := entry.NewServer(entry.Options{
 		Host:    host,
 		Port:    port,
+		TLSCert: d.settings.TLSCert,
+		TLSKey:  d.settings.TLSKey,
 		Config:  d.config.Current,
 		Members: d.members,
 		Chain:   d.chain(attempts),
 		Resume:  d.resumeChain(attempts),
 		Metrics: d.scrape,
+		Keys:    d.once,
 		Logger:  logging.For(logging.Entry),
 
 		Lifetime: d.settings.EntriesLifetime,
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -36,6 +36,7 @@
 	if err := d.entry.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "finish requests")
 	}
+	d.once.flush(ctx)
 	d.members.SetState(pb.MemberState_MEMBER_STATE_LEFT)
 	sleep(ctx, farewell)
 	d.logger.Info("Stopped.")
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -34,7 +34,11 @@
 		advertised = address.String()
 	}
 	d.members.SetClientAddress(advertised)
-	for _, run := range []func(context.Context){d.config.Run, d.members.Run, d.dispatch.Run, d.observe, d.serveWhenConfigured} {
+	parts := []func(context.Context){
+		d.config.Run, d.members.Run, d.dispatch.Run, d.once.logged.Run, d.once.issued.Run,
+		d.observe, d.serveWhenConfigured,
+	}
+	for _, run := range parts {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Go(func() { _ = d.mesh.Serve(d.listener) })
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // reporter names a sender of reports: a daemon, or another pool of the service.
 type reporter struct {
@@ -145,20 +148,33 @@
 		g.cost = run.Cost
 		d.recharge(now, g, max(run.Cost, run.Estimate))
 	}
+	for _, seq := range r.Released {
+		if g, ok := n.grants[GrantID{Dispatcher: r.Dispatcher, Seq: seq}]; ok {
+			n.ack(g)
+			d.releaseEnded(now, n, g, r)
+		}
+	}
+	if r.Partial {
+		return
+	}
 	for id, g := range n.grants {
 		if id.Dispatcher == d.incarnation && r.Dispatcher == d.incarnation && id.Seq <= r.LastGrant {
 			n.ack(g)
 		}
-		if !g.acked || held[id] {
-			continue
-		}
-		if g.origin.Pool == "" && r.Dispatcher == d.incarnation {
-			g.account.settled -= g.base // the ended cost counts it as well
+		if g.acked && !held[id] {
+			d.releaseEnded(now, n, g, r)
 		}
-		d.release(now, n, g)
 	}
 }
 
+// releaseEnded ends a grant whose whole cost the reporter counts as ended.
+func (d *Dispatcher) releaseEnded(now time.Time, n *node, g *grant, r Report) {
+	if g.origin.Pool == "" && r.Dispatcher == d.incarnation {
+		g.account.settled -= g.base
+	}
+	d.release(now, n, g)
+}
+
 // adopt takes over a run that an earlier dispatcher granted, and charged.
 func (d *Dispatcher) adopt(now time.Time, n *node, run Run) *grant {
 	charge := max(run.Cost, run.Estimate)
@@ -220,17 +236,18 @@
 		d.setDemand(n, &demand)
 	}
 	for id := range n.demands {
-		if !mentioned[id] {
-			d.setDemand(n, &Demand{Account: id})
+		if !mentioned[id] && !r.Partial {
+			d.dropDemand(n, id)
+			delete(n.demands, id)
 		}
 	}
-	n.demands = mentioned
+	maps.Copy(n.demands, mentioned)
 }
 
 func (d *Dispatcher) setDemand(n *node, demand *Demand) {
 	a := d.account(demand.Account)
-	if n.key.pool && demand.Served != 0 {
-		a.setRemote(n.key.name, demand.Served, demand.Running, n.raw)
+	if n.key.pool {
+		a.setRemote(n.key.name, demand, n.raw)
 	}
 	if !d.warm {
 		a.told = a.told || demand.VirtualTime > 0
@@ -238,25 +255,27 @@
 	}
 	demand.Waiting = max(0, demand.Waiting-n.unseen[demand.Account])
 	before := a.backlog
-	if old, ok := a.demands[n]; ok {
-		a.backlog -= old.Waiting
-	}
-	a.backlog += demand.Waiting
-	a.demands[n] = demand
-	if demand.Waiting == 0 {
-		delete(a.demands, n)
-	}
+	a.replace(n, demand)
 	if before == 0 && a.backlog > 0 {
 		a.raise(d.floor) // idleness earns no credit
+		if !n.key.pool {
+			d.begun = append(d.begun, a)
+		}
 	}
 	d.backlog.update(a)
 }
 
+func (d *Dispatcher) dropDemand(n *node, id string) {
+	a := d.account(id)
+	a.replace(n, &Demand{Account: id})
+	d.backlog.update(a)
+}
+
 // forget drops a reporter that is silent.
 func (d *Dispatcher) forget(now time.Time, n *node) {
 	d.dropGrants(now, n)
 	for id := range n.demands {
-		d.setDemand(n, &Demand{Account: id})
+		d.dropDemand(n, id)
 	}
 	if n.key.pool {
 		d.dropRemote(n.key.name)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -38,7 +38,7 @@
 	runs        map[RequestID]*run
 	ended       map[endedKey]*endedCost
 	results     map[string]*serverResults
-	estimates   estimator
+	estimates   *estimator
 	prefixes    prefixMemory
 	dirty       bool
 }
@@ -75,17 +75,24 @@
 	changed time.Time
 }
 
+// QueueOptions set up a Queue.
+type QueueOptions struct {
+	Incarnation uint64 // of the daemon
+	Order       Order
+	Quantile    float64 // of ended costs that an estimate covers; DefaultQuantile when 0
+}
+
 // NewQueue returns an empty queue of a daemon.
-func NewQueue(incarnation uint64, order Order) *Queue {
+func NewQueue(opts QueueOptions) *Queue {
 	return &Queue{
-		incarnation: incarnation,
-		order:       order,
+		incarnation: opts.Incarnation,
+		order:       opts.Order,
 		accounts:    map[string]*accountQueue{},
 		waiting:     map[string]*waiting{},
 		runs:        map[RequestID]*run{},
 		ended:       map[endedKey]*endedCost{},
 		results:     map[string]*serverResults{},
-		estimates:   estimator{},
+		estimates:   newEstimator(opts.Quantile),
 		prefixes:    newPrefixMemory(),
 	}
 }
@@ -236,8 +243,8 @@
 	}
 }
 
-// End ends a running request at its final cost. A failed run is one that the server
-// did not answer as it should.
+// End ends a running request at its final cost, which is 0 when it was not sent. A failed
+// run is one that the server did not answer as it should.
 func (q *Queue) End(now time.Time, id RequestID, cost Cost, failed bool) {
 	r, ok := q.runs[id]
 	if !ok {
@@ -247,7 +254,9 @@
 	q.dirty = true
 	q.account(r.request.Account).changed = now
 	q.endedOf(r).add(now, cost)
-	q.resultsOf(r.grant.Server).add(now, failed)
+	if failed || cost > 0 {
+		q.resultsOf(r.grant.Server).add(now, failed)
+	}
 	if !failed && cost > 0 {
 		q.estimates.ended(r.request.Account, r.request.Hint, cost)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,12 +39,15 @@
 // Options configure a Server.
 type Options struct {
 	Host    string
-	Port    int // 0 for any
+	Port    int    // 0 for any
+	TLSCert string // files of the certificate and its key; no TLS when empty
+	TLSKey  string
 	Config  func() *ticket.Config
 	Members Members
 	Chain   filter.Handler
 	Resume  filter.Handler // of GET /v1/resume
 	Metrics http.Handler
+	Keys    KeyIssuer
 	Logger  *slog.Logger
 	// Lifetime is how long callers may keep an answer of /v1/entries.
 	Lifetime time.Duration
@@ -65,6 +68,8 @@
 	s := &Server{opts: opts, bound: make(chan net.Addr, 1)}
 	conf := rest.RestConf{Host: opts.Host, Port: opts.Port}
 	conf.Name = "filbertrilld"
+	conf.CertFile = opts.TLSCert
+	conf.KeyFile = opts.TLSKey
 	conf.Log.Mode = "console"
 	conf.Log.Stat = false
 	// Every go-zero middleware is off: its shedding, breaker, timeout and body cap would
@@ -81,6 +86,7 @@
 		{Method: http.MethodGet, Path: "/v1/resume", Handler: s.serveResume},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: s.serveModels},
 		{Method: http.MethodGet, Path: "/v1/entries", Handler: s.serveEntries},
+		{Method: http.MethodGet, Path: "/v1/keys", Handler: s.serveKeys},
 		{Method: http.MethodGet, Path: "/healthz", Handler: serveHealth},
 		{Method: http.MethodGet, Path: "/readyz", Handler: s.serveReady},
 		{Method: http.MethodGet, Path: "/metrics", Handler: opts.Metrics.ServeHTTP},
