Order backend servers to load and drain, one sender at a time

Cause: nothing told an engine to load or drain, so a daemon that was frozen before a leave could send it work after its thaw.

Weighed: a lease by heartbeats of a majority (two disjoint views may each take themselves for a majority after members are forgotten, so it is not sure), fencing alone (some servers ignore it), claims in the platform's log. Taken: the ticket's number is the fence; for servers that don't check it, the sender claims the order in the log and may send for 3 s after the begin of a read that shows its claim last; one that took over an unfinished claim waits 5 s. Nothing is appended for servers that check, and nothing while no order is open. With the log down, an open order of a server that ignores fences waits.

What remains: a process that stops between the check of the permission and the system call behind it, two adjacent statements, can't notice.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,10 +14,12 @@
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
+	"github.com/filbertrill/filbertrill/internal/controller/orders"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/operator"
+	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
@@ -40,9 +42,11 @@
 	members  *members.Controller
 	config   *config.Controller
 	dispatch *dispatch.Controller
+	orders   *orders.Controller
 	entry    *entry.Server
 	once     *onceOnly
 
+	changed   chan struct{} // the configuration has changed
 	drain     chan struct{}
 	drainOnce sync.Once
 }
@@ -56,6 +60,7 @@
 	d := &Daemon{
 		settings: settings,
 		logger:   logging.For(logging.Daemon),
+		changed:  make(chan struct{}, 1),
 		drain:    make(chan struct{}),
 	}
 	if err := d.openPlatform(); err != nil {
@@ -136,6 +141,12 @@
 		OnChange: d.configChanged,
 	})
 	d.once = d.newOnceOnly(incarnation)
+	d.orders = orders.NewController(orders.Options{
+		Self:    order.Sender{ID: d.settings.ID, Incarnation: incarnation},
+		Log:     d.log,
+		Members: d.members,
+		Logger:  logging.For(logging.Orders),
+	})
 	*operators = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -196,4 +207,8 @@
 	d.metrics.SetKnown(accounts, services)
 	d.dispatch.SetConfig(c)
 	d.members.Changed()
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -36,7 +36,7 @@
 	d.members.SetClientAddress(advertised)
 	parts := []func(context.Context){
 		d.config.Run, d.members.Run, d.dispatch.Run, d.once.logged.Run, d.once.issued.Run,
-		d.observe, d.serveWhenConfigured,
+		d.observe, d.followOrders, d.orders.Run, d.serveWhenConfigured,
 	}
 	for _, run := range parts {
 		wg.Go(func() { run(ctx) })
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -18,6 +18,7 @@
 const (
 	Config   Part = "config"
 	Members  Part = "members"
+	Orders   Part = "orders"
 	Dispatch Part = "dispatch"
 	Entry    Part = "entry"
 	Backend  Part = "backend"
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -233,5 +233,8 @@
 // Close ends every process.
 func (c *Cluster) Close() { c.killAll() }
 
-// SetBin uses the programs of another cluster, to ask some of its daemons by Ctl.
-func (c *Cluster) SetBin(of *Cluster) { c.opts.Bin = of.opts.Bin }
+// With uses the programs of another cluster, to ask some of its daemons by Ctl or Submit.
+func (c *Cluster) With(of *Cluster) *Cluster {
+	c.opts.Bin = of.opts.Bin
+	return c
+}
--- a/test/integration/members/members_test.go
+++ b/test/integration/members/members_test.go
@@ -33,8 +33,7 @@
 
 // view returns what daemon i tells of the members, or nil when it does not answer.
 func view(f *cluster.Fleet, i int) map[string]memberView {
-	one := &cluster.Cluster{Daemons: f.Daemons[i : i+1]}
-	one.SetBin(f.Cluster)
+	one := (&cluster.Cluster{Daemons: f.Daemons[i : i+1]}).With(f.Cluster)
 	out, err := one.Ctl("members", "--output", "json")
 	if err != nil {
 		return nil
--- /dev/null
+++ b/test/integration/members/orders_test.go
@@ -0,0 +1,76 @@
+package members
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+	"github.com/filbertrill/filbertrill/test/standin/engine"
+)
+
+func ordersOf(t *testing.T, server *cluster.Process) []engine.Order {
+	resp, err := http.Get("http://" + server.Address + "/admin/orders")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var list []engine.Order
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&list))
+	return list
+}
+
+// awaitOrder waits until the last order that the server has taken is the wanted one.
+func awaitOrder(t *testing.T, server *cluster.Process, order string, fence uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		list := ordersOf(t, server)
+		if len(list) == 0 {
+			return false
+		}
+		last := list[len(list)-1]
+		return last.Order == order && last.Fence == int64(fence)
+	}, cluster.Patience, poll, "want %s with fence %d", order, fence)
+}
+
+// Servers are told to load and drain under the number of the ticket that says so, whether
+// they check the fence or not, also when the sender is frozen and thawed around a ticket.
+func TestOrdersFollowTheTickets(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, cluster.Options{Daemons: 4, Zones: []string{"z1", "z2"}})
+	checking := f.AddEngine("z2", 4, "--checks-orders")
+	f.Ticket.Servers[1].ChecksOrders = true
+	ignoring := f.AddEngine("z2", 4)
+	f.SubmitNext()
+	awaitOrder(t, checking, "load", f.Ticket.Number-1)
+	awaitOrder(t, ignoring, "load", f.Ticket.Number-1)
+
+	// One of the two daemons of z2 holds the role for each server.
+	for _, frozen := range []int{1, 3} {
+		for _, state := range []ticket.ServerState{ticket.ServerLeaving, ticket.ServerJoined} {
+			f.Daemons[frozen].Freeze()
+			f.Ticket.Servers[1].State = state
+			f.Ticket.Servers[2].State = state
+			number := f.Ticket.Number
+			submitted := make(chan error, 1)
+			go func() {
+				_, err := (&cluster.Cluster{Daemons: f.Daemons[:1]}).With(f.Cluster).Submit(f.Ticket)
+				submitted <- err
+			}()
+			want := map[ticket.ServerState]string{ticket.ServerLeaving: "drain", ticket.ServerJoined: "load"}[state]
+			awaitOrder(t, checking, want, number)
+			awaitOrder(t, ignoring, want, number)
+			f.Daemons[frozen].Thaw()
+			require.NoError(t, <-submitted)
+			f.Ticket.Number++
+		}
+	}
+	for _, server := range []*cluster.Process{checking, ignoring} {
+		highest := int64(0)
+		for _, o := range ordersOf(t, server) {
+			require.GreaterOrEqual(t, o.Fence, highest, "an older order after a newer one")
+			highest = o.Fence
+		}
+	}
+}
