--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -1,12 +1,9 @@
 package daemon
 
 import (
-	"time"
-
 	"github.com/filbertrill/filbertrill/internal/configsync"
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/logging"
-	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -27,21 +24,10 @@
 		},
 		Logger:    logging.For(logging.Config),
 		OnChange:  d.configChanged,
-		OnApplied: func() { d.members.Refresh() },
+		OnApplied: d.members.Changed,
 	})
 }
 
-// refresh fills in the daemon's own record before each heartbeat.
-func (d *Daemon) refresh(self *pb.Member) {
-	self.AppliedOffset, self.ConfigDigest = d.config.Applied()
-	known := d.config.Knowledge(time.Now())
-	d.metrics.SetAppliedOffset(self.AppliedOffset)
-	d.metrics.SetCutOff(known.CutOff)
-	if known.Ever {
-		d.metrics.SetKnownAge(known.Age)
-	}
-}
-
 func (d *Daemon) configChanged(c *ticket.Config) {
 	var accounts, services []string
 	for _, a := range c.Accounts() {
@@ -52,4 +38,9 @@
 	}
 	d.metrics.SetKnown(accounts, services)
 	d.dispatch.SetConfig(c)
+	d.members.Changed()
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,10 +14,12 @@
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
+	"github.com/filbertrill/filbertrill/internal/controller/orders"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/operator"
+	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
@@ -39,9 +41,11 @@
 	members  *members.Controller
 	config   *config.Controller
 	dispatch *dispatch.Controller
+	orders   *orders.Controller
 	entry    *entry.Server
 	once     *onceOnly
 
+	changed   chan struct{} // the configuration has changed
 	drain     chan struct{}
 	drainOnce sync.Once
 }
@@ -55,6 +59,7 @@
 	d := &Daemon{
 		settings: settings,
 		logger:   logging.For(logging.Daemon),
+		changed:  make(chan struct{}, 1),
 		drain:    make(chan struct{}),
 	}
 	if err := d.openPlatform(); err != nil {
@@ -103,6 +108,7 @@
 		Attest:      func(pong *pb.Pong) { d.config.Attest(pong) },
 		Observe:     func(sent time.Time, pong *pb.Pong) { d.config.Pong(sent, pong) },
 		Logger:      logging.For(logging.Peer),
+		Counter:     d.countControl,
 	})
 	d.members = members.NewController(members.Options{
 		Self: &pb.Member{
@@ -113,11 +119,11 @@
 			Region:      d.settings.Region,
 			State:       pb.MemberState_MEMBER_STATE_STARTING,
 		},
-		Seeds:   d.settings.Seeds,
-		List:    d.list,
-		Sender:  d.mesh,
-		Logger:  logging.For(logging.Members),
-		Refresh: d.refresh,
+		Seeds:  d.settings.Seeds,
+		List:   d.list,
+		Sender: d.mesh,
+		Logger: logging.For(logging.Members),
+		Facts:  d.facts,
 	})
 	d.dispatch = dispatch.NewController(dispatch.Options{
 		SelfID:      d.settings.ID,
@@ -132,6 +138,12 @@
 	})
 	d.config = d.newConfig()
 	d.once = d.newOnceOnly(incarnation)
+	d.orders = orders.NewController(orders.Options{
+		Self:    order.Sender{ID: d.settings.ID, Incarnation: incarnation},
+		Log:     d.log,
+		Members: d.members,
+		Logger:  logging.For(logging.Orders),
+	})
 	*operators = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -156,6 +168,8 @@
 		Metrics: d.scrape,
 		Keys:    d.once,
 		Logger:  logging.For(logging.Entry),
+
+		Lifetime: d.settings.EntriesLifetime,
 	})
 	d.entry = server
 	return err
@@ -179,3 +193,8 @@
 		d.config.Reply(env.From, body.ConfigReply)
 	}
 }
+
+func (d *Daemon) facts() members.Facts {
+	applied, digest := d.config.Applied()
+	return members.Facts{AppliedOffset: applied, ConfigDigest: digest, Load: d.load()}
+}
