Measure the path of one daemon, and refuse on what it saw itself

Tried and reverted: health by the dispatcher alone. The closure is at most 10 s. TestRefusalsAreTrue now waits for the single server to be off the dispatcher's probation before each case; its assertions are unchanged.

--- a/internal/filter/attempt/chat.go
+++ b/internal/filter/attempt/chat.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// acquireOpen waits for a slot on a server that is not known to fail.
+// acquireOpen waits for a slot on a server that is not known to fail. The dispatcher learns of
+// failures as well, but those seen in other data centres reach it with the exchange of the pools only.
 func (h *handler) acquireOpen(ctx context.Context, r *filter.Request) (*dispatch.Lease, error) {
 	for {
 		lease, err := h.acquire(ctx, r)
@@ -67,36 +68,29 @@
 		h.servers.succeeded(run.server.ID)
 		return false, passStatus(r.Writer, run.rejection)
 	}
-	if h.learn(run, action) {
-		lease.Fail()
-	}
 	switch action.Kind {
 	case answer.Finish:
+		h.servers.succeeded(run.server.ID)
 		return false, nil
 	case answer.Stop:
 		return false, result.Wrap(context.Canceled, result.CallerGone, "the caller went away")
 	}
+	h.failed(run, lease)
 	err := result.Wrap(run.err, action.Code, "%s", describe(action.Code, run.server.ID))
 	again := action.Kind == answer.Retry && h.servers.mayRetry(r.Service.ID, time.Now())
 	if again {
 		h.opts.Metrics.CountRetry(r.Service.ID)
-		h.opts.Logger.Info("Trying another backend server.", "request", r.ID, "server", run.server.ID, "error", run.err)
+		h.opts.Logger.Info("Trying another backend server.", "request", r.ID, "server", run.server.ID, "error", text(run.err))
 	}
 	return again, err
 }
 
-// learn records the outcome for the server's health, and reports whether it failed.
-func (h *handler) learn(run *run, action answer.Action) bool {
-	switch action.Kind {
-	case answer.Finish:
-		h.servers.succeeded(run.server.ID)
-	case answer.Retry, answer.Fail:
-		if h.servers.failed(run.server.ID, time.Now()) {
-			h.opts.Logger.Warn("Avoiding a backend server.", "server", run.server.ID, "error", run.err)
-		}
-		return true
+// failed records that the server did not answer as it should.
+func (h *handler) failed(run *run, lease *dispatch.Lease) {
+	lease.Fail()
+	if h.servers.failed(run.server.ID, time.Now()) {
+		h.opts.Logger.Warn("Avoiding a backend server.", "server", run.server.ID, "error", text(run.err))
 	}
-	return false
 }
 
 func (h *handler) newRun(r *filter.Request, lease *dispatch.Lease, n int, body []byte) *run {
--- a/internal/filter/attempt/failure.go
+++ b/internal/filter/attempt/failure.go
@@ -44,9 +44,20 @@
 }
 
 func describe(code result.Code, server string) string {
+	if code == result.NoServerJoined {
+		return "Backend server " + server + " could not be reached."
+	}
 	return code.Description() + " Server: " + server + "."
 }
 
+// text returns an error for the log, without the stacks that it carries.
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // failure gives an error of the backend its result code.
 func failure(err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
--- a/internal/filter/attempt/run.go
+++ b/internal/filter/attempt/run.go
@@ -34,7 +34,7 @@
 	action := a.first(ctx)
 	for action.Kind == answer.Resume {
 		a.meter.interrupted()
-		a.logger.Debug("Resuming an answer.", "attempt", a.attempt, "server", a.server.ID, "last", action.Last, "error", a.err)
+		a.logger.Debug("Resuming an answer.", "attempt", a.attempt, "server", a.server.ID, "last", action.Last, "error", text(a.err))
 		if !sleep(ctx, action.Delay) {
 			action = a.step(answer.CallerGone{})
 			break
@@ -151,7 +151,7 @@
 		if err == nil {
 			return
 		}
-		a.logger.Debug("Cancelling an attempt failed.", "attempt", a.attempt, "server", a.server.ID, "error", err)
+		a.logger.Debug("Cancelling an attempt failed.", "attempt", a.attempt, "server", a.server.ID, "error", text(err))
 	}
 }
 
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -8,7 +8,7 @@
 const (
 	Failures     = 3 // in a row that close a server
 	FirstClosure = time.Second
-	MaxClosure   = 30 * time.Second
+	MaxClosure   = 10 * time.Second
 )
 
 // State tells whether a server is used.
--- a/test/integration/answers/refusal_test.go
+++ b/test/integration/answers/refusal_test.go
@@ -36,6 +36,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			awaitServed(t, f)
 			fault(t, engine, c.fault)
 			defer fault(t, engine, `{}`)
 			a := ask(t, f, 0, 5, true)
@@ -44,12 +45,14 @@
 		})
 	}
 	t.Run("wrong request", func(t *testing.T) {
+		awaitServed(t, f)
 		status, header, body := f.Call(0, "key-small", http.MethodPost, chatPath, `{"model":"drafter","max_tokens":-0,"messages":[]}`)
 		require.Equal(t, http.StatusBadRequest, status, body)
 		require.Equal(t, "false", header.Get("X-Should-Retry"))
 		require.Contains(t, body, "messages are missing")
 	})
 	t.Run("unreachable", func(t *testing.T) {
+		awaitServed(t, f)
 		before := len(ledger(t, engine))
 		link.Cut()
 		a := ask(t, f, 0, 5, true)
@@ -60,9 +63,14 @@
 	t.Run("waits in vain", func(t *testing.T) { waitsInVain(t, f, engine) })
 }
 
-func waitsInVain(t *testing.T, f *cluster.Fleet, engine *cluster.Process) {
-	// Earlier cases closed the server for a while.
+// awaitServed waits until the server, which earlier cases may have put on probation, serves.
+func awaitServed(t *testing.T, f *cluster.Fleet) {
+	t.Helper()
 	require.Eventually(t, func() bool { return ask(t, f, 0, 1, true).done }, cluster.Patience, 100*time.Millisecond)
+}
+
+func waitsInVain(t *testing.T, f *cluster.Fleet, engine *cluster.Process) {
+	awaitServed(t, f)
 	before := len(ledger(t, engine))
 	var running sync.WaitGroup
 	running.Go(func() { _, _ = do(chatRequest(t, f.Daemons[0].Address, chatBody(500, true))) })
--- /dev/null
+++ b/test/measure/path/client.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots, DisableCompression: true}}
+
+func body(model string, tokens int, content string) string {
+	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, tokens, content)
+}
+
+// open sends a request and returns the stream of its answer.
+func open(address, body string) (io.ReadCloser, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		return nil, errors.Newf("status %d: %s", resp.StatusCode, text)
+	}
+	return resp.Body, nil
+}
+
+// read reads a stream to its end and returns the number of its tokens.
+func read(stream io.ReadCloser) (int, error) {
+	defer func() { _ = stream.Close() }()
+	lines := bufio.NewScanner(stream)
+	tokens, done := 0, false
+	for lines.Scan() {
+		switch line := lines.Bytes(); {
+		case bytes.Contains(line, []byte(`"content":"w`)):
+			tokens++
+		case bytes.HasSuffix(line, []byte("[DONE]")):
+			done = true
+		}
+	}
+	if !done {
+		return tokens, errors.CombineErrors(lines.Err(), errors.New("answer without an end"))
+	}
+	return tokens, nil
+}
+
+// call runs a request and fails unless its answer is whole.
+func call(address, body string, tokens int) error {
+	stream, err := open(address, body)
+	if err != nil {
+		return err
+	}
+	got, err := read(stream)
+	if err == nil && got != tokens {
+		err = errors.Newf("%d tokens instead of %d", got, tokens)
+	}
+	return err
+}
+
+// samples collects durations.
+type samples struct {
+	mu   sync.Mutex
+	list []time.Duration
+	err  error
+}
+
+func (s *samples) add(d time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, d)
+	s.err = errors.CombineErrors(s.err, err)
+}
+
+// quantile returns a quantile of the durations.
+func (s *samples) quantile(q float64) time.Duration {
+	slices.Sort(s.list)
+	return s.list[int(q*float64(len(s.list)-1))]
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// rssKB returns the resident memory of the daemon.
+func (p *path) rssKB() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Daemons[0].PID()))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb
+		}
+	}
+	return 0
+}
+
+// cpu returns the processor time that the daemon has used.
+func (p *path) cpu() time.Duration {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Daemons[0].PID()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
--- /dev/null
+++ b/test/measure/path/main.go
@@ -0,0 +1,118 @@
+// Command path measures one daemon on the way of a request: added latency, memory of open
+// streams, requests a second on one core, large bodies and long streams. It prints
+// name=value lines.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+)
+
+type flags struct {
+	Bin     string        `help:"Folder of the programs." default:"bin"`
+	Rate    int           `help:"Requests a second of the latency run." default:"200"`
+	Length  time.Duration `help:"Length of the latency and of the throughput run." default:"10s"`
+	Streams int           `help:"Streams open at once in the memory run." default:"1000"`
+	Long    time.Duration `help:"Length of the long stream." default:"2m"`
+	Callers int           `help:"Callers at once in the throughput run." default:"64"`
+}
+
+// Sizes of the stand-ins.
+const (
+	key       = "key-small"
+	fastModel = "fast" // no time between tokens
+	slowModel = "slow"
+	slots     = 4096
+	// slowInterval is the time between two tokens of the slow model.
+	slowInterval = 500 * time.Millisecond
+)
+
+func main() {
+	var f flags
+	kong.Parse(&f)
+	if err := run(f); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(f flags) error {
+	p, err := startPath(f.Bin)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	p.idleKB = p.rssKB()
+	long := make(chan error, 1)
+	go func() { long <- p.longStream(f.Long) }()
+	for _, measure := range []func(flags) error{p.latency, p.throughput, p.largeBody, p.memory} {
+		if err := measure(f); err != nil {
+			return err
+		}
+	}
+	return <-long
+}
+
+// path is a daemon on one core before two engines.
+type path struct {
+	*cluster.Cluster
+	fast, slow *cluster.Process
+	idleKB     int
+}
+
+func startPath(bin string) (*path, error) {
+	c, err := cluster.New(cluster.Options{Bin: bin, Logs: io.Discard, Zones: []string{"z1"}})
+	if err != nil {
+		return nil, err
+	}
+	p := &path{Cluster: c}
+	if err := p.start(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *path) start() error {
+	var err error
+	p.fast, err = p.StartServer("fast", "engine", "--model", fastModel, "--slots", fmt.Sprint(slots), "--token-interval", "0s")
+	if err != nil {
+		return err
+	}
+	p.slow, err = p.StartServer("slow", "engine", "--model", slowModel, "--slots", fmt.Sprint(slots), "--token-interval", slowInterval.String())
+	if err != nil {
+		return err
+	}
+	// The daemon alone runs on one core.
+	if err := os.Setenv("GOMAXPROCS", "1"); err != nil {
+		return err
+	}
+	_, err = p.StartDaemon(0)
+	if err := errors.CombineErrors(err, os.Unsetenv("GOMAXPROCS")); err != nil {
+		return err
+	}
+	if _, err := p.Submit(p.ticket()); err != nil {
+		return err
+	}
+	return p.AwaitReady(cluster.Patience)
+}
+
+func (p *path) ticket() ticket.Ticket {
+	t := ticket.Ticket{Number: 1, Author: "measure", Reason: "path"}
+	t.Accounts = []ticket.Account{{ID: "small", Weight: 1, KeyHashes: []string{cluster.KeyHash(key)}, MaxQueued: slots}}
+	for model, address := range map[string]string{fastModel: p.fast.Address, slowModel: p.slow.Address} {
+		t.Services = append(t.Services, ticket.Service{ID: model, Kind: ticket.ServiceModel, Repeatable: true})
+		t.Servers = append(t.Servers, ticket.Server{
+			ID: model, Service: model, Address: address, Zone: "z1", Slots: slots, State: ticket.ServerJoined,
+		})
+	}
+	return t
+}
