Test claims over the log and the calls of plain services

Found by TestColdStartReadsTheWindowOnly: a cold daemon took its first page's newest record as the start of what it knows, and refused fresh keys for a minute. The search now says from which time on the log is known. The transport test shows first that net/http's usual transport sends a GET twice.

--- /dev/null
+++ b/internal/backend/plain_test.go
@@ -0,0 +1,90 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// closingServer answers the first request, then reads each one and closes without an answer.
+func closingServer(t *testing.T) (address string, seen *atomic.Int64) {
+	seen = &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if seen.Add(1) == 1 {
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), seen
+}
+
+func TestTransportOfRepeatableRequestsSendsAgain(t *testing.T) {
+	address, seen := closingServer(t)
+	client := http.Client{Transport: NewTransport()}
+	resp, err := client.Get("http://" + address)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	_, err = client.Get("http://" + address)
+	require.Error(t, err)
+	require.EqualValues(t, 3, seen.Load(), "net/http sends a request again on its own")
+}
+
+func TestUnrepeatableCallIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		for _, body := range []string{"", "{}"} {
+			t.Run(method+body, func(t *testing.T) {
+				address, seen := closingServer(t)
+				plain := NewPlain(NewTransport())
+				request := PlainRequest{Method: method, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(body)}
+				_, err := plain.Call(t.Context(), address, request)
+				require.NoError(t, err)
+				_, err = plain.Call(t.Context(), address, request)
+				require.Error(t, err)
+				require.False(t, errors.Is(err, ErrNotSent))
+				require.EqualValues(t, 2, seen.Load())
+			})
+		}
+	}
+}
+
+func TestUnreachableServerIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = NewPlain(NewTransport()).Call(t.Context(), listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
+	require.True(t, errors.Is(err, ErrNotSent))
+}
+
+func TestSilentServerIsNotTakenForUnsent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = NewPlain(NewTransport()).Call(ctx, listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.False(t, errors.Is(err, ErrNotSent))
+}
+
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	var seen atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	}))
+	defer server.Close()
+	answer, err := NewPlain(NewTransport()).Call(t.Context(), server.Listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusTemporaryRedirect, answer.Status)
+	require.EqualValues(t, 1, seen.Load())
+}
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -63,7 +63,7 @@
 	case Positioned:
 		b.finding = false
 		b.logAnswered()
-		b.index.position(e.First)
+		b.index.position(e.First, e.Covered)
 	case Asked:
 		b.ask(now, e.Ask)
 	case Abandoned:
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -69,7 +69,7 @@
 	}
 	for d.finds > 0 {
 		d.finds--
-		f.step(d, Positioned{f.first})
+		f.step(d, f.position(d))
 	}
 	for len(d.reads) > 0 {
 		from := d.reads[0]
--- a/internal/claim/event.go
+++ b/internal/claim/event.go
@@ -5,9 +5,12 @@
 // Event is something that happened to a Book.
 type Event interface{ event() }
 
-// Positioned says that the log's first kept record has the offset. It begins the reading
-// of the log, and begins it anew after Forgot.
-type Positioned struct{ First int64 }
+// Positioned says where to begin reading. It begins the reading anew after Forgot.
+type Positioned struct {
+	First int64
+	// Covered says that the records before First are all older; zero when that is not known.
+	Covered time.Time
+}
 
 // Asked says that a caller's request wants to run.
 type Asked struct{ Ask Ask }
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -209,7 +209,7 @@
 			f.step(d, ReadFailed{})
 			return
 		}
-		f.step(d, Positioned{f.first})
+		f.step(d, f.position(d))
 		return
 	}
 	if len(d.reads) == 0 {
@@ -242,6 +242,16 @@
 	}
 }
 
+// position tells a daemon where to begin, as the shell finds it.
+func (f *fleet) position(d *simDaemon) Positioned {
+	p := Positioned{First: f.first}
+	cutoff := f.now.Add(d.clock - testWindow - 6*testSkew)
+	if len(f.log) > 0 && f.log[0].At.Before(cutoff) {
+		p.Covered = cutoff
+	}
+	return p
+}
+
 // cut forgets the oldest records of the log.
 func (f *fleet) cut() {
 	n := f.draw("cut", len(f.log))
--- a/internal/claim/index.go
+++ b/internal/claim/index.go
@@ -40,11 +40,15 @@
 
 func newIndex() *index { return &index{next: -1, entries: map[Hash]*entry{}} }
 
-// position begins reading at the first offset that the log holds.
-func (x *index) position(first int64) {
+// position begins reading at an offset. Unless it is that of the topic's first record ever,
+// only what is newer than covered is known.
+func (x *index) position(first int64, covered time.Time) {
 	x.next = first
-	x.positioned = first == 0
-	x.covered = time.Time{}
+	x.positioned = first == 0 || !covered.IsZero()
+	x.covered = covered
+	if first == 0 {
+		x.covered = time.Time{}
+	}
 	x.entries = map[Hash]*entry{}
 	x.order = nil
 	x.bodies, x.withBody = 0, nil
--- a/internal/claim/key_test.go
+++ b/internal/claim/key_test.go
@@ -78,7 +78,7 @@
 			return
 		}
 		x := newIndex()
-		x.position(0)
+		x.position(0, time.Time{})
 		x.apply(b)
 		data, err = Encode(b)
 		if err != nil {
--- a/internal/controller/claims/find.go
+++ b/internal/controller/claims/find.go
@@ -15,29 +15,46 @@
 	if err != nil {
 		return claim.ReadFailed{}
 	}
+	if bounds.First == 0 && bounds.Next <= readLimit {
+		return claim.Positioned{}
+	}
 	cutoff := time.Now().Add(-c.opts.Book.Window - 6*c.opts.Book.Skew)
-	first, err := c.search(ctx, bounds, cutoff)
+	positioned, err := c.search(ctx, bounds, cutoff)
 	if err != nil {
 		return claim.ReadFailed{}
 	}
-	return claim.Positioned{First: first}
+	return positioned
 }
 
-// search returns an offset below which all records are older than the cutoff. Records are
-// nearly in the order of their times.
-func (c *Controller) search(ctx context.Context, bounds platform.Bounds, cutoff time.Time) (int64, error) {
+// search returns the offset of a record that is older than the cutoff and near the first that
+// is not; that of the first kept record when none is older. Records are nearly in the order
+// of their times.
+func (c *Controller) search(ctx context.Context, bounds platform.Bounds, cutoff time.Time) (claim.Positioned, error) {
+	old, err := c.older(ctx, bounds.First, cutoff)
+	if err != nil || !old {
+		return claim.Positioned{First: bounds.First}, err
+	}
 	low, high := bounds.First, bounds.Next
 	for high-low > readLimit {
 		middle := low + (high-low)/2
-		records, err := c.opts.Log.Read(ctx, c.opts.Topic, middle, 1)
+		old, err := c.older(ctx, middle, cutoff)
 		if err != nil {
-			return 0, err
+			return claim.Positioned{}, err
 		}
-		if len(records) == 1 && c.decode(records[0]).At.Before(cutoff) {
+		if old {
 			low = middle
-			continue
+		} else {
+			high = middle
 		}
-		high = middle
 	}
-	return low, nil
+	return claim.Positioned{First: low, Covered: cutoff}, nil
+}
+
+// older reports whether the record at the offset is older than the cutoff.
+func (c *Controller) older(ctx context.Context, offset int64, cutoff time.Time) (bool, error) {
+	records, err := c.opts.Log.Read(ctx, c.opts.Topic, offset, 1)
+	if err != nil || len(records) == 0 {
+		return false, err
+	}
+	return c.decode(records[0]).At.Before(cutoff), nil
 }
