--- a/internal/daemon/chain.go
+++ b/internal/daemon/chain.go
@@ -6,7 +6,9 @@
 	"github.com/filbertrill/filbertrill/internal/filter/admit"
 	"github.com/filbertrill/filbertrill/internal/filter/attempt"
 	"github.com/filbertrill/filbertrill/internal/filter/decode"
+	"github.com/filbertrill/filbertrill/internal/filter/fresh"
 	"github.com/filbertrill/filbertrill/internal/filter/identify"
+	"github.com/filbertrill/filbertrill/internal/filter/once"
 	"github.com/filbertrill/filbertrill/internal/filter/record"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/resume"
@@ -16,7 +18,7 @@
 func (d *Daemon) attemptOptions() attempt.Options {
 	transport := backend.NewTransport()
 	return attempt.Options{
-		Acquirer:   d.dispatch,
+		Acquirer:   fresh.NewAcquirer(d.dispatch, d.config),
 		Engine:     backend.NewEngine(transport),
 		Plain:      backend.NewPlain(transport),
 		Signer:     resume.NewSigner(d.settings.Secret),
@@ -31,8 +33,10 @@
 func (d *Daemon) chain(attempts attempt.Options) filter.Handler {
 	return filter.Chain(attempt.New(attempts),
 		record.New(d.metrics, logging.For(logging.Entry)),
+		once.NewTruthful(),
 		identify.New(),
 		decode.New(d.settings.MaxBody),
+		fresh.New(d.config),
 		d.once.filter(d),
 		admit.New(admit.Options{
 			Queues:     d.dispatch,
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/controller/config"
+	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+func (d *Daemon) newConfig() *config.Controller {
+	return config.NewController(config.Options{
+		SelfID:       d.settings.ID,
+		Seeds:        d.settings.Seeds,
+		Members:      d.members,
+		Sender:       d.mesh,
+		Log:          d.log,
+		PollInterval: d.settings.ConfigPoll,
+		PollOthers:   d.settings.ConfigPollOthers,
+		ReadTimeout:  d.settings.LogTimeout,
+		StaleAfter:   d.settings.StaleAfter,
+		StateRecords: configsync.StateRecordLimits{
+			Interval: d.settings.StateRecordInterval,
+			Every:    d.settings.StateRecordEvery,
+		},
+		Logger:    logging.For(logging.Config),
+		OnChange:  d.configChanged,
+		OnApplied: d.members.Changed,
+	})
+}
+
+func (d *Daemon) configChanged(c *ticket.Config) {
+	var accounts, services []string
+	for _, a := range c.Accounts() {
+		accounts = append(accounts, a.ID)
+	}
+	for _, s := range c.Services() {
+		services = append(services, s.ID)
+	}
+	d.metrics.SetKnown(accounts, services)
+	d.dispatch.SetConfig(c)
+	d.members.Changed()
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,15 +14,16 @@
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
+	"github.com/filbertrill/filbertrill/internal/controller/orders"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/operator"
+	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
-	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
 // Daemon is one running instance.
@@ -40,9 +41,11 @@
 	members  *members.Controller
 	config   *config.Controller
 	dispatch *dispatch.Controller
+	orders   *orders.Controller
 	entry    *entry.Server
 	once     *onceOnly
 
+	changed   chan struct{} // the configuration has changed
 	drain     chan struct{}
 	drainOnce sync.Once
 }
@@ -56,6 +59,7 @@
 	d := &Daemon{
 		settings: settings,
 		logger:   logging.For(logging.Daemon),
+		changed:  make(chan struct{}, 1),
 		drain:    make(chan struct{}),
 	}
 	if err := d.openPlatform(); err != nil {
@@ -101,7 +105,10 @@
 		Routes:      d.settings.PeerRoutes,
 		Handler:     d.handle,
 		Operator:    operators,
+		Attest:      func(pong *pb.Pong) { d.config.Attest(pong) },
+		Observe:     func(sent time.Time, pong *pb.Pong) { d.config.Pong(sent, pong) },
 		Logger:      logging.For(logging.Peer),
+		Counter:     d.countControl,
 	})
 	d.members = members.NewController(members.Options{
 		Self: &pb.Member{
@@ -112,11 +119,11 @@
 			Region:      d.settings.Region,
 			State:       pb.MemberState_MEMBER_STATE_STARTING,
 		},
-		Seeds:   d.settings.Seeds,
-		List:    d.list,
-		Sender:  d.mesh,
-		Logger:  logging.For(logging.Members),
-		Refresh: d.refresh,
+		Seeds:  d.settings.Seeds,
+		List:   d.list,
+		Sender: d.mesh,
+		Logger: logging.For(logging.Members),
+		Facts:  d.facts,
 	})
 	d.dispatch = dispatch.NewController(dispatch.Options{
 		SelfID:      d.settings.ID,
@@ -129,12 +136,14 @@
 		Order:       core.Order(d.settings.DispatchOrder),
 		Logger:      logging.For(logging.Dispatch),
 	})
-	d.config = config.NewController(config.Options{
-		Log:      d.log,
-		Logger:   logging.For(logging.Config),
-		OnChange: d.configChanged,
-	})
+	d.config = d.newConfig()
 	d.once = d.newOnceOnly(incarnation)
+	d.orders = orders.NewController(orders.Options{
+		Self:    order.Sender{ID: d.settings.ID, Incarnation: incarnation},
+		Log:     d.log,
+		Members: d.members,
+		Logger:  logging.For(logging.Orders),
+	})
 	*operators = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -159,6 +168,8 @@
 		Metrics: d.scrape,
 		Keys:    d.once,
 		Logger:  logging.For(logging.Entry),
+
+		Lifetime: d.settings.EntriesLifetime,
 	})
 	d.entry = server
 	return err
@@ -174,21 +185,16 @@
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
 		d.dispatch.GrantBatch(env.From, body.GrantBatch, time.Now())
+	case *pb.Envelope_ConfigRecords:
+		d.config.Records(env.From, body.ConfigRecords)
+	case *pb.Envelope_ConfigRequest:
+		d.config.Request(env.From, body.ConfigRequest)
+	case *pb.Envelope_ConfigReply:
+		d.config.Reply(env.From, body.ConfigReply)
 	}
 }
 
-func (d *Daemon) refresh(self *pb.Member) {
-	self.AppliedOffset, self.ConfigDigest = d.config.Applied()
-}
-
-func (d *Daemon) configChanged(c *ticket.Config) {
-	var accounts, services []string
-	for _, a := range c.Accounts() {
-		accounts = append(accounts, a.ID)
-	}
-	for _, s := range c.Services() {
-		services = append(services, s.ID)
-	}
-	d.metrics.SetKnown(accounts, services)
-	d.dispatch.SetConfig(c)
+func (d *Daemon) facts() members.Facts {
+	applied, digest := d.config.Applied()
+	return members.Facts{AppliedOffset: applied, ConfigDigest: digest, Load: d.load()}
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -24,6 +24,7 @@
 	stream pb.DRPCMesh_SessionClient
 	cancel context.CancelCauseFunc
 	began  time.Time
+	pings  pingTimes
 
 	answered atomic.Bool
 	pinged   atomic.Uint64 // seq of the last Ping
@@ -74,6 +75,9 @@
 		c.link.mesh.opts.Counter(proto.Size(pong), false, "pong", c.link.address)
 		c.answered.Store(true)
 		c.ponged.Store(pong.Seq)
+		if sent, ok := c.pings.sent(pong.Seq); ok {
+			c.link.mesh.opts.Observe(sent, pong)
+		}
 		if pong.Seq >= c.pinged.Load() {
 			c.waiting.Store(0)
 		} else {
@@ -95,6 +99,10 @@
 			return ctx.Err()
 		case env = <-c.link.queue:
 			unproven = true
+			if env.GetPing() != nil {
+				unproven = false
+				env = c.ping()
+			}
 		case <-ticker.C:
 			if !unproven {
 				continue
@@ -113,10 +121,12 @@
 
 func (c *connection) ping() *pb.Envelope {
 	opts := &c.link.mesh.opts
+	seq := c.pinged.Add(1)
+	c.pings.add(seq, time.Now())
 	return &pb.Envelope{
 		From:        opts.ID,
 		Incarnation: opts.Incarnation,
-		Body:        &pb.Envelope_Ping{Ping: &pb.Ping{Seq: c.pinged.Add(1)}},
+		Body:        &pb.Envelope_Ping{Ping: &pb.Ping{Seq: seq}},
 	}
 }
 
