Count a quarter of other pools' service in virtual times

Cause: pools that learn late of the same least account all serve it at once, so full weight made the gap larger than none did.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -7,7 +7,7 @@
 )
 
 // account is what a dispatcher knows of one account. Its virtual time is its service over
-// its weight, wherever in the region it ran, plus what idleness has added.
+// its weight, that of other pools in part, plus what idleness has added.
 type account struct {
 	id       string
 	spec     AccountSpec
@@ -34,7 +34,14 @@
 	running int
 }
 
-func (r *remoteService) service() Cost { return r.served - r.base + r.charged }
+// remoteWeight is the part of other pools' service that counts in a virtual time. Each pool
+// sees every account that waits and is fair to it by itself; a part is enough to keep their
+// errors from adding up, and less of what arrives late.
+const remoteWeight = 0.25
+
+func (r *remoteService) service() Cost {
+	return remoteWeight * (r.served - r.base + r.charged)
+}
 
 func newAccount(id string, offset float64) *account {
 	return &account{
