Measure what members cost and how soon failures are found

make measure-members prints control bytes and processor time of idle fleets of processes, times to detection, and the messages of pure views up to 390 daemons in 18 data centres and 5 regions.

--- a/internal/member/delegate.go
+++ b/internal/member/delegate.go
@@ -45,7 +45,7 @@
 	last := v.own
 	v.own = ownReport{digest: own.Digest, applied: own.Applied, behind: own.Behind}
 	if own.Digest == last.digest {
-		own.Members = nil
+		own.Members, own.Zone, own.Region = nil, "", ""
 	}
 	return own.Digest != last.digest || own.Applied != last.applied || !slices.Equal(own.Behind, last.behind)
 }
--- a/internal/member/report.go
+++ b/internal/member/report.go
@@ -94,10 +94,10 @@
 	v.hear(from, incarnation, m.Seq, m.Echo, m.Zone, now)
 	var unresolved []string
 	for _, r := range m.Reports {
-		if r.Zone == v.self.Zone || r.Source == v.self.Id {
+		if r.Source == v.self.Id || r.Zone == v.self.Zone {
 			continue
 		}
-		if !v.take(now, from, m.Zone, r) {
+		if !v.complete(r) || !v.take(now, from, m.Zone, r) {
 			unresolved = append(unresolved, r.Source)
 		}
 	}
@@ -110,6 +110,20 @@
 	return append(out, v.introduce(now, from, m)...)
 }
 
+// complete fills in what a report leaves out because the receiver should hold it. It
+// reports false when it is not held.
+func (v *View) complete(r *pb.ZoneReport) bool {
+	if r.Zone != "" {
+		return true
+	}
+	h := v.reports[r.Source]
+	if h == nil || h.report.Incarnation != r.Incarnation {
+		return false
+	}
+	r.Zone, r.Region = h.report.Zone, h.report.Region
+	return true
+}
+
 // introduce answers a daemon of the same data centre that has no record of this one, and
 // tells the own delegate of a data centre that addressed this daemon in its place.
 func (v *View) introduce(now time.Time, from string, m *pb.ZoneReports) []Send {
@@ -263,6 +277,8 @@
 	r.SourceLost = v.sourceLost(h, now)
 	if withMembers {
 		r.Members = h.members
+	} else {
+		r.Zone, r.Region = "", ""
 	}
 	if !withLoads {
 		r.Loads = nil
--- /dev/null
+++ b/test/measure/members/full.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// fullSizes are fleets up to the size that decides: regions, data centres, daemons.
+var fullSizes = [][3]int{{1, 3, 7}, {1, 3, 50}, {2, 7, 150}, {5, 18, 195}, {5, 18, 390}}
+
+// Times of a fleet in virtual time.
+const (
+	beat        = 500 * time.Millisecond
+	fullSettle  = 60 // beats
+	fullMeasure = 80 // beats
+)
+
+// fullFleet is a fleet of pure views whose messages arrive at once.
+type fullFleet struct {
+	now   time.Time
+	views map[string]*member.View
+	self  map[string]*pb.Member
+	order []string
+	bytes map[string]int // sent and received, by address
+	spent time.Duration  // processor time of all views
+}
+
+func measureFull() {
+	for _, size := range fullSizes {
+		f := newFullFleet(size[0], size[1], size[2])
+		for range fullSettle {
+			f.step()
+		}
+		clear(f.bytes)
+		f.spent = 0
+		for range fullMeasure {
+			f.step()
+		}
+		f.report(size[2])
+	}
+}
+
+func newFullFleet(regions, zones, daemons int) *fullFleet {
+	f := &fullFleet{
+		now: time.Unix(1000, 0), views: map[string]*member.View{}, self: map[string]*pb.Member{}, bytes: map[string]int{},
+	}
+	var places []member.Place
+	for i := range daemons {
+		zone := i % zones
+		m := &pb.Member{
+			Id: fmt.Sprintf("daemon-%03d", i), Incarnation: uint64(1_796_000_000_000_000_000 + i),
+			PeerAddress: fmt.Sprintf("10.%d.0.%d:7000", zone, i), ClientAddress: fmt.Sprintf("10.%d.0.%d:8080", zone, i),
+			Zone: fmt.Sprintf("zone-%02d", zone), Region: fmt.Sprintf("region-%d", zone%regions),
+			State: pb.MemberState_MEMBER_STATE_LIVE, AppliedOffset: 123_456,
+		}
+		f.views[m.PeerAddress] = member.NewView(m, f.now)
+		f.self[m.PeerAddress] = m
+		f.order = append(f.order, m.PeerAddress)
+		places = append(places, member.Place{Address: m.PeerAddress, Zone: m.Zone})
+	}
+	for _, v := range f.views {
+		v.SetPlaces(places)
+	}
+	return f
+}
+
+// step lets every daemon beat once, at a time of its own within the beat.
+func (f *fullFleet) step() {
+	for _, address := range f.order {
+		f.now = f.now.Add(beat / time.Duration(len(f.order)))
+		v := f.views[address]
+		f.send(address, f.timed(func() []member.Send { return v.Tick(f.now) }))
+		if v.Urgent() {
+			f.send(address, f.timed(func() []member.Send { return v.Flush(f.now) }))
+		}
+	}
+}
+
+func (f *fullFleet) timed(work func() []member.Send) []member.Send {
+	began := time.Now()
+	out := work()
+	f.spent += time.Since(began)
+	return out
+}
+
+func (f *fullFleet) send(from string, out []member.Send) {
+	for _, s := range out {
+		s.Message.From = f.self[from].Id
+		s.Message.Incarnation = f.self[from].Incarnation
+		size := proto.Size(s.Message)
+		f.bytes[from] += size
+		to, ok := f.views[s.Address]
+		if !ok {
+			continue
+		}
+		f.bytes[s.Address] += size
+		f.send(s.Address, f.timed(func() []member.Send { return f.take(to, s.Message) }))
+	}
+}
+
+func (f *fullFleet) take(to *member.View, env *pb.Envelope) []member.Send {
+	switch body := env.Body.(type) {
+	case *pb.Envelope_Heartbeat:
+		to.Heartbeat(f.now, env.From, env.Incarnation, body.Heartbeat)
+	case *pb.Envelope_ZoneReports:
+		return to.Reports(f.now, env.From, env.Incarnation, body.ZoneReports)
+	case *pb.Envelope_ZoneRequest:
+		return to.Request(f.now, env.From, body.ZoneRequest)
+	}
+	return nil
+}
+
+// report prints the bytes, sent and received, of the median daemon and of the busiest.
+func (f *fullFleet) report(daemons int) {
+	seconds := float64(fullMeasure) * beat.Seconds()
+	total, most, seen := 0, 0, 0
+	for _, address := range f.order {
+		total += f.bytes[address]
+		most = max(most, f.bytes[address])
+		seen = max(seen, len(f.views[address].Live(f.now)))
+	}
+	n := float64(len(f.order))
+	fmt.Printf("full.%d.members_seen=%d\n", daemons, seen)
+	fmt.Printf("full.%d.bytes_per_s_mean=%.4g\n", daemons, float64(total)/n/seconds)
+	fmt.Printf("full.%d.bytes_per_s_most=%.4g\n", daemons, float64(most)/seconds)
+	fmt.Printf("full.%d.core_percent_mean=%.3g\n", daemons, 100*f.spent.Seconds()/n/seconds)
+}
--- /dev/null
+++ b/test/measure/members/idle.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+)
+
+const readyTimeout = 60 * time.Second
+
+// startFleet starts daemons in three data centres with a configuration.
+func startFleet(f flags, daemons int, network *cluster.Network, logs io.Writer) (*cluster.Cluster, error) {
+	c, err := cluster.New(cluster.Options{
+		Bin: f.Bin, Logs: logs, Zones: []string{"z1", "z2", "z3"}, Daemons: daemons, Network: network,
+	})
+	if err != nil {
+		return nil, err
+	}
+	t := ticket.Ticket{Number: 1, Author: "measure", Reason: "fleet"}
+	t.Accounts = []ticket.Account{{ID: "a", Weight: 1, KeyHashes: []string{cluster.KeyHash("key")}}}
+	t.Services = []ticket.Service{{ID: "m", Kind: ticket.ServiceModel, Repeatable: true}}
+	if _, err := c.Submit(t); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, c.AwaitReady(readyTimeout)
+}
+
+// sample is the counters of one daemon.
+type sample struct {
+	sameZone, remoteZone float64 // bytes sent and received
+	cpu                  float64 // seconds
+	resident             float64 // bytes
+}
+
+func scrape(address string) (sample, error) {
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return sample{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return sample{}, errors.Wrap(err, "parse metrics")
+	}
+	var s sample
+	for _, name := range []string{"filbertrill_control_sent_bytes_total", "filbertrill_control_received_bytes_total"} {
+		for _, metric := range families[name].GetMetric() {
+			if labelOf(metric, "scope") == "zone" {
+				s.sameZone += metric.GetCounter().GetValue()
+			} else {
+				s.remoteZone += metric.GetCounter().GetValue()
+			}
+		}
+	}
+	s.cpu = families["process_cpu_seconds_total"].GetMetric()[0].GetCounter().GetValue()
+	s.resident = families["process_resident_memory_bytes"].GetMetric()[0].GetGauge().GetValue()
+	return s, nil
+}
+
+func labelOf(metric *dto.Metric, name string) string {
+	for _, pair := range metric.GetLabel() {
+		if pair.GetName() == name {
+			return pair.GetValue()
+		}
+	}
+	return ""
+}
+
+func scrapeAll(c *cluster.Cluster) ([]sample, error) {
+	var all []sample
+	for _, d := range c.Daemons {
+		s, err := scrape(d.Address)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+func measureIdle(f flags, logs *os.File) error {
+	for _, size := range f.Sizes {
+		if err := measureIdleFleet(f, size, logs); err != nil {
+			return errors.Wrapf(err, "%d daemons", size)
+		}
+	}
+	return nil
+}
+
+func measureIdleFleet(f flags, size int, logs io.Writer) error {
+	c, err := startFleet(f, size, nil, logs)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	time.Sleep(f.Settle)
+	before, err := scrapeAll(c)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	time.Sleep(f.Window)
+	after, err := scrapeAll(c)
+	if err != nil {
+		return err
+	}
+	report(size, before, after, time.Since(began).Seconds())
+	return nil
+}
+
+// report prints the mean over the daemons, and the most of any of them.
+func report(size int, before, after []sample, seconds float64) {
+	figures := []struct {
+		name string
+		of   func(a, b sample) float64
+	}{
+		{"control_bytes_per_s", func(a, b sample) float64 {
+			return (b.sameZone + b.remoteZone - a.sameZone - a.remoteZone) / seconds
+		}},
+		{"remote_bytes_per_s", func(a, b sample) float64 { return (b.remoteZone - a.remoteZone) / seconds }},
+		{"core_percent", func(a, b sample) float64 { return 100 * (b.cpu - a.cpu) / seconds }},
+		{"resident_mb", func(_, b sample) float64 { return b.resident / (1 << 20) }},
+	}
+	for _, figure := range figures {
+		total, most := 0.0, 0.0
+		for i := range before {
+			value := figure.of(before[i], after[i])
+			total += value
+			most = max(most, value)
+		}
+		fmt.Printf("idle.%d.%s_mean=%.4g\n", size, figure.name, total/float64(len(before)))
+		fmt.Printf("idle.%d.%s_most=%.4g\n", size, figure.name, most)
+	}
+}
