--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,7 +24,6 @@
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
-	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
 // Daemon is one running instance.
@@ -106,6 +105,8 @@
 		Routes:      d.settings.PeerRoutes,
 		Handler:     d.handle,
 		Operator:    operators,
+		Attest:      func(pong *pb.Pong) { d.config.Attest(pong) },
+		Observe:     func(sent time.Time, pong *pb.Pong) { d.config.Pong(sent, pong) },
 		Logger:      logging.For(logging.Peer),
 		Counter:     d.countControl,
 	})
@@ -135,11 +136,7 @@
 		Order:       core.Order(d.settings.DispatchOrder),
 		Logger:      logging.For(logging.Dispatch),
 	})
-	d.config = config.NewController(config.Options{
-		Log:      d.log,
-		Logger:   logging.For(logging.Config),
-		OnChange: d.configChanged,
-	})
+	d.config = d.newConfig()
 	d.once = d.newOnceOnly(incarnation)
 	d.orders = orders.NewController(orders.Options{
 		Self:    order.Sender{ID: d.settings.ID, Incarnation: incarnation},
@@ -188,6 +185,12 @@
 		d.dispatch.DemandReport(env.From, body.DemandReport, time.Now())
 	case *pb.Envelope_GrantBatch:
 		d.dispatch.GrantBatch(env.From, body.GrantBatch, time.Now())
+	case *pb.Envelope_ConfigRecords:
+		d.config.Records(env.From, body.ConfigRecords)
+	case *pb.Envelope_ConfigRequest:
+		d.config.Request(env.From, body.ConfigRequest)
+	case *pb.Envelope_ConfigReply:
+		d.config.Reply(env.From, body.ConfigReply)
 	}
 }
 
@@ -195,20 +198,3 @@
 	applied, digest := d.config.Applied()
 	return members.Facts{AppliedOffset: applied, ConfigDigest: digest, Load: d.load()}
 }
-
-func (d *Daemon) configChanged(c *ticket.Config) {
-	var accounts, services []string
-	for _, a := range c.Accounts() {
-		accounts = append(accounts, a.ID)
-	}
-	for _, s := range c.Services() {
-		services = append(services, s.ID)
-	}
-	d.metrics.SetKnown(accounts, services)
-	d.dispatch.SetConfig(c)
-	d.members.Changed()
-	select {
-	case d.changed <- struct{}{}:
-	default:
-	}
-}
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -31,6 +31,11 @@
 	if read, _ := d.config.LogHealth(); !read.IsZero() {
 		d.metrics.SetLogAge(now.Sub(read))
 	}
+	known := d.config.Knowledge(now)
+	d.metrics.SetCutOff(known.CutOff)
+	if known.Ever {
+		d.metrics.SetKnownAge(known.Age)
+	}
 	for service, count := range d.dispatch.Counts() {
 		d.metrics.SetWaiting(service, count.Waiting)
 		d.metrics.SetRunning(service, count.Running)
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -54,6 +54,11 @@
 	return Owner("delegate/"+zone, f.zones[zone])
 }
 
+// Delegate returns the member that speaks for a data centre, or nil when it has none.
+func Delegate(zone string, live []*pb.Member) *pb.Member {
+	return groupByZone(live).delegate(zone)
+}
+
 // regionDelegate returns the delegate that speaks for a region, or nil.
 func (f fleet) regionDelegate(region string) *pb.Member {
 	var delegates []*pb.Member
