Give up asks whose key grows too old while they are open

Change: the window is checked at each decision and not only at the start. Appends of one daemon start 20 ms apart at the least.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -111,10 +111,6 @@
 func (b *Book) Unwritten() int { return b.out.size() }
 
 func (b *Book) ask(now time.Time, a Ask) {
-	if a.KeyTime.Add(b.opts.Window).Before(now) {
-		b.settle(a.Attempt, Forgotten, nil)
-		return
-	}
 	open := &openAsk{Ask: a, arrived: now, state: waiting}
 	b.asks[a.Attempt] = open
 	b.byKey[a.Key] = append(b.byKey[a.Key], a.Attempt)
@@ -136,7 +132,7 @@
 	if a.state == running {
 		return
 	}
-	if b.missed(a) {
+	if b.missed(now, a) {
 		b.giveUp(now, a.Attempt)
 		b.settle(a.Attempt, Forgotten, nil)
 		return
@@ -167,8 +163,11 @@
 	}
 }
 
-// missed reports whether the log may have forgotten a claim of the ask's key.
-func (b *Book) missed(a *openAsk) bool {
+// missed reports whether a claim of the ask's key may be forgotten, by the log or the index.
+func (b *Book) missed(now time.Time, a *openAsk) bool {
+	if a.KeyTime.Add(b.opts.Window).Before(now) {
+		return true
+	}
 	if !b.index.positioned || b.index.covered.IsZero() {
 		return false
 	}
@@ -182,7 +181,7 @@
 // refuse gives up an ask whose claim is not settled.
 func (b *Book) refuse(now time.Time, a *openAsk) {
 	answer := Unavailable
-	if b.endRead.After(a.arrived) && b.free(a.Key) && !b.missed(a) {
+	if b.endRead.After(a.arrived) && b.free(a.Key) && !b.missed(now, a) {
 		answer = Unclaimed
 	}
 	b.giveUp(now, a.Attempt)
--- a/internal/claim/event.go
+++ b/internal/claim/event.go
@@ -95,7 +95,7 @@
 const (
 	DefaultWindow      = 10 * time.Minute
 	DefaultSkew        = 30 * time.Second
-	DefaultMinInterval = 10 * time.Millisecond
+	DefaultMinInterval = 20 * time.Millisecond
 	DefaultPollBusy    = 25 * time.Millisecond
 	DefaultPollIdle    = time.Second
 	DefaultBackoff     = 100 * time.Millisecond
