--- /dev/null
+++ b/internal/filter/once/once_test.go
@@ -0,0 +1,202 @@
+package once
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/claim"
+	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+)
+
+// fakeClaims gives one verdict and notes the ends of runs.
+type fakeClaims struct {
+	verdict claim.Verdict
+	asks    []claim.Ask
+	ends    []*claim.Outcome
+}
+
+func (f *fakeClaims) Claim(_ context.Context, ask claim.Ask) (claim.Verdict, error) {
+	f.asks = append(f.asks, ask)
+	return f.verdict, nil
+}
+
+func (f *fakeClaims) End(_ claim.Attempt, o *claim.Outcome) { f.ends = append(f.ends, o) }
+
+func newRequest(key string, first bool) (*filter.Request, *httptest.ResponseRecorder) {
+	h := httptest.NewRequest(http.MethodPost, "/v1/services/registry/stamps", strings.NewReader("{}"))
+	if key != "" {
+		h.Header.Set(HeaderKey, key)
+	}
+	if first {
+		h.Header.Set(HeaderFirst, "true")
+	}
+	w := httptest.NewRecorder()
+	return &filter.Request{
+		ID: uuid.NewString(), HTTP: h, Writer: filter.NewWriter(w), Received: time.Now(), Path: "/stamps",
+		Service: ticket.Service{ID: "registry", Kind: ticket.ServicePlain, Deadline: ticket.Duration(time.Minute)},
+		Account: ticket.Account{ID: "small"},
+	}, w
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// pass sends the request through the filter and returns the error and whether next was reached.
+func pass(f *fakeClaims, r *filter.Request, next func(*filter.Request) error) (error, bool) {
+	reached := false
+	chain := filter.Chain(filter.HandlerFunc(func(_ context.Context, r *filter.Request) error {
+		reached = true
+		return next(r)
+	}), New(Options{
+		Logged: f, Issued: f, Issuer: claim.Issuer{Secret: "secret", Daemon: "d1", Incarnation: 1},
+		EntryOf: func(string) string { return "10.0.0.2:80" },
+		Window:  time.Minute, Skew: time.Second, Timeout: time.Second, MaxBody: 10,
+	}))
+	return chain.Handle(context.Background(), r), reached
+}
+
+func answers(body string) func(*filter.Request) error {
+	return func(r *filter.Request) error {
+		r.Granted = time.Now()
+		r.Answer = &filter.Answer{Status: http.StatusCreated, Body: []byte(body)}
+		return r.Answer.Write(r.Writer)
+	}
+}
+
+func fails(granted bool, code result.Code) func(*filter.Request) error {
+	return func(r *filter.Request) error {
+		if granted {
+			r.Granted = time.Now()
+		}
+		return result.New(code, "failed")
+	}
+}
+
+func TestOutcomesOfRuns(t *testing.T) {
+	cases := []struct {
+		name string
+		next func(*filter.Request) error
+		want *claim.Outcome
+	}{
+		{"answered", answers("serial 7"), &claim.Outcome{Status: 201, Body: []byte("serial 7")}},
+		{"answer too long to keep", answers("a long answer"), &claim.Outcome{Status: 201, Cut: true}},
+		{"refused before the slot", fails(false, result.DeadlineUnmeetable), nil},
+		{"caller gone before the slot", fails(false, result.CallerGone), nil},
+		{"server not reached", fails(true, result.NoServerJoined), nil},
+		{"answer lost", fails(true, result.AnswerLost), &claim.Outcome{}},
+		{"server silent", fails(true, result.ServerSilent), &claim.Outcome{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakeClaims{verdict: claim.Verdict{Answer: claim.Run}}
+			r, _ := newRequest(newKey(), false)
+			_, reached := pass(f, r, c.next)
+			require.True(t, reached)
+			require.Equal(t, []*claim.Outcome{c.want}, f.ends)
+		})
+	}
+}
+
+func TestPanicLeavesTheOutcomeUnknown(t *testing.T) {
+	f := &fakeClaims{verdict: claim.Verdict{Answer: claim.Run}}
+	r, _ := newRequest(newKey(), false)
+	require.Panics(t, func() { _, _ = pass(f, r, func(*filter.Request) error { panic("broken") }) })
+	require.Equal(t, []*claim.Outcome{{}}, f.ends)
+}
+
+func TestAnswersToCallersThatAskAgain(t *testing.T) {
+	cases := []struct {
+		answer claim.Answer
+		again  result.Code
+		first  result.Code
+	}{
+		{claim.Unknown, result.EarlierOutcomeUnknown, result.EarlierOutcomeUnknown},
+		{claim.Reused, result.IdempotencyKeyReused, result.IdempotencyKeyReused},
+		{claim.Unclaimed, result.ClaimsUnavailable, result.ClaimsUnavailable},
+		{claim.Unavailable, result.EarlierRequestUnknown, result.ClaimsUnavailable},
+		{claim.Forgotten, result.EarlierOutcomeUnknown, result.IdempotencyKeyInvalid},
+	}
+	for _, c := range cases {
+		for first, want := range map[bool]result.Code{false: c.again, true: c.first} {
+			r, _ := newRequest(newKey(), first)
+			err, reached := pass(&fakeClaims{verdict: claim.Verdict{Answer: c.answer}}, r, answers(""))
+			require.False(t, reached)
+			require.Equal(t, want, result.CodeOf(err), "%v, first %v", c.answer, first)
+		}
+	}
+}
+
+func TestReplay(t *testing.T) {
+	f := &fakeClaims{verdict: claim.Verdict{Answer: claim.Replay, Outcome: &claim.Outcome{
+		Status: 201, Header: map[string]string{"Content-Type": "text/plain"}, Body: []byte("serial 7"),
+	}}}
+	r, w := newRequest(newKey(), false)
+	err, reached := pass(f, r, answers(""))
+	require.NoError(t, err)
+	require.False(t, reached)
+	require.Equal(t, http.StatusCreated, w.Code)
+	require.Equal(t, "serial 7", w.Body.String())
+	require.Equal(t, "true", w.Header().Get(HeaderReplayed))
+	require.Equal(t, "text/plain", w.Header().Get("Content-Type"))
+}
+
+func TestKeysThatNeedNoClaim(t *testing.T) {
+	none := &fakeClaims{}
+	r, _ := newRequest("", false)
+	_, reached := pass(none, r, answers("x"))
+	require.True(t, reached, "a request without a key has one attempt")
+
+	repeatable, _ := newRequest("any text", false)
+	repeatable.Service.Repeatable = true
+	_, reached = pass(none, repeatable, answers("x"))
+	require.True(t, reached)
+	require.Empty(t, none.asks)
+
+	twice, _ := newRequest(newKey(), false)
+	twice.HTTP.Header.Add(HeaderKey, newKey())
+	err, reached := pass(none, twice, answers("x"))
+	require.False(t, reached)
+	require.Equal(t, result.IdempotencyKeyInvalid, result.CodeOf(err))
+}
+
+func TestIssuedKeysOfOthers(t *testing.T) {
+	cases := []struct {
+		name   string
+		issuer claim.Issuer
+		again  result.Code
+		first  result.Code
+	}{
+		{"another daemon", claim.Issuer{Secret: "secret", Daemon: "d2", Incarnation: 1}, result.EarlierRequestUnknown, result.ClaimsUnavailable},
+		{"restarted", claim.Issuer{Secret: "secret", Daemon: "d1", Incarnation: 9}, result.EarlierOutcomeUnknown, result.IdempotencyKeyInvalid},
+	}
+	for _, c := range cases {
+		key := c.issuer.Issue("small", time.Now(), [8]byte{1})
+		for first, want := range map[bool]result.Code{false: c.again, true: c.first} {
+			r, _ := newRequest(key, first)
+			err, reached := pass(&fakeClaims{}, r, answers("x"))
+			require.False(t, reached)
+			require.Equal(t, want, result.CodeOf(err), c.name)
+		}
+	}
+}
+
+func TestTruthful(t *testing.T) {
+	keyed, _ := newRequest(newKey(), false)
+	first, _ := newRequest(newKey(), true)
+	plain, _ := newRequest("", false)
+	draining := result.New(result.Draining, "draining")
+	require.Equal(t, result.EarlierRequestUnknown, result.CodeOf(Truthful(keyed.HTTP, draining)))
+	require.Equal(t, result.Draining, result.CodeOf(Truthful(first.HTTP, draining)))
+	require.Equal(t, result.Draining, result.CodeOf(Truthful(plain.HTTP, draining)))
+	require.NoError(t, Truthful(keyed.HTTP, nil))
+	lost := result.New(result.AnswerLost, "lost")
+	require.Equal(t, result.AnswerLost, result.CodeOf(Truthful(keyed.HTTP, lost)))
+}
