--- a/internal/claim/codec.go
+++ b/internal/claim/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unique"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -25,7 +26,10 @@
 		m.Content = r.Content[:]
 	}
 	if o := r.Outcome; o != nil {
-		m.Outcome = &pb.ClaimOutcome{Status: uint32(o.Status), Header: o.Header, Body: o.Body, Cut: o.Cut}
+		m.Outcome = &pb.ClaimOutcome{Status: uint32(o.Status), Body: o.Body, Cut: o.Cut}
+		for _, f := range o.Header {
+			m.Outcome.Header = append(m.Outcome.Header, &pb.ClaimHeader{Name: f.Name, Value: f.Value})
+		}
 	}
 	return m
 }
@@ -66,7 +70,10 @@
 		return Record{}, errors.New("decode claims: a record is not valid")
 	}
 	if o := m.Outcome; o != nil {
-		r.Outcome = &Outcome{Status: int(o.Status), Header: o.Header, Body: o.Body, Cut: o.Cut}
+		r.Outcome = &Outcome{Status: int(o.Status), Body: o.Body, Cut: o.Cut}
+		for _, f := range o.Header {
+			r.Outcome.Header = append(r.Outcome.Header, Field{Name: unique.Make(f.Name).Value(), Value: unique.Make(f.Value).Value()})
+		}
 	}
 	return r, nil
 }
--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -52,12 +52,15 @@
 // Outcome is the end of a run. A Status of 0 says that it is not known.
 type Outcome struct {
 	Status int
-	Header map[string]string
+	Header []Field
 	Body   []byte
 	// Cut says that the body was too long to keep.
 	Cut bool
 }
 
+// Field is a header of an answer.
+type Field struct{ Name, Value string }
+
 // known reports whether the outcome can be given to a caller that asks again.
 func (o *Outcome) known() bool { return o.Status != 0 && !o.Cut }
 
--- a/internal/filter/once/once.go
+++ b/internal/filter/once/once.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/claim"
@@ -157,19 +159,31 @@
 }
 
 func (h *handler) kept(a *filter.Answer) *claim.Outcome {
-	o := &claim.Outcome{Status: a.Status, Header: a.Header, Body: a.Body}
+	o := &claim.Outcome{Status: a.Status, Header: fields(a.Header), Body: a.Body}
 	if len(a.Body) > h.opts.MaxBody {
 		o.Header, o.Body, o.Cut = nil, nil, true
 	}
 	return o
 }
 
+// fields returns the headers in the order of their names.
+func fields(header map[string]string) []claim.Field {
+	var out []claim.Field
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		out = append(out, claim.Field{Name: name, Value: header[name]})
+	}
+	return out
+}
+
 // answer answers a request that does not run.
 func answer(r *filter.Request, v claim.Verdict) error {
 	switch v.Answer {
 	case claim.Replay:
 		r.Writer.Header().Set(HeaderReplayed, "true")
-		earlier := filter.Answer{Status: v.Outcome.Status, Header: v.Outcome.Header, Body: v.Outcome.Body}
+		earlier := filter.Answer{Status: v.Outcome.Status, Header: map[string]string{}, Body: v.Outcome.Body}
+		for _, f := range v.Outcome.Header {
+			earlier.Header[f.Name] = f.Value
+		}
 		return earlier.Write(r.Writer)
 	case claim.Reused:
 		return result.New(result.IdempotencyKeyReused, "the idempotency key was used before with other content")
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -136,7 +136,7 @@
 
 func TestReplay(t *testing.T) {
 	f := &fakeClaims{verdict: claim.Verdict{Answer: claim.Replay, Outcome: &claim.Outcome{
-		Status: 201, Header: map[string]string{"Content-Type": "text/plain"}, Body: []byte("serial 7"),
+		Status: 201, Header: []claim.Field{{Name: "Content-Type", Value: "text/plain"}}, Body: []byte("serial 7"),
 	}}}
 	r, w := newRequest(newKey(), false)
 	err, reached := pass(f, r, answers(""))
--- a/test/measure/effects/main.go
+++ b/test/measure/effects/main.go
@@ -118,7 +118,7 @@
 	}
 	node.End(ask.Attempt, &claim.Outcome{
 		Status: 201,
-		Header: map[string]string{"Content-Type": "application/json"},
+		Header: []claim.Field{{Name: "Content-Type", Value: "application/json"}},
 		Body:   make([]byte, answerBytes),
 	})
 	return took, true
@@ -169,7 +169,7 @@
 	var batches []claim.Batch
 	for range keys {
 		key, attempt := claim.Hash(uuid.New()), claim.Attempt(uuid.New())
-		outcome := &claim.Outcome{Status: 201, Header: map[string]string{"Content-Type": "application/json"}, Body: make([]byte, answerBytes)}
+		outcome := &claim.Outcome{Status: 201, Header: []claim.Field{{Name: "Content-Type", Value: "application/json"}}, Body: make([]byte, answerBytes)}
 		batches = append(batches, claim.Batch{Daemon: "d2", At: now, Records: []claim.Record{
 			{Kind: claim.KindClaim, Key: key, Attempt: attempt},
 			{Kind: claim.KindOutcome, Key: key, Attempt: attempt, Outcome: outcome},
