--- a/test/integration/effects/steps_test.go
+++ b/test/integration/effects/steps_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -91,6 +93,14 @@
 	}, "connection lost", "201 replayed", 1},
 }
 
+func TestDocsTableMatchesSteps(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/design/effects.md")
+	require.NoError(t, err)
+	for _, s := range steps {
+		require.Contains(t, string(page), fmt.Sprintf("| %s | %s | %s | %d |", s.name, s.first, s.again, s.runs))
+	}
+}
+
 func TestFailureAtEveryStep(t *testing.T) {
 	s := start(t, usual)
 	for _, step := range steps {
--- a/test/measure/effects/main.go
+++ b/test/measure/effects/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/filbertrill/filbertrill/internal/claim"
 	"github.com/filbertrill/filbertrill/internal/controller/claims"
+	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/test/standin/faults"
 	"github.com/filbertrill/filbertrill/test/standin/logstore"
@@ -24,6 +25,7 @@
 
 const (
 	daemons     = 7
+	owners      = 4 // that claim for a whole fleet, each on a topic of its own
 	logDelay    = 5 * time.Millisecond
 	callTimeout = 2 * time.Second
 	claimBy     = 2 * time.Second
@@ -38,16 +40,17 @@
 	stop  func()
 }
 
-func newFleet(fault faults.Fault, log func(url string) platform.Log) *fleet {
+func newFleet(size int, topicOf func(int) string, fault faults.Fault, log func(url string) platform.Log) *fleet {
 	store := logstore.New(logstore.Options{})
 	store.SetFault(fault)
 	server := httptest.NewServer(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{store: store}
 	var wg sync.WaitGroup
-	for i := range daemons {
+	for i := range size {
 		c := claims.NewController(claims.Options{
 			Log:         log(server.URL),
+			Topic:       topicOf(i),
 			Book:        claim.Options{Daemon: fmt.Sprint("d", i), Incarnation: 1},
 			CallTimeout: callTimeout,
 			Logger:      slog.New(slog.DiscardHandler),
@@ -133,12 +136,22 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-func measureCost(rate int) {
-	f := newFleet(faults.Fault{Mode: faults.Slow, DelayMS: logDelay.Milliseconds()}, platformLog)
+func oneTopic(int) string { return claims.DefaultTopic }
+
+func ownTopic(i int) string { return fmt.Sprint(claims.DefaultTopic, "-", i) }
+
+func measureCost(name string, size int, topicOf func(int) string, rate int) {
+	f := newFleet(size, topicOf, faults.Fault{Mode: faults.Slow, DelayMS: logDelay.Milliseconds()}, platformLog)
 	r := f.load(rate)
-	topic := f.store.Topics()[claims.DefaultTopic]
+	var topic logstore.Counters
+	for _, t := range f.store.Topics() {
+		topic.Appends += t.Appends
+		topic.Reads += t.Reads
+		topic.BytesIn += t.BytesIn
+		topic.BytesOut += t.BytesOut
+	}
 	f.stop()
-	name := fmt.Sprintf("claims_%d", rate)
+	name = fmt.Sprintf("%s_%d", name, rate)
 	seconds := duration.Seconds()
 	fmt.Printf("%s_ran_share=%.4f\n", name, float64(len(r.ran))/float64(r.asks))
 	fmt.Printf("%s_p50_ms=%.1f\n", name, milliseconds(r.percentile(50)))
@@ -146,12 +159,12 @@
 	fmt.Printf("%s_appends_per_s=%.1f\n", name, float64(topic.Appends)/seconds)
 	fmt.Printf("%s_reads_per_s=%.1f\n", name, float64(topic.Reads)/seconds)
 	fmt.Printf("%s_bytes_per_request=%.0f\n", name, float64(topic.BytesIn)/float64(r.asks))
-	fmt.Printf("%s_read_bytes_per_daemon_s=%.0f\n", name, float64(topic.BytesOut)/seconds/daemons)
+	fmt.Printf("%s_read_bytes_per_daemon_s=%.0f\n", name, float64(topic.BytesOut)/seconds/float64(size))
 }
 
 func measureAvailability(name string, fault faults.Fault, log func(string) platform.Log) {
 	const rate = 50
-	f := newFleet(fault, log)
+	f := newFleet(daemons, oneTopic, fault, log)
 	r := f.load(rate)
 	f.stop()
 	fmt.Printf("availability_%s_share=%.4f\n", name, float64(len(r.ran))/float64(r.asks))
@@ -192,10 +205,11 @@
 }
 
 func main() {
-	slog.SetDefault(slog.New(slog.DiscardHandler))
+	logging.Setup(logging.Options{Level: slog.LevelError})
 	fmt.Fprintln(os.Stderr, "daemons:", daemons, "log delay:", logDelay, "seconds a load:", duration.Seconds())
 	for _, rate := range []int{10, 100, 500} {
-		measureCost(rate)
+		measureCost("claims", daemons, oneTopic, rate)
+		measureCost("owners", owners, ownTopic, rate)
 	}
 	measureAvailability("up", faults.Fault{Mode: faults.Slow, DelayMS: logDelay.Milliseconds()}, platformLog)
 	measureAvailability("slow_500ms", faults.Fault{Mode: faults.Slow, DelayMS: 500}, platformLog)
