--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-effects measure-policy measure-slopes soak fuzz clean
+	measure measure-effects measure-path measure-policy measure-slopes soak fuzz clean
 
 all: build
 
@@ -57,6 +57,9 @@
 measure-effects: # cost of a claim, and stamps that go through while the log fails
 	$(GO) run ./test/measure/effects
 
+measure-path: build # one daemon: latency, memory, requests a second
+	$(GO) run ./test/measure/path
+
 measure-slopes:
 	$(GO) run ./test/measure/slopes
 
--- a/internal/controller/members/list.go
+++ b/internal/controller/members/list.go
@@ -7,25 +7,29 @@
 	"github.com/filbertrill/filbertrill/internal/member"
 )
 
+// aloneInterval is the time between two looks at the list of a daemon that knows no other.
+const aloneInterval = 250 * time.Millisecond
+
 // followList asks the platform's list until the context ends. Its answers lag; they only
 // tell where further daemons may be found.
 func (c *Controller) followList(ctx context.Context) {
-	c.refreshList(ctx)
-	if c.opts.List == nil {
-		return
-	}
-	ticker := time.NewTicker(c.opts.ListInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		c.refreshList(ctx)
+		c.signal()
+		if c.opts.List == nil || !sleep(ctx, c.listPause()) {
 			return
-		case <-ticker.C:
-			c.refreshList(ctx)
 		}
 	}
 }
 
+// listPause is shorter while this daemon knows no other.
+func (c *Controller) listPause() time.Duration {
+	if len(c.All()) == 1 {
+		return min(aloneInterval, c.opts.ListInterval)
+	}
+	return c.opts.ListInterval
+}
+
 func (c *Controller) refreshList(ctx context.Context) {
 	listed, err := c.readList(ctx)
 	c.mu.Lock()
@@ -33,6 +37,7 @@
 	c.noteList(err)
 	if err == nil {
 		c.listed = listed
+		c.listOK = c.opts.List != nil
 	}
 	places := append([]member.Place{}, c.listed...)
 	for _, seed := range c.opts.Seeds {
@@ -68,3 +73,17 @@
 	}
 	return places, nil
 }
+
+// RefreshList asks the platform's list now.
+func (c *Controller) RefreshList(ctx context.Context) { c.refreshList(ctx) }
+
+// Listed returns the peer addresses of the instance list, and whether it has ever answered.
+func (c *Controller) Listed() ([]string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addresses := make([]string, 0, len(c.listed))
+	for _, place := range c.listed {
+		addresses = append(addresses, place.Address)
+	}
+	return addresses, c.listOK
+}
--- a/internal/daemon/chain.go
+++ b/internal/daemon/chain.go
@@ -6,6 +6,7 @@
 	"github.com/filbertrill/filbertrill/internal/filter/admit"
 	"github.com/filbertrill/filbertrill/internal/filter/attempt"
 	"github.com/filbertrill/filbertrill/internal/filter/decode"
+	"github.com/filbertrill/filbertrill/internal/filter/fresh"
 	"github.com/filbertrill/filbertrill/internal/filter/identify"
 	"github.com/filbertrill/filbertrill/internal/filter/once"
 	"github.com/filbertrill/filbertrill/internal/filter/record"
@@ -17,7 +18,7 @@
 func (d *Daemon) attemptOptions() attempt.Options {
 	transport := backend.NewTransport()
 	return attempt.Options{
-		Acquirer:   d.dispatch,
+		Acquirer:   fresh.NewAcquirer(d.dispatch, d.config),
 		Engine:     backend.NewEngine(transport),
 		Plain:      backend.NewPlain(transport),
 		Signer:     resume.NewSigner(d.settings.Secret),
@@ -35,6 +36,7 @@
 		once.NewTruthful(),
 		identify.New(),
 		decode.New(d.settings.MaxBody),
+		fresh.New(d.config),
 		d.once.filter(d),
 		admit.New(admit.Options{
 			Queues:     d.dispatch,
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,13 +2,16 @@
 package daemon
 
 import (
-	"errors"
+	"crypto/tls"
+	"maps"
 	"net"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
@@ -26,6 +29,9 @@
 	Seeds         []string          `help:"Peer addresses of other daemons, ip:port." env:"FILBERTRILL_SEEDS"`
 	Secret        string            `help:"Secret that daemons and operators share, at least 16 bytes." env:"FILBERTRILL_SECRET" required:""`
 
+	TLSCert string `name:"tls-cert" help:"File of the certificate chain for callers, PEM; callers are served without TLS when empty." env:"FILBERTRILL_TLS_CERT"`
+	TLSKey  string `name:"tls-key" help:"File of the certificate's private key, PEM." env:"FILBERTRILL_TLS_KEY"`
+
 	Log        string        `help:"URL of the platform's log." env:"FILBERTRILL_LOG" required:""`
 	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
 	Instances  string        `help:"URL of the platform's instance list; the seeds alone when empty." env:"FILBERTRILL_INSTANCES"`
@@ -33,6 +39,12 @@
 	ClaimTimeout time.Duration `help:"How long an unrepeatable request waits for its claim to be in the log." env:"FILBERTRILL_CLAIM_TIMEOUT" default:"2s"`
 	ClaimWindow  time.Duration `help:"Age at which an idempotency key is no longer taken. The log must keep records for two minutes longer." env:"FILBERTRILL_CLAIM_WINDOW" default:"10m"`
 
+	ConfigPoll          time.Duration `help:"Time between two reads of the log by the daemon that reads it for its data centre." env:"FILBERTRILL_CONFIG_POLL" default:"250ms"`
+	ConfigPollOthers    time.Duration `help:"Time between two reads of the log by the other daemons." env:"FILBERTRILL_CONFIG_POLL_OTHERS" default:"2s"`
+	StaleAfter          time.Duration `help:"Age of the knowledge of accepted tickets above which the daemon starts no new work." env:"FILBERTRILL_STALE_AFTER" default:"2500ms"`
+	StateRecordInterval time.Duration `help:"Longest time between two records of the whole state in the log; at most a quarter of the time that the log keeps records." env:"FILBERTRILL_STATE_RECORD_INTERVAL" default:"1h"`
+	StateRecordEvery    int64         `help:"Most records of the log that follow the last record of the whole state." env:"FILBERTRILL_STATE_RECORD_EVERY" default:"200"`
+
 	MaxBody int64 `help:"Longest request body, in bytes." env:"FILBERTRILL_MAX_BODY" default:"33554432"`
 	MaxHeld int64 `help:"Request bodies held at once, in bytes." env:"FILBERTRILL_MAX_HELD" default:"268435456"`
 
@@ -41,37 +53,26 @@
 
 	WriteLimit time.Duration `help:"How long a caller may leave its answer unread before the answer is cancelled." env:"FILBERTRILL_WRITE_LIMIT" default:"30s"`
 
+	EntriesLifetime time.Duration `help:"How long callers may keep an answer of /v1/entries." env:"FILBERTRILL_ENTRIES_LIFETIME" default:"10s"`
+	DrainMargin     time.Duration `help:"Added to the lifetime of entries before a stopping daemon closes its door, for other daemons to learn of the stop." env:"FILBERTRILL_DRAIN_MARGIN" default:"7s"`
+
 	LogLevel string `help:"Least level of log lines: debug, info, warn or error." env:"FILBERTRILL_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
 	LogJSON  bool   `help:"Write log lines as JSON." env:"FILBERTRILL_LOG_JSON"`
 }
 
+// minStaleAfter is twice the time between two pings of a link.
+const minStaleAfter = 2 * peer.DefaultPingInterval
+
 // minSecretBytes is the shortest secret accepted.
 const minSecretBytes = 16
 
 // Check returns a result error for the first setting that is wrong.
 func (s *Settings) Check() error {
-	addresses := map[string]string{"listen": s.Listen, "peer": s.Peer}
-	for _, seed := range s.Seeds {
-		addresses["seeds"] = seed
-		if err := checkAddress("seeds", seed); err != nil {
-			return err
-		}
-	}
-	if s.Advertise != "" {
-		addresses["advertise"] = s.Advertise
-	}
-	if s.AdvertisePeer != "" {
-		addresses["advertise-peer"] = s.AdvertisePeer
-	}
-	for from, to := range s.PeerRoutes {
-		if err := errors.Join(checkAddress("peer-route", from), checkAddress("peer-route", to)); err != nil {
-			return err
-		}
+	if err := s.checkAddresses(); err != nil {
+		return err
 	}
-	for name, address := range addresses {
-		if err := checkAddress(name, address); err != nil {
-			return err
-		}
+	if err := s.checkTLS(); err != nil {
+		return err
 	}
 	if len(s.Secret) < minSecretBytes {
 		return result.New(result.SettingInvalid, "--secret has fewer than %d bytes", minSecretBytes)
@@ -87,13 +88,61 @@
 	return s.checkSizes()
 }
 
+// named is the value of a setting with its name.
+type named struct{ name, value string }
+
+func (s *Settings) checkAddresses() error {
+	addresses := []named{{"listen", s.Listen}, {"peer", s.Peer}}
+	if s.Advertise != "" {
+		addresses = append(addresses, named{"advertise", s.Advertise})
+	}
+	if s.AdvertisePeer != "" {
+		addresses = append(addresses, named{"advertise-peer", s.AdvertisePeer})
+	}
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, named{"seeds", seed})
+	}
+	for _, from := range slices.Sorted(maps.Keys(s.PeerRoutes)) {
+		addresses = append(addresses, named{"peer-route", from}, named{"peer-route", s.PeerRoutes[from]})
+	}
+	for _, a := range addresses {
+		if err := checkAddress(a.name, a.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkTLS reads the certificate, so that a bad one ends the start.
+func (s *Settings) checkTLS() error {
+	if (s.TLSCert == "") != (s.TLSKey == "") {
+		return result.New(result.SettingContradictory, "--tls-cert and --tls-key go together")
+	}
+	if s.TLSCert == "" {
+		return nil
+	}
+	if _, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey); err != nil {
+		return result.Wrap(err, result.SettingInvalid, "--tls-cert and --tls-key: %v", err)
+	}
+	return nil
+}
+
 func (s *Settings) checkSizes() error {
 	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 || s.WriteLimit <= 0 {
 		return result.New(result.SettingInvalid, "--max-body, --max-held, --log-timeout and --write-limit must be positive")
 	}
+	if s.EntriesLifetime < time.Millisecond || s.DrainMargin < 0 {
+		return result.New(result.SettingInvalid, "--entries-lifetime must be at least 1ms, and --drain-margin must not be negative")
+	}
 	if s.ClaimTimeout <= 0 || s.ClaimWindow <= 0 {
 		return result.New(result.SettingInvalid, "--claim-timeout and --claim-window must be positive")
 	}
+	if s.ConfigPoll <= 0 || s.ConfigPollOthers <= 0 || s.StateRecordInterval <= 0 || s.StateRecordEvery <= 0 {
+		return result.New(result.SettingInvalid, "--config-poll, --config-poll-others and the --state-record settings must be positive")
+	}
+	if s.StaleAfter < minStaleAfter {
+		return result.New(result.SettingInvalid, "--stale-after is below %s, two pings between daemons", minStaleAfter)
+	}
 	if s.MaxHeld < s.MaxBody {
 		return result.New(result.SettingContradictory, "--max-held is below --max-body")
 	}
