--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -30,6 +30,10 @@
 	DialTimeout  time.Duration
 	QueueLength  int // messages that wait for one peer; further ones are dropped
 	Logger       *slog.Logger
+	// Attest fills in the answer to a peer's ping; may be nil.
+	Attest func(*pb.Pong)
+	// Observe receives a peer's answer to the ping that was sent at the given time; may be nil.
+	Observe func(sent time.Time, pong *pb.Pong)
 	// Counter counts the payload of control messages; peer is the address of the peer for
 	// a sent message or a Pong received, and its member id otherwise. It may be nil.
 	Counter func(bytes int, sent bool, kind string, peer string)
@@ -80,6 +84,12 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.Attest == nil {
+		o.Attest = func(*pb.Pong) {}
+	}
+	if o.Observe == nil {
+		o.Observe = func(time.Time, *pb.Pong) {}
+	}
 	if o.Counter == nil {
 		o.Counter = func(int, bool, string, string) {}
 	}
@@ -129,6 +139,11 @@
 	return l
 }
 
+// Ping asks the peer at the address for an answer at once.
+func (m *Mesh) Ping(address string) {
+	m.Send(address, &pb.Envelope{Body: &pb.Envelope_Ping{Ping: &pb.Ping{}}})
+}
+
 // Retain closes the links to every address that keep does not hold.
 func (m *Mesh) Retain(keep map[string]bool) {
 	m.mu.Lock()
