--- /dev/null
+++ b/internal/configsync/spread_test.go
@@ -0,0 +1,210 @@
+package configsync_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
+
+func TestPushReachesEveryMember(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var live []*pb.Member
+		for i := range rapid.IntRange(1, 30).Draw(t, "members") {
+			zone := fmt.Sprint("z", rapid.IntRange(0, 5).Draw(t, "zone"))
+			live = append(live, &pb.Member{Id: fmt.Sprint("d", i), Zone: zone})
+		}
+		first := live[rapid.IntRange(0, len(live)-1).Draw(t, "first")]
+		reached := map[string]bool{first.Id: true}
+		sent := 0
+		queue := configsync.PushTargets(first, live, false)
+		for len(queue) > 0 {
+			m := queue[0]
+			queue = queue[1:]
+			sent++
+			if !reached[m.Id] {
+				reached[m.Id] = true
+				queue = append(queue, configsync.PushTargets(m, live, true)...)
+			}
+		}
+		require.Len(t, reached, len(live))
+		require.LessOrEqual(t, sent, 2*len(live)+6)
+	})
+}
+
+func TestPollAndProbe(t *testing.T) {
+	intervals := configsync.Intervals{Delegate: 1, Others: 8}
+	require.EqualValues(t, 1, intervals.Poll(true, 0, 100))
+	require.EqualValues(t, 8, intervals.Poll(false, 50, 100))
+	require.EqualValues(t, 1, intervals.Poll(false, 51, 100))
+
+	live := []*pb.Member{{Id: "a", Zone: "z1"}, {Id: "b", Zone: "z1"}, {Id: "c", Zone: "z2"}}
+	delegate := member.Delegate("z1", live)
+	self := live[0]
+	if delegate.Id == self.Id {
+		self = live[1]
+	}
+	require.Empty(t, configsync.ProbeTargets(self, live, 25, 100))
+	require.Equal(t, []*pb.Member{delegate}, configsync.ProbeTargets(self, live, 26, 100))
+	require.Len(t, configsync.ProbeTargets(self, live, 51, 100), 2)
+}
+
+func status(id, address string, silence time.Duration, state pb.MemberState) member.Status {
+	return member.Status{Member: &pb.Member{Id: id, PeerAddress: address, State: state}, Heard: epoch.Add(-silence)}
+}
+
+func TestRosterKeepsWhoMayVote(t *testing.T) {
+	const live, left = pb.MemberState_MEMBER_STATE_LIVE, pb.MemberState_MEMBER_STATE_LEFT
+	hour := time.Hour
+	tests := map[string]struct {
+		view    []member.Status
+		listing configsync.Listing
+		size    int
+	}{
+		"alone":                      {nil, configsync.Listing{}, 1},
+		"silent but listed":          {[]member.Status{status("b", "1", hour, live)}, configsync.Listing{Answered: true, Addresses: []string{"1"}}, 2},
+		"silent and off the list":    {[]member.Status{status("b", "1", hour, live)}, configsync.Listing{Answered: true}, 1},
+		"silent, no list":            {[]member.Status{status("b", "1", hour, live)}, configsync.Listing{}, 2},
+		"silent for days, no list":   {[]member.Status{status("b", "1", 48*hour, live)}, configsync.Listing{}, 1},
+		"just off the list":          {[]member.Status{status("b", "1", time.Second, live)}, configsync.Listing{Answered: true}, 2},
+		"left":                       {[]member.Status{status("b", "1", 0, left)}, configsync.Listing{Answered: true}, 1},
+		"listed, never heard":        {nil, configsync.Listing{Answered: true, Addresses: []string{"1", "2", "1"}}, 3},
+		"seeds until the list comes": {nil, configsync.Listing{Seeds: []string{"1", "2"}}, 3},
+		"seeds after the list came":  {nil, configsync.Listing{Answered: true, Seeds: []string{"1", "2"}}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := configsync.NewRoster("a")
+			r.Update(epoch, append(test.view, status("a", "0", 0, live)), test.listing)
+			require.Equal(t, test.size, r.Size())
+			require.Equal(t, test.size/2+1, r.Majority())
+		})
+	}
+}
+
+func TestRosterKeepsWhomTheViewForgot(t *testing.T) {
+	r := configsync.NewRoster("a")
+	listing := configsync.Listing{Answered: true, Addresses: []string{"0", "1", "2"}}
+	r.Update(epoch, []member.Status{status("a", "0", 0, 1), status("b", "1", 0, 1), status("c", "2", 0, 1)}, listing)
+	r.Update(epoch.Add(time.Hour), []member.Status{status("a", "0", 0, 1)}, listing)
+	require.Equal(t, 3, r.Size())
+
+	// A member that comes back at another address does not count twice.
+	r.Update(epoch.Add(time.Hour), []member.Status{status("b", "9", -time.Hour, 1)}, listing)
+	require.Equal(t, 3, r.Size())
+	require.Zero(t, r.Awaited(epoch.Add(time.Hour)))
+}
+
+// keptLog is a log that keeps a number of records.
+type keptLog struct {
+	limit int64
+	next  int64
+	bases map[int64]int64 // of state records, by offset
+}
+
+func (l *keptLog) bounds() platform.Bounds {
+	return platform.Bounds{First: max(0, l.next-l.limit), Next: l.next}
+}
+
+// readable reports whether a daemon without state can start from what the log keeps.
+func (l *keptLog) readable() bool {
+	first := l.bounds().First
+	if first == 0 {
+		return true
+	}
+	for offset, base := range l.bases {
+		if offset >= first && base+1 >= first {
+			return true
+		}
+	}
+	return false
+}
+
+// TestStateStaysReadable lets the log forget by number while up to a quarter of what it
+// keeps comes between two looks.
+func TestStateStaysReadable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &keptLog{limit: rapid.Int64Range(8, 200).Draw(t, "kept"), bases: map[int64]int64{}}
+		limits := configsync.StateRecordLimits{Interval: 1 << 62, Every: 1 << 40}
+		base, offset := int64(-1), int64(-1)
+		records := int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "looks") {
+			tickets := rapid.Int64Range(0, log.limit/4).Draw(t, "tickets")
+			for range tickets {
+				log.next++
+				require.True(t, log.readable(), "at %+v", log.bounds())
+			}
+			facts := configsync.StateRecordFacts{Bounds: log.bounds(), Applied: log.next - 1, Base: base, Offset: offset, Seen: epoch}
+			if configsync.StateRecordDue(epoch, facts, limits) {
+				base, offset = log.next-1, log.next
+				log.bases[offset] = base
+				log.next++
+				records++
+			}
+		}
+		// One for each doubling until the log is full, and four for each time it is filled anew.
+		require.LessOrEqual(t, records, 4*log.next/log.limit+8)
+	})
+}
+
+func TestStateRecordDue(t *testing.T) {
+	limits := configsync.StateRecordLimits{Interval: time.Hour, Every: 200}
+	facts := func(change func(f *configsync.StateRecordFacts)) configsync.StateRecordFacts {
+		f := configsync.StateRecordFacts{Bounds: platform.Bounds{Next: 100}, Applied: 99, Base: 90, Offset: 91, Seen: epoch}
+		change(&f)
+		return f
+	}
+	tests := map[string]struct {
+		facts configsync.StateRecordFacts
+		due   bool
+	}{
+		"fresh":          {facts(func(*configsync.StateRecordFacts) {}), false},
+		"old":            {facts(func(f *configsync.StateRecordFacts) { f.Seen = epoch.Add(-time.Hour) }), true},
+		"many records":   {facts(func(f *configsync.StateRecordFacts) { f.Bounds.Next, f.Applied = 292, 291 }), true},
+		"behind":         {facts(func(f *configsync.StateRecordFacts) { f.Applied, f.Seen = 98, time.Time{} }), false},
+		"no state":       {facts(func(f *configsync.StateRecordFacts) { f.Applied, f.Bounds.Next = -1, 0 }), false},
+		"record is gone": {facts(func(f *configsync.StateRecordFacts) { f.Bounds.First = 92 }), true},
+		"half forgotten": {facts(func(f *configsync.StateRecordFacts) { f.Bounds.First = 90 }), true},
+	}
+	for name, test := range tests {
+		require.Equal(t, test.due, configsync.StateRecordDue(epoch, test.facts, limits), name)
+	}
+}
+
+func TestRing(t *testing.T) {
+	var r configsync.Ring
+	_, kept := r.From(0, 100)
+	require.False(t, kept)
+	for offset := range int64(600) {
+		r.Add(platform.Record{Offset: offset, Value: make([]byte, 10)})
+	}
+	_, kept = r.From(600-513, 100)
+	require.False(t, kept)
+	records, kept := r.From(590, 35)
+	require.True(t, kept)
+	require.Len(t, records, 3)
+	require.EqualValues(t, 590, records[0].Offset)
+	_, kept = r.From(600, 100)
+	require.False(t, kept)
+	r.Add(platform.Record{Offset: 700})
+	_, kept = r.From(599, 100)
+	require.False(t, kept, "a gap starts the ring anew")
+}
+
+func TestDigests(t *testing.T) {
+	d := configsync.NewDigests()
+	for offset := range int64(1100) {
+		d.Add(offset, fmt.Sprintf("%064d", offset))
+	}
+	require.False(t, d.Differs(0, "x"), "forgotten")
+	require.False(t, d.Differs(1099, fmt.Sprintf("%064d", 1099)))
+	require.False(t, d.Differs(1099, "0000"))
+	require.True(t, d.Differs(1099, "1"))
+}
--- a/internal/configsync/staterecord.go
+++ b/internal/configsync/staterecord.go
@@ -38,12 +38,10 @@
 	return headIsNear(f)
 }
 
-// headIsNear reports whether the log has forgotten records, and half of what it keeps was
-// written after the last state record: its state is then half way to being forgotten.
+// headIsNear reports whether more than half of what the log keeps was written after the
+// last state record: its state may then be half way to being forgotten. In a log that has
+// not forgotten anything yet, state records so come at doubling distances.
 func headIsNear(f StateRecordFacts) bool {
-	if f.Bounds.First == 0 {
-		return false
-	}
 	kept := f.Bounds.Next - f.Bounds.First
 	left := f.Base + 1 - f.Bounds.First
 	return left < kept/2
