Keep golden files of whole dispatch sessions

Change: messages and runs of a quiet session, a takeover and a paused dispatcher, in virtual time; go test -run Golden ./internal/dispatch -update writes them anew.

--- /dev/null
+++ b/internal/dispatch/golden_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/test/virtual"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// session is two zones with a server each, and two accounts of which one calls one zone only.
+func session() virtual.Options {
+	fixed := func(*virtual.Rand) float64 { return 100 }
+	return virtual.Options{
+		Seed:       1,
+		Scope:      virtual.Zone,
+		Zones:      2,
+		Daemons:    4,
+		Servers:    []virtual.Server{{Zone: 0, Slots: 1}, {Zone: 1, Slots: 1}},
+		HopStandby: 1,
+		Accounts: []virtual.Account{
+			{Weight: 1, Daemons: []int{0}, Outstanding: 2, Cost: fixed},
+			{Weight: 2, Daemons: []int{0, 1}, Outstanding: 2, Cost: fixed},
+		},
+		Local:  virtual.Link{Delay: time.Millisecond},
+		Remote: virtual.Link{Delay: 5 * time.Millisecond},
+		Rate:   rate,
+		Length: 5 * time.Second,
+	}
+}
+
+func TestGoldenSessions(t *testing.T) {
+	cases := map[string]func(f *virtual.Fleet){
+		"quiet":    func(*virtual.Fleet) {},
+		"takeover": func(f *virtual.Fleet) { f.After(1500*time.Millisecond, func() { f.Begin("z0", 2) }) },
+		"pause": func(f *virtual.Fleet) {
+			f.After(1500*time.Millisecond, func() { f.Pause("z1", true) })
+			f.After(3500*time.Millisecond, func() { f.Pause("z1", false) })
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			var lines strings.Builder
+			o := session()
+			o.Trace = func(line string) { lines.WriteString(line + "\n") }
+			f := virtual.New(o)
+			fault(f)
+			f.Run(time.Minute)
+			file := filepath.Join("testdata", name+".golden")
+			if *update {
+				require.NoError(t, os.MkdirAll("testdata", 0o755))
+				require.NoError(t, os.WriteFile(file, []byte(lines.String()), 0o644))
+			}
+			want, err := os.ReadFile(file)
+			require.NoError(t, err)
+			require.Equal(t, string(want), lines.String())
+		})
+	}
+}
--- a/test/virtual/fleet.go
+++ b/test/virtual/fleet.go
@@ -112,6 +112,7 @@
 	for _, i := range p.members {
 		expected = append(expected, f.daemons[i].id)
 	}
+	f.trace("%s: %s is the dispatcher", p.name, f.daemons[owner].id)
 	p.dispatcher = dispatch.NewDispatcher(f.now, f.nextInc, f.spec(p), expected)
 	for _, i := range p.members {
 		f.flush(f.daemons[i])
@@ -132,6 +133,14 @@
 	return f.load.meter.result()
 }
 
+func (f *Fleet) trace(format string, args ...any) {
+	if f.opts.Trace == nil {
+		return
+	}
+	at := f.now.Sub(f.load.meter.begun).Round(time.Millisecond)
+	f.opts.Trace(fmt.Sprintf("%8s  ", at) + fmt.Sprintf(format, args...))
+}
+
 // Pause keeps the pool's dispatcher from handling anything until Pause with false.
 func (f *Fleet) Pause(name string, paused bool) { f.pool(name).paused = paused }
 
--- a/test/virtual/load.go
+++ b/test/virtual/load.go
@@ -127,6 +127,7 @@
 
 func (l *load) end(r *request) {
 	delete(l.requests, r.id)
+	l.fleet.trace("%s: request %d of %s ends", r.daemon.id, r.id, accountID(r.account))
 	r.daemon.queue.End(l.fleet.now, r.id, r.cost, false)
 	l.fleet.flush(r.daemon)
 	a := l.fleet.opts.Accounts[r.account]
@@ -182,6 +183,7 @@
 	e.lookUp(r)
 	f := e.fleet
 	r.started = f.now
+	f.trace("%s: request %d of %s starts", r.daemon.id, r.id, accountID(r.account))
 	f.load.meter.started(r)
 	f.after(time.Duration(r.cost/f.opts.Rate*float64(time.Second)), func() { e.done(r) })
 }
--- a/test/virtual/messages.go
+++ b/test/virtual/messages.go
@@ -61,6 +61,9 @@
 func (f *Fleet) deliver(p *pool, sends []dispatch.Send) {
 	for _, s := range sends {
 		bytes := headBytes + entryBytes*len(s.Batch.Grants)
+		for _, g := range s.Batch.Grants {
+			f.trace("%s: grant %d of %s to %s on %s", p.name, g.ID.Seq, g.Account, s.Reporter, g.Server)
+		}
 		if s.Pool {
 			other := f.pool(s.Reporter)
 			f.send(p.owner, other.owner, bytes, func() { f.relay(other, p.name, s.Batch) })
--- a/test/virtual/options.go
+++ b/test/virtual/options.go
@@ -65,7 +65,8 @@
 	Rate           float64 // cost that a slot delivers in a second
 	Length         time.Duration
 	Exchange       time.Duration
-	Settle         time.Duration // start of the measurement
+	Trace          func(line string) // receives messages and runs; may be nil
+	Settle         time.Duration     // start of the measurement
 }
 
 func (o *Options) setDefaults() {
