--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-policy measure-slopes soak fuzz clean
+	measure measure-config measure-policy measure-slopes soak fuzz clean
 
 all: build
 
@@ -54,6 +54,9 @@
 measure-policy: # ways of sharing capacity, in virtual time
 	$(GO) run ./test/measure/policy
 
+measure-config: # the time until tickets are in force
+	$(GO) run ./test/measure/config
+
 measure-slopes:
 	$(GO) run ./test/measure/slopes
 
--- a/internal/configsync/freshness.go
+++ b/internal/configsync/freshness.go
@@ -23,6 +23,7 @@
 	Applied  int64         // offset of the last record that the peer applied
 	Ready    bool          // the peer has a state, and KnownAge holds
 	KnownAge time.Duration // the peer had every ticket accepted this long before it answered
+	Digest   string        // leading part of the digest of the peer's state; empty when relayed
 	Relayed  bool          // another peer told of it; KnownAge does not hold
 }
 
@@ -130,6 +131,9 @@
 	f.raise(times[majority-1], SourceMajority)
 }
 
+// DigestOf returns the leading part of the digest that the member last told, empty for none.
+func (f *Freshness) DigestOf(id string) string { return f.heard[id].Digest }
+
 // AppliedBy returns the last offset that the member is known to have applied, -1 for none.
 func (f *Freshness) AppliedBy(id string) int64 {
 	if a, ok := f.heard[id]; ok {
--- a/internal/controller/config/fresh.go
+++ b/internal/controller/config/fresh.go
@@ -116,6 +116,18 @@
 	return Roster{Members: c.roster.Members(), Size: c.roster.Size(), Awaited: c.roster.Awaited(now)}
 }
 
+// DigestOf returns the leading part of the digest of a member's state as the member last
+// answered, and that of the own one; empty when the member was not asked.
+func (c *Controller) DigestOf(id string) string {
+	if id == c.opts.SelfID {
+		_, digest := c.Applied()
+		return digest[:min(digestSent, len(digest))]
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh.DigestOf(id)
+}
+
 // digestSent is the length of a digest in a Pong.
 const digestSent = 16
 
@@ -153,6 +165,7 @@
 		Sent:     sent,
 		Applied:  pong.AppliedOffset,
 		Ready:    pong.Ready,
+		Digest:   pong.ConfigDigest,
 		KnownAge: time.Duration(pong.KnownAgeMs) * time.Millisecond,
 	})
 	for _, w := range pong.Witnesses {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/result"
@@ -175,7 +177,9 @@
 		out.LogError = err.Error()
 	}
 	for _, m := range s.opts.Members.All() {
-		status := &pb.MemberStatus{Member: m.Member, AgeMs: now.Sub(m.Heard).Milliseconds()}
+		record := proto.Clone(m.Member).(*pb.Member)
+		record.ConfigDigest = s.opts.Config.DigestOf(record.Id) // a relayed record may carry an older one
+		status := &pb.MemberStatus{Member: record, AgeMs: now.Sub(m.Heard).Milliseconds()}
 		status.Reason = s.opts.Members.Reason(m, now)
 		status.Suspected = status.Reason != ""
 		out.Members = append(out.Members, status)
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -217,6 +217,9 @@
 	return string(out), errors.Wrapf(err, "filbertrillctl %s: %s", strings.Join(args[:2], " "), out)
 }
 
+// Bin is the folder of the programs.
+func (c *Cluster) Bin() string { return c.opts.Bin }
+
 // CtlAt runs filbertrillctl against daemon i alone and returns its output.
 func (c *Cluster) CtlAt(i int, args ...string) (string, error) {
 	args = append(args, "--daemon", c.Daemons[i].Field("peers"), "--secret", Secret)
--- a/test/integration/config/config_test.go
+++ b/test/integration/config/config_test.go
@@ -29,7 +29,13 @@
 	network *cluster.Network
 }
 
+// fleets bounds the fleets that run at once.
+var fleets = make(chan struct{}, 3)
+
 func start(t *testing.T, opts cluster.Options) *fleet {
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	network, err := cluster.NewNetwork(3)
 	require.NoError(t, err)
 	t.Cleanup(network.Close)
@@ -76,6 +82,7 @@
 
 // status is what sessions need of filbertrillctl status.
 type status struct {
+	AnsweredBy    string `json:"answeredBy"`
 	AppliedOffset int64  `json:"appliedOffset"`
 	CutOff        bool   `json:"cutOff"`
 	KnownAgeMS    int64  `json:"knownAgeMs"`
@@ -86,6 +93,16 @@
 	} `json:"members"`
 }
 
+// digest is that of the answering daemon's own state.
+func (s status) digest() string {
+	for _, m := range s.Members {
+		if m.ID == s.AnsweredBy {
+			return m.ConfigDigest
+		}
+	}
+	return ""
+}
+
 func (f *fleet) status(i int) (s status) {
 	f.t.Helper()
 	out, err := f.CtlAt(i, "--output", "json", "status")
--- /dev/null
+++ b/test/measure/config/main.go
@@ -0,0 +1,193 @@
+// Command config measures how long tickets take until they are in force on every daemon,
+// with the log fast, slow and flapping. It prints lines of the form name=value.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/peer"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+)
+
+// Times of a run.
+const (
+	pollInterval = 5 * time.Millisecond
+	patience     = 60 * time.Second
+	// unevenGap is added to the time between two tickets once more for each, so that they
+	// meet the reads of the log at all phases.
+	unevenGap = 37 * time.Millisecond
+)
+
+type options struct {
+	Daemons int `default:"7" help:"Daemons, in three data centres."`
+	Tickets int `default:"60" help:"Tickets for each state of the log."`
+}
+
+func main() {
+	var opts options
+	parsed := kong.Parse(&opts, kong.Name("config"), kong.Description("Measures the time until tickets are in force."))
+	parsed.FatalIfErrorf(run(opts))
+}
+
+func run(opts options) error {
+	bin, err := os.MkdirTemp("", "filbertrill-bin-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(bin) }()
+	root, err := filepath.Abs(".")
+	if err != nil {
+		return err
+	}
+	if err := cluster.Build(root, bin); err != nil {
+		return err
+	}
+	logs, err := os.Create(filepath.Join(bin, "log"))
+	if err != nil {
+		return err
+	}
+	c, err := cluster.New(cluster.Options{Bin: bin, Logs: logs, Zones: []string{"z1", "z2", "z3"}, Daemons: opts.Daemons})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	b := &bench{cluster: c, tickets: opts.Tickets, next: 1}
+	if err := b.dial(); err != nil {
+		return err
+	}
+	fmt.Printf("daemons=%d\ntickets=%d\n", opts.Daemons, opts.Tickets)
+	return b.measure()
+}
+
+// logState is a state of the log under which tickets are timed.
+type logState struct{ name, fault string }
+
+var logStates = []logState{
+	{"fast", `{"mode":"none"}`},
+	{"slow_500ms", `{"mode":"slow","delay_ms":500}`},
+	{"flapping", `{"mode":"flap"}`},
+}
+
+// bench submits tickets to a fleet.
+type bench struct {
+	cluster *cluster.Cluster
+	clients []pb.DRPCOperatorClient
+	tickets int
+	next    uint64
+}
+
+func (b *bench) dial() error {
+	for _, d := range b.cluster.Daemons {
+		client, _, err := peer.DialOperator(context.Background(), d.Field("peers"), cluster.Secret)
+		if err != nil {
+			return err
+		}
+		b.clients = append(b.clients, client)
+	}
+	return nil
+}
+
+func (b *bench) measure() error {
+	for range 2 * len(b.clients) { // until the daemons know each other
+		if _, err := b.inForce(); err != nil {
+			return err
+		}
+	}
+	for _, state := range logStates {
+		if err := cluster.PostJSON("http://"+b.cluster.Log.Address+"/admin/faults", state.fault); err != nil {
+			return err
+		}
+		var times []time.Duration
+		for i := range b.tickets {
+			time.Sleep(unevenGap * time.Duration(i%8))
+			took, err := b.inForce()
+			if err != nil {
+				return err
+			}
+			times = append(times, took)
+		}
+		slices.Sort(times)
+		report(state.name, times)
+	}
+	return nil
+}
+
+func report(name string, times []time.Duration) {
+	at := func(share float64) int64 {
+		return times[min(len(times)-1, int(share*float64(len(times))))].Milliseconds()
+	}
+	fmt.Printf("in_force_%s_p50_ms=%d\n", name, at(0.5))
+	fmt.Printf("in_force_%s_p99_ms=%d\n", name, at(0.99))
+	fmt.Printf("in_force_%s_max_ms=%d\n", name, times[len(times)-1].Milliseconds())
+}
+
+// inForce submits a ticket to one daemon and returns the time until all have applied it.
+func (b *bench) inForce() (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	data, err := json.Marshal(accountTicket(b.next))
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	client := b.clients[b.next%uint64(len(b.clients))]
+	b.next++
+	reply, err := client.SubmitTicket(ctx, &pb.SubmitTicketRequest{
+		Ticket:    data,
+		WaitFor:   pb.TicketPhase_TICKET_PHASE_LOGGED,
+		TimeoutMs: patience.Milliseconds(),
+	})
+	if err != nil {
+		return 0, err
+	}
+	status := reply.GetStatus()
+	if status.GetPhase() < pb.TicketPhase_TICKET_PHASE_LOGGED || status.GetPhase() == pb.TicketPhase_TICKET_PHASE_REJECTED {
+		return 0, errors.Newf("ticket stopped at %v: %s", status.GetPhase(), status.GetDetail())
+	}
+	for _, client := range b.clients {
+		if err := awaitApplied(ctx, client, status.GetOffset()); err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(began), nil
+}
+
+func awaitApplied(ctx context.Context, client pb.DRPCOperatorClient, offset int64) error {
+	for {
+		reply, err := client.Status(ctx, &pb.StatusRequest{})
+		if err != nil {
+			return err
+		}
+		if reply.GetAppliedOffset() >= offset {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func accountTicket(number uint64) ticket.Ticket {
+	return ticket.Ticket{
+		Number: number,
+		Author: "measure",
+		Reason: "timing",
+		Accounts: []ticket.Account{{
+			ID:             "a",
+			Weight:         float64(number),
+			KeyHashes:      []string{},
+			MaxQueued:      1,
+			MaxQueuedBytes: 1,
+			Presence:       ticket.PresenceActive,
+		}},
+	}
+}
