--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-config measure-policy measure-slopes soak fuzz clean
+	measure measure-config measure-effects measure-members measure-path measure-policy measure-slopes \
+	soak fuzz clean
 
 all: build
 
@@ -57,6 +58,15 @@
 measure-config: # the time until tickets are in force
 	$(GO) run ./test/measure/config
 
+measure-members: build # control traffic of idle fleets, and the time to detection
+	$(GO) run ./test/measure/members
+
+measure-effects: # cost of a claim, and stamps that go through while the log fails
+	$(GO) run ./test/measure/effects
+
+measure-path: build # one daemon: latency, memory, requests a second
+	$(GO) run ./test/measure/path
+
 measure-slopes:
 	$(GO) run ./test/measure/slopes
 
--- /dev/null
+++ b/internal/controller/claims/find.go
@@ -0,0 +1,60 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/claim"
+	"github.com/filbertrill/filbertrill/internal/platform"
+)
+
+// findFirst returns the offset from which on the records matter: keys older than the window
+// are not taken, so that what is older needs no reading.
+func (c *Controller) findFirst(ctx context.Context) claim.Event {
+	bounds, err := c.opts.Log.Bounds(ctx, c.opts.Topic)
+	if err != nil {
+		return claim.ReadFailed{}
+	}
+	if bounds.First == 0 && bounds.Next <= readLimit {
+		return claim.Positioned{}
+	}
+	cutoff := time.Now().Add(-c.opts.Book.Window - 6*c.opts.Book.Skew)
+	positioned, err := c.search(ctx, bounds, cutoff)
+	if err != nil {
+		return claim.ReadFailed{}
+	}
+	return positioned
+}
+
+// search returns the offset of a record that is older than the cutoff and near the first that
+// is not; that of the first kept record when none is older. Records are nearly in the order
+// of their times.
+func (c *Controller) search(ctx context.Context, bounds platform.Bounds, cutoff time.Time) (claim.Positioned, error) {
+	old, err := c.older(ctx, bounds.First, cutoff)
+	if err != nil || !old {
+		return claim.Positioned{First: bounds.First}, err
+	}
+	low, high := bounds.First, bounds.Next
+	for high-low > readLimit {
+		middle := low + (high-low)/2
+		old, err := c.older(ctx, middle, cutoff)
+		if err != nil {
+			return claim.Positioned{}, err
+		}
+		if old {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return claim.Positioned{First: low, Covered: cutoff}, nil
+}
+
+// older reports whether the record at the offset is older than the cutoff.
+func (c *Controller) older(ctx context.Context, offset int64, cutoff time.Time) (bool, error) {
+	records, err := c.opts.Log.Read(ctx, c.opts.Topic, offset, 1)
+	if err != nil || len(records) == 0 {
+		return false, err
+	}
+	return c.decode(records[0]).At.Before(cutoff), nil
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -36,6 +36,9 @@
 	LogTimeout time.Duration `help:"Time limit of one call of the log." env:"FILBERTRILL_LOG_TIMEOUT" default:"2s"`
 	Instances  string        `help:"URL of the platform's instance list; the seeds alone when empty." env:"FILBERTRILL_INSTANCES"`
 
+	ClaimTimeout time.Duration `help:"How long an unrepeatable request waits for its claim to be in the log." env:"FILBERTRILL_CLAIM_TIMEOUT" default:"2s"`
+	ClaimWindow  time.Duration `help:"Age at which an idempotency key is no longer taken. The log must keep records for two minutes longer." env:"FILBERTRILL_CLAIM_WINDOW" default:"10m"`
+
 	ConfigPoll          time.Duration `help:"Time between two reads of the log by the daemon that reads it for its data centre." env:"FILBERTRILL_CONFIG_POLL" default:"250ms"`
 	ConfigPollOthers    time.Duration `help:"Time between two reads of the log by the other daemons." env:"FILBERTRILL_CONFIG_POLL_OTHERS" default:"2s"`
 	StaleAfter          time.Duration `help:"Age of the knowledge of accepted tickets above which the daemon starts no new work." env:"FILBERTRILL_STALE_AFTER" default:"2500ms"`
@@ -50,6 +53,9 @@
 
 	WriteLimit time.Duration `help:"How long a caller may leave its answer unread before the answer is cancelled." env:"FILBERTRILL_WRITE_LIMIT" default:"30s"`
 
+	EntriesLifetime time.Duration `help:"How long callers may keep an answer of /v1/entries." env:"FILBERTRILL_ENTRIES_LIFETIME" default:"10s"`
+	DrainMargin     time.Duration `help:"Added to the lifetime of entries before a stopping daemon closes its door, for other daemons to learn of the stop." env:"FILBERTRILL_DRAIN_MARGIN" default:"7s"`
+
 	LogLevel string `help:"Least level of log lines: debug, info, warn or error." env:"FILBERTRILL_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
 	LogJSON  bool   `help:"Write log lines as JSON." env:"FILBERTRILL_LOG_JSON"`
 }
@@ -125,6 +131,12 @@
 	if s.MaxBody <= 0 || s.MaxHeld <= 0 || s.LogTimeout <= 0 || s.WriteLimit <= 0 {
 		return result.New(result.SettingInvalid, "--max-body, --max-held, --log-timeout and --write-limit must be positive")
 	}
+	if s.EntriesLifetime < time.Millisecond || s.DrainMargin < 0 {
+		return result.New(result.SettingInvalid, "--entries-lifetime must be at least 1ms, and --drain-margin must not be negative")
+	}
+	if s.ClaimTimeout <= 0 || s.ClaimWindow <= 0 {
+		return result.New(result.SettingInvalid, "--claim-timeout and --claim-window must be positive")
+	}
 	if s.ConfigPoll <= 0 || s.ConfigPollOthers <= 0 || s.StateRecordInterval <= 0 || s.StateRecordEvery <= 0 {
 		return result.New(result.SettingInvalid, "--config-poll, --config-poll-others and the --state-record settings must be positive")
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -137,6 +137,15 @@
 	}
 }
 
+// AllWaiting returns the number of waiting requests of all accounts.
+func (q *Queue) AllWaiting() int {
+	n := 0
+	for _, w := range q.waiting {
+		n += w.requests
+	}
+	return n
+}
+
 // Running returns the number of running requests.
 func (q *Queue) Running() int { return len(q.runs) }
 
@@ -234,8 +243,8 @@
 	}
 }
 
-// End ends a running request at its final cost. A failed run is one that the server
-// did not answer as it should.
+// End ends a running request at its final cost, which is 0 when it was not sent. A failed
+// run is one that the server did not answer as it should.
 func (q *Queue) End(now time.Time, id RequestID, cost Cost, failed bool) {
 	r, ok := q.runs[id]
 	if !ok {
@@ -245,7 +254,9 @@
 	q.dirty = true
 	q.account(r.request.Account).changed = now
 	q.endedOf(r).add(now, cost)
-	q.resultsOf(r.grant.Server).add(now, failed)
+	if failed || cost > 0 {
+		q.resultsOf(r.grant.Server).add(now, failed)
+	}
 	if !failed && cost > 0 {
 		q.estimates.ended(r.request.Account, r.request.Hint, cost)
 	}
@@ -355,7 +366,7 @@
 		first := a.waiting[0]
 		d.OldestWait = now.Sub(first.Arrived)
 		d.Estimate = q.estimates.estimate(first.Account, first.Hint)
-		d.Prefer = q.prefixes.server(first.Prefix)
+		d.Prefer = q.prefixes.holders(first.Prefix)
 	}
 	return d
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -32,10 +32,13 @@
 
 // Pool is what a dispatcher needs of the configuration.
 type Pool struct {
-	Name     string // unique among the pools of the service
-	Standby  int    // grants beyond the slots of each server
-	Servers  []ServerSpec
-	Accounts map[string]AccountSpec
+	Name    string // unique among the pools of the service
+	Standby int    // grants beyond the slots of each server
+	// HopStandby is the grants beyond the slots for requests of other pools, so that a slot
+	// is not idle while a grant and its request travel between zones.
+	HopStandby int
+	Servers    []ServerSpec
+	Accounts   map[string]AccountSpec
 }
 
 // GrantID identifies a grant among all dispatchers that a pool ever had.
@@ -55,12 +58,12 @@
 	Account     string
 	Waiting     int
 	OldestWait  time.Duration
-	Estimate    Cost    // of the first waiting request
-	Prefer      string  // server that holds the prefix of the first waiting request
-	VirtualTime float64 // highest that a grant has told the reporter
-	Served      Cost    // by ended runs on the servers of the reporting pool since its dispatcher began
-	Charged     Cost    // for running ones
-	Running     int     // on the servers of the reporting pool
+	Estimate    Cost     // of the first waiting request
+	Prefer      []string // servers that may hold the prefix of the first waiting request
+	VirtualTime float64  // highest that a grant has told the reporter
+	Served      Cost     // by ended runs on the servers of the reporting pool since its dispatcher began
+	Charged     Cost     // for running ones
+	Running     int      // on the servers of the reporting pool
 }
 
 // Ended is the cumulative cost of an account's ended runs under one dispatcher incarnation.
--- a/test/virtual/fleet.go
+++ b/test/virtual/fleet.go
@@ -121,10 +121,14 @@
 // After calls do at a time of the run.
 func (f *Fleet) After(d time.Duration, do func()) { f.after(d, do) }
 
-// Run runs for the length of the options and a further time without new load, and
-// returns the result.
+// Run runs for the length of the options, and without new load until all requests have
+// ended, but no longer than the further time. It returns the result.
 func (f *Fleet) Run(further time.Duration) Result {
-	f.runUntil(f.now.Add(f.opts.Length + further))
+	end := f.now.Add(f.opts.Length)
+	f.runUntil(end)
+	for f.now.Before(end.Add(further)) && f.Result.Ended < f.Result.Submitted {
+		f.runUntil(f.now.Add(time.Second))
+	}
 	return f.load.meter.result()
 }
 
@@ -152,7 +156,7 @@
 }
 
 func (f *Fleet) spec(p *pool) dispatch.Pool {
-	spec := dispatch.Pool{Name: p.name, Standby: f.opts.Standby, Accounts: map[string]dispatch.AccountSpec{}}
+	spec := dispatch.Pool{Name: p.name, Standby: f.opts.Standby, HopStandby: f.opts.HopStandby, Accounts: map[string]dispatch.AccountSpec{}}
 	for i, s := range f.opts.Servers {
 		slots := s.Slots
 		switch {
--- a/test/virtual/meter.go
+++ b/test/virtual/meter.go
@@ -18,9 +18,12 @@
 	RemoteMessages int
 	RemoteBytes    int
 	MostOver       int // requests in a server beyond its slots
+	Submitted      int
 	Ended          int
 	Waiting        int // at the end
 	RanTwice       int
+	Prefixed       int               // requests with a shared prefix
+	PrefixHits     int               // of them, those that found it cached
 	Waits          [][]time.Duration // by account
 }
 
