--- a/test/integration/config/leave_test.go
+++ b/test/integration/config/leave_test.go
@@ -164,6 +164,26 @@
 	require.Equal(t, cutOff, header.Get("X-Result-Code"), body)
 }
 
+// Most daemons have no link to most of the other data centre: a majority is known only by
+// what the delegates pass on.
+func TestMajorityAcrossDataCentres(t *testing.T) {
+	f := start(t, cluster.Options{Daemons: 5, Zones: []string{"z1", "z2"}})
+	f.begin()
+	f.logFault(logDown)
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(poll) {
+		for i := range f.Daemons {
+			require.Equal(t, whole, f.call(i))
+		}
+	}
+	require.NoError(t, f.network.Part(1, 3)) // all of z2
+	for _, i := range []int{1, 3} {
+		f.requireCall(i, cutOff)
+	}
+	for _, i := range []int{0, 2, 4} {
+		f.requireCall(i, whole)
+	}
+}
+
 func TestLogDownAndPartition(t *testing.T) {
 	f := start(t, cluster.Options{})
 	f.begin()
