Reach the step before a claim by the log's own count of faults

Cause: the step waited for a gauge that is reported every 2 s, as long as the claim's own time limit; under load the kill came after the refusal (seen once: 3005 in place of a lost connection). The condition is now that the log met the append.

--- a/test/integration/effects/helpers_test.go
+++ b/test/integration/effects/helpers_test.go
@@ -1,14 +1,11 @@
 package effects
 
 import (
-	"bufio"
 	"context"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -65,21 +62,14 @@
 	return true
 }
 
-// metric returns the value of a metric without labels.
-func (s *session) metric(i int, name string) int {
-	resp, err := http.Get("http://" + s.Daemons[i].Address + "/metrics")
-	if err != nil {
-		return 0
-	}
+// met returns how many requests the last fault of a stand-in met.
+func (s *session) met(at *cluster.Process) int {
+	resp, err := http.Get("http://" + at.Address + "/admin/faults")
+	require.NoError(s.t, err)
 	defer func() { _ = resp.Body.Close() }()
-	scanner := bufio.NewScanner(resp.Body)
-	for scanner.Scan() {
-		if value, ok := strings.CutPrefix(scanner.Text(), name+" "); ok {
-			n, _ := strconv.ParseFloat(value, 64)
-			return int(n)
-		}
-	}
-	return 0
+	var counter struct{ Met int }
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&counter))
+	return counter.Met
 }
 
 // claimed reports whether the log holds a claim of the key.
--- a/test/integration/effects/steps_test.go
+++ b/test/integration/effects/steps_test.go
@@ -41,7 +41,7 @@
 	}, "3005 unknown", "201", 1},
 	{"daemon killed before the claim is appended", func(s *session, key string) answer {
 		s.fault(s.Log, `{"mode":"slow","delay_ms":20000,`+appends+`}`)
-		return s.killDuring(key, func() bool { return s.metric(0, "filbertrill_claim_open") > 0 })
+		return s.killDuring(key, func() bool { return s.met(s.Log) > 0 })
 	}, "connection lost", "201", 1},
 	{"claim's append loses its answer", func(s *session, key string) answer {
 		s.fault(s.Log, `{"mode":"lose_answer","count":1,`+appends+`}`)
--- a/test/standin/faults/faults.go
+++ b/test/standin/faults/faults.go
@@ -58,6 +58,7 @@
 	mu    sync.Mutex
 	fault Fault
 	turn  int
+	met   int
 }
 
 // Set puts the fault in force.
@@ -69,6 +70,7 @@
 	}
 	s.fault = f
 	s.turn = 0
+	s.met = 0
 }
 
 // Take returns the fault that the next request meets.
@@ -98,9 +100,20 @@
 	if fault.Mode == Flap && s.turn%2 == 0 {
 		fault.Mode = None
 	}
+	if fault.Mode != None {
+		s.met++
+	}
 	return fault
 }
 
+// ServeMet answers with the number of requests that the last fault met.
+func (s *Switch) ServeMet(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]int{"met": s.met})
+}
+
 // ServeHTTP puts the fault of a POST in force.
 func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var fault Fault
--- a/test/standin/logstore/server.go
+++ b/test/standin/logstore/server.go
@@ -42,6 +42,7 @@
 	s.mux.HandleFunc("GET /topics/{topic}/partitions/{partition}/messages", s.faulty("read", s.consume))
 	s.mux.HandleFunc("GET /topics/{topic}/partitions/{partition}/offsets", s.faulty("read", s.offsets))
 	s.mux.Handle("POST /admin/faults", &s.faults)
+	s.mux.HandleFunc("GET /admin/faults", s.faults.ServeMet)
 	s.mux.HandleFunc("GET /admin/topics", s.topics)
 	return s
 }
