--- a/test/measure/path/main.go
+++ b/test/measure/path/main.go
@@ -21,6 +21,7 @@
 	Length  time.Duration `help:"Length of the latency and of the throughput run." default:"10s"`
 	Streams int           `help:"Streams open at once in the memory run." default:"1000"`
 	Long    time.Duration `help:"Length of the long stream." default:"2m"`
+	Breaks  int           `help:"Streams that break once in the resume run." default:"100"`
 	Callers int           `help:"Callers at once in the throughput run." default:"64"`
 }
 
@@ -29,9 +30,12 @@
 	key       = "key-small"
 	fastModel = "fast" // no time between tokens
 	slowModel = "slow"
+	evenModel = "even" // for the pause at a resume
 	slots     = 4096
 	// slowInterval is the time between two tokens of the slow model.
 	slowInterval = 500 * time.Millisecond
+	// evenInterval is the time between two tokens of the even model.
+	evenInterval = 10 * time.Millisecond
 )
 
 func main() {
@@ -52,7 +56,7 @@
 	p.idleKB = p.rssKB()
 	long := make(chan error, 1)
 	go func() { long <- p.longStream(f.Long) }()
-	for _, measure := range []func(flags) error{p.latency, p.memory, p.largeBody, oneCore} {
+	for _, measure := range []func(flags) error{p.latency, p.pause, p.memory, p.largeBody, oneCore} {
 		if err := measure(f); err != nil {
 			return err
 		}
@@ -73,8 +77,8 @@
 // path is a daemon before two engines.
 type path struct {
 	*cluster.Cluster
-	fast, slow *cluster.Process
-	idleKB     int
+	fast, slow, even *cluster.Process
+	idleKB           int
 }
 
 // startPath starts them; cores limits the daemon when it is not 0.
@@ -92,14 +96,17 @@
 }
 
 func (p *path) start(cores int) error {
-	var err error
-	p.fast, err = p.StartServer("fast", "engine", "--model", fastModel, "--slots", fmt.Sprint(slots), "--token-interval", "0s")
-	if err != nil {
-		return err
-	}
-	p.slow, err = p.StartServer("slow", "engine", "--model", slowModel, "--slots", fmt.Sprint(slots), "--token-interval", slowInterval.String())
-	if err != nil {
-		return err
+	engines := []struct {
+		process  **cluster.Process
+		model    string
+		interval time.Duration
+	}{{&p.fast, fastModel, 0}, {&p.slow, slowModel, slowInterval}, {&p.even, evenModel, evenInterval}}
+	for _, e := range engines {
+		started, err := p.StartServer(e.model, "engine", "--model", e.model, "--slots", fmt.Sprint(slots), "--token-interval", e.interval.String())
+		if err != nil {
+			return err
+		}
+		*e.process = started
 	}
 	if err := p.startDaemon(cores); err != nil {
 		return err
@@ -125,7 +132,7 @@
 func (p *path) ticket() ticket.Ticket {
 	t := ticket.Ticket{Number: 1, Author: "measure", Reason: "path"}
 	t.Accounts = []ticket.Account{{ID: "small", Weight: 1, KeyHashes: []string{cluster.KeyHash(key)}, MaxQueued: slots}}
-	for model, address := range map[string]string{fastModel: p.fast.Address, slowModel: p.slow.Address} {
+	for model, address := range map[string]string{fastModel: p.fast.Address, slowModel: p.slow.Address, evenModel: p.even.Address} {
 		t.Services = append(t.Services, ticket.Service{ID: model, Kind: ticket.ServiceModel, Repeatable: true})
 		t.Servers = append(t.Servers, ticket.Server{
 			ID: model, Service: model, Address: address, Zone: "z1", Slots: slots, State: ticket.ServerJoined,
