--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-path measure-policy measure-slopes soak fuzz clean
+	measure measure-effects measure-members measure-path measure-policy measure-slopes \
+	soak fuzz clean
 
 all: build
 
@@ -54,6 +55,12 @@
 measure-policy: # ways of sharing capacity, in virtual time
 	$(GO) run ./test/measure/policy
 
+measure-members: build # control traffic of idle fleets, and the time to detection
+	$(GO) run ./test/measure/members
+
+measure-effects: # cost of a claim, and stamps that go through while the log fails
+	$(GO) run ./test/measure/effects
+
 measure-path: build # one daemon: latency, memory, requests a second
 	$(GO) run ./test/measure/path
 
