Wake a link only for its messages, and stop a test link while its end moves

Cause: two tickers for each link woke idle daemons (71% of the processor time of an idle daemon is the scheduler's). Race detector: toxiproxy reads its upstream without the lock that Link.Connect took.

Change: a timer after the first unproven message, and a watchdog in place of the tickers. Link.Connect stops and starts the proxy.

Runs: go test -race -count=4 ./internal/peer ./internal/member and go test ./test/integration/answers pass; before, the race detector failed TestSilentPeerBlocksNoOther and TestSilentConnectionIsReplaced.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -23,13 +23,11 @@
 	link   *link
 	stream pb.DRPCMesh_SessionClient
 	cancel context.CancelCauseFunc
-	began  time.Time
 	pings  pingTimes
 
 	answered atomic.Bool
 	pinged   atomic.Uint64 // seq of the last Ping
-	ponged   atomic.Uint64 // seq of the last Pong
-	waiting  atomic.Int64  // since when a Pong is due, after began; 0 when none is
+	silence  watchdog
 }
 
 // session dials once and sends until the connection fails or falls silent. It reports
@@ -53,12 +51,13 @@
 	if err != nil {
 		return false, err
 	}
-	c := &connection{link: l, stream: stream, cancel: cancel, began: time.Now()}
+	c := &connection{link: l, stream: stream, cancel: cancel}
+	c.silence = watchdog{timeout: l.mesh.opts.PongTimeout, expired: c.silent}
 	var wg sync.WaitGroup
 	wg.Go(c.receive)
-	wg.Go(func() { c.watch(ctx) })
 	err = c.send(ctx)
 	cancel(err)
+	c.silence.stop()
 	_ = raw.Close()
 	wg.Wait()
 	return c.answered.Load(), context.Cause(ctx)
@@ -74,14 +73,12 @@
 		}
 		c.link.mesh.opts.Counter(proto.Size(pong), false, "pong", c.link.address)
 		c.answered.Store(true)
-		c.ponged.Store(pong.Seq)
 		if sent, ok := c.pings.sent(pong.Seq); ok {
 			c.link.mesh.opts.Observe(sent, pong)
 		}
-		if pong.Seq >= c.pinged.Load() {
-			c.waiting.Store(0)
-		} else {
-			c.waiting.Store(int64(time.Since(c.began)))
+		c.silence.stop()
+		if pong.Seq < c.pinged.Load() {
+			c.silence.start()
 		}
 	}
 }
@@ -89,8 +86,9 @@
 // send writes the link's messages, and a Ping after those of an interval.
 func (c *connection) send(ctx context.Context) error {
 	opts := &c.link.mesh.opts
-	ticker := time.NewTicker(opts.PingInterval)
-	defer ticker.Stop()
+	ping := time.NewTimer(opts.PingInterval)
+	ping.Stop()
+	defer ping.Stop()
 	unproven := false
 	for {
 		var env *pb.Envelope
@@ -98,20 +96,20 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case env = <-c.link.queue:
-			unproven = true
 			if env.GetPing() != nil {
 				unproven = false
+				ping.Stop()
 				env = c.ping()
+			} else if !unproven {
+				unproven = true
+				ping.Reset(opts.PingInterval)
 			}
-		case <-ticker.C:
-			if !unproven {
-				continue
-			}
+		case <-ping.C:
 			unproven = false
 			env = c.ping()
 		}
 		// A write that blocks is as silent as a Pong that stays out.
-		c.waiting.CompareAndSwap(0, int64(time.Since(c.began)))
+		c.silence.start()
 		if err := c.stream.Send(env); err != nil {
 			return err
 		}
@@ -130,26 +128,36 @@
 	}
 }
 
-// watch ends the connection when no Pong came within the timeout.
-func (c *connection) watch(ctx context.Context) {
+// silent ends the connection.
+func (c *connection) silent() {
 	opts := &c.link.mesh.opts
-	ticker := time.NewTicker(opts.PingInterval / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		since := c.waiting.Load()
-		if since == 0 {
-			continue
-		}
-		silence := time.Since(c.began) - time.Duration(since)
-		if silence > opts.PongTimeout {
-			opts.Logger.Info("Replaced a silent link.", "peer", c.link.address, "silence", silence)
-			c.cancel(errSilent)
-			return
-		}
+	opts.Logger.Info("Replaced a silent link.", "peer", c.link.address, "silence", opts.PongTimeout)
+	c.cancel(errSilent)
+}
+
+// watchdog calls expired when it was started and not stopped for the timeout.
+type watchdog struct {
+	timeout time.Duration
+	expired func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+}
+
+// start does nothing when the watchdog runs already.
+func (w *watchdog) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil {
+		w.timer = time.AfterFunc(w.timeout, w.expired)
+	}
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
 	}
 }
--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -30,11 +30,16 @@
 // Address returns where the link listens.
 func (l *Link) Address() string { return l.proxy.Listen }
 
-// Connect sets the upstream of new connections.
+// Connect sets the upstream and closes open connections. The proxy reads its upstream
+// without a lock, so it is stopped meanwhile. Connect panics when the port was taken.
 func (l *Link) Connect(upstream string) {
-	l.proxy.Lock()
-	defer l.proxy.Unlock()
-	l.proxy.Upstream = upstream
+	if l.proxy.Upstream == upstream {
+		return
+	}
+	next := &toxiproxy.Proxy{Listen: l.proxy.Listen, Upstream: upstream, Enabled: l.proxy.Enabled}
+	if err := l.proxy.Update(next); err != nil {
+		panic(errors.Wrapf(err, "link %s", l.proxy.Name))
+	}
 }
 
 // Cut closes all connections and refuses new ones.
