Forward links through an end of their own in place of changing the proxy

The stop and start of the proxy before this lost its port to another process once (address already in use, TestSilentConnectionsAreReplaced). A link now has a forwarder whose target may change.

--- /dev/null
+++ b/test/cluster/forward.go
@@ -0,0 +1,58 @@
+package cluster
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+)
+
+// forwarder passes connections on to an address that may change. A link needs it because
+// its proxy must not change its upstream while it runs.
+type forwarder struct {
+	listener net.Listener
+	upstream atomic.Pointer[string]
+}
+
+func newForwarder() (*forwarder, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &forwarder{listener: listener}
+	go f.run()
+	return f, nil
+}
+
+func (f *forwarder) run() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.pass(conn)
+	}
+}
+
+// pass copies both ways until either end closes.
+func (f *forwarder) pass(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	address := f.upstream.Load()
+	if address == nil {
+		return
+	}
+	next, err := net.Dial("tcp", *address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = next.Close() }()
+	ended := make(chan struct{}, 2)
+	for _, ends := range [][2]net.Conn{{conn, next}, {next, conn}} {
+		go func() {
+			_, _ = io.Copy(ends[0], ends[1])
+			ended <- struct{}{}
+		}()
+	}
+	<-ended
+}
+
+func (f *forwarder) close() { _ = f.listener.Close() }
--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -13,34 +13,31 @@
 
 // Link is a TCP path that passes a fault-injecting proxy.
 type Link struct {
-	proxy  *toxiproxy.Proxy
-	toxics int
+	proxy   *toxiproxy.Proxy
+	forward *forwarder
+	toxics  int
 }
 
 // NewLink listens on loopback. Connect names the upstream later.
 func NewLink(name string) (*Link, error) {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	proxy := toxiproxy.NewProxy(server, name, "127.0.0.1:0", "127.0.0.1:1")
+	forward, err := newForwarder()
+	if err != nil {
+		return nil, errors.Wrapf(err, "start link %s", name)
+	}
+	proxy := toxiproxy.NewProxy(server, name, "127.0.0.1:0", forward.listener.Addr().String())
 	if err := proxy.Start(); err != nil {
+		forward.close()
 		return nil, errors.Wrapf(err, "start link %s", name)
 	}
-	return &Link{proxy: proxy}, nil
+	return &Link{proxy: proxy, forward: forward}, nil
 }
 
 // Address returns where the link listens.
 func (l *Link) Address() string { return l.proxy.Listen }
 
-// Connect sets the upstream and closes open connections. The proxy reads its upstream
-// without a lock, so it is stopped meanwhile. Connect panics when the port was taken.
-func (l *Link) Connect(upstream string) {
-	if l.proxy.Upstream == upstream {
-		return
-	}
-	next := &toxiproxy.Proxy{Listen: l.proxy.Listen, Upstream: upstream, Enabled: l.proxy.Enabled}
-	if err := l.proxy.Update(next); err != nil {
-		panic(errors.Wrapf(err, "link %s", l.proxy.Name))
-	}
-}
+// Connect sets the upstream of new connections.
+func (l *Link) Connect(upstream string) { l.forward.upstream.Store(&upstream) }
 
 // Cut closes all connections and refuses new ones.
 func (l *Link) Cut() { l.proxy.Stop() }
@@ -80,7 +77,10 @@
 }
 
 // Close ends the link.
-func (l *Link) Close() { l.proxy.Stop() }
+func (l *Link) Close() {
+	l.proxy.Stop()
+	l.forward.close()
+}
 
 // Network holds a link for each ordered pair of daemons, and for each daemon one to the log.
 type Network struct {
