Let each service choose the scope of its dispatcher

Change: 'scope' of a service in tickets, zone or region. A pool that a service no longer has is given up like one that fell to another daemon.

--- a/internal/controller/dispatch/messages.go
+++ b/internal/controller/dispatch/messages.go
@@ -11,7 +11,7 @@
 // when it is another, their whole state.
 func (c *Controller) reportQueues(now time.Time, t topology, tick bool) {
 	for service, q := range c.queues {
-		key := poolKey{service, t.home()}
+		key := poolKey{service, t.home(c.config, service)}
 		owner := t.owner(key)
 		if owner == nil {
 			continue
--- a/internal/controller/dispatch/pool.go
+++ b/internal/controller/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
@@ -43,7 +44,8 @@
 // those that have fallen to another.
 func (c *Controller) tickDispatchers(now time.Time, t topology) {
 	for key, p := range c.dispatchers {
-		if !isMember(t.owner(key), c.opts.SelfID) {
+		gone := !slices.Contains(t.pools(c.config, key.service), key.pool)
+		if gone || !isMember(t.owner(key), c.opts.SelfID) {
 			c.lose(now, key, p)
 			continue
 		}
@@ -67,9 +69,6 @@
 // exchange reports to the dispatchers of the services' other pools: each interval, and at
 // once where a slot of theirs came free.
 func (c *Controller) exchange(now time.Time, t topology, tick bool) {
-	if c.opts.Scope != ScopeZone {
-		return
-	}
 	for key, p := range c.dispatchers {
 		if !isMember(t.owner(key), c.opts.SelfID) {
 			continue
--- a/internal/controller/dispatch/pools.go
+++ b/internal/controller/dispatch/pools.go
@@ -12,8 +12,8 @@
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
-// regionPool is the name of the only pool of a service in ScopeRegion.
-const regionPool = "region"
+// regionPool is the name of the only pool of a service in ScopeRegion. No zone has it.
+const regionPool = "*"
 
 // engineHopStandby is how many requests of other zones may wait in an engine for a slot.
 // Plain services get none, since not all of them queue.
@@ -27,7 +27,7 @@
 
 // topology tells who belongs to which pool, from one view of the live members.
 type topology struct {
-	scope Scope
+	scope Scope // of every service, but for ScopeZone, which leaves it to each service
 	self  string
 	zone  string
 	live  []*pb.Member
@@ -51,17 +51,29 @@
 	return ready
 }
 
-// home returns the pool that this daemon reports to.
-func (t topology) home() string {
-	switch t.scope {
-	case ScopeDaemon:
+// home returns the pool of the service that this daemon reports to.
+func (t topology) home(config *ticket.Config, service string) string {
+	if t.scope == ScopeDaemon {
 		return t.self
-	case ScopeRegion:
+	}
+	s, ok := config.Service(service)
+	if t.scope == ScopeRegion || (ok && s.Scope == ticket.ScopeRegion) {
 		return regionPool
 	}
 	return t.zone
 }
 
+// scopeOf returns the scope of a pool.
+func (t topology) scopeOf(pool string) Scope {
+	switch {
+	case t.scope == ScopeDaemon:
+		return ScopeDaemon
+	case pool == regionPool:
+		return ScopeRegion
+	}
+	return ScopeZone
+}
+
 // owner returns the member that is the pool's dispatcher, or nil when no member is live.
 // The pool of a zone without live members falls to another zone.
 func (t topology) owner(key poolKey) *pb.Member {
@@ -78,10 +90,11 @@
 // members returns the daemons that report to the pool.
 func (t topology) members(pool string) []*pb.Member {
 	var members []*pb.Member
+	scope := t.scopeOf(pool)
 	for _, m := range t.live {
-		inZone := t.scope == ScopeZone && m.Zone == pool
-		isDaemon := t.scope == ScopeDaemon && m.Id == pool
-		if t.scope == ScopeRegion || inZone || isDaemon {
+		inZone := scope == ScopeZone && m.Zone == pool
+		isDaemon := scope == ScopeDaemon && m.Id == pool
+		if scope == ScopeRegion || inZone || isDaemon {
 			members = append(members, m)
 		}
 	}
@@ -99,8 +112,8 @@
 
 // pools returns the pools of a service, in the order of their names.
 func (t topology) pools(config *ticket.Config, service string) []string {
-	if t.scope != ScopeZone {
-		return []string{t.home()}
+	if home := t.home(config, service); t.scopeOf(home) != ScopeZone {
+		return []string{home}
 	}
 	var zones []string
 	for _, s := range config.ServersOf(service) {
@@ -136,7 +149,7 @@
 
 // slots returns how many of a server's slots belong to the pool.
 func (t topology) slots(s ticket.Server, pool string) int {
-	switch t.scope {
+	switch t.scopeOf(pool) {
 	case ScopeDaemon:
 		return t.share(s)
 	case ScopeRegion:
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -48,7 +48,7 @@
 	MaxBody int64 `help:"Longest request body, in bytes." env:"FILBERTRILL_MAX_BODY" default:"33554432"`
 	MaxHeld int64 `help:"Request bodies held at once, in bytes." env:"FILBERTRILL_MAX_HELD" default:"268435456"`
 
-	DispatchScope string `help:"What one dispatcher grants for: the servers of a zone, with exchange between zones; of the region; or each daemon its share alone. All daemons must agree; region and daemon are baselines for comparison." env:"FILBERTRILL_DISPATCH_SCOPE" default:"zone" enum:"zone,region,daemon"`
+	DispatchScope string `help:"What one dispatcher grants for: zone leaves it to each service; region for all services, or daemon for each daemon its share alone, are baselines for comparison, on which all daemons must agree." env:"FILBERTRILL_DISPATCH_SCOPE" default:"zone" enum:"zone,region,daemon"`
 	DispatchOrder string `help:"Order of grants: fair by account, or fifo by arrival, a baseline for comparison." env:"FILBERTRILL_DISPATCH_ORDER" default:"fair" enum:"fair,fifo"`
 
 	WriteLimit time.Duration `help:"How long a caller may leave its answer unread before the answer is cancelled." env:"FILBERTRILL_WRITE_LIMIT" default:"30s"`
--- a/internal/ticket/parse.go
+++ b/internal/ticket/parse.go
@@ -228,6 +228,7 @@
 		IdleLimit:  o.duration("idleLimit", DefaultIdleLimit),
 		Standby:    int(o.int("standby", false, 0, 0, MaxSlots)),
 		CutOff:     enum(o, "cutOff", false, CutOffRefuse, CutOffServe),
+		Scope:      enum(o, "scope", false, ScopeZone, ScopeRegion),
 		Presence:   enum(o, "presence", false, PresenceActive, PresenceRemoved),
 	}
 	o.finish()
--- a/internal/ticket/parse_test.go
+++ b/internal/ticket/parse_test.go
@@ -106,7 +106,7 @@
 		}},
 		Services: []Service{{
 			ID: "m", Kind: ServicePlain, Deadline: Duration(time.Minute),
-			IdleLimit: Duration(30 * time.Second), CutOff: CutOffRefuse, Presence: PresenceActive,
+			IdleLimit: Duration(30 * time.Second), CutOff: CutOffRefuse, Scope: ScopeZone, Presence: PresenceActive,
 		}},
 		Servers: []Server{{ID: "s", Service: "m", Address: "[::1]:5", Zone: "z", Slots: 1, State: ServerJoined}},
 	}, got)
--- a/internal/ticket/state_test.go
+++ b/internal/ticket/state_test.go
@@ -59,7 +59,7 @@
 
 func service(id int, p Presence) Service {
 	return Service{
-		ID: fmt.Sprintf("m%d", id), Kind: ServiceModel, Deadline: 1, IdleLimit: 1, CutOff: CutOffServe, Presence: p,
+		ID: fmt.Sprintf("m%d", id), Kind: ServiceModel, Deadline: 1, IdleLimit: 1, CutOff: CutOffServe, Scope: ScopeZone, Presence: p,
 	}
 }
 
--- a/internal/ticket/types.go
+++ b/internal/ticket/types.go
@@ -61,9 +61,19 @@
 	IdleLimit  Duration     `yaml:"idleLimit" json:"idleLimit"` // longest silence of a running answer
 	Standby    int          `yaml:"standby" json:"standby"`     // grants beyond the slots of each backend server
 	CutOff     CutOffPolicy `yaml:"cutOff" json:"cutOff"`       // what a cut-off daemon does
+	Scope      Scope        `yaml:"scope" json:"scope"`         // what one dispatcher grants for
 	Presence   Presence     `yaml:"presence" json:"presence"`
 }
 
+// Scope tells which backend servers of a service share one dispatcher.
+type Scope string
+
+// The scopes of a service.
+const (
+	ScopeZone   Scope = "zone"   // those of a zone; the zones' dispatchers exchange demand
+	ScopeRegion Scope = "region" // all of the region, for the smallest fairness gap
+)
+
 // CutOffPolicy tells what a daemon does that hears neither the log nor a majority of its members.
 type CutOffPolicy string
 
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -188,6 +188,7 @@
 		s.Deadline = cmp.Or(s.Deadline, ticket.DefaultDeadline)
 		s.IdleLimit = cmp.Or(s.IdleLimit, ticket.DefaultIdleLimit)
 		s.CutOff = cmp.Or(s.CutOff, ticket.CutOffRefuse)
+		s.Scope = cmp.Or(s.Scope, ticket.ScopeZone)
 		s.Presence = cmp.Or(s.Presence, ticket.PresenceActive)
 	}
 	return t
