--- a/test/integration/config/rolled_test.go
+++ b/test/integration/config/rolled_test.go
@@ -17,7 +17,7 @@
 const (
 	rolledSeed   = 1
 	rolledSteps  = 6
-	rolledSeedBy = "FILBERTRILL_SEED" // environment variable with another seed
+	rolledSeedBy = "TEST_SEED" // environment variable with another seed
 )
 
 // TestRolledFailures puts random pairs of failures in force while operators submit, and
