--- a/test/measure/members/full.go
+++ b/test/measure/members/full.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -11,7 +12,7 @@
 )
 
 // fullSizes are fleets up to the size that decides: regions, data centres, daemons.
-var fullSizes = [][3]int{{1, 3, 7}, {1, 3, 50}, {2, 7, 150}, {5, 18, 195}, {5, 18, 390}}
+var fullSizes = [][3]int{{1, 1, 5}, {1, 1, 10}, {1, 1, 22}, {1, 3, 7}, {1, 3, 50}, {2, 7, 150}, {5, 18, 195}, {5, 18, 390}}
 
 // Times of a fleet in virtual time.
 const (
@@ -115,18 +116,21 @@
 	return nil
 }
 
-// report prints the bytes, sent and received, of the median daemon and of the busiest.
+// report prints the bytes, sent and received, of the mean daemon, the busiest and the
+// least busy, which holds no role.
 func (f *fullFleet) report(daemons int) {
 	seconds := float64(fullMeasure) * beat.Seconds()
-	total, most, seen := 0, 0, 0
+	total, most, least, seen := 0, 0, math.MaxInt, 0
 	for _, address := range f.order {
 		total += f.bytes[address]
 		most = max(most, f.bytes[address])
+		least = min(least, f.bytes[address])
 		seen = max(seen, len(f.views[address].Live(f.now)))
 	}
 	n := float64(len(f.order))
 	fmt.Printf("full.%d.members_seen=%d\n", daemons, seen)
 	fmt.Printf("full.%d.bytes_per_s_mean=%.4g\n", daemons, float64(total)/n/seconds)
 	fmt.Printf("full.%d.bytes_per_s_most=%.4g\n", daemons, float64(most)/seconds)
+	fmt.Printf("full.%d.bytes_per_s_least=%.4g\n", daemons, float64(least)/seconds)
 	fmt.Printf("full.%d.core_percent_mean=%.3g\n", daemons, 100*f.spent.Seconds()/n/seconds)
 }
