Tell other regions whom a data centre has ceased to hear

Cause: TestDeadDaemonIsFoundInOtherRegions (new) failed: when the delegate that speaks for a region died, its successor in the same data centre held no report of it to call lost, and other regions waited for 30 s. Change: a report names the members that its source suspects; they are dropped unless another delegate of the data centre hears them.

--- a/internal/member/delegate.go
+++ b/internal/member/delegate.go
@@ -43,11 +43,12 @@
 // noteOwn strips from the own report what the receivers hold, and reports whether it has news.
 func (v *View) noteOwn(own *pb.ZoneReport) bool {
 	last := v.own
-	v.own = ownReport{digest: own.Digest, applied: own.Applied, behind: own.Behind}
+	v.own = ownReport{digest: own.Digest, applied: own.Applied, behind: own.Behind, suspected: own.Suspected}
 	if own.Digest == last.digest {
 		own.Members, own.Zone, own.Region = nil, "", ""
 	}
-	return own.Digest != last.digest || own.Applied != last.applied || !slices.Equal(own.Behind, last.behind)
+	return own.Digest != last.digest || own.Applied != last.applied ||
+		!slices.Equal(own.Behind, last.behind) || !slices.Equal(own.Suspected, last.suspected)
 }
 
 // fresh returns the fresh reports that the filter takes, to be passed on.
--- a/internal/member/report.go
+++ b/internal/member/report.go
@@ -24,9 +24,10 @@
 
 // ownReport is what this daemon last told of its own data centre.
 type ownReport struct {
-	digest  uint64
-	applied int64
-	behind  []uint64
+	digest    uint64
+	applied   int64
+	behind    []uint64
+	suspected []string
 }
 
 // setDigest is over the records of members in the order of their ids.
@@ -50,8 +51,12 @@
 	}
 	var known []*pb.Member
 	for _, s := range v.All() {
-		if s.Member.Zone == v.self.Zone && !v.Suspected(&s, now) {
+		switch {
+		case s.Member.Zone != v.self.Zone:
+		case !v.Suspected(&s, now):
 			known = append(known, s.Member)
+		case s.Member.State != pb.MemberState_MEMBER_STATE_LEFT:
+			r.Suspected = append(r.Suspected, s.Member.Id)
 		}
 	}
 	for _, m := range known {
@@ -164,13 +169,19 @@
 	next := &held{report: r, members: members, heard: evidence, direct: carrierZone != v.self.Zone}
 	next.abroad = next.direct && v.regionOf(from) != v.self.Region
 	next.newSet = h == nil || h.report.Digest != r.Digest || h.newSet
-	next.news = next.newSet || h.news || h.report.Applied != r.Applied || !slices.Equal(h.report.Behind, r.Behind)
+	next.news = next.newSet || h.news || h.report.Applied != r.Applied ||
+		!slices.Equal(h.report.Behind, r.Behind) || !slices.Equal(h.report.Suspected, r.Suspected)
 	v.urgent = v.urgent || next.news
 	if h != nil {
 		v.dropMissing(h.members, members, evidence)
 	}
 	v.reports[r.Source] = next
 	v.observeReport(next, from, now)
+	for _, id := range r.Suspected {
+		if !v.vouchedByOther(id, r, now) {
+			v.drop(id, evidence)
+		}
+	}
 	next.report = proto.Clone(r).(*pb.ZoneReport)
 	next.report.Members = nil
 	return true
@@ -241,6 +252,20 @@
 	}
 }
 
+// vouchedByOther reports whether another daemon of the data centre, which the report does
+// not suspect, hears the member: parts of a data centre may have lost each other.
+func (v *View) vouchedByOther(id string, r *pb.ZoneReport, now time.Time) bool {
+	for source, h := range v.reports {
+		if h.report.Zone != r.Zone || slices.Contains(r.Suspected, source) || now.Sub(h.heard) > VouchedAfter {
+			continue
+		}
+		if slices.ContainsFunc(h.members, func(m *pb.Member) bool { return m.Id == id }) {
+			return true
+		}
+	}
+	return false
+}
+
 // limit is the silence after which a member of another data centre is suspected.
 func (v *View) limit(m *pb.Member, source, from string) time.Duration {
 	switch {
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -199,3 +199,17 @@
 		}
 	}
 }
+
+// News of a death crosses regions without waiting for the silence of a whole region.
+func TestDeadDaemonIsFoundInOtherRegions(t *testing.T) {
+	probe := newWorld(1)
+	probe.startFleet(2, 2, 3)
+	for i, address := range probe.addresses() {
+		w := newWorld(int64(i))
+		w.startFleet(2, 2, 3)
+		w.await(t, agreeLimit, w.agreed)
+		w.run(20 * time.Second)
+		delete(w.nodes, address)
+		t.Logf("%s: %v", address, w.await(t, 10*time.Second, w.agreed))
+	}
+}
