--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -118,11 +118,19 @@
 	if open.state == waiting {
 		b.readBefore(now.Add(b.opts.PollBusy))
 	}
-	if open.state != claiming || b.asks[a.Attempt] == nil {
+	if b.asks[a.Attempt] == nil || open.state == running {
+		return
+	}
+	full := len(b.asks) > b.opts.MaxAsks
+	if open.state == waiting {
+		if full {
+			b.giveUp(now, a.Attempt)
+			b.settle(a.Attempt, Unknown, nil)
+		}
 		return
 	}
 	down := !b.downSince.IsZero() && now.Sub(b.downSince) >= a.ClaimBy.Sub(now)
-	if down || len(b.asks) > b.opts.MaxAsks {
+	if down || full {
 		b.refuse(now, open)
 	}
 }
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -162,6 +162,25 @@
 	require.Empty(t, settledIn(b.Step(later, Asked{testAsk(2, later)})))
 }
 
+func TestOpenAsksAreBounded(t *testing.T) {
+	now := testStart
+	b := NewBook(Options{Daemon: "d1", Incarnation: 1, MaxAsks: 2})
+	b.Step(now, Tick{})
+	b.Step(now, Positioned{})
+	b.Step(now, Read{AtEnd: true})
+	b.Step(now, Asked{testAsk(1, now)})
+	b.Step(now, Appended{0})
+	require.Empty(t, settledIn(b.Step(now, Asked{testAsk(2, now)})), "it waits for the holder")
+	got := settledIn(b.Step(now, Asked{testAsk(3, now)}))
+	require.Equal(t, []Verdict{{Attempt: Attempt{3}, Answer: Unknown}}, got)
+	other := testAsk(4, now)
+	other.Key = Hash{9}
+	got = settledIn(b.Step(now, Asked{other}))
+	require.Equal(t, []Verdict{{Attempt: Attempt{4}, Answer: Unavailable}}, got)
+	asks, _ := b.Size()
+	require.Equal(t, 2, asks)
+}
+
 func TestBodiesAreBounded(t *testing.T) {
 	now := testStart
 	b := NewBook(Options{Daemon: "d1", MaxBodies: 100})
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -60,6 +60,7 @@
 		Skew:    claim.DefaultSkew,
 		Timeout: d.settings.ClaimTimeout,
 		MaxBody: maxKeptAnswer,
+		MaxHeld: d.settings.MaxHeld,
 	})
 }
 
--- a/internal/filter/once/once.go
+++ b/internal/filter/once/once.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/claim"
@@ -42,6 +43,7 @@
 	Skew    time.Duration // how far two clocks may differ
 	Timeout time.Duration // for recording a claim
 	MaxBody int           // bytes of an answer kept for callers that ask again
+	MaxHeld int64         // bytes of request bodies that wait for a claim or run under one
 }
 
 // New returns the filter.
@@ -52,6 +54,7 @@
 type handler struct {
 	opts Options
 	next filter.Handler
+	held atomic.Int64 // bytes of request bodies
 }
 
 // Handle passes on what is repeatable and what has no key: the daemon makes one attempt of it.
@@ -75,6 +78,11 @@
 	if err != nil {
 		return err
 	}
+	size := int64(len(r.Body))
+	defer h.held.Add(-size)
+	if h.held.Add(size) > h.opts.MaxHeld {
+		return unknown(r, result.DaemonFull, result.EarlierRequestUnknown, "the daemon holds too many request bodies")
+	}
 	verdict, err := claims.Claim(ctx, ask)
 	if err != nil {
 		return result.Wrap(err, result.CallerGone, "the caller went away")
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -58,7 +58,7 @@
 	}), New(Options{
 		Logged: f, Issued: f, Issuer: claim.Issuer{Secret: "secret", Daemon: "d1", Incarnation: 1},
 		EntryOf: func(string) string { return "10.0.0.2:80" },
-		Window:  time.Minute, Skew: time.Second, Timeout: time.Second, MaxBody: 10,
+		Window:  time.Minute, Skew: time.Second, Timeout: time.Second, MaxBody: 10, MaxHeld: 100,
 	}))
 	return chain.Handle(context.Background(), r), reached
 }
@@ -188,6 +188,18 @@
 	}
 }
 
+func TestBodiesHeldAreBounded(t *testing.T) {
+	for first, want := range map[bool]result.Code{false: result.EarlierRequestUnknown, true: result.DaemonFull} {
+		f := &fakeClaims{verdict: claim.Verdict{Answer: claim.Run}}
+		r, _ := newRequest(newKey(), first)
+		r.Body = make([]byte, 101)
+		err, reached := pass(f, r, answers("x"))
+		require.False(t, reached)
+		require.Equal(t, want, result.CodeOf(err))
+		require.Empty(t, f.asks)
+	}
+}
+
 func TestTruthful(t *testing.T) {
 	keyed, _ := newRequest(newKey(), false)
 	first, _ := newRequest(newKey(), true)
