--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -2,11 +2,12 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
 // account is what a dispatcher knows of one account. Its virtual time is its service over
-// its weight, wherever in the region it ran, plus what idleness has added.
+// its weight, that of other pools in part, plus what idleness has added.
 type account struct {
 	id       string
 	spec     AccountSpec
@@ -33,7 +34,14 @@
 	running int
 }
 
-func (r *remoteService) service() Cost { return r.served - r.base + r.charged }
+// remoteWeight is the part of other pools' service that counts in a virtual time. Each pool
+// sees every account that waits and is fair to it by itself; a part is enough to keep their
+// errors from adding up, and less of what arrives late.
+const remoteWeight = 0.25
+
+func (r *remoteService) service() Cost {
+	return remoteWeight * (r.served - r.base + r.charged)
+}
 
 func newAccount(id string, offset float64) *account {
 	return &account{
@@ -145,6 +153,24 @@
 	return best
 }
 
+// holder returns the daemon whose first request of the account has its prefix on the server
+// and has waited not much less than that of the given source, or the source.
+func (a *account) holder(source *node, server string) *node {
+	best := source
+	for n, demand := range a.demands {
+		if n.key.pool || !slices.Contains(demand.Prefer, server) {
+			continue
+		}
+		if demand.OldestWait+prefixMargin < a.demands[source].OldestWait {
+			continue
+		}
+		if best == source || n.key.name < best.key.name {
+			best = n
+		}
+	}
+	return best
+}
+
 // backlog is a heap of the accounts that wait, the least virtual time first.
 type backlog struct {
 	accounts []*account
