Use engines that do not tell their load

Cause: an answer other than a load put an engine on probation as if it could not be reached. Change: only calls that got no answer count as failures.

--- a/internal/controller/dispatch/dispatch_test.go
+++ b/internal/controller/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/filbertrill/filbertrill/internal/backend"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/result"
@@ -108,6 +109,20 @@
 	require.Equal(t, result.NoServerJoined, result.CodeOf(err))
 }
 
+func TestServerThatTellsNoLoadIsUsed(t *testing.T) {
+	c := startController(t, configOf(t, server("s1", "z1", 2, ticket.ServerJoined)))
+	first, err := c.Acquire(t.Context(), drafting)
+	require.NoError(t, err)
+	target := loadTarget{poolKey{"drafter", "z1"}, server("s1", "z1", 2, ticket.ServerJoined)}
+	for range 3 {
+		c.setLoad(target, 0, backend.ErrLoadNotTold)
+	}
+	second, err := c.Acquire(t.Context(), drafting)
+	require.NoError(t, err)
+	first.End(10)
+	second.End(10)
+}
+
 func TestPoolFallsToAnotherZoneWithoutMembers(t *testing.T) {
 	top := topology{scope: ScopeZone, self: "d1", zone: "z1", live: []*pb.Member{liveMember("d1", "z1")}}
 	config := configOf(t, server("s1", "z2", 1, ticket.ServerJoined))
--- a/internal/controller/dispatch/load.go
+++ b/internal/controller/dispatch/load.go
@@ -5,8 +5,10 @@
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/filbertrill/filbertrill/internal/backend"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
@@ -82,11 +84,13 @@
 	if !ok {
 		return
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, backend.ErrLoadNotTold):
+	case err != nil:
 		p.dispatcher.SetUnreachable(time.Now(), target.server.ID)
-		return
+	default:
+		p.dispatcher.SetLoad(time.Now(), target.server.ID, requests)
 	}
-	p.dispatcher.SetLoad(time.Now(), target.server.ID, requests)
 }
 
 // progress returns the cost that was last told.
