Stretch whole reports with the runs that a daemon holds

Cause: slopes showed 318 bytes a request and 135 B/s a run held, since whole reports went out each 500 ms: at 492 open streams a daemon that is 66 KB/s sent alone, against 29 KB/s for all control. Ruled out: a longer report lease in place of a keep-alive, which would hold a dead daemon's slots longer; whole reports only on request, which need a gap to be noticed. Change: a daemon repeats at most 100 runs a second in whole reports, from 500 ms to 6 s apart; an empty partial report each 1.5 s keeps its state alive.

--- a/internal/controller/dispatch/dispatch.go
+++ b/internal/controller/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 	leases     map[core.RequestID]*Lease
 	progressed time.Time // when the runs' costs were taken in
 	told       time.Time // last whole report
+	sent       time.Time // last report
 	dispatcher string    // member id that the last report went to
 }
 
--- a/internal/controller/dispatch/dispatch_test.go
+++ b/internal/controller/dispatch/dispatch_test.go
@@ -46,7 +46,7 @@
 	}}
 	change.Services = []ticket.Service{{
 		ID: "drafter", Kind: ticket.ServiceModel, Deadline: ticket.DefaultDeadline, IdleLimit: ticket.DefaultIdleLimit,
-		CutOff: ticket.CutOffRefuse, Presence: ticket.PresenceActive,
+		CutOff: ticket.CutOffRefuse, Scope: ticket.ScopeZone, Presence: ticket.PresenceActive,
 	}}
 	data, err := json.Marshal(change)
 	require.NoError(t, err)
@@ -145,3 +145,23 @@
 		}
 	}
 }
+
+func TestWholeReportsStretchWithTheRunsHeld(t *testing.T) {
+	for _, c := range []struct {
+		runs int
+		want time.Duration
+	}{{0, wholeInterval}, {10, wholeInterval}, {200, 2 * time.Second}, {5000, maxWholeInterval}} {
+		ctl := NewController(Options{SelfID: "d1"})
+		ctl.config = configOf(t, server("s1", "z1", 1, ticket.ServerJoined))
+		q := ctl.queue("drafter").queue
+		var grants []core.Grant
+		for n := range c.runs {
+			q.Enqueue(core.Request{ID: core.RequestID(n), Account: "a"})
+			grants = append(grants, core.Grant{ID: core.GrantID{Dispatcher: 1, Seq: uint64(n + 1)}, Account: "a", Server: "s1"})
+		}
+		now := time.Now()
+		q.Report(now)
+		q.Grants(now, core.Batch{Dispatcher: 1, ReportSeq: 1, Grants: grants})
+		require.Equal(t, c.want, ctl.wholeInterval(), "%d runs", c.runs)
+	}
+}
--- a/internal/controller/dispatch/messages.go
+++ b/internal/controller/dispatch/messages.go
@@ -10,6 +10,7 @@
 // reportQueues tells each pool's dispatcher what changed in the queues, and at intervals, or
 // when it is another, their whole state.
 func (c *Controller) reportQueues(now time.Time, t topology, tick bool) {
+	interval := c.wholeInterval()
 	for service, q := range c.queues {
 		key := poolKey{service, t.home(c.config, service)}
 		owner := t.owner(key)
@@ -20,18 +21,31 @@
 			q.takeProgress(now, c.opts.ReportInterval)
 		}
 		whole := owner.Id != q.dispatcher || q.queue.NeedsWhole() ||
-			(tick && !q.queue.Idle() && now.Sub(q.told) >= wholeInterval)
+			(tick && !q.queue.Idle() && now.Sub(q.told) >= interval)
+		due := tick && !q.queue.Idle() && now.Sub(q.sent) >= keepAliveInterval
 		switch {
 		case whole:
 			q.dispatcher = owner.Id
 			q.told = now
+			q.sent = now
 			c.sendReport(now, key, owner, q.queue.Report(now))
-		case q.queue.Changed():
+		case due || q.queue.Changed():
+			q.sent = now
 			c.sendReport(now, key, owner, q.queue.Changes(now))
 		}
 	}
 }
 
+// wholeInterval returns how often this daemon reports the whole state of a queue.
+func (c *Controller) wholeInterval() time.Duration {
+	runs := 0
+	for _, q := range c.queues {
+		runs += q.queue.Running()
+	}
+	stretched := time.Duration(runs) * time.Second / wholeRunRate
+	return min(max(stretched, wholeInterval), maxWholeInterval)
+}
+
 // takeProgress brings the costs of the running requests into the queue.
 func (q *serviceQueue) takeProgress(now time.Time, interval time.Duration) {
 	if now.Sub(q.progressed) < interval {
--- a/internal/controller/dispatch/pool.go
+++ b/internal/controller/dispatch/pool.go
@@ -10,8 +10,16 @@
 const (
 	// poolInterval is how often a dispatcher's pool is derived again from the members.
 	poolInterval = time.Second
-	// wholeInterval is how often daemons and dispatchers report their whole state.
+	// wholeInterval is how often dispatchers report their whole state to other pools, and
+	// daemons at least when they hold few runs.
 	wholeInterval = 500 * time.Millisecond
+	// maxWholeInterval bounds how long a lost partial report can go unmended.
+	maxWholeInterval = 6 * time.Second
+	// wholeRunRate is how many runs a second a daemon repeats in whole reports, over all
+	// its services, before it stretches the interval: a run takes about 65 bytes.
+	wholeRunRate = 100
+	// keepAliveInterval keeps a daemon's state within core.ReportLease.
+	keepAliveInterval = 1500 * time.Millisecond
 )
 
 // poolState is a pool whose dispatcher is, or lately was, this daemon.
--- a/test/measure/slopes/config.go
+++ b/test/measure/slopes/config.go
@@ -29,7 +29,7 @@
 	t := ticket.Ticket{Number: 1, Author: "measure", Reason: "slopes"}
 	t.Services = []ticket.Service{{
 		ID: "m", Kind: ticket.ServiceModel, Deadline: ticket.DefaultDeadline, IdleLimit: ticket.DefaultIdleLimit,
-		CutOff: ticket.CutOffRefuse, Presence: ticket.PresenceActive,
+		CutOff: ticket.CutOffRefuse, Scope: ticket.ScopeZone, Presence: ticket.PresenceActive,
 	}}
 	for i := range accounts {
 		t.Accounts = append(t.Accounts, ticket.Account{
@@ -38,11 +38,14 @@
 		})
 	}
 	for i := range servers {
-		t.Servers = append(t.Servers, server(i, 8))
+		t.Servers = append(t.Servers, server(i, serverSlots))
 	}
 	return t
 }
 
+// serverSlots is the number of slots of each server.
+const serverSlots = 64
+
 func server(i, slots int) ticket.Server {
 	return ticket.Server{
 		ID: fmt.Sprintf("server-%04d", i), Service: "m", Address: fmt.Sprintf("10.0.%d.%d:8000", i/256, i%256),
--- a/test/measure/slopes/main.go
+++ b/test/measure/slopes/main.go
@@ -22,7 +22,7 @@
 }
 
 func main() {
-	for _, group := range [][]series{configSeries(), entrySeries(), telemetrySeries(), dispatchSeries()} {
+	for _, group := range [][]series{configSeries(), entrySeries(), telemetrySeries(), dispatchSeries(), trafficSeries()} {
 		for _, s := range group {
 			s.report()
 		}
--- /dev/null
+++ b/test/measure/slopes/traffic.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
+	core "github.com/filbertrill/filbertrill/internal/dispatch"
+	"github.com/filbertrill/filbertrill/internal/peer/pb"
+)
+
+// trafficSeries measures the control messages between a daemon and the dispatcher of its
+// pool: bytes of one request with its demand, grant and end, and bytes a second of a daemon
+// whose runs go on.
+func trafficSeries() []series {
+	return []series{
+		{"traffic.request_runs", "bytes", "run", []int{4, 14, 50, 100}, requestBytes},
+		{"traffic.idle_runs", "bytes_per_s", "run", []int{4, 14, 50, 100}, standingBytes},
+	}
+}
+
+// pair is a daemon and a dispatcher that exchange messages in memory.
+type pair struct {
+	daemon, dispatcher *dispatch.Controller
+	bytes              atomic.Int64
+	stop               func()
+}
+
+const (
+	daemonID     = "d002"
+	dispatcherID = "d001"
+)
+
+// onlyDispatcher shows a member list in which one member holds every role.
+type onlyDispatcher struct{}
+
+// Live implements dispatch.Members.
+func (onlyDispatcher) Live(time.Time) []*pb.Member {
+	return []*pb.Member{{Id: dispatcherID, Zone: "z01", PeerAddress: dispatcherID, State: pb.MemberState_MEMBER_STATE_LIVE}}
+}
+
+// Address implements dispatch.Members.
+func (onlyDispatcher) Address(id string) string { return id }
+
+// meteredSender counts a message and hands it to the other controller.
+type meteredSender struct {
+	from  string
+	bytes *atomic.Int64
+	to    func() *dispatch.Controller
+}
+
+// Send implements dispatch.Sender.
+func (s meteredSender) Send(_ string, env *pb.Envelope) {
+	s.bytes.Add(int64(proto.Size(env)))
+	go func() {
+		switch body := env.Body.(type) {
+		case *pb.Envelope_DemandReport:
+			s.to().DemandReport(s.from, body.DemandReport, time.Now())
+		case *pb.Envelope_GrantBatch:
+			s.to().GrantBatch(s.from, body.GrantBatch, time.Now())
+		}
+	}()
+}
+
+func newPair() *pair {
+	p := &pair{}
+	options := func(id string, to func() *dispatch.Controller) dispatch.Options {
+		return dispatch.Options{
+			SelfID: id, Incarnation: uint64(time.Now().UnixNano()), Members: onlyDispatcher{}, Zone: "z01",
+			Sender: meteredSender{from: id, bytes: &p.bytes, to: to}, Logger: slog.New(slog.DiscardHandler),
+		}
+	}
+	p.daemon = dispatch.NewController(options(daemonID, func() *dispatch.Controller { return p.dispatcher }))
+	p.dispatcher = dispatch.NewController(options(dispatcherID, func() *dispatch.Controller { return p.daemon }))
+	config := newState(poolServers, poolAccounts).Config()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, c := range []*dispatch.Controller{p.daemon, p.dispatcher} {
+		c.SetConfig(config)
+		wg.Go(func() { c.Run(ctx) })
+	}
+	p.stop = func() { cancel(); wg.Wait() }
+	return p
+}
+
+func (p *pair) acquire(n int) *dispatch.Lease {
+	lease, err := p.daemon.Acquire(context.Background(), dispatch.Request{
+		Service: "m", Account: fmt.Sprintf("account-%04d", n%poolAccounts), Hint: core.Hint{Least: 10, Guess: 500, Limit: 1000},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return lease
+}
+
+// hold starts runs that go on.
+func (p *pair) hold(runs int) {
+	for n := range runs {
+		p.acquire(n).Progress(float64(100 + n))
+	}
+}
+
+// turns is the number of requests over which the bytes of one are taken.
+const turns = 200
+
+func requestBytes(runs int) float64 {
+	p := newPair()
+	defer p.stop()
+	p.hold(runs)
+	before := p.bytes.Load()
+	for n := range turns {
+		lease := p.acquire(n)
+		lease.Progress(900)
+		lease.End(900)
+	}
+	return float64(p.bytes.Load()-before) / turns
+}
+
+// standingTime is how long the messages of a daemon with standing runs are counted.
+const standingTime = 5 * time.Second
+
+func standingBytes(runs int) float64 {
+	p := newPair()
+	defer p.stop()
+	p.hold(runs)
+	before := p.bytes.Load()
+	time.Sleep(standingTime)
+	return float64(p.bytes.Load()-before) / standingTime.Seconds()
+}
