--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -39,6 +39,8 @@
 		{"bad duration", good("--log-timeout=fast"), nil, result.SettingInvalid, "--log-timeout"},
 		{"bad level", good("--log-level=loud"), nil, result.SettingInvalid, "--log-level"},
 		{"zero body", good("--max-body=0"), nil, result.SettingInvalid, "--max-body"},
+		{"no lifetime", good("--entries-lifetime=0s"), nil, result.SettingInvalid, "--entries-lifetime"},
+		{"negative margin", good("--drain-margin=-1s"), nil, result.SettingInvalid, "--drain-margin"},
 		{"bodies contradict", good("--max-held=5"), nil, result.SettingContradictory, "--max-held"},
 		{"certificate without key", good("--tls-cert=c.pem"), nil, result.SettingContradictory, "--tls-key"},
 		{"no such certificate", good("--tls-cert=none.pem", "--tls-key=none.pem"), nil, result.SettingInvalid, "--tls-cert"},
