Bind another zone's request to a busy server only after 300 ms

Cause: in a flood, pools granted a small account's new request of another zone beyond a server's slots at once; it then waited for that one server, while the first slot of the zone came free sooner. Change: the standby for other zones needs a wait of 300 ms. Waits are kept as times of arrival, since partial reports do not renew them.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -137,17 +137,17 @@
 // demand of another pool counts as hopMargin younger. With localOnly pools are left out.
 func (a *account) source(localOnly bool) *node {
 	var best *node
-	var bestWait time.Duration
+	var bestSince time.Time
 	for n, demand := range a.demands {
 		if demand.Waiting <= 0 || (localOnly && n.key.pool) {
 			continue
 		}
-		wait := demand.OldestWait
+		since := demand.since
 		if n.key.pool {
-			wait -= hopMargin
+			since = since.Add(hopMargin)
 		}
-		if best == nil || wait > bestWait || (wait == bestWait && n.key.name < best.key.name) {
-			best, bestWait = n, wait
+		if best == nil || since.Before(bestSince) || (since.Equal(bestSince) && n.key.name < best.key.name) {
+			best, bestSince = n, since
 		}
 	}
 	return best
@@ -161,7 +161,7 @@
 		if n.key.pool || !slices.Contains(demand.Prefer, server) {
 			continue
 		}
-		if demand.OldestWait+prefixMargin < a.demands[source].OldestWait {
+		if demand.since.Add(-prefixMargin).After(a.demands[source].since) {
 			continue
 		}
 		if best == source || n.key.name < best.key.name {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -217,3 +217,14 @@
 	e.ended("a", hint, 5)
 	require.Equal(t, 10.0+30.0, e.estimate("a", hint))
 }
+
+func TestFreshRequestOfAnotherPoolIsNotBoundToABusyServer(t *testing.T) {
+	pool := onePool(1)
+	pool.HopStandby = 1
+	b := newBench(t, pool)
+	b.enqueue("a", 1, 10)
+	b.step()
+	bid := Report{Incarnation: 1, Seq: 1, FromPool: "z2", Demands: []Demand{{Account: "b", Waiting: 1, Estimate: 10}}}
+	require.Empty(t, b.dispatcher.Report(b.now, "d9", bid))
+	require.Len(t, b.dispatcher.Tick(b.now.Add(hopStandbyAfter)), 1)
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -97,7 +97,7 @@
 	d.settleRuns(now, n, r)
 	d.settleEnded(now, n, r)
 	d.settleResults(now, n, r)
-	d.setDemands(n, r)
+	d.setDemands(now, n, r)
 	return true
 }
 
@@ -237,10 +237,11 @@
 	}
 }
 
-func (d *Dispatcher) setDemands(n *node, r Report) {
+func (d *Dispatcher) setDemands(now time.Time, n *node, r Report) {
 	mentioned := make(map[string]bool, len(r.Demands))
 	for i := range r.Demands {
 		demand := r.Demands[i]
+		demand.since = now.Add(-demand.OldestWait)
 		mentioned[demand.Account] = true
 		d.setDemand(n, &demand)
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -23,7 +23,7 @@
 			break
 		}
 		n := a.source(false)
-		s := d.freeServer(now, d.standby(n), a.demands[n].Prefer)
+		s := d.freeServer(now, d.standby(now, n, a), a.demands[n].Prefer)
 		if s == nil {
 			break
 		}
@@ -36,9 +36,13 @@
 	return sends(batches)
 }
 
+// hopStandbyAfter is how long a request of another pool must have waited to be bound to one
+// server before a slot of it is free: the first slot to come free anywhere is mostly sooner.
+const hopStandbyAfter = 300 * time.Millisecond
+
 // standby returns how many grants beyond a server's slots the reporter may get.
-func (d *Dispatcher) standby(n *node) int {
-	if n.key.pool {
+func (d *Dispatcher) standby(now time.Time, n *node, a *account) int {
+	if n.key.pool && now.Sub(a.demands[n].since) >= hopStandbyAfter {
 		return max(d.pool.Standby, d.pool.HopStandby)
 	}
 	return d.pool.Standby
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -64,6 +64,8 @@
 	Served      Cost     // by ended runs on the servers of the reporting pool since its dispatcher began
 	Charged     Cost     // for running ones
 	Running     int      // on the servers of the reporting pool
+
+	since time.Time // arrival of the first waiting request, by the dispatcher\'s clock
 }
 
 // Ended is the cumulative cost of an account's ended runs under one dispatcher incarnation.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -199,8 +199,8 @@
 			continue
 		}
 		demand.Waiting += local.Waiting
-		if local.OldestWait >= demand.OldestWait {
-			demand.OldestWait = local.OldestWait
+		if wait := now.Sub(local.since); wait >= demand.OldestWait {
+			demand.OldestWait = wait
 			demand.Estimate = local.Estimate
 		}
 	}
