Lift newcomers to what starting accounts earned, not to what they were charged

Cause: the floor that idle accounts are lifted to was the virtual time of the last start, with the charges of running grants in it. Change: for the floor a running grant counts at most the mean of the account's ended ones.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -15,6 +15,7 @@
 	settled  Cost    // of ended runs on the pool's servers
 	running  Cost    // charge of running grants on the pool's servers
 	inFlight int     // grants on the pool's servers
+	ended    int     // grants on the pool's servers that ended
 	remote   map[string]*remoteService
 	demands  map[*node]*Demand
 	backlog  int
@@ -63,6 +64,21 @@
 
 func (a *account) virtualTime() float64 { return a.offset + a.service()/a.spec.Weight }
 
+// earned returns the virtual time in which running grants count by what the account's
+// ended ones cost, where their charges are higher: these may be estimates that were made
+// before anything was known, and will be taken back. The mean stands in for an account
+// without ended grants.
+func (a *account) earned(mean Cost) float64 {
+	if a.ended > 0 {
+		mean = a.settled / Cost(a.ended)
+	}
+	sum := a.settled + min(a.running, mean*Cost(a.inFlight))
+	for _, r := range a.remote {
+		sum += remoteWeight * (r.served - r.base + min(r.charged, mean*Cost(r.running)))
+	}
+	return a.offset + sum/a.spec.Weight
+}
+
 // fleetInFlight returns the account's grants over all pools, as far as they are known.
 func (a *account) fleetInFlight() int {
 	n := a.inFlight
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -33,7 +33,9 @@
 	nodes       map[reporter]*node
 	upstreams   map[string]*upstream
 	backlog     backlog
-	floor       float64 // virtual time of the last start, never falls
+	settled     Cost    // of all ended grants
+	ended       int     // grants
+	floor       float64 // highest that a starting account had earned, never falls
 	lastGrant   uint64
 	begun       []*account // that began to wait in the report at hand
 	created     time.Time
@@ -258,10 +260,20 @@
 	}
 	d.server(g.server).add(-1)
 	g.account.inFlight--
+	g.account.ended++
+	d.ended++
 	g.account.running -= g.charge - g.base
 	d.touch(now, g.account)
 }
 
+// meanCost returns the mean cost of ended grants; 0 before any has ended.
+func (d *Dispatcher) meanCost() Cost {
+	if d.ended == 0 {
+		return 0
+	}
+	return d.settled / Cost(d.ended)
+}
+
 func (d *Dispatcher) dropRemote(pool string) {
 	for _, a := range d.accounts {
 		a.dropRemote(pool)
--- /dev/null
+++ b/internal/dispatch/floor_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestOverestimateDoesNotLiftNewcomers lets an account whose limits are ten times too high
+// start first. The account that comes next must not be held to charges that turn out wrong.
+func TestOverestimateDoesNotLiftNewcomers(t *testing.T) {
+	const slots, trueCost = 12, 1000
+	now := time.Unix(1, 0)
+	d := NewDispatcher(now, 1, Pool{
+		Name:     "z1",
+		Servers:  []ServerSpec{{ID: "s1", Slots: slots, Open: true}},
+		Accounts: map[string]AccountSpec{"over": {Weight: 1}, "exact": {Weight: 1}},
+	}, []string{"d1"})
+	q := NewQueue(QueueOptions{Incarnation: 1, Order: OrderFair})
+	account := map[RequestID]string{}
+	var running []RequestID
+	var next RequestID
+	enqueue := func(id string, limit Cost) {
+		next++
+		account[next] = id
+		q.Enqueue(Request{ID: next, Account: id, Arrived: now, Hint: Hint{Guess: limit, Limit: limit}})
+	}
+	report := func() {
+		now = now.Add(time.Millisecond)
+		for _, send := range d.Report(now, "d1", q.Report(now)) {
+			for _, s := range q.Grants(now, send.Batch) {
+				running = append(running, s.Request)
+			}
+		}
+	}
+	report()
+	for range 10 * slots {
+		enqueue("over", 10*trueCost)
+	}
+	report()
+	require.Len(t, running, slots)
+	for range 10 * slots {
+		enqueue("exact", trueCost)
+	}
+	report()
+
+	starts := map[string]int{}
+	for range 4 * slots {
+		q.End(now, running[0], trueCost, false)
+		running = running[1:]
+		before := len(running)
+		report()
+		for _, id := range running[before:] {
+			starts[account[id]]++
+		}
+	}
+	require.InDelta(t, starts["over"], starts["exact"], 2*slots, "%v", starts)
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -217,6 +217,7 @@
 		}
 		a := d.account(e.Account)
 		a.settled += added
+		d.settled += added
 		d.touch(now, a)
 	}
 }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -130,7 +130,7 @@
 	}
 	a.backlog--
 	if origin.Pool == "" {
-		d.floor = max(d.floor, a.virtualTime())
+		d.floor = max(d.floor, a.earned(d.meanCost()))
 	}
 	d.lastGrant++
 	g := &grant{
