--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"reflect"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,3 +69,13 @@
 	require.Contains(t, out.String(), "bytes")
 	require.Contains(t, out.String(), "--log-timeout=2s")
 }
+
+func TestPageNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/settings.md")
+	require.NoError(t, err)
+	for field := range reflect.TypeFor[Settings]().Fields() {
+		name := field.Tag.Get("env")
+		require.Contains(t, string(page), "`"+name+"`", field.Name)
+		require.Contains(t, string(page), field.Tag.Get("help"), field.Name)
+	}
+}
--- a/test/cluster/meter.go
+++ b/test/cluster/meter.go
@@ -55,17 +55,5 @@
 	meters.mu.Lock()
 	meter := meters.all[t.Meter]
 	meters.mu.Unlock()
-	for {
-		select {
-		case <-stub.Interrupt:
-			return
-		case chunk := <-stub.Input:
-			if chunk == nil {
-				stub.Close()
-				return
-			}
-			meter.bytes.Add(int64(len(chunk.Data)))
-			stub.Output <- chunk
-		}
-	}
+	pipe(stub, func(data []byte) { meter.bytes.Add(int64(len(data))) })
 }
--- a/test/cluster/stall.go
+++ b/test/cluster/stall.go
@@ -22,6 +22,15 @@
 
 // Pipe implements toxics.Toxic.
 func (t *StallToxic) Pipe(stub *toxics.ToxicStub) {
+	pipe(stub, func([]byte) {
+		if rand.Float64() < t.Probability {
+			time.Sleep(time.Duration(t.Delay) * time.Millisecond)
+		}
+	})
+}
+
+// pipe passes the chunks of a toxic on, after a call of before for each.
+func pipe(stub *toxics.ToxicStub, before func(data []byte)) {
 	for {
 		select {
 		case <-stub.Interrupt:
@@ -31,9 +40,7 @@
 				stub.Close()
 				return
 			}
-			if rand.Float64() < t.Probability {
-				time.Sleep(time.Duration(t.Delay) * time.Millisecond)
-			}
+			before(chunk.Data)
 			stub.Output <- chunk
 		}
 	}
