--- a/cmd/filbertrilld/main.go
+++ b/cmd/filbertrilld/main.go
@@ -15,6 +15,7 @@
 	"github.com/filbertrill/filbertrill/internal/daemon"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/platform"
 )
 
 // never outlasts any planned stop: go-zero kills the process this long after a signal.
@@ -30,6 +31,9 @@
 
 func run() error {
 	proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never})
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return runGateway(path)
+	}
 	settings, err := daemon.ParseSettings(os.Args[1:], os.Environ(), os.Stdout, os.Exit)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/admission/shares.go
@@ -0,0 +1,181 @@
+// Package admission decides which requests are refused when the backend servers of a
+// service can't answer all in time, and when a refused caller should come back. It has no
+// clock, socket or lock of its own.
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// buckets is the number of steps in which the window slides.
+const buckets = 8
+
+// Use is what an account asked for and was given over the window, in tokens.
+type Use struct {
+	Asked    float64
+	Admitted float64
+}
+
+// Shares keeps what accounts asked for over a sliding window, of this daemon and of its
+// peers, and works out their max-min fair share of the capacity. It is not safe for
+// concurrent use.
+type Shares struct {
+	window   time.Duration
+	capacity float64 // tokens a second
+	accounts map[uint64]*ring
+	peers    map[string]peerUse
+
+	level   float64 // the share, in tokens a window
+	levelAt time.Time
+}
+
+type peerUse struct {
+	uses map[uint64]Use
+	at   time.Time
+}
+
+type ring struct {
+	slots [buckets]Use
+	index int64 // of the newest slot
+}
+
+const (
+	// peerTTL is how long the use that a peer reported counts.
+	peerTTL = 1500 * time.Millisecond
+	// levelAge is how old a worked-out share may be.
+	levelAge = 50 * time.Millisecond
+)
+
+// NewShares returns shares over windows of the given length.
+func NewShares(window time.Duration) *Shares {
+	return &Shares{
+		window:   window,
+		accounts: make(map[uint64]*ring),
+		peers:    make(map[string]peerUse),
+	}
+}
+
+// SetCapacity sets the tokens a second that are shared.
+func (s *Shares) SetCapacity(tokensPerSecond float64) { s.capacity = tokensPerSecond }
+
+// Ask records a request of the account.
+func (s *Shares) Ask(account uint64, tokens float64, now time.Time) {
+	s.ring(account).at(s.index(now)).Asked += tokens
+}
+
+// Admit records that a request of the account was sent to a server.
+func (s *Shares) Admit(account uint64, tokens float64, now time.Time) {
+	s.ring(account).at(s.index(now)).Admitted += tokens
+}
+
+// SetPeer records the uses that a peer reported.
+func (s *Shares) SetPeer(peer string, uses map[uint64]Use, now time.Time) {
+	s.peers[peer] = peerUse{uses, now}
+}
+
+// Own returns the uses of this daemon over the window.
+func (s *Shares) Own(now time.Time) map[uint64]Use {
+	uses := make(map[uint64]Use, len(s.accounts))
+	index := s.index(now)
+	for account, r := range s.accounts {
+		if use := r.sum(index); use.Asked > 0 {
+			uses[account] = use
+		} else {
+			delete(s.accounts, account)
+		}
+	}
+	return uses
+}
+
+// Use returns the use of the account over the fleet.
+func (s *Shares) Use(account uint64, now time.Time) Use {
+	var use Use
+	if r, ok := s.accounts[account]; ok {
+		use = r.sum(s.index(now))
+	}
+	for peer, p := range s.peers {
+		if now.Sub(p.at) > peerTTL {
+			delete(s.peers, peer)
+			continue
+		}
+		use.Asked += p.uses[account].Asked
+		use.Admitted += p.uses[account].Admitted
+	}
+	return use
+}
+
+// Level returns the most tokens a window that an account receives while others want more.
+func (s *Shares) Level(now time.Time) float64 {
+	if now.Sub(s.levelAt) < levelAge {
+		return s.level
+	}
+	total := s.Own(now)
+	for peer, p := range s.peers {
+		if now.Sub(p.at) > peerTTL {
+			delete(s.peers, peer)
+			continue
+		}
+		for account, use := range p.uses {
+			sum := total[account]
+			sum.Asked += use.Asked
+			total[account] = sum
+		}
+	}
+	asked := make([]float64, 0, len(total))
+	for _, use := range total {
+		asked = append(asked, use.Asked)
+	}
+	s.level, s.levelAt = MaxMin(asked, s.capacity*s.window.Seconds()), now
+	return s.level
+}
+
+// MaxMin returns the level up to which demands are met so that they use up the capacity:
+// infinity, when all of them fit.
+func MaxMin(demands []float64, capacity float64) float64 {
+	slices.Sort(demands)
+	for i, d := range demands {
+		left := float64(len(demands) - i)
+		if d*left > capacity {
+			return capacity / left
+		}
+		capacity -= d
+	}
+	return math.Inf(1)
+}
+
+func (s *Shares) index(now time.Time) int64 {
+	return now.UnixNano() / (s.window.Nanoseconds() / buckets)
+}
+
+func (s *Shares) ring(account uint64) *ring {
+	r, ok := s.accounts[account]
+	if !ok {
+		r = &ring{}
+		s.accounts[account] = r
+	}
+	return r
+}
+
+// at returns the slot of the index and clears those that have left the window.
+func (r *ring) at(index int64) *Use {
+	if index-r.index >= buckets {
+		*r = ring{index: index}
+	}
+	for r.index < index {
+		r.index++
+		r.slots[r.index%buckets] = Use{}
+	}
+	return &r.slots[r.index%buckets]
+}
+
+func (r *ring) sum(index int64) Use {
+	var use Use
+	r.at(index)
+	for _, slot := range r.slots {
+		use.Asked += slot.Asked
+		use.Admitted += slot.Admitted
+	}
+	return use
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,310 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/upstream"
+)
+
+const (
+	// connectionShare is the part of a server's connections that the fleet uses.
+	connectionShare = 0.85
+	// maxForeign is the number of answers to other requests that are skipped on a connection.
+	maxForeign = 2
+	// maxWhole is the longest answer, in bytes, that is held until it is whole.
+	maxWhole = 1 << 20
+	// minLeft is the least time with which another attempt makes sense.
+	minLeft = 20 * time.Millisecond
+)
+
+// reach tells how far an attempt got.
+type reach int
+
+const (
+	unsent  reach = iota // no byte has left
+	notRun               // the server says that it has not run the request
+	unknown              // the server may have run it
+	partly               // part of the answer has been passed on
+	whole                // the caller has the whole answer
+)
+
+// attemptRecord is what the log says of an attempt.
+type attemptRecord struct {
+	server    string
+	predicted time.Duration
+	uncached  int
+	running   int
+	pending   int
+	home      bool
+	reach     reach
+	status    int
+	took      time.Duration
+	reused    bool
+}
+
+// LogValue returns the record for the log.
+func (a attemptRecord) LogValue() slog.Value {
+	return slog.StringValue(a.server +
+		" predicted=" + a.predicted.String() +
+		" uncached=" + strconv.Itoa(a.uncached) +
+		" running=" + strconv.Itoa(a.running) +
+		" pending=" + strconv.Itoa(a.pending) +
+		" home=" + strconv.FormatBool(a.home) +
+		" reused=" + strconv.FormatBool(a.reused) +
+		" reach=" + strconv.Itoa(int(a.reach)) +
+		" status=" + strconv.Itoa(a.status) +
+		" took=" + a.took.String())
+}
+
+// attempt sends the request to servers until one has answered.
+func (h *Handler) attempt(ctx context.Context, c *call) error {
+	choice, ok, verdict := h.Pilot.first(c, time.Now())
+	switch {
+	case !ok:
+		return result.New(result.NoServerJoined, "no backend server is ready").After(restingRetry)
+	case verdict.Reason == admission.OverShare:
+		return refusal(c, result.AccountOverShare, choice, verdict)
+	case verdict.Reason == admission.TooLate:
+		return refusal(c, result.ServersBusy, choice, verdict)
+	}
+	tried := make(map[string]bool, 2)
+	received := 0
+	for {
+		far, err := h.try(ctx, c, choice)
+		if far != unsent {
+			received++
+		}
+		if err == nil {
+			return nil
+		}
+		tried[choice.Server.ID] = true
+		if callerGone(c.http.Context()) {
+			return result.Wrap(err, result.CallerGone, "the caller went away")
+		}
+		if !again(c, far, received) {
+			return ended(c, far, err)
+		}
+		var allowed bool
+		choice, ok, allowed = h.Pilot.next(c, tried, far == unsent, time.Now())
+		if !ok || !allowed {
+			return ended(c, far, err)
+		}
+	}
+}
+
+func refusal(c *call, code result.Code, choice placement.Choice, v admission.Verdict) error {
+	return result.New(code, "predicted %v of %v at %s, %d to read, %d running", choice.Predicted,
+		c.route.Objective, choice.Server.ID, choice.Load.Pending+choice.Uncached, choice.Load.Running).After(v.RetryAfter)
+}
+
+// again reports whether another attempt may follow one that got so far.
+func again(c *call, far reach, received int) bool {
+	if received >= max(1, c.route.MaxAttempts) || time.Until(c.limit) < minLeft {
+		return false
+	}
+	switch far {
+	case unsent, notRun:
+		return true
+	case unknown:
+		return c.route.Repeatable()
+	case partly:
+		return c.route.Kind == routing.Stream && c.route.Resumable && c.events > 0
+	case whole:
+		return false
+	}
+	return false
+}
+
+// ended returns the final result of a request whose last attempt got so far. A promise
+// that it has not run needs that no attempt may have run.
+func ended(c *call, far reach, err error) error {
+	mayHaveRun := false
+	for _, a := range c.attempts {
+		mayHaveRun = mayHaveRun || a.reach == unknown || a.reach == partly
+	}
+	late := !time.Now().Before(c.limit)
+	switch {
+	case far == partly:
+		return result.Wrap(err, result.StreamBroken, "the answer broke off")
+	case !mayHaveRun:
+		return result.Wrap(err, result.ServersBusy, "no backend server took the request").After(restingRetry)
+	case late:
+		return result.Wrap(err, result.ServerSilent, "no answer in time")
+	default:
+		return result.Wrap(err, result.AnswerLost, "the answer was lost")
+	}
+}
+
+func callerGone(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
+// try sends the request to one server and passes its answer on.
+func (h *Handler) try(ctx context.Context, c *call, choice placement.Choice) (reach, error) {
+	started := time.Now()
+	record := attemptRecord{
+		server:    choice.Server.ID,
+		predicted: choice.Predicted,
+		uncached:  choice.Uncached,
+		running:   choice.Load.Running,
+		pending:   choice.Load.Pending,
+		home:      choice.Home,
+	}
+	attempt := h.Pilot.start(c, choice, started)
+	far, err := h.exchange(ctx, c, choice.Server, attempt, &record)
+	outcome := placement.Served
+	if err != nil {
+		outcome = placement.Failed
+		if ctx.Err() != nil {
+			outcome = placement.Abandoned
+		}
+	}
+	h.Pilot.end(attempt, outcome, time.Now())
+	record.reach, record.took = far, time.Since(started)
+	c.attempts = append(c.attempts, record)
+	return far, err
+}
+
+// exchange sends the request over a connection and passes the answer on.
+func (h *Handler) exchange(ctx context.Context, c *call, s routing.Server, a *placement.Attempt, record *attemptRecord) (reach, error) {
+	endpoint := upstream.Endpoint{Address: s.Address, ID: s.ID, Born: s.Born}
+	limit := int(connectionShare * float64(c.service.MaxConnections) / float64(max(1, h.Pilot.options.Daemons())))
+	conn, err := h.Pool.Get(ctx, endpoint, limit)
+	if err != nil {
+		return unsent, err
+	}
+	record.reused = conn.Reused()
+	watch := newWatch(ctx, conn, c)
+	far, err := h.converse(c, s, conn, a, watch, record)
+	if !watch.stop() || err != nil {
+		conn.Spoil()
+	}
+	h.Pool.Put(endpoint, conn)
+	return far, err
+}
+
+func (h *Handler) converse(c *call, s routing.Server, conn *upstream.Conn, a *placement.Attempt, watch *watch, record *attemptRecord) (reach, error) {
+	lastEvent := c.envelope.LastEvent
+	if c.events > 0 {
+		lastEvent = strconv.FormatUint(c.last, 10)
+	}
+	head := h.Protocol.Head(Dispatch{
+		Request:   c.http,
+		Envelope:  c.envelope,
+		Account:   c.account,
+		Server:    s,
+		Left:      time.Until(c.limit),
+		LastEvent: lastEvent,
+		BodyBytes: len(c.body),
+	})
+	left, sendErr := conn.Send(head, c.body)
+	if !left {
+		return unsent, sendErr
+	}
+	// A server may answer before it has read the whole body.
+	response, answer, err := h.receive(c, conn)
+	if err != nil {
+		return unknown, errors.CombineErrors(err, sendErr)
+	}
+	if sendErr != nil {
+		conn.Spoil()
+	}
+	record.status = response.StatusCode
+	switch {
+	case answer.NotRun, answer.Wrong:
+		drain(conn, response)
+		return notRun, errors.Newf("server did not run the request, status %d", response.StatusCode)
+	case response.Header.Get("Content-Encoding") != "":
+		conn.Spoil()
+		return unknown, errors.New("answer has an encoding that nobody asked for")
+	case response.StatusCode/100 == 2 && !answer.Signed:
+		conn.Spoil()
+		return unknown, errors.New("answer is not signed by the server")
+	case response.StatusCode/100 == 2 && c.route.Kind == routing.Stream:
+		return h.relayEvents(c, conn, response, a, watch)
+	}
+	return h.relayWhole(c, conn, response, a)
+}
+
+// receive reads the head of the answer to this request. Late answers to others are skipped.
+func (h *Handler) receive(c *call, conn *upstream.Conn) (*http.Response, Answer, error) {
+	for range maxForeign + 1 {
+		response, err := conn.Receive(c.http.Method)
+		if err != nil {
+			return nil, Answer{}, err
+		}
+		answer := h.Protocol.Answer(response.Header)
+		if answer.ID == c.envelope.ID || (answer.ID == "" && response.StatusCode/100 != 2) {
+			return response, answer, nil
+		}
+		conn.Spoil()
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			break // no end that another answer could follow
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxWhole)); err != nil {
+			return nil, Answer{}, errors.Wrap(err, "skip the answer to another request")
+		}
+	}
+	return nil, Answer{}, errors.New("the connection carries answers to other requests")
+}
+
+// drain reads a short body so that the connection can be used again.
+func drain(conn *upstream.Conn, response *http.Response) {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, 16<<10))
+	if err != nil || n == 16<<10 {
+		conn.Spoil()
+	}
+}
+
+// watch closes a connection when the request's context ends, or when the server has been
+// silent for longer than its answer may take while another server could go on.
+type watch struct {
+	conn    *upstream.Conn
+	release func() bool
+	timer   *time.Timer
+	wait    time.Duration
+}
+
+const (
+	// firstPatience and pausePatience are the multiples of the route's objective and of its
+	// longest pause after which a silent server is given up for another one.
+	firstPatience = 3
+	pausePatience = 3
+	// minPatience bounds both from below.
+	minPatience = 300 * time.Millisecond
+)
+
+func newWatch(ctx context.Context, conn *upstream.Conn, c *call) *watch {
+	w := &watch{conn: conn}
+	w.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if c.route.Repeatable() && len(c.attempts)+1 < c.route.MaxAttempts {
+		w.timer = time.AfterFunc(max(minPatience, firstPatience*c.route.Objective), func() { _ = conn.Close() })
+		w.wait = max(minPatience, pausePatience*c.route.MaxPause)
+	}
+	return w
+}
+
+// heard puts the end of patience off: an event has arrived.
+func (w *watch) heard() {
+	if w.timer != nil {
+		w.timer.Reset(w.wait)
+	}
+}
+
+// stop ends the watch and reports false when the connection has been closed.
+func (w *watch) stop() bool {
+	stopped := w.release()
+	if w.timer != nil {
+		stopped = w.timer.Stop() && stopped
+	}
+	return stopped
+}
--- /dev/null
+++ b/internal/forward/pilot.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/retry"
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// generatedWeight is the cost of a generated token in prompt tokens, as the capacity of
+// engines counts both.
+const generatedWeight = 2
+
+// Pilot joins the decisions on requests: admission, placement and retry budgets. Its
+// methods are safe for concurrent use.
+type Pilot struct {
+	mu      sync.Mutex
+	board   *placement.Board
+	shares  *admission.Shares
+	budgets map[string]*retry.Window
+	options PilotOptions
+}
+
+// PilotOptions are the settings of a Pilot.
+type PilotOptions struct {
+	Zone        string
+	FairWindow  time.Duration
+	RetryBudget retry.WindowOptions
+	Daemons     func() int // of the fleet, those cut off included
+}
+
+// NewPilot returns a pilot that knows no servers.
+func NewPilot(o PilotOptions) *Pilot {
+	return &Pilot{
+		board:   placement.NewBoard(o.Zone),
+		shares:  admission.NewShares(o.FairWindow),
+		budgets: make(map[string]*retry.Window),
+		options: o,
+	}
+}
+
+// AccountHash names an account in the messages between daemons.
+func AccountHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// SetServers takes the backend servers and the configuration that says what they can do.
+func (p *Pilot) SetServers(servers []routing.Server, c *routing.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.SetServers(servers)
+	if c == nil {
+		return
+	}
+	p.shares.SetCapacity(c.Limits.TokensPerSecond)
+	for i := range c.Services {
+		s := &c.Services[i]
+		ready := 0
+		for _, server := range servers {
+			if server.Service == s.Name && server.State == routing.Ready {
+				ready++
+			}
+		}
+		if s.EngineSlots > 0 && ready > 0 {
+			p.board.SetCapacity(s.Name, c.Limits.TokensPerSecond/float64(ready), s.MemoryTokens)
+		}
+	}
+}
+
+// SetPeer takes what a peer has under way and what accounts asked of it.
+func (p *Pilot) SetPeer(id string, loads map[uint64]placement.Load, uses map[uint64]admission.Use, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.SetPeerLoad(id, loads, now)
+	p.shares.SetPeer(id, uses, now)
+}
+
+// Own returns what this daemon has under way and what accounts asked of it.
+func (p *Pilot) Own(now time.Time) (map[uint64]placement.Load, map[uint64]admission.Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.board.OwnLoad(), p.shares.Own(now)
+}
+
+// first decides on the first attempt of a request.
+func (p *Pilot) first(c *call, now time.Time) (placement.Choice, bool, admission.Verdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(c.service.Name).Request(now)
+	request := placementRequest(c)
+	tokens := float64(request.Prompt + generatedWeight*request.Output)
+	account := AccountHash(c.account)
+	if request.Engine {
+		p.shares.Ask(account, tokens, now)
+	}
+	choice, ok := p.board.Choose(request, nil, now)
+	if !ok {
+		return choice, false, admission.Verdict{}
+	}
+	verdict := admission.Decide(admission.Question{
+		Predicted: choice.Predicted,
+		Objective: c.route.Objective,
+		Left:      c.limit.Sub(now),
+		Use:       p.shares.Use(account, now),
+		Tokens:    tokens,
+		Level:     p.shares.Level(now),
+		Window:    p.options.FairWindow,
+		Jitter:    jitter(),
+	})
+	if verdict.Reason == admission.Admitted && request.Engine {
+		p.shares.Admit(account, tokens, now)
+	}
+	return choice, true, verdict
+}
+
+// next decides on a further attempt. It reports whether there is a server, and whether
+// the budget allows the repeat. A free attempt follows one that no server received.
+func (p *Pilot) next(c *call, tried map[string]bool, free bool, now time.Time) (choice placement.Choice, ok, allowed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice, ok = p.board.Choose(placementRequest(c), tried, now)
+	if !ok {
+		return choice, false, false
+	}
+	return choice, true, free || p.budget(c.service.Name).Take(now, p.options.Daemons())
+}
+
+func (p *Pilot) start(c *call, choice placement.Choice, now time.Time) *placement.Attempt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.board.Start(placementRequest(c), choice, now)
+}
+
+func (p *Pilot) begin(a *placement.Attempt, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.Begin(a, now)
+}
+
+func (p *Pilot) end(a *placement.Attempt, o placement.Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.End(a, o, now)
+}
+
+// budget returns the retry budget of the service. The caller holds the lock.
+func (p *Pilot) budget(service string) *retry.Window {
+	w, ok := p.budgets[service]
+	if !ok {
+		w = retry.NewWindow(p.options.RetryBudget)
+		p.budgets[service] = w
+	}
+	return w
+}
+
+func placementRequest(c *call) placement.Request {
+	return placement.Request{
+		Service: c.service.Name,
+		Engine:  c.route.Engine,
+		Parts:   c.envelope.Parts,
+		Prompt:  c.envelope.Prompt,
+		Output:  c.envelope.Output,
+	}
+}
--- /dev/null
+++ b/internal/forward/protocol.go
@@ -0,0 +1,52 @@
+// Package forward passes requests of callers on to backend servers and their answers
+// back, unchanged. It decides nothing on its own: admission, placement and retry budgets
+// are packages of their own, and the names on the wire belong to a Protocol.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// Envelope is what a caller says of its request beside method, path and body.
+type Envelope struct {
+	ID        string // of this attempt of the caller; servers echo it
+	Key       string // of the client account
+	Deadline  time.Duration
+	Parts     []placement.Part
+	Prompt    int // tokens
+	Output    int // tokens, the best estimate
+	LastEvent string
+}
+
+// Dispatch is what a server is told of a request.
+type Dispatch struct {
+	Request   *http.Request
+	Envelope  *Envelope
+	Account   string
+	Server    routing.Server
+	Left      time.Duration // until the caller's deadline
+	LastEvent string        // after which a stream goes on
+	BodyBytes int
+}
+
+// Answer is what the head of a server's answer says.
+type Answer struct {
+	ID     string // of the request that it answers; empty when not said
+	NotRun bool   // the server has not run the request and never will
+	Signed bool
+	Wrong  bool // the server is another one than the request expects
+}
+
+// Protocol holds the names and formats of requests and answers.
+type Protocol interface {
+	// Decode reads the envelope of a caller's request.
+	Decode(r *http.Request) (*Envelope, error)
+	// Head returns the head of the request to a server, up to and with the empty line.
+	Head(d Dispatch) []byte
+	// Answer reads the head of a server's answer.
+	Answer(h http.Header) Answer
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,298 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/exchange"
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/forward"
+	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/retry"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
+	"github.com/filbertrill/filbertrill/internal/topology"
+	"github.com/filbertrill/filbertrill/internal/upstream"
+)
+
+const (
+	// memoryShare is the part of the memory limit at which the collector works harder.
+	memoryShare = 0.6
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than any caller keeps an unused connection.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// sweepInterval is the time between two looks at unused connections.
+	sweepInterval = time.Second
+	// pullAfter is how long a newer configuration of a peer may be unread here before it is
+	// pulled from there.
+	pullAfter = 300 * time.Millisecond
+)
+
+// Handlers wraps the product's answers into those of the platform.
+type Handlers struct {
+	Directory func(entries func(zone, region string) Entries) http.Handler
+	Readiness func(ready func() bool) http.Handler
+	Protocol  forward.Protocol
+	Store     topology.Store
+}
+
+// Gateway is one running daemon.
+type Gateway struct {
+	settings Settings
+	handlers Handlers
+	logger   *slog.Logger
+
+	topology *topology.Map
+	reader   *topology.Reader
+	exchange *exchange.Exchange
+	pilot    *forward.Pilot
+	pool     *upstream.Pool
+	handler  *forward.Handler
+	scrape   http.Handler
+
+	servers  []*http.Server
+	entry    *http.Server
+	draining atomic.Bool
+	stop     chan struct{}
+	pulling  atomic.Bool
+}
+
+// New wires the parts. Nothing serves before Run.
+func New(s Settings, h Handlers) (*Gateway, error) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	g := &Gateway{
+		settings: s,
+		handlers: h,
+		logger:   logging.For(logging.Daemon),
+		pool:     upstream.NewPool(),
+		stop:     make(chan struct{}),
+	}
+	g.pilot = forward.NewPilot(forward.PilotOptions{
+		Zone:        s.Zone,
+		FairWindow:  s.FairWindow,
+		RetryBudget: retry.WindowOptions{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Daemons:     func() int { return g.exchange.Size() },
+	})
+	g.topology = topology.NewMap(g.serversChanged)
+	g.reader = topology.NewReader(h.Store, g.topology, logging.For(logging.Config))
+	metrics, scrape, _ := telemetry.New(telemetry.Options{})
+	g.scrape = scrape
+	g.handler = forward.NewHandler(forward.Options{
+		Protocol: h.Protocol,
+		Config:   g.topology.Config,
+		Age:      g.reader.Age,
+		Pilot:    g.pilot,
+		Pool:     g.pool,
+		Metrics:  metrics,
+		Logger:   logging.For(logging.Entry),
+	})
+	x, err := exchange.New(exchange.Options{
+		ID:       s.ID,
+		Address:  s.Control,
+		Seeds:    s.Seeds,
+		Fill:     g.fill,
+		Received: g.received,
+		Records:  g.records,
+		Logger:   logging.For(logging.Peer),
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.exchange = x
+	return g, nil
+}
+
+// Run serves until a planned stop is over.
+func (g *Gateway) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go g.reader.Run(ctx)
+	go g.sweep(ctx)
+	go func() {
+		if err := g.exchange.Run(ctx); err != nil {
+			g.logger.Error("Exchange ended.", "error", err)
+		}
+	}()
+	if err := g.listen(); err != nil {
+		return err
+	}
+	g.logger.Info("Started.", "id", g.settings.ID, "zone", g.settings.Zone, "entry", g.settings.Entry,
+		"control", g.settings.Control)
+	<-g.stop
+	g.drain()
+	return nil
+}
+
+func (g *Gateway) listen() error {
+	g.entry = g.server(g.handler)
+	listeners := []struct {
+		address string
+		server  *http.Server
+	}{
+		{g.settings.Entry, g.entry},
+		{g.settings.Directory, g.server(g.handlers.Directory(g.entries))},
+		{g.settings.Readiness, g.server(g.handlers.Readiness(g.ready))},
+		{g.settings.Metrics, g.server(g.scrape)},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		g.servers = append(g.servers, l.server)
+		go func() {
+			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				g.logger.Error("Address is not served.", "address", l.address, "error", err)
+			}
+		}()
+	}
+	return nil
+}
+
+func (g *Gateway) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0), // aborted answers are logged by the handler
+	}
+}
+
+// Reload logs that the settings have changed. What they hold for a running daemon, such
+// as seeds, is learnt from peers and the store.
+func (g *Gateway) Reload(s Settings) {
+	g.exchange.Know(s.Seeds)
+	g.logger.Info("Settings reloaded.", "seeds", s.Seeds)
+}
+
+func (g *Gateway) ready() bool {
+	return !g.draining.Load() && g.topology.Config() != nil && g.reader.Listed()
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-time.After(sweepInterval):
+			_ = now
+		}
+		known := make(map[upstream.Endpoint]bool)
+		for _, s := range g.topology.Servers() {
+			known[upstream.Endpoint{Address: s.Address, ID: s.ID, Born: s.Born}] = true
+		}
+		g.pool.Keep(func(e upstream.Endpoint) bool { return known[e] }, time.Now())
+	}
+}
+
+func (g *Gateway) serversChanged() {
+	g.pilot.SetServers(g.topology.Servers(), g.topology.Config())
+	g.exchange.Wake()
+}
+
+// fill completes the state that peers receive.
+func (g *Gateway) fill(s *pb.State) {
+	now := time.Now()
+	s.Zone, s.Region = g.settings.Zone, g.settings.Region
+	s.EntryAddress = g.settings.Entry
+	s.Draining = !g.ready()
+	if c := g.topology.Config(); c != nil {
+		s.ConfigVersion = c.Version
+	}
+	loads, uses := g.pilot.Own(now)
+	for hash, l := range loads {
+		s.Servers = append(s.Servers, &pb.ServerLoad{
+			Server:        hash,
+			Running:       uint32(l.Running),
+			PendingTokens: uint32(l.Pending),
+			MemoryTokens:  uint32(l.Memory),
+		})
+	}
+	for hash, u := range uses {
+		s.Accounts = append(s.Accounts, &pb.AccountUse{Account: hash, Asked: uint64(u.Asked), Admitted: uint64(u.Admitted)})
+	}
+	for _, w := range g.topology.Withdrawals(now) {
+		s.Withdrawn = append(s.Withdrawn, &pb.Withdrawal{Server: w.ID, Born: w.Born, Sequence: w.Sequence})
+	}
+}
+
+// received takes the state of a peer.
+func (g *Gateway) received(s *pb.State) {
+	now := time.Now()
+	loads := make(map[uint64]placement.Load, len(s.Servers))
+	for _, l := range s.Servers {
+		loads[l.Server] = placement.Load{Running: int(l.Running), Pending: int(l.PendingTokens), Memory: int(l.MemoryTokens)}
+	}
+	uses := make(map[uint64]admission.Use, len(s.Accounts))
+	for _, u := range s.Accounts {
+		uses[u.Account] = admission.Use{Asked: float64(u.Asked), Admitted: float64(u.Admitted)}
+	}
+	g.pilot.SetPeer(s.Id, loads, uses, now)
+	for _, w := range s.Withdrawn {
+		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Born: w.Born, Sequence: w.Sequence, At: now}) {
+			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", s.Id)
+		}
+	}
+	if s.ConfigVersion > g.version() && g.pulling.CompareAndSwap(false, true) {
+		go g.pull(s.ControlAddress, s.ConfigVersion)
+	}
+}
+
+func (g *Gateway) version() uint64 {
+	if c := g.topology.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// pull takes the records of a peer that knows a newer configuration, unless the store
+// brings it meanwhile.
+func (g *Gateway) pull(address string, version uint64) {
+	defer g.pulling.Store(false)
+	time.Sleep(pullAfter)
+	if g.version() >= version {
+		return
+	}
+	records, err := g.exchange.Pull(context.Background(), address)
+	if err != nil {
+		g.logger.Warn("Records not pulled.", "peer", address, "error", err)
+		return
+	}
+	now := time.Now()
+	for _, r := range records.Servers {
+		g.reader.ApplyServer(topology.Record{Key: r.Key, Value: r.Value}, now)
+	}
+	if len(records.Config) > 0 {
+		g.reader.ApplyConfig(topology.Record{Key: records.ConfigKey, Value: records.Config})
+	}
+	g.logger.Info("Records pulled.", "peer", address, "version", g.version())
+}
+
+// records are what peers pull.
+func (g *Gateway) records() *pb.Records {
+	key, config := g.topology.ConfigRecord()
+	out := &pb.Records{ConfigKey: key, Config: config}
+	for key, value := range g.topology.Records() {
+		out.Servers = append(out.Servers, &pb.ServerRecord{Key: key, Value: value})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,34 @@
+// Package gateway is the daemon that forwards traffic on a platform with a store of its
+// own: it wires listeners, topology, exchange and forwarding, and stops them in order.
+package gateway
+
+import (
+	"time"
+)
+
+// Settings are the settings of a gateway.
+type Settings struct {
+	ID        string
+	Zone      string
+	Region    string
+	Entry     string // ip:port for callers
+	Readiness string // ip:port
+	Control   string // ip:port for other daemons
+	Directory string // ip:port for callers that ask where to connect
+	Metrics   string // ip:port; empty for none
+	Seeds     []string
+
+	MemoryBytes int64         // limit of the process; 0 for none
+	Grace       time.Duration // between the signal to stop and the end of the process
+	EntryTTLMax time.Duration // longest time that callers keep an answer of the directory
+	FairWindow  time.Duration // over which shares of accounts are worked out
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Entries are the addresses that a caller may connect to.
+type Entries struct {
+	Addresses []string
+	TTL       time.Duration
+}
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,311 @@
+// Package placement decides which backend server a request goes to. It predicts for each
+// server the time to the first event from the prompt tokens that the server has still to
+// read, and charges prompt parts that would be read again. It has no clock, socket or
+// lock of its own.
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+const (
+	// rereadWeight charges a token that would be read again beyond its own delay: reading is
+	// the scarce capacity of engines, and it delays the requests behind.
+	rereadWeight = 2.0
+	// crossZone is charged for a server of another zone: about one round trip.
+	crossZone = 8 * time.Millisecond
+	// failurePenalty is charged for a server whose every recent request failed.
+	failurePenalty = 3 * time.Second
+	// peerLoadTTL is how long the load that a peer reported counts.
+	peerLoadTTL = 1500 * time.Millisecond
+	// homeTrust is the part of a shared prompt that is taken for cached on its home server
+	// before any request of this daemon has shown it.
+	homeTrust = 0.6
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what placement needs of a request.
+type Request struct {
+	Service string
+	Engine  bool
+	Parts   []Part // in order; the last one belongs to the request or its session
+	Prompt  int    // tokens of the whole prompt
+	Output  int    // expected tokens of the answer
+}
+
+// Load is the work that one daemon has under way at one server.
+type Load struct {
+	Running int // requests
+	Pending int // prompt tokens of requests without a first event
+	Memory  int // tokens of all requests
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{l.Running + o.Running, l.Pending + o.Pending, l.Memory + o.Memory}
+}
+
+// Choice is a server with the prediction that speaks for it.
+type Choice struct {
+	Server    routing.Server
+	Predicted time.Duration // to the first event, or to the answer of a plain service
+	Uncached  int           // prompt tokens that the server has to read
+	Load      Load          // of the server, as known
+	Home      bool          // the server is the first choice of the prompt's shared part
+}
+
+type server struct {
+	routing.Server
+	hash     uint64
+	own      Load
+	peers    map[string]peerLoad
+	cache    *promptCache
+	speed    float64 // observed over predicted time
+	latency  float64 // seconds of a plain request
+	failures float64 // share of recent requests that failed
+	failedAt time.Time
+	oldest   map[*Attempt]struct{} // attempts without a first event
+}
+
+type peerLoad struct {
+	Load
+	at time.Time
+}
+
+// Board holds the servers and what is known of their load. It is not safe for
+// concurrent use.
+type Board struct {
+	zone    string
+	servers map[string]*server
+	byHash  map[uint64]*server
+	models  map[string]*timeModel // by service
+}
+
+// NewBoard returns a board of a daemon in the zone.
+func NewBoard(zone string) *Board {
+	return &Board{
+		zone:    zone,
+		servers: make(map[string]*server),
+		byHash:  make(map[uint64]*server),
+		models:  make(map[string]*timeModel),
+	}
+}
+
+// Hash names a server in the messages between daemons.
+func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+
+// SetServers replaces the servers. A server that started again loses what was known of it.
+func (b *Board) SetServers(servers []routing.Server) {
+	known := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		known[s.ID] = true
+		if old, ok := b.servers[s.ID]; ok && old.Born == s.Born && old.Address == s.Address {
+			old.Server = s
+			continue
+		}
+		created := &server{
+			Server: s,
+			hash:   Hash(s.ID),
+			peers:  make(map[string]peerLoad),
+			cache:  newPromptCache(),
+			speed:  1,
+			oldest: make(map[*Attempt]struct{}),
+		}
+		b.servers[s.ID] = created
+		b.byHash[created.hash] = created
+	}
+	for id, s := range b.servers {
+		if !known[id] {
+			delete(b.servers, id)
+			delete(b.byHash, s.hash)
+		}
+	}
+}
+
+// SetCapacity gives the tokens a second of one server of the service, from which
+// predictions start before anything has been observed.
+func (b *Board) SetCapacity(service string, tokensPerSecond float64, memoryTokens int64) {
+	b.model(service).prior(tokensPerSecond)
+	for _, s := range b.servers {
+		if s.Service == service {
+			s.cache.resize(memoryTokens)
+		}
+	}
+}
+
+// SetPeerLoad records what a peer has under way at the servers, by hash.
+func (b *Board) SetPeerLoad(peer string, loads map[uint64]Load, now time.Time) {
+	for hash, s := range b.byHash {
+		load, ok := loads[hash]
+		if !ok {
+			delete(s.peers, peer)
+			continue
+		}
+		s.peers[peer] = peerLoad{load, now}
+	}
+}
+
+// OwnLoad returns what this daemon has under way, by hash.
+func (b *Board) OwnLoad() map[uint64]Load {
+	loads := make(map[uint64]Load)
+	for hash, s := range b.byHash {
+		if s.own.Running > 0 {
+			loads[hash] = s.own
+		}
+	}
+	return loads
+}
+
+// Choose returns the best server for the request, leaving out those of the set, and
+// whether there is one.
+func (b *Board) Choose(r Request, tried map[string]bool, now time.Time) (Choice, bool) {
+	home := b.home(r)
+	best, found, bestScore := Choice{}, false, math.Inf(1)
+	for _, s := range b.servers {
+		if s.Service != r.Service || s.State != routing.Ready || tried[s.ID] {
+			continue
+		}
+		c := b.predict(s, r, s == home, now)
+		score := b.score(s, c, now)
+		if score < bestScore || (score == bestScore && s.ID < best.Server.ID) {
+			best, found, bestScore = c, true, score
+		}
+	}
+	return best, found
+}
+
+// Capacity returns the places of the ready servers of the service and how many of them
+// are taken.
+func (b *Board) Capacity(service string, now time.Time) (places, taken int) {
+	for _, s := range b.servers {
+		if s.Service == service && s.State == routing.Ready {
+			places += s.Slots
+			taken += s.load(now).Running
+		}
+	}
+	return places, taken
+}
+
+func (b *Board) predict(s *server, r Request, home bool, now time.Time) Choice {
+	c := Choice{Server: s.Server, Load: s.load(now), Home: home}
+	if !r.Engine {
+		waiting := max(0, c.Load.Running+1-s.Slots)
+		rounds := 1 + float64(waiting)/float64(max(1, s.Slots))
+		c.Predicted = seconds(s.latency * rounds)
+		return c
+	}
+	c.Uncached = s.uncached(r, home, now)
+	c.Predicted = b.model(r.Service).predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed)
+	if over := c.Load.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
+		// A place frees about each time that a stream ends; streams last a second or more.
+		c.Predicted += time.Duration(over) * time.Second / time.Duration(s.Slots)
+	}
+	return c
+}
+
+func (b *Board) score(s *server, c Choice, now time.Time) float64 {
+	score := c.Predicted.Seconds()
+	score += rereadWeight * float64(c.Uncached) * b.model(s.Service).slope() * s.speed
+	if s.Zone != b.zone {
+		score += crossZone.Seconds()
+	}
+	if s.latency > 0 {
+		score += s.latency * float64(c.Load.Running) / float64(max(1, s.Slots))
+	}
+	score += failurePenalty.Seconds() * s.failureShare(now)
+	score += s.silence(now).Seconds()
+	return score
+}
+
+// home returns the server that all daemons prefer for the shared part of the prompt
+// (rendezvous hashing, Thaler and Ravishankar 1998), or nil.
+func (b *Board) home(r Request) *server {
+	if !r.Engine || len(r.Parts) < 2 {
+		return nil
+	}
+	key := r.Parts[len(r.Parts)-2].ID
+	var best *server
+	var bestWeight uint64
+	for _, s := range b.servers {
+		if s.Service != r.Service || s.State != routing.Ready {
+			continue
+		}
+		weight := mix(key, s.hash)
+		if best == nil || weight > bestWeight {
+			best, bestWeight = s, weight
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of SplitMix64 (Steele et al. 2014) over both values.
+func mix(a, b uint64) uint64 {
+	z := a*0x9e3779b97f4a7c15 ^ b
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (b *Board) model(service string) *timeModel {
+	m, ok := b.models[service]
+	if !ok {
+		m = newTimeModel()
+		b.models[service] = m
+	}
+	return m
+}
+
+func (s *server) load(now time.Time) Load {
+	load := s.own
+	for peer, l := range s.peers {
+		if now.Sub(l.at) > peerLoadTTL {
+			delete(s.peers, peer)
+			continue
+		}
+		load = load.plus(l.Load)
+	}
+	return load
+}
+
+func (s *server) uncached(r Request, home bool, now time.Time) int {
+	cached := s.cache.prefix(r.Parts, now)
+	if home && len(r.Parts) > 1 {
+		shared := 0
+		for _, p := range r.Parts[:len(r.Parts)-1] {
+			shared += p.Tokens
+		}
+		cached = max(cached, int(homeTrust*float64(shared)))
+	}
+	return max(0, r.Prompt-cached)
+}
+
+// failureShare returns the share of failures, which fades while no request is tried.
+func (s *server) failureShare(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return s.failures * math.Exp(-now.Sub(s.failedAt).Seconds()/failureFade.Seconds())
+}
+
+// silence returns how much longer than predicted the oldest attempt has waited for its
+// first event.
+func (s *server) silence(now time.Time) time.Duration {
+	var longest time.Duration
+	for a := range s.oldest {
+		if late := now.Sub(a.sent) - 2*a.predicted - silenceSlack; late > longest {
+			longest = late
+		}
+	}
+	return longest
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/placement/model.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"time"
+
+	"gonum.org/v1/gonum/mat"
+)
+
+const (
+	// forget is the weight that an observation keeps at the next one: about 400 count.
+	forget = 0.9975
+	// priorWeight is the number of observations that the prior stands for.
+	priorWeight = 20
+	// priorBase is the time to the first event of an idle engine, in seconds, before any
+	// has been observed.
+	priorBase = 0.05
+	// priorSpread is the number of tokens that the prior varies by.
+	priorSpread = 5000
+	// refit is the number of observations between two solutions.
+	refit = 8
+	// slopeBound is how many times the prior slope the learned one may differ by.
+	slopeBound = 4
+)
+
+// timeModel predicts the time to the first event of an engine from the prompt tokens it
+// has still to read and the requests it runs: weighted least squares with forgetting.
+type timeModel struct {
+	xx    [3][3]float64 // sums of products of (1, tokens, running)
+	xy    [3]float64
+	coef  [3]float64 // seconds, seconds a token, seconds a running request
+	start float64    // prior seconds a token
+	since int
+}
+
+func newTimeModel() *timeModel {
+	m := &timeModel{}
+	m.reset(1.0 / 50_000)
+	return m
+}
+
+// prior sets the tokens a second that are expected before anything is observed.
+func (m *timeModel) prior(tokensPerSecond float64) {
+	if tokensPerSecond <= 0 {
+		return
+	}
+	// Reading alone is faster than the rate that counts reading and generation together.
+	slope := 0.5 / tokensPerSecond
+	if slope != m.start {
+		m.reset(slope)
+	}
+}
+
+func (m *timeModel) reset(slope float64) {
+	m.start = slope
+	m.coef = [3]float64{priorBase, slope, 0}
+	m.xx, m.xy = [3][3]float64{}, [3]float64{}
+	for _, x := range []float64{0, priorSpread} {
+		for i := range priorWeight {
+			m.add([3]float64{1, x, float64(i)}, priorBase+slope*x)
+		}
+	}
+}
+
+func (m *timeModel) add(x [3]float64, y float64) {
+	for i := range x {
+		for j := range x {
+			m.xx[i][j] += x[i] * x[j]
+		}
+		m.xy[i] += x[i] * y
+	}
+}
+
+func (m *timeModel) observe(tokens, running int, took float64) {
+	for i := range m.xx {
+		for j := range m.xx[i] {
+			m.xx[i][j] *= forget
+		}
+		m.xy[i] *= forget
+	}
+	// One silent server must not teach the model of all.
+	took = min(took, 4*m.predict(tokens, running, 1).Seconds())
+	m.add([3]float64{1, float64(tokens), float64(running)}, took)
+	m.since++
+	if m.since >= refit {
+		m.since = 0
+		m.solve()
+	}
+}
+
+func (m *timeModel) solve() {
+	var coef mat.VecDense
+	a := mat.NewDense(3, 3, []float64{
+		m.xx[0][0], m.xx[0][1], m.xx[0][2],
+		m.xx[1][0], m.xx[1][1], m.xx[1][2],
+		m.xx[2][0], m.xx[2][1], m.xx[2][2],
+	})
+	if err := coef.SolveVec(a, mat.NewVecDense(3, m.xy[:])); err != nil {
+		return // singular: the last solution stays
+	}
+	m.coef[0] = max(coef.AtVec(0), 0.001)
+	m.coef[1] = clamp(coef.AtVec(1), m.start/slopeBound, m.start*slopeBound)
+	m.coef[2] = max(coef.AtVec(2), 0)
+}
+
+// slope returns the seconds that a token to read takes.
+func (m *timeModel) slope() float64 { return m.coef[1] }
+
+func (m *timeModel) predict(tokens, running int, speed float64) time.Duration {
+	return seconds(speed * (m.coef[0] + m.coef[1]*float64(tokens) + m.coef[2]*float64(running)))
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -33,6 +33,8 @@
 	DeadlineUnmeetable Code = 1103
 	AccountInFlightCap Code = 1104
 	NoServerJoined     Code = 1105
+	AccountOverShare   Code = 1106
+	ServersBusy        Code = 1107
 )
 
 // Requests that were not run because of the state of the daemon.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -27,6 +27,8 @@
 	{DeadlineUnmeetable, "deadline_unmeetable", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "The answer can't start before the deadline."},
 	{AccountInFlightCap, "account_in_flight_cap", http.StatusTooManyRequests, NotRun, RetrySameDaemon, "The account has its limit of requests running over the fleet."},
 	{NoServerJoined, "no_server_joined", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "No backend server of the service is joined."},
+	{AccountOverShare, "account_over_share", http.StatusTooManyRequests, NotRun, RetrySameDaemon, "The account has received its fair share, and the backend servers are busy."},
+	{ServersBusy, "servers_busy", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "No backend server can answer in time."},
 
 	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, NotRun, RetryAnotherEntry, "The daemon has no configuration yet."},
 	{CutOff, "cut_off", http.StatusServiceUnavailable, NotRun, RetryAnotherEntry, "The daemon hears neither the log nor a majority of the members."},
--- /dev/null
+++ b/internal/topology/reader.go
@@ -0,0 +1,232 @@
+package topology
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// ErrTruncated is returned by Store.Read when the records asked for are no longer kept.
+var ErrTruncated = errors.New("the records asked for are no longer kept")
+
+// Topic names a sequence of keyed records in the store.
+type Topic int
+
+// The topics that are read.
+const (
+	Configs Topic = iota
+	Servers
+)
+
+// Record is the newest value of a key. A nil value removes the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Store is where the platform keeps the configuration and the list of backend servers.
+type Store interface {
+	// Newest returns the newest record of each key and the offset after the last one.
+	Newest(ctx context.Context, t Topic) (records []Record, end int64, err error)
+	// Read returns the records from the offset on, in order, and the offset after them. It
+	// waits for up to the given time until there is one. It returns ErrTruncated when the
+	// offset is no longer kept.
+	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (records []Record, end int64, err error)
+	// DecodeConfig returns the configuration of a record of Configs, nil for other keys.
+	DecodeConfig(r Record) (*routing.Config, error)
+	// DecodeServer returns the backend server of a record of Servers.
+	DecodeServer(r Record) (routing.Server, error)
+}
+
+const (
+	// callTimeout bounds a call to the store beyond the time that it may wait.
+	callTimeout = 700 * time.Millisecond
+	// configWait is how long a read of the configuration waits for a change. A connection
+	// that has gone silent is noticed after it, and the configuration has to be in force
+	// within two seconds.
+	configWait = 1000 * time.Millisecond
+	// serverPace is the time between two reads of the servers' records. Servers write all
+	// the time, so that waiting reads would return at once.
+	serverPace = 600 * time.Millisecond
+	// relistEvery is the time between two full listings of the servers.
+	relistEvery = 5 * time.Second
+	// minBackoff and maxBackoff bound the time between calls that fail.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// settle is how long after an outage of the store missing servers are kept: those
+	// alive register again within two seconds.
+	settle = 2500 * time.Millisecond
+)
+
+// Reader keeps a Map in step with the store.
+type Reader struct {
+	store  Store
+	target *Map
+	logger *slog.Logger
+	config atomic.Int64 // time of the last good read, Unix nanoseconds
+	server atomic.Int64
+	listed atomic.Bool
+}
+
+// NewReader returns a reader that fills the map.
+func NewReader(store Store, target *Map, logger *slog.Logger) *Reader {
+	return &Reader{store: store, target: target, logger: logger}
+}
+
+// Listed reports whether the servers have been listed once.
+func (r *Reader) Listed() bool { return r.listed.Load() }
+
+// Age returns the time since the configuration was last known to be the newest.
+func (r *Reader) Age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, r.config.Load()))
+}
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	go r.follow(ctx, Configs)
+	r.follow(ctx, Servers)
+}
+
+// follow reads one topic: all newest records first, then what comes after.
+func (r *Reader) follow(ctx context.Context, t Topic) {
+	backoff, lost := minBackoff, false
+	var listedAt, restored time.Time
+	next := int64(-1)
+	for ctx.Err() == nil {
+		started := time.Now()
+		full := next < 0 || (t == Servers && started.Sub(listedAt) > relistEvery)
+		records, end, err := r.call(ctx, t, next, full)
+		if errors.Is(err, ErrTruncated) {
+			r.logger.Info("Store has dropped records, reading the newest ones.", "topic", t, "from", next)
+			next = -1
+			continue
+		}
+		if err != nil {
+			if !lost {
+				r.logger.Warn("Store lost.", "topic", t, "error", err)
+			}
+			lost = true
+			next = -1 // reads may have been stale or cut; list anew
+			r.pause(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		now := time.Now()
+		if lost {
+			r.logger.Info("Store regained.", "topic", t, "end", end)
+			lost, restored = false, now
+		}
+		backoff = minBackoff
+		r.apply(t, records, now, now.Sub(restored) < settle)
+		if full && t == Servers {
+			r.reconcile(records, now, restored)
+			listedAt = now
+			r.listed.Store(true)
+		}
+		next = max(end, next)
+		if full {
+			next = end
+		}
+		r.mark(t, started)
+		if t == Servers {
+			r.pause(ctx, serverPace-time.Since(started))
+		}
+	}
+}
+
+func (r *Reader) call(ctx context.Context, t Topic, from int64, full bool) ([]Record, int64, error) {
+	if full {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return r.store.Newest(ctx, t)
+	}
+	wait := time.Duration(0)
+	if t == Configs {
+		wait = configWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return r.store.Read(ctx, t, from, wait)
+}
+
+func (r *Reader) mark(t Topic, at time.Time) {
+	if t == Configs {
+		r.config.Store(at.UnixNano())
+		return
+	}
+	r.server.Store(at.UnixNano())
+}
+
+// apply takes records into the map. While the store settles after an outage, removals wait
+// for the next full listing: leases may have run out though their holders live.
+func (r *Reader) apply(t Topic, records []Record, now time.Time, settling bool) {
+	for _, record := range records {
+		switch {
+		case t == Configs:
+			r.ApplyConfig(record)
+		case record.Value != nil:
+			r.ApplyServer(record, now)
+		case !settling:
+			if r.target.RemoveServer(record.Key, now) {
+				r.logger.Info("Server removed.", "server", record.Key)
+			}
+		}
+	}
+}
+
+// ApplyConfig takes a record of the configuration.
+func (r *Reader) ApplyConfig(record Record) {
+	if record.Value == nil {
+		return
+	}
+	c, err := r.store.DecodeConfig(record)
+	if err != nil {
+		r.logger.Warn("Configuration not understood.", "key", record.Key, "error", err)
+		return
+	}
+	if c != nil && r.target.SetConfig(c, record) {
+		r.logger.Info("Configuration in force.", "version", c.Version, "routes", len(c.Routes),
+			"accounts", len(c.Accounts))
+	}
+}
+
+// ApplyServer takes a record of a backend server.
+func (r *Reader) ApplyServer(record Record, now time.Time) {
+	s, err := r.store.DecodeServer(record)
+	if err != nil {
+		r.logger.Debug("Server record ignored.", "key", record.Key, "error", err)
+		return
+	}
+	if r.target.SetServer(s, record.Value, now) {
+		r.logger.Info("Server changed.", "server", s.ID, "service", s.Service, "address", s.Address,
+			"state", s.State, "born", s.Born)
+	}
+}
+
+// reconcile removes the servers that a full listing lacks.
+func (r *Reader) reconcile(records []Record, now, restored time.Time) {
+	listed := make(map[string]bool, len(records))
+	for _, record := range records {
+		listed[record.Key] = true
+	}
+	patience := time.Duration(0)
+	if now.Sub(restored) < settle {
+		patience = settle
+	}
+	r.target.Missing(listed, patience, now)
+}
+
+func (r *Reader) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,221 @@
+// Package topology keeps the configuration and the list of backend servers that a daemon
+// works with, as read from a store and heard from peers. It never takes an older version
+// for a newer one.
+package topology
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// Entry is what is known of one backend server.
+type Entry struct {
+	Server  routing.Server
+	Record  []byte // as the store keeps it, for peers
+	seen    time.Time
+	missing time.Time // when the store was first seen without it; zero while it is there
+}
+
+// Map holds the current configuration and backend servers. Its methods are safe for
+// concurrent use.
+type Map struct {
+	config atomic.Pointer[versioned]
+	change func() // called after each change
+
+	mu        sync.Mutex
+	servers   map[string]*Entry
+	withdrawn map[string]Withdrawal
+}
+
+type versioned struct {
+	*routing.Config
+	record Record
+}
+
+// Withdrawal says that a start of a backend server takes no new work.
+type Withdrawal struct {
+	ID       string
+	Born     int64
+	Sequence int64
+	At       time.Time
+}
+
+// withdrawalTTL is how long a withdrawal is remembered and told to peers; a server that
+// drains is gone by then, and no older record of it is still read.
+const withdrawalTTL = 60 * time.Second
+
+// NewMap returns an empty map. The function is called after each change.
+func NewMap(change func()) *Map {
+	return &Map{
+		change:    change,
+		servers:   make(map[string]*Entry),
+		withdrawn: make(map[string]Withdrawal),
+	}
+}
+
+// Config returns the configuration in force, nil before there is one.
+func (m *Map) Config() *routing.Config {
+	if v := m.config.Load(); v != nil {
+		return v.Config
+	}
+	return nil
+}
+
+// ConfigRecord returns the configuration as the store keeps it.
+func (m *Map) ConfigRecord() (key string, value []byte) {
+	if v := m.config.Load(); v != nil {
+		return v.record.Key, v.record.Value
+	}
+	return "", nil
+}
+
+// SetConfig takes a configuration of a higher version and reports whether it did.
+func (m *Map) SetConfig(c *routing.Config, record Record) bool {
+	next := &versioned{c, record}
+	for {
+		old := m.config.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if m.config.CompareAndSwap(old, next) {
+			m.change()
+			return true
+		}
+	}
+}
+
+// SetServer takes a record of a backend server, unless a newer one is known.
+func (m *Map) SetServer(s routing.Server, record []byte, now time.Time) bool {
+	m.mu.Lock()
+	old, ok := m.servers[s.ID]
+	if ok && older(s, old.Server) {
+		m.mu.Unlock()
+		return false
+	}
+	if w, ok := m.withdrawn[s.ID]; ok && s.Born == w.Born && s.Sequence <= w.Sequence {
+		s.State = routing.Draining
+	}
+	changed := !ok || old.Server.State != s.State || old.Server.Born != s.Born ||
+		old.Server.Address != s.Address || old.Server.Slots != s.Slots || old.Server.Service != s.Service
+	m.servers[s.ID] = &Entry{Server: s, Record: record, seen: now}
+	if s.State == routing.Draining {
+		m.withdraw(s, now)
+	}
+	m.mu.Unlock()
+	if changed {
+		m.change()
+	}
+	return changed
+}
+
+// older reports whether the record a was written before b by the same server.
+func older(a, b routing.Server) bool {
+	return a.Born < b.Born || (a.Born == b.Born && a.Sequence < b.Sequence)
+}
+
+// RemoveServer takes the removal of a backend server.
+func (m *Map) RemoveServer(id string, now time.Time) bool {
+	m.mu.Lock()
+	old, ok := m.servers[id]
+	if ok {
+		m.withdraw(old.Server, now)
+		delete(m.servers, id)
+	}
+	m.mu.Unlock()
+	if ok {
+		m.change()
+	}
+	return ok
+}
+
+// Withdraw takes a withdrawal that a peer has seen.
+func (m *Map) Withdraw(w Withdrawal) bool {
+	m.mu.Lock()
+	old, ok := m.servers[w.ID]
+	known, have := m.withdrawn[w.ID]
+	if have && known.Born >= w.Born && known.Sequence >= w.Sequence {
+		m.mu.Unlock()
+		return false
+	}
+	m.withdrawn[w.ID] = w
+	applies := ok && old.Server.State == routing.Ready && old.Server.Born == w.Born &&
+		old.Server.Sequence <= w.Sequence
+	if applies {
+		old.Server.State = routing.Draining
+	}
+	m.mu.Unlock()
+	if applies {
+		m.change()
+	}
+	return applies
+}
+
+// withdraw remembers a withdrawal. The caller holds the lock.
+func (m *Map) withdraw(s routing.Server, now time.Time) {
+	if w, ok := m.withdrawn[s.ID]; ok && w.Born == s.Born && w.Sequence >= s.Sequence {
+		return
+	}
+	m.withdrawn[s.ID] = Withdrawal{s.ID, s.Born, s.Sequence, now}
+}
+
+// Withdrawals returns the recent withdrawals.
+func (m *Map) Withdrawals(now time.Time) []Withdrawal {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Withdrawal, 0, len(m.withdrawn))
+	for id, w := range m.withdrawn {
+		if now.Sub(w.At) > withdrawalTTL {
+			delete(m.withdrawn, id)
+			continue
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Servers returns the backend servers.
+func (m *Map) Servers() []routing.Server {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]routing.Server, 0, len(m.servers))
+	for _, e := range m.servers {
+		out = append(out, e.Server)
+	}
+	return out
+}
+
+// Records returns the backend servers as the store keeps them, by id.
+func (m *Map) Records() map[string][]byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string][]byte, len(m.servers))
+	for id, e := range m.servers {
+		out[id] = e.Record
+	}
+	return out
+}
+
+// Missing starts or ends the time that servers have been absent from a full listing, and
+// removes those absent for longer than patience.
+func (m *Map) Missing(listed map[string]bool, patience time.Duration, now time.Time) {
+	var gone []string
+	m.mu.Lock()
+	for id, e := range m.servers {
+		switch {
+		case listed[id]:
+			e.missing = time.Time{}
+		case e.missing.IsZero():
+			e.missing = now
+		}
+		if !e.missing.IsZero() && now.Sub(e.missing) >= patience {
+			gone = append(gone, id)
+		}
+	}
+	m.mu.Unlock()
+	for _, id := range gone {
+		m.RemoveServer(id, now)
+	}
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,119 @@
+// Package upstream sends requests to backend servers over HTTP/1.1 connections that it
+// keeps open. Unlike net/http's Transport it never sends a request again by itself,
+// tells whether a byte of a request may have left, and gives up a connection that ever
+// carried bytes of another answer.
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// readBuffer is the size in bytes of a connection's buffer; it holds the events that
+	// arrive together.
+	readBuffer = 4 << 10
+	// userTimeout bounds how long sent bytes may stay unacknowledged, in milliseconds:
+	// connections to a machine without power otherwise hang for minutes.
+	userTimeout = 3000
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall does not name.
+	tcpUserTimeout = 0x12
+)
+
+// Conn is a connection to one backend server. It is used by one request at a time.
+type Conn struct {
+	net.Conn
+	reader *bufio.Reader
+	raw    syscall.RawConn
+	used   time.Time // end of the last use
+	idle   time.Duration
+	reused bool
+	spoilt bool // must not be used again
+}
+
+func newConn(c net.Conn) (*Conn, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("connection %T has no descriptor", c)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, errors.Wrap(err, "descriptor of a connection")
+	}
+	err = raw.Control(func(fd uintptr) {
+		// A kernel without the option leaves the connection usable, only slower to fail.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeout)
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "set the timeout of a connection")
+	}
+	return &Conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), raw: raw}, nil
+}
+
+// Spoil marks the connection as one that must not carry another request.
+func (c *Conn) Spoil() { c.spoilt = true }
+
+// Reused reports whether the connection has carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// quiet reports whether the connection is open and holds no byte: a byte that nobody asked
+// for belongs to no request.
+func (c *Conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	quiet := false
+	var b [1]byte
+	err := c.raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Send writes the head and the body. It reports whether a byte may have left.
+func (c *Conn) Send(head, body []byte) (left bool, err error) {
+	buffers := net.Buffers{head}
+	if len(body) > 0 {
+		buffers = append(buffers, body)
+	}
+	n, err := buffers.WriteTo(c.Conn)
+	return n > 0, errors.Wrap(err, "send request")
+}
+
+// Receive reads the head of the answer to a request with the method. The body of the
+// answer reads from the connection.
+func (c *Conn) Receive(method string) (*http.Response, error) {
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		c.spoilt = true
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if response.Close || !response.ProtoAtLeast(1, 1) {
+		c.spoilt = true
+	}
+	c.idle = keepAlive(response.Header.Get("Keep-Alive"))
+	return response, nil
+}
+
+// keepAlive returns the idle time that the header names, 0 when it names none.
+func keepAlive(header string) time.Duration {
+	for field := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		d, err := time.ParseDuration(value + "s")
+		if err == nil {
+			return d
+		}
+	}
+	return 0
+}
