Tell peers where shared prompts went, and charge re-reading by what it displaces

Cause: each daemon knew only the prompts that it had sent itself, so that a shared part was read again on other servers; a part read again displaces most of another request when reading is scarce. Largest prompts were always refused on busy servers: their own reading counted as waiting. Change: datagrams carry placements of shared parts for 450 ms; re-reading is charged 12 times its delay (1, 2, 6 tried); own reading counts up to 0.3 of the objective against a request.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -9,6 +9,8 @@
 	// fullPressure is the share of the objective beyond which every request is refused:
 	// it would be late, and so would those behind it.
 	fullPressure = 0.95
+	// ownShare is the most that the reading of its own prompt adds to a request's pressure.
+	ownShare = 0.3
 	// returnPressure is the share of the objective at which refused callers find room.
 	returnPressure = 0.4
 	// minRetry and maxRetry bound the time after which a refused caller is asked back.
@@ -29,6 +31,7 @@
 // Question is what a decision depends on.
 type Question struct {
 	Predicted time.Duration // to the first event, at the best server
+	Own       time.Duration // the part of Predicted in which its own prompt is read
 	Objective time.Duration
 	Left      time.Duration // until the caller's deadline
 	Use       Use           // of the account over the fleet, this request left out
@@ -47,7 +50,7 @@
 // Decide refuses a request that the servers can't answer in time, and before that one
 // whose account has received its share of the window.
 func Decide(q Question) Verdict {
-	pressure := q.Predicted.Seconds() / max(q.Objective.Seconds(), 0.001)
+	pressure := q.pressure()
 	over := q.Level > 0 && q.Use.Admitted+q.Tokens > q.Level && q.Use.Asked+q.Tokens > q.Level
 	switch {
 	case pressure > fullPressure:
@@ -61,6 +64,14 @@
 	}
 }
 
+// pressure returns the predicted wait as a share of the objective. The reading of its own
+// prompt counts up to ownShare: a large prompt takes long on idle servers, too, and is no
+// reason to refuse it each time that it comes.
+func (q Question) pressure() float64 {
+	own := min(q.Own, time.Duration(ownShare*float64(q.Objective)))
+	return (q.Predicted - q.Own + own).Seconds() / max(q.Objective.Seconds(), 0.001)
+}
+
 // drain returns the time until the servers have read enough for a caller to find room.
 func (q Question) drain() time.Duration {
 	return q.Predicted - time.Duration(returnPressure*float64(q.Objective))
--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -70,19 +70,27 @@
 	}
 }
 
-// SetPeer takes what a peer has under way and what accounts asked of it.
-func (p *Pilot) SetPeer(id string, loads map[uint64]placement.Load, uses map[uint64]admission.Use, now time.Time) {
+// View is what one daemon tells the others of the work that it has under way.
+type View struct {
+	Loads      map[uint64]placement.Load // by server
+	Uses       map[uint64]admission.Use  // by account
+	Placements []placement.Placement
+}
+
+// SetPeer takes the view of a peer.
+func (p *Pilot) SetPeer(id string, v View, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.board.SetPeerLoad(id, loads, now)
-	p.shares.SetPeer(id, uses, now)
+	p.board.SetPeerLoad(id, v.Loads, now)
+	p.board.SetPeerPlacements(v.Placements, now)
+	p.shares.SetPeer(id, v.Uses, now)
 }
 
-// Own returns what this daemon has under way and what accounts asked of it.
-func (p *Pilot) Own(now time.Time) (map[uint64]placement.Load, map[uint64]admission.Use) {
+// View returns what this daemon has under way.
+func (p *Pilot) View(now time.Time) View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.board.OwnLoad(), p.shares.Own(now)
+	return View{p.board.OwnLoad(), p.shares.Own(now), append([]placement.Placement(nil), p.board.Placements(now)...)}
 }
 
 // first decides on the first attempt of a request.
@@ -102,6 +110,7 @@
 	}
 	verdict := admission.Decide(admission.Question{
 		Predicted: choice.Predicted,
+		Own:       choice.Own,
 		Objective: c.route.Objective,
 		Left:      c.limit.Sub(now),
 		Use:       p.shares.Use(account, now),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,12 +13,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/filbertrill/filbertrill/internal/admission"
 	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/logging"
-	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
 	"github.com/filbertrill/filbertrill/internal/topology"
@@ -218,18 +216,7 @@
 	if c := g.topology.Config(); c != nil {
 		s.ConfigVersion = c.Version
 	}
-	loads, uses := g.pilot.Own(now)
-	for hash, l := range loads {
-		s.Servers = append(s.Servers, &pb.ServerLoad{
-			Server:        hash,
-			Running:       uint32(l.Running),
-			PendingTokens: uint32(l.Pending),
-			MemoryTokens:  uint32(l.Memory),
-		})
-	}
-	for hash, u := range uses {
-		s.Accounts = append(s.Accounts, &pb.AccountUse{Account: hash, Asked: uint64(u.Asked), Admitted: uint64(u.Admitted)})
-	}
+	encodeView(s, g.pilot.View(now))
 	for _, w := range g.topology.Withdrawals(now) {
 		s.Withdrawn = append(s.Withdrawn, &pb.Withdrawal{Server: w.ID, Born: w.Born, Sequence: w.Sequence})
 	}
@@ -238,15 +225,7 @@
 // received takes the state of a peer.
 func (g *Gateway) received(s *pb.State) {
 	now := time.Now()
-	loads := make(map[uint64]placement.Load, len(s.Servers))
-	for _, l := range s.Servers {
-		loads[l.Server] = placement.Load{Running: int(l.Running), Pending: int(l.PendingTokens), Memory: int(l.MemoryTokens)}
-	}
-	uses := make(map[uint64]admission.Use, len(s.Accounts))
-	for _, u := range s.Accounts {
-		uses[u.Account] = admission.Use{Asked: float64(u.Asked), Admitted: float64(u.Admitted)}
-	}
-	g.pilot.SetPeer(s.Id, loads, uses, now)
+	g.pilot.SetPeer(s.Id, decodeView(s), now)
 	for _, w := range s.Withdrawn {
 		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Born: w.Born, Sequence: w.Sequence, At: now}) {
 			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", s.Id)
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/forward"
+	"github.com/filbertrill/filbertrill/internal/placement"
+)
+
+// encodeView adds the view to the state that peers receive.
+func encodeView(s *pb.State, v forward.View) {
+	for hash, l := range v.Loads {
+		s.Servers = append(s.Servers, &pb.ServerLoad{
+			Server:        hash,
+			Running:       uint32(l.Running),
+			PendingTokens: uint32(l.Pending),
+			MemoryTokens:  uint32(l.Memory),
+		})
+	}
+	for hash, u := range v.Uses {
+		s.Accounts = append(s.Accounts, &pb.AccountUse{Account: hash, Asked: uint64(u.Asked), Admitted: uint64(u.Admitted)})
+	}
+	for _, p := range v.Placements {
+		s.Placements = append(s.Placements, &pb.Placement{Server: p.Server, Part: p.Part, Tokens: uint32(p.Tokens)})
+	}
+}
+
+// decodeView returns the view of a peer's state.
+func decodeView(s *pb.State) forward.View {
+	v := forward.View{
+		Loads: make(map[uint64]placement.Load, len(s.Servers)),
+		Uses:  make(map[uint64]admission.Use, len(s.Accounts)),
+	}
+	for _, l := range s.Servers {
+		v.Loads[l.Server] = placement.Load{
+			Running: int(l.Running),
+			Pending: int(l.PendingTokens),
+			Memory:  int(l.MemoryTokens),
+		}
+	}
+	for _, u := range s.Accounts {
+		v.Uses[u.Account] = admission.Use{Asked: float64(u.Asked), Admitted: float64(u.Admitted)}
+	}
+	for _, p := range s.Placements {
+		v.Placements = append(v.Placements, placement.Placement{Server: p.Server, Part: p.Part, Tokens: int(p.Tokens)})
+	}
+	return v
+}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -47,6 +47,9 @@
 	if r.Engine {
 		a.load.Pending = c.Uncached
 		s.cache.add(r.Parts, now)
+		if part, tokens, ok := r.shared(); ok && tokens >= minShared {
+			b.recent = append(b.recent, Placement{Server: s.hash, Part: part, Tokens: tokens, at: now})
+		}
 	}
 	s.own = s.own.plus(a.load)
 	s.oldest[a] = struct{}{}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -16,7 +16,7 @@
 const (
 	// rereadWeight charges a token that would be read again beyond its own delay: reading is
 	// the scarce capacity of engines, and it delays the requests behind.
-	rereadWeight = 2.0
+	rereadWeight = 12.0
 	// crossZone is charged for a server of another zone: about one round trip.
 	crossZone = 8 * time.Millisecond
 	// failurePenalty is charged for a server whose every recent request failed.
@@ -24,8 +24,13 @@
 	// peerLoadTTL is how long the load that a peer reported counts.
 	peerLoadTTL = 1500 * time.Millisecond
 	// homeTrust is the part of a shared prompt that is taken for cached on its home server
-	// before any request of this daemon has shown it.
+	// while no server is known to keep it: daemons that know nothing choose alike.
 	homeTrust = 0.6
+	// placementTTL is how long a placement is told to peers: several datagrams, as some
+	// are lost.
+	placementTTL = 450 * time.Millisecond
+	// minShared is the least shared tokens that are told to peers: less is cheap to read.
+	minShared = 256
 )
 
 // Part is a piece of a prompt that other requests may share.
@@ -58,6 +63,7 @@
 type Choice struct {
 	Server    routing.Server
 	Predicted time.Duration // to the first event, or to the answer of a plain service
+	Own       time.Duration // the part of Predicted in which the request's own prompt is read
 	Uncached  int           // prompt tokens that the server has to read
 	Load      Load          // of the server, as known
 	Home      bool          // the server is the first choice of the prompt's shared part
@@ -88,6 +94,15 @@
 	servers map[string]*server
 	byHash  map[uint64]*server
 	models  map[string]*timeModel // by service
+	recent  []Placement           // of this daemon, oldest first
+}
+
+// Placement tells that a server was sent a prompt that begins with a shared part.
+type Placement struct {
+	Server uint64 // hash
+	Part   uint64 // the last shared one
+	Tokens int    // up to its end
+	at     time.Time
 }
 
 // NewBoard returns a board of a daemon in the zone.
@@ -168,7 +183,7 @@
 // Choose returns the best server for the request, leaving out those of the set, and
 // whether there is one.
 func (b *Board) Choose(r Request, tried map[string]bool, now time.Time) (Choice, bool) {
-	home := b.home(r)
+	home := b.home(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for _, s := range b.servers {
 		if s.Service != r.Service || s.State != routing.Ready || tried[s.ID] {
@@ -204,7 +219,9 @@
 		return c
 	}
 	c.Uncached = s.uncached(r, home, now)
-	c.Predicted = b.model(r.Service).predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed)
+	model := b.model(r.Service)
+	c.Predicted = model.predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed)
+	c.Own = seconds(model.slope() * float64(c.Uncached) * s.speed)
 	if over := c.Load.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
 		// A place frees about each time that a stream ends; streams last a second or more.
 		c.Predicted += time.Duration(over) * time.Second / time.Duration(s.Slots)
@@ -227,19 +244,23 @@
 }
 
 // home returns the server that all daemons prefer for the shared part of the prompt
-// (rendezvous hashing, Thaler and Ravishankar 1998), or nil.
-func (b *Board) home(r Request) *server {
-	if !r.Engine || len(r.Parts) < 2 {
+// (rendezvous hashing, Thaler and Ravishankar 1998); nil when the prompt has no such part
+// or some server is known to keep it.
+func (b *Board) home(r Request, now time.Time) *server {
+	shared, _, ok := r.shared()
+	if !ok {
 		return nil
 	}
-	key := r.Parts[len(r.Parts)-2].ID
 	var best *server
 	var bestWeight uint64
 	for _, s := range b.servers {
 		if s.Service != r.Service || s.State != routing.Ready {
 			continue
 		}
-		weight := mix(key, s.hash)
+		if s.cache.keeps(shared, now) {
+			return nil
+		}
+		weight := mix(shared, s.hash)
 		if best == nil || weight > bestWeight {
 			best, bestWeight = s, weight
 		}
@@ -247,6 +268,39 @@
 	return best
 }
 
+// shared returns the last part that other requests share, and the tokens up to its end.
+func (r Request) shared() (part uint64, tokens int, ok bool) {
+	if !r.Engine || len(r.Parts) < 2 {
+		return 0, 0, false
+	}
+	for _, p := range r.Parts[:len(r.Parts)-1] {
+		tokens += p.Tokens
+	}
+	return r.Parts[len(r.Parts)-2].ID, tokens, true
+}
+
+// Placements returns what this daemon sent to servers in the last moments.
+func (b *Board) Placements(now time.Time) []Placement {
+	kept := b.recent[:0]
+	for _, p := range b.recent {
+		if now.Sub(p.at) <= placementTTL {
+			kept = append(kept, p)
+		}
+	}
+	b.recent = kept
+	return kept
+}
+
+// SetPeerPlacements takes what a peer sent to servers.
+func (b *Board) SetPeerPlacements(placements []Placement, now time.Time) {
+	for _, p := range placements {
+		if s, ok := b.byHash[p.Server]; ok {
+			s.cache.put(Part{ID: p.Part, Tokens: p.Tokens}, now)
+			s.cache.shrink()
+		}
+	}
+}
+
 // mix is the finalizer of SplitMix64 (Steele et al. 2014) over both values.
 func mix(a, b uint64) uint64 {
 	z := a*0x9e3779b97f4a7c15 ^ b
@@ -278,11 +332,8 @@
 
 func (s *server) uncached(r Request, home bool, now time.Time) int {
 	cached := s.cache.prefix(r.Parts, now)
-	if home && len(r.Parts) > 1 {
-		shared := 0
-		for _, p := range r.Parts[:len(r.Parts)-1] {
-			shared += p.Tokens
-		}
+	if home {
+		_, shared, _ := r.shared()
 		cached = max(cached, int(homeTrust*float64(shared)))
 	}
 	return max(0, r.Prompt-cached)
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -41,13 +41,17 @@
 
 func (c *promptCache) add(parts []Part, now time.Time) {
 	for _, p := range parts {
-		c.parts.Remove(p.ID)
-		c.parts.Add(p.ID, cachedPart{p.Tokens, now})
-		c.tokens += int64(p.Tokens)
+		c.put(p, now)
 	}
 	c.shrink()
 }
 
+func (c *promptCache) put(p Part, now time.Time) {
+	c.parts.Remove(p.ID)
+	c.parts.Add(p.ID, cachedPart{p.Tokens, now})
+	c.tokens += int64(p.Tokens)
+}
+
 func (c *promptCache) shrink() {
 	for c.limit > 0 && c.tokens > c.limit {
 		if _, _, ok := c.parts.RemoveOldest(); !ok {
@@ -62,15 +66,20 @@
 	}
 }
 
-// prefix returns the tokens of the leading parts that are kept without a gap.
+func (c *promptCache) keeps(part uint64, now time.Time) bool {
+	entry, ok := c.parts.Peek(part)
+	return ok && now.Sub(entry.used) <= partTTL
+}
+
+// prefix returns the tokens up to the last part that is kept: an engine keeps a part only
+// for prompts that begin like the one it was read in.
 func (c *promptCache) prefix(parts []Part, now time.Time) int {
-	tokens := 0
+	kept, tokens := 0, 0
 	for _, p := range parts {
-		kept, ok := c.parts.Peek(p.ID)
-		if !ok || now.Sub(kept.used) > partTTL {
-			break
-		}
 		tokens += p.Tokens
+		if c.keeps(p.ID, now) {
+			kept = tokens
+		}
 	}
-	return tokens
+	return kept
 }
