Refuse by burden and by the level that accounts reach

Change: an account is measured against the max-min level of what servers really took; the further beyond it, the smaller the burden at which it yields; states of daemons each 50 ms.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// fairPressure is the share of the objective that the prediction may reach before
-	// accounts beyond their share are refused: below it nobody waits for another.
-	fairPressure = 0.45
+	// fairBurden is the share of the objective that a request's burden may reach before it is
+	// refused for an account beyond its share.
+	fairBurden = 0.14
+	// maxYield bounds the burden of accounts between what they are owed and what others reach.
+	maxYield = 2
 	// fullPressure is the share of the objective beyond which every request is refused:
 	// it would be late, and so would those behind it.
 	fullPressure = 0.95
@@ -32,11 +34,13 @@
 type Question struct {
 	Predicted time.Duration // to the first event, at the best server
 	Own       time.Duration // the part of Predicted in which its own prompt is read
+	Idle      time.Duration // the same prediction for an idle server
 	Objective time.Duration
+	Taken     float64       // share of the best server's places that are taken
 	Left      time.Duration // until the caller's deadline
 	Use       Use           // of the account over the fleet, this request left out
 	Tokens    float64       // of this request
-	Level     float64       // fair share of an account, in tokens a window
+	Levels    Levels
 	Window    time.Duration
 	Jitter    float64 // from [0, 1), spreads the callers that come back
 }
@@ -51,12 +55,11 @@
 // whose account has received its share of the window.
 func Decide(q Question) Verdict {
 	pressure := q.pressure()
-	over := q.Level > 0 && q.Use.Admitted+q.Tokens > q.Level && q.Use.Asked+q.Tokens > q.Level
 	switch {
 	case pressure > fullPressure:
 		return Verdict{TooLate, q.retry(q.drain())}
-	case over && pressure > fairPressure:
-		excess := (q.Use.Admitted + q.Tokens - q.Level) / q.Level
+	case q.burden() > q.allowance()*q.Objective.Seconds():
+		excess := max(0, q.taken()/q.Levels.Reached-1)
 		wait := time.Duration(excess * float64(q.Window))
 		return Verdict{OverShare, q.retry(max(wait, q.drain()))}
 	default:
@@ -72,6 +75,27 @@
 	return (q.Predicted - q.Own + own).Seconds() / max(q.Objective.Seconds(), 0.001)
 }
 
+// taken returns the tokens of the account over the window, with this request.
+func (q Question) taken() float64 { return q.Use.Admitted + q.Tokens }
+
+// allowance returns the share of the objective that the burden may reach. An account within
+// what it is owed has no bound but the objective; beyond, the more an account has received
+// against the level that the others reach, the earlier it yields.
+func (q Question) allowance() float64 {
+	if q.taken() <= q.Levels.Owed {
+		return 1
+	}
+	return fairBurden * min(maxYield, q.Levels.Reached/q.taken())
+}
+
+// burden returns the delay, in seconds, that the request meets and causes: what the load of
+// the server adds to its prediction, and its own reading as far as places are taken. On idle
+// servers a request is no burden, however large.
+func (q Question) burden() float64 {
+	own := min(q.Own, time.Duration(ownShare*float64(q.Objective)))
+	return (q.Predicted - q.Idle).Seconds() + q.Taken*own.Seconds()
+}
+
 // drain returns the time until the servers have read enough for a caller to find room.
 func (q Question) drain() time.Duration {
 	return q.Predicted - time.Duration(returnPressure*float64(q.Objective))
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -27,8 +27,8 @@
 	accounts map[uint64]*ring
 	peers    map[string]peerUse
 
-	level   float64 // the share, in tokens a window
-	levelAt time.Time
+	levels   Levels
+	levelsAt time.Time
 }
 
 type peerUse struct {
@@ -44,7 +44,7 @@
 const (
 	// peerTTL is how long the use that a peer reported counts.
 	peerTTL = 1500 * time.Millisecond
-	// levelAge is how old a worked-out share may be.
+	// levelAge is how old worked-out shares may be.
 	levelAge = 50 * time.Millisecond
 )
 
@@ -106,10 +106,16 @@
 	return use
 }
 
-// Level returns the most tokens a window that an account receives while others want more.
-func (s *Shares) Level(now time.Time) float64 {
-	if now.Sub(s.levelAt) < levelAge {
-		return s.level
+// Levels are the most tokens a window that an account receives while others want more.
+type Levels struct {
+	Owed    float64 // out of the capacity that the accounts are promised together
+	Reached float64 // out of what the servers have taken lately, where that is more
+}
+
+// Levels returns the max-min fair shares of the accounts that ask now.
+func (s *Shares) Levels(now time.Time) Levels {
+	if now.Sub(s.levelsAt) < levelAge {
+		return s.levels
 	}
 	total := s.Own(now)
 	for peer, p := range s.peers {
@@ -120,15 +126,20 @@
 		for account, use := range p.uses {
 			sum := total[account]
 			sum.Asked += use.Asked
+			sum.Admitted += use.Admitted
 			total[account] = sum
 		}
 	}
 	asked := make([]float64, 0, len(total))
+	admitted := 0.0
 	for _, use := range total {
 		asked = append(asked, use.Asked)
+		admitted += use.Admitted
 	}
-	s.level, s.levelAt = MaxMin(asked, s.capacity*s.window.Seconds()), now
-	return s.level
+	promised := s.capacity * s.window.Seconds()
+	s.levels = Levels{MaxMin(asked, promised), MaxMin(asked, max(promised, admitted))}
+	s.levelsAt = now
+	return s.levels
 }
 
 // MaxMin returns the level up to which demands are met so that they use up the capacity:
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,11 +24,11 @@
 
 const (
 	// minInterval is the time between two states in a small fleet.
-	minInterval = 100 * time.Millisecond
+	minInterval = 50 * time.Millisecond
 	// intervalPerPeer keeps the datagrams of a daemon below 100 a second.
 	intervalPerPeer = 10 * time.Millisecond
 	// suspectAfter is the silence, in intervals, after which a peer is left out.
-	suspectAfter = 12
+	suspectAfter = 24
 	// forgetAfter is the silence after which nothing more is sent to an address.
 	forgetAfter = 60 * time.Second
 	// maxDatagram is the largest datagram that is sent, in bytes.
--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -111,11 +111,13 @@
 	verdict := admission.Decide(admission.Question{
 		Predicted: choice.Predicted,
 		Own:       choice.Own,
+		Idle:      choice.Idle,
 		Objective: c.route.Objective,
+		Taken:     float64(choice.Load.Running) / float64(max(1, choice.Server.Slots)),
 		Left:      c.limit.Sub(now),
 		Use:       p.shares.Use(account, now),
 		Tokens:    tokens,
-		Level:     p.shares.Level(now),
+		Levels:    p.shares.Levels(now),
 		Window:    p.options.FairWindow,
 		Jitter:    jitter(),
 	})
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -64,6 +64,7 @@
 	Server    routing.Server
 	Predicted time.Duration // to the first event, or to the answer of a plain service
 	Own       time.Duration // the part of Predicted in which the request's own prompt is read
+	Idle      time.Duration // Predicted, were the server idle
 	Uncached  int           // prompt tokens that the server has to read
 	Load      Load          // of the server, as known
 	Home      bool          // the server is the first choice of the prompt's shared part
@@ -221,6 +222,7 @@
 	c.Uncached = s.uncached(r, home, now)
 	model := b.model(r.Service)
 	c.Predicted = model.predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed)
+	c.Idle = model.predict(c.Uncached, 0, s.speed)
 	c.Own = seconds(model.slope() * float64(c.Uncached) * s.speed)
 	if over := c.Load.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
 		// A place frees about each time that a stream ends; streams last a second or more.
