--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -6,8 +6,10 @@
 	// fairBurden is the share of the objective that a request's burden may reach before it is
 	// refused for an account beyond its share.
 	fairBurden = 0.14
-	// maxYield bounds the burden of accounts between what they are owed and what others reach.
+	// maxYield bounds the burden of accounts between what they are owed and what others reach;
+	// minYield leaves idle servers to accounts however far beyond it.
 	maxYield = 2
+	minYield = 0.3
 	// fullPressure is the share of the objective beyond which every request is refused:
 	// it would be late, and so would those behind it.
 	fullPressure = 0.95
@@ -85,7 +87,7 @@
 	if q.taken() <= q.Levels.Owed {
 		return 1
 	}
-	return fairBurden * min(maxYield, q.Levels.Reached/q.taken())
+	return fairBurden * min(max(q.Levels.Reached/q.taken(), minYield), maxYield)
 }
 
 // burden returns the delay, in seconds, that the request meets and causes: what the load of
--- /dev/null
+++ b/internal/admission/policy_test.go
@@ -0,0 +1,110 @@
+package admission
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const ms = time.Millisecond
+
+// calm is a request that idle servers answer in time.
+func calm() Question {
+	return Question{
+		Predicted: 100 * ms,
+		Idle:      90 * ms,
+		Own:       40 * ms,
+		Objective: 400 * ms,
+		Left:      10 * time.Second,
+		Tokens:    1000,
+		Levels:    Levels{Owed: 10_000, Reached: 20_000},
+		Window:    4 * time.Second,
+	}
+}
+
+func TestNobodyIsRefusedWhileServersAreIdle(t *testing.T) {
+	q := calm()
+	q.Use = Use{Asked: 1e9, Admitted: 1e9}
+	assert.Equal(t, Admitted, Decide(q).Reason)
+}
+
+func TestLargePromptIsNotRefusedForItsOwnReading(t *testing.T) {
+	q := calm()
+	q.Own, q.Idle, q.Predicted = 900*ms, 950*ms, 960*ms
+	assert.Equal(t, Admitted, Decide(q).Reason)
+}
+
+func TestEveryoneIsRefusedWhenLate(t *testing.T) {
+	q := calm()
+	q.Predicted = 500 * ms
+	v := Decide(q)
+	assert.Equal(t, TooLate, v.Reason)
+	assert.Positive(t, v.RetryAfter)
+}
+
+// The account furthest beyond the level that others reach yields first, and one within
+// what it is owed not before its answer would be late.
+func TestOrderOfYielding(t *testing.T) {
+	refusedAt := func(use float64) time.Duration {
+		for load := time.Duration(0); load < time.Second; load += ms {
+			q := calm()
+			q.Use = Use{Asked: use, Admitted: use}
+			q.Predicted, q.Taken = q.Idle+load, load.Seconds()
+			if Decide(q).Reason != Admitted {
+				return load
+			}
+		}
+		return time.Second
+	}
+	within, between, level, beyond := refusedAt(5000), refusedAt(12_000), refusedAt(19_000), refusedAt(80_000)
+	assert.Greater(t, within, between)
+	assert.Greater(t, between, level)
+	assert.Greater(t, level, beyond)
+	assert.Positive(t, beyond)
+}
+
+func TestRetryAfterIsWithinWhatCallersHonour(t *testing.T) {
+	q := calm()
+	q.Predicted = 20 * time.Second
+	q.Left = 900 * ms
+	for _, jitter := range []float64{0, 0.5, 0.999} {
+		q.Jitter = jitter
+		assert.LessOrEqual(t, Decide(q).RetryAfter, q.Left/2)
+	}
+}
+
+func TestMaxMin(t *testing.T) {
+	assert.Equal(t, math.Inf(1), MaxMin([]float64{1, 2, 3}, 6))
+	assert.Equal(t, math.Inf(1), MaxMin(nil, 6))
+	assert.InDelta(t, 2.5, MaxMin([]float64{1, 10, 20}, 6), 1e-9)
+	assert.InDelta(t, 2, MaxMin([]float64{9, 9, 9}, 6), 1e-9)
+}
+
+func TestUseCountsOwnAndPeersOverTheWindow(t *testing.T) {
+	s := NewShares(4 * time.Second)
+	now := time.Unix(1000, 0)
+	s.Ask(1, 100, now)
+	s.Admit(1, 60, now)
+	s.SetPeer("b", map[uint64]Use{1: {Asked: 50, Admitted: 10}}, now)
+	assert.Equal(t, Use{Asked: 150, Admitted: 70}, s.Use(1, now))
+
+	now = now.Add(2 * time.Second) // the peer has fallen silent
+	assert.Equal(t, Use{Asked: 100, Admitted: 60}, s.Use(1, now))
+	now = now.Add(3 * time.Second) // the window has passed
+	assert.Equal(t, Use{}, s.Use(1, now))
+}
+
+func TestLevelsFollowWhatServersTake(t *testing.T) {
+	s := NewShares(4 * time.Second)
+	s.SetCapacity(100)
+	now := time.Unix(1000, 0)
+	for account := uint64(1); account <= 2; account++ {
+		s.Ask(account, 1000, now)
+		s.Admit(account, 400, now)
+	}
+	levels := s.Levels(now)
+	assert.InDelta(t, 200, levels.Owed, 1e-9)    // half of 4 s at 100 a second
+	assert.InDelta(t, 400, levels.Reached, 1e-9) // half of the 800 that were taken
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,36 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Daemons that know nothing of each other's repeats stay within the bound of the fleet.
+func TestWindowKeepsTheBoundOfTheFleet(t *testing.T) {
+	const daemons, requests = 7, 2000
+	options := WindowOptions{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	repeats := 0
+	for range daemons {
+		w := NewWindow(options)
+		for range requests / daemons {
+			w.Request(now)
+			for w.Take(now, daemons) {
+				repeats++
+			}
+		}
+	}
+	assert.LessOrEqual(t, float64(repeats), options.Ratio*requests+options.Slack)
+	assert.Positive(t, repeats)
+}
+
+func TestWindowSlides(t *testing.T) {
+	w := NewWindow(WindowOptions{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	for w.Take(now, 1) {
+	}
+	assert.False(t, w.Take(now.Add(5*time.Second), 1))
+	assert.True(t, w.Take(now.Add(11*time.Second), 1))
+}
