Read the store once for each zone, and sum up zones between delegates

Change: the first daemon of each zone reads the store, others confirm or pull what peers know and read themselves when peers fall silent for 1.2 s; above 12 daemons states stay within a zone, and its delegate sends the sum to the other delegates.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,8 +1,12 @@
 // Package exchange lets the daemons of a fleet know each other's state. Each daemon sends
-// its whole current state in a datagram to all others, several times a second. A datagram
+// its whole current state in a datagram to the others, several times a second. A datagram
 // that is lost, late or repeated is harmless: the next one replaces it. A connection would
 // hold later states back behind a lost one, or go silent for good. What is too large for a
 // datagram is pulled from a peer by drpc.
+//
+// In a small fleet all daemons send to all. In a larger one they send within their zone,
+// and one delegate for each zone sends the sum of its zone to the delegates of the others,
+// which pass it on within theirs.
 package exchange
 
 import (
@@ -15,7 +19,6 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -25,27 +28,34 @@
 const (
 	// minInterval is the time between two states in a small fleet.
 	minInterval = 50 * time.Millisecond
-	// intervalPerPeer keeps the datagrams of a daemon below 100 a second.
-	intervalPerPeer = 10 * time.Millisecond
-	// suspectAfter is the silence, in intervals, after which a peer is left out.
-	suspectAfter = 24
+	// intervalPerPeer keeps the datagrams of a daemon below 160 a second.
+	intervalPerPeer = 6 * time.Millisecond
+	// suspectAfter is the silence, in intervals, after which a peer is left out, and
+	// minSuspect the least such time.
+	suspectAfter = 12
+	minSuspect   = 1200 * time.Millisecond
 	// forgetAfter is the silence after which nothing more is sent to an address.
 	forgetAfter = 60 * time.Second
+	// meshLimit is the largest fleet in which all daemons send to all.
+	meshLimit = 12
+	// introduceEvery is the time between two lists of members in a daemon's states.
+	introduceEvery = time.Second
+	// delegateGuesses is the number of daemons of a zone without a known delegate that
+	// are sent to.
+	delegateGuesses = 3
 	// maxDatagram is the largest datagram that is sent, in bytes.
 	maxDatagram = 60 << 10
-	// pullTimeout bounds one pull.
-	pullTimeout = 1500 * time.Millisecond
 )
 
 // Options are the settings of an Exchange.
 type Options struct {
-	ID      string
-	Address string   // control address, ip:port, of datagrams and pulls
-	Seeds   []string // control addresses that may be stale
-	// Fill completes the state that is sent.
-	Fill func(*pb.State)
-	// Received is called with each newer state of a peer.
-	Received func(*pb.State)
+	Self func() *pb.Member
+	// Address is the control address, ip:port, of datagrams and pulls.
+	Address string
+	// View returns what this daemon knows and has under way.
+	View func() *pb.View
+	// Received is called with each newer view: of a peer, or of a whole zone.
+	Received func(from string, source *pb.Member, v *pb.View)
 	// Records returns what peers pull.
 	Records func() *pb.Records
 	Logger  *slog.Logger
@@ -60,10 +70,12 @@
 	listener    net.Listener
 	wake        chan struct{}
 
-	mu        sync.Mutex
-	sequence  uint64
-	peers     map[string]*peer // by id
-	addresses map[string]time.Time
+	mu         sync.Mutex
+	sequence   uint64
+	introduced time.Time
+	peers      map[string]*peer // by id
+	zones      map[string]*zone // other zones, by name
+	addresses  map[string]*address
 }
 
 type peer struct {
@@ -72,13 +84,25 @@
 	live  bool
 }
 
+type zone struct {
+	*pb.Zone
+	heard time.Time
+}
+
+// address is a control address that datagrams may be sent to.
+type address struct {
+	udp   *net.UDPAddr
+	zone  string // empty when not known
+	heard time.Time
+}
+
 // New binds the address.
 func New(o Options) (*Exchange, error) {
-	address, err := net.ResolveUDPAddr("udp", o.Address)
+	udp, err := net.ResolveUDPAddr("udp", o.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "control address")
 	}
-	conn, err := net.ListenUDP("udp", address)
+	conn, err := net.ListenUDP("udp", udp)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
@@ -87,28 +111,44 @@
 		_ = conn.Close() // nothing was sent
 		return nil, errors.Wrap(err, "listen for pulls")
 	}
-	x := &Exchange{
+	return &Exchange{
 		options:     o,
 		incarnation: uint64(time.Now().UnixNano()),
 		conn:        conn,
 		listener:    listener,
 		wake:        make(chan struct{}, 1),
 		peers:       make(map[string]*peer),
-		addresses:   make(map[string]time.Time),
-	}
-	x.Know(o.Seeds)
-	return x, nil
+		zones:       make(map[string]*zone),
+		addresses:   make(map[string]*address),
+	}, nil
 }
 
-// Know adds control addresses of other daemons.
-func (x *Exchange) Know(addresses []string) {
+// Know adds a control address of another daemon. The zone is empty when not known.
+func (x *Exchange) Know(control, zone string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, a := range addresses {
-		if _, ok := x.addresses[a]; !ok && a != x.options.Address && a != "" {
-			x.addresses[a] = time.Now()
+	x.know(control, zone)
+}
+
+// know adds an address. The caller holds the lock.
+func (x *Exchange) know(control, zone string) *address {
+	if a, ok := x.addresses[control]; ok {
+		if zone != "" {
+			a.zone = zone
 		}
+		return a
 	}
+	if control == x.options.Address || control == "" {
+		return nil
+	}
+	udp, err := net.ResolveUDPAddr("udp", control)
+	if err != nil {
+		x.options.Logger.Warn("Address of a daemon not understood.", "address", control, "error", err)
+		return nil
+	}
+	a := &address{udp: udp, zone: zone, heard: time.Now()}
+	x.addresses[control] = a
+	return a
 }
 
 // Run sends and receives until the context ends.
@@ -124,12 +164,12 @@
 		}
 	}()
 	for {
-		x.send()
+		x.send(time.Now())
 		select {
 		case <-ctx.Done():
 			return x.conn.Close()
 		case <-x.wake:
-		case <-time.After(x.interval()):
+		case <-time.After(x.pause()):
 		}
 	}
 }
@@ -142,17 +182,24 @@
 	}
 }
 
-// Members returns the states of the live peers.
-func (x *Exchange) Members() []*pb.State {
+// Members returns the other daemons that are live.
+func (x *Exchange) Members() []*pb.Member {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	members := make([]*pb.State, 0, len(x.peers))
-	for _, p := range x.peers {
-		if p.live {
-			members = append(members, p.state)
-		}
+	return x.members("")
+}
+
+// Rank returns the place of this daemon among the daemons of its zone, and the number of
+// zones with live daemons.
+func (x *Exchange) Rank() (rank, zones int) {
+	self := x.options.Self()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	names := map[string]bool{self.Zone: true}
+	for _, m := range x.members("") {
+		names[m.Zone] = true
 	}
-	return members
+	return Rank(self.Id, x.members(self.Zone)), len(names)
 }
 
 // Size returns the number of daemons of the fleet, those that have been silent for less
@@ -160,76 +207,169 @@
 func (x *Exchange) Size() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return len(x.addresses) + 1
+	return x.size()
 }
 
-// Pull asks the peer at the control address for its newest records.
-func (x *Exchange) Pull(ctx context.Context, address string) (*pb.Records, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "connect to peer")
+func (x *Exchange) size() int {
+	known := make(map[string]bool, len(x.addresses))
+	for control := range x.addresses {
+		known[control] = true
+	}
+	for _, z := range x.zones {
+		for _, m := range z.Members {
+			known[m.ControlAddress] = true
+		}
 	}
-	conn := drpcconn.New(raw)
-	defer conn.Close()
-	records, err := pb.NewDRPCExchangeClient(conn).Pull(ctx, &pb.PullRequest{})
-	return records, errors.Wrap(err, "pull from peer")
+	return len(known) + 1
 }
 
+// members returns the live daemons of the zone, or of all zones. The caller holds the lock.
+func (x *Exchange) members(zone string) []*pb.Member {
+	var out []*pb.Member
+	seen := make(map[string]bool)
+	for id, p := range x.peers {
+		if p.live && (zone == "" || p.state.Member.Zone == zone) {
+			out = append(out, p.state.Member)
+			seen[id] = true
+		}
+	}
+	for name, z := range x.zones {
+		if zone != "" && zone != name {
+			continue
+		}
+		for _, m := range z.Members {
+			if !seen[m.Id] {
+				out = append(out, m)
+			}
+		}
+	}
+	sortMembers(out)
+	return out
+}
+
+// mesh reports whether all daemons send to all. The caller holds the lock.
+func (x *Exchange) mesh() bool { return x.size() <= meshLimit }
+
+// interval returns the time between two states. The caller holds the lock.
 func (x *Exchange) interval() time.Duration {
+	targets := 0
+	self := x.options.Self().Zone
+	for _, a := range x.addresses {
+		if a.zone == self || a.zone == "" || x.mesh() {
+			targets++
+		}
+	}
+	return max(minInterval, time.Duration(targets)*intervalPerPeer)
+}
+
+func (x *Exchange) pause() time.Duration {
 	x.mu.Lock()
-	n := len(x.addresses)
-	x.mu.Unlock()
-	interval := max(minInterval, time.Duration(n)*intervalPerPeer)
+	defer x.mu.Unlock()
+	interval := x.interval()
 	return interval + time.Duration(rand.Int64N(int64(interval/10)))
 }
 
-func (x *Exchange) send() {
-	state := &pb.State{Id: x.options.ID, Incarnation: x.incarnation, ControlAddress: x.options.Address}
-	x.options.Fill(state)
-	now := time.Now()
+func (x *Exchange) send(now time.Time) {
+	self, view := x.options.Self(), x.options.View()
 	x.mu.Lock()
+	x.expire(now)
 	x.sequence++
-	state.Sequence = x.sequence
-	addresses := make([]string, 0, len(x.addresses))
-	for a, heard := range x.addresses {
-		if now.Sub(heard) > forgetAfter {
-			delete(x.addresses, a)
+	state := &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view}
+	if now.Sub(x.introduced) > introduceEvery {
+		x.introduced = now
+		state.Members = x.members("")
+	}
+	near, far := x.targets(self)
+	if len(state.Members) > 0 {
+		near = append(near, x.strangers(self)...)
+	}
+	delegate := !x.mesh() && Rank(self.Id, x.members(self.Zone)) == 0
+	var sum *pb.Zone
+	if delegate {
+		sum = x.sum(self, view)
+		for _, z := range x.zones {
+			state.Zones = append(state.Zones, z.Zone)
+		}
+	}
+	x.mu.Unlock()
+	x.write(&pb.Datagram{State: state}, near)
+	if delegate {
+		x.write(&pb.Datagram{Zone: sum}, far)
+	}
+}
+
+// targets returns the addresses of daemons that receive the state, and of those of other
+// zones that receive the sum of the zone. The caller holds the lock.
+func (x *Exchange) targets(self *pb.Member) (near, far []*net.UDPAddr) {
+	guesses := make(map[string]int)
+	mesh := x.mesh()
+	for control, a := range x.addresses {
+		if mesh || a.zone == "" || a.zone == self.Zone {
+			near = append(near, a.udp)
 			continue
 		}
-		addresses = append(addresses, a)
+		if z, ok := x.zones[a.zone]; ok {
+			if z.Delegate.ControlAddress == control {
+				far = append(far, a.udp)
+			}
+			continue
+		}
+		if guesses[a.zone]++; guesses[a.zone] <= delegateGuesses {
+			far = append(far, a.udp)
+		}
+	}
+	return near, far
+}
+
+// strangers returns the addresses of daemons of other zones that send here: they don't know
+// this zone yet, and learn of their own from the list of members. The caller holds the lock.
+func (x *Exchange) strangers(self *pb.Member) []*net.UDPAddr {
+	if x.mesh() {
+		return nil
 	}
+	var out []*net.UDPAddr
 	for _, p := range x.peers {
-		if p.live {
-			state.Members = append(state.Members, p.state.ControlAddress)
+		if a, ok := x.addresses[p.state.Member.ControlAddress]; ok && p.live && p.state.Member.Zone != self.Zone {
+			out = append(out, a.udp)
 		}
 	}
-	x.expire(now)
-	x.mu.Unlock()
-	data, err := proto.Marshal(state)
+	return out
+}
+
+// sum returns the state of the whole zone. The caller holds the lock.
+func (x *Exchange) sum(self *pb.Member, view *pb.View) *pb.Zone {
+	views, members := []*pb.View{view}, []*pb.Member{self}
+	for _, p := range x.peers {
+		if p.live && p.state.Member.Zone == self.Zone {
+			views = append(views, p.state.View)
+			members = append(members, p.state.Member)
+		}
+	}
+	return &pb.Zone{
+		Zone: self.Zone, Delegate: self, Incarnation: x.incarnation, Sequence: x.sequence,
+		View: Merge(views), Members: members,
+	}
+}
+
+func (x *Exchange) write(d *pb.Datagram, to []*net.UDPAddr) {
+	data, err := proto.Marshal(d)
 	if err != nil || len(data) > maxDatagram {
-		x.options.Logger.Error("State not sent.", "bytes", len(data), "error", err)
+		x.options.Logger.Error("Datagram not sent.", "bytes", len(data), "error", err)
 		return
 	}
-	for _, a := range addresses {
-		to, err := net.ResolveUDPAddr("udp", a)
-		if err == nil {
-			_, err = x.conn.WriteToUDP(data, to)
-		}
-		if err != nil {
+	for _, a := range to {
+		if _, err := x.conn.WriteToUDP(data, a); err != nil {
 			x.options.Logger.Debug("Datagram not sent.", "to", a, "error", err)
 		}
 	}
 }
 
-// expire marks silent peers. The caller holds the lock.
+// expire marks silent peers and drops silent zones. The caller holds the lock.
 func (x *Exchange) expire(now time.Time) {
-	interval := max(minInterval, time.Duration(len(x.addresses))*intervalPerPeer)
+	suspect := max(minSuspect, suspectAfter*x.interval())
 	for id, p := range x.peers {
 		silent := now.Sub(p.heard)
-		if p.live && silent > suspectAfter*interval {
+		if p.live && silent > suspect {
 			p.live = false
 			x.options.Logger.Warn("Peer lost.", "peer", id, "silent", silent)
 		}
@@ -237,58 +377,15 @@
 			delete(x.peers, id)
 		}
 	}
-}
-
-func (x *Exchange) receive(ctx context.Context) {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, _, err := x.conn.ReadFromUDP(buffer)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			x.options.Logger.Warn("Datagram not read.", "error", err)
-			continue
-		}
-		state := &pb.State{}
-		if err := proto.Unmarshal(buffer[:n], state); err != nil {
-			x.options.Logger.Warn("Datagram not understood.", "bytes", n, "error", err)
-			continue
+	for name, z := range x.zones {
+		if silent := now.Sub(z.heard); silent > 2*suspect {
+			delete(x.zones, name)
+			x.options.Logger.Warn("Zone lost.", "zone", name, "silent", silent)
 		}
-		if x.accept(state, time.Now()) {
-			x.options.Received(state)
-		}
-	}
-}
-
-// accept takes a state that is newer than the one known.
-func (x *Exchange) accept(state *pb.State, now time.Time) bool {
-	if state.Id == x.options.ID {
-		return false
-	}
-	x.Know(append(state.Members, state.ControlAddress))
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.addresses[state.ControlAddress] = now
-	p, ok := x.peers[state.Id]
-	if !ok {
-		p = &peer{}
-		x.peers[state.Id] = p
 	}
-	if old := p.state; old != nil && (state.Incarnation < old.Incarnation ||
-		(state.Incarnation == old.Incarnation && state.Sequence <= old.Sequence)) {
-		return false
-	}
-	if !p.live {
-		x.options.Logger.Info("Peer heard.", "peer", state.Id, "incarnation", state.Incarnation)
+	for control, a := range x.addresses {
+		if now.Sub(a.heard) > forgetAfter {
+			delete(x.addresses, control)
+		}
 	}
-	p.state, p.heard, p.live = state, now, true
-	return true
-}
-
-type puller struct{ x *Exchange }
-
-// Pull answers a peer.
-func (p puller) Pull(context.Context, *pb.PullRequest) (*pb.Records, error) {
-	return p.x.options.Records(), nil
 }
--- /dev/null
+++ b/internal/exchange/merge.go
@@ -0,0 +1,80 @@
+package exchange
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+)
+
+// Merge sums the views of the daemons of one zone. Loads and uses add up; of the knowledge
+// of the store the newest counts.
+func Merge(views []*pb.View) *pb.View {
+	out := &pb.View{ConfigAgeMs: math.MaxUint32, ServerAgeMs: math.MaxUint32}
+	servers := make(map[uint64]*pb.ServerLoad)
+	accounts := make(map[uint64]*pb.AccountUse)
+	withdrawn := make(map[string]*pb.Withdrawal)
+	for _, v := range views {
+		for _, l := range v.Servers {
+			sum := entry(servers, l.Server, &pb.ServerLoad{Server: l.Server})
+			sum.Running += l.Running
+			sum.PendingTokens += l.PendingTokens
+			sum.MemoryTokens += l.MemoryTokens
+		}
+		for _, u := range v.Accounts {
+			sum := entry(accounts, u.Account, &pb.AccountUse{Account: u.Account})
+			sum.Asked += u.Asked
+			sum.Admitted += u.Admitted
+		}
+		for _, w := range v.Withdrawn {
+			if old, ok := withdrawn[w.Server]; !ok || old.Born < w.Born || (old.Born == w.Born && old.Sequence < w.Sequence) {
+				withdrawn[w.Server] = w
+			}
+		}
+		out.Placements = append(out.Placements, v.Placements...)
+		if v.ConfigVersion > out.ConfigVersion {
+			out.ConfigVersion, out.ConfigAgeMs = v.ConfigVersion, v.ConfigAgeMs
+		} else if v.ConfigVersion == out.ConfigVersion {
+			out.ConfigAgeMs = min(out.ConfigAgeMs, v.ConfigAgeMs)
+		}
+		if v.ServerAgeMs < out.ServerAgeMs {
+			out.ServerDigest, out.ServerAgeMs = v.ServerDigest, v.ServerAgeMs
+		}
+	}
+	for _, l := range servers {
+		out.Servers = append(out.Servers, l)
+	}
+	for _, u := range accounts {
+		out.Accounts = append(out.Accounts, u)
+	}
+	for _, w := range withdrawn {
+		out.Withdrawn = append(out.Withdrawn, w)
+	}
+	return out
+}
+
+func entry[K comparable, V any](m map[K]V, key K, fresh V) V {
+	if old, ok := m[key]; ok {
+		return old
+	}
+	m[key] = fresh
+	return fresh
+}
+
+// Rank returns the place of the daemon with the id among the daemons of its zone: the
+// first one is the zone's delegate. Each daemon works it out from the members that it
+// hears, so that two may hold it for a moment; what delegates send is harmless twice.
+func Rank(id string, others []*pb.Member) int {
+	rank := 0
+	for _, m := range others {
+		if m.Id < id && !m.Draining {
+			rank++
+		}
+	}
+	return rank
+}
+
+func sortMembers(members []*pb.Member) {
+	slices.SortFunc(members, func(a, b *pb.Member) int { return strings.Compare(a.Id, b.Id) })
+}
--- /dev/null
+++ b/internal/exchange/receive.go
@@ -0,0 +1,122 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+)
+
+func (x *Exchange) receive(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := x.conn.ReadFromUDP(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			x.options.Logger.Warn("Datagram not read.", "error", err)
+			continue
+		}
+		d := &pb.Datagram{}
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
+			x.options.Logger.Warn("Datagram not understood.", "bytes", n, "error", err)
+			continue
+		}
+		now := time.Now()
+		if s := d.State; s != nil && s.Member != nil && s.View != nil {
+			x.takeState(s, now)
+		}
+		if z := d.Zone; z != nil && z.Delegate != nil && z.View != nil {
+			x.takeZone(z, true, now)
+		}
+	}
+}
+
+// takeState takes a state that is newer than the one known.
+func (x *Exchange) takeState(s *pb.State, now time.Time) {
+	self := x.options.Self()
+	if s.Member.Id == self.Id {
+		return
+	}
+	if !x.acceptState(s, now) {
+		return
+	}
+	x.mu.Lock()
+	counts := x.mesh() || s.Member.Zone == self.Zone
+	x.mu.Unlock()
+	if counts {
+		x.options.Received(s.Member.Id, s.Member, s.View)
+	}
+	for _, z := range s.Zones {
+		if z.Delegate != nil && z.View != nil {
+			x.takeZone(z, false, now)
+		}
+	}
+}
+
+func (x *Exchange) acceptState(s *pb.State, now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, m := range s.Members {
+		x.know(m.ControlAddress, m.Zone)
+	}
+	if a := x.know(s.Member.ControlAddress, s.Member.Zone); a != nil {
+		a.heard = now
+	}
+	p, ok := x.peers[s.Member.Id]
+	if !ok {
+		p = &peer{}
+		x.peers[s.Member.Id] = p
+	}
+	if old := p.state; old != nil && !newer(s.Incarnation, s.Sequence, old.Incarnation, old.Sequence) {
+		return false
+	}
+	if !p.live {
+		x.options.Logger.Info("Peer heard.", "peer", s.Member.Id, "incarnation", s.Incarnation)
+	}
+	p.state, p.heard, p.live = s, now, true
+	return true
+}
+
+// takeZone takes the sum of another zone, from its delegate or passed on by our own.
+func (x *Exchange) takeZone(z *pb.Zone, direct bool, now time.Time) {
+	if !x.acceptZone(z, direct, now) {
+		return
+	}
+	x.options.Received("zone "+z.Zone, z.Delegate, z.View)
+}
+
+func (x *Exchange) acceptZone(z *pb.Zone, direct bool, now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if z.Zone == x.options.Self().Zone {
+		return false
+	}
+	a := x.know(z.Delegate.ControlAddress, z.Zone)
+	if direct && a != nil {
+		a.heard = now
+	}
+	old, ok := x.zones[z.Zone]
+	if ok && old.Delegate.Id == z.Delegate.Id && !newer(z.Incarnation, z.Sequence, old.Incarnation, old.Sequence) {
+		return false
+	}
+	if !ok {
+		x.options.Logger.Info("Zone heard.", "zone", z.Zone, "delegate", z.Delegate.Id, "members", len(z.Members))
+	}
+	x.zones[z.Zone] = &zone{z, now}
+	// Daemons send to addresses of other zones only while they have no delegate there.
+	for _, m := range z.Members {
+		if known, ok := x.addresses[m.ControlAddress]; ok {
+			known.heard = now
+		}
+	}
+	return !x.mesh()
+}
+
+// newer reports whether a state replaces another one of the same daemon.
+func newer(incarnation, sequence, oldIncarnation, oldSequence uint64) bool {
+	return incarnation > oldIncarnation || (incarnation == oldIncarnation && sequence > oldSequence)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -25,7 +25,7 @@
 	defaultDeadline = 30 * time.Second
 	// staleAfter is the age beyond which the configuration may lack a route or key that is
 	// in force: a request that it does not allow is then refused for now, not for good.
-	staleAfter = 1300 * time.Millisecond
+	staleAfter = 1600 * time.Millisecond
 	// restingRetry is the time after which a caller finds another daemon, or this one ready.
 	restingRetry = 100 * time.Millisecond
 	// maxHeldBytes bounds the bodies held at once.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/exchange"
-	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/retry"
@@ -34,9 +33,6 @@
 	maxHeaderBytes = 64 << 10
 	// sweepInterval is the time between two looks at unused connections.
 	sweepInterval = time.Second
-	// pullAfter is how long a newer configuration of a peer may be unread here before it is
-	// pulled from there.
-	pullAfter = 300 * time.Millisecond
 )
 
 // Handlers wraps the product's answers into those of the platform.
@@ -87,23 +83,27 @@
 		Daemons:     func() int { return g.exchange.Size() },
 	})
 	g.topology = topology.NewMap(g.serversChanged)
-	g.reader = topology.NewReader(h.Store, g.topology, logging.For(logging.Config))
+	g.reader = topology.NewReader(topology.ReaderOptions{
+		Store:  h.Store,
+		Target: g.topology,
+		Duty:   g.onDuty,
+		Logger: logging.For(logging.Config),
+	})
 	metrics, scrape, _ := telemetry.New(telemetry.Options{})
 	g.scrape = scrape
 	g.handler = forward.NewHandler(forward.Options{
 		Protocol: h.Protocol,
 		Config:   g.topology.Config,
-		Age:      g.reader.Age,
+		Age:      func(now time.Time) time.Duration { return g.reader.Age(topology.Configs, now) },
 		Pilot:    g.pilot,
 		Pool:     g.pool,
 		Metrics:  metrics,
 		Logger:   logging.For(logging.Entry),
 	})
 	x, err := exchange.New(exchange.Options{
-		ID:       s.ID,
+		Self:     g.member,
 		Address:  s.Control,
-		Seeds:    s.Seeds,
-		Fill:     g.fill,
+		View:     g.view,
 		Received: g.received,
 		Records:  g.records,
 		Logger:   logging.For(logging.Peer),
@@ -112,6 +112,7 @@
 		return nil, err
 	}
 	g.exchange = x
+	g.know(s.Seeds)
 	return g, nil
 }
 
@@ -175,10 +176,16 @@
 	}
 }
 
+func (g *Gateway) know(seeds []string) {
+	for _, control := range seeds {
+		g.exchange.Know(control, "")
+	}
+}
+
 // Reload logs that the settings have changed. What they hold for a running daemon, such
 // as seeds, is learnt from peers and the store.
 func (g *Gateway) Reload(s Settings) {
-	g.exchange.Know(s.Seeds)
+	g.know(s.Seeds)
 	g.logger.Info("Settings reloaded.", "seeds", s.Seeds)
 }
 
@@ -206,72 +213,3 @@
 	g.pilot.SetServers(g.topology.Servers(), g.topology.Config())
 	g.exchange.Wake()
 }
-
-// fill completes the state that peers receive.
-func (g *Gateway) fill(s *pb.State) {
-	now := time.Now()
-	s.Zone, s.Region = g.settings.Zone, g.settings.Region
-	s.EntryAddress = g.settings.Entry
-	s.Draining = !g.ready()
-	if c := g.topology.Config(); c != nil {
-		s.ConfigVersion = c.Version
-	}
-	encodeView(s, g.pilot.View(now))
-	for _, w := range g.topology.Withdrawals(now) {
-		s.Withdrawn = append(s.Withdrawn, &pb.Withdrawal{Server: w.ID, Born: w.Born, Sequence: w.Sequence})
-	}
-}
-
-// received takes the state of a peer.
-func (g *Gateway) received(s *pb.State) {
-	now := time.Now()
-	g.pilot.SetPeer(s.Id, decodeView(s), now)
-	for _, w := range s.Withdrawn {
-		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Born: w.Born, Sequence: w.Sequence, At: now}) {
-			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", s.Id)
-		}
-	}
-	if s.ConfigVersion > g.version() && g.pulling.CompareAndSwap(false, true) {
-		go g.pull(s.ControlAddress, s.ConfigVersion)
-	}
-}
-
-func (g *Gateway) version() uint64 {
-	if c := g.topology.Config(); c != nil {
-		return c.Version
-	}
-	return 0
-}
-
-// pull takes the records of a peer that knows a newer configuration, unless the store
-// brings it meanwhile.
-func (g *Gateway) pull(address string, version uint64) {
-	defer g.pulling.Store(false)
-	time.Sleep(pullAfter)
-	if g.version() >= version {
-		return
-	}
-	records, err := g.exchange.Pull(context.Background(), address)
-	if err != nil {
-		g.logger.Warn("Records not pulled.", "peer", address, "error", err)
-		return
-	}
-	now := time.Now()
-	for _, r := range records.Servers {
-		g.reader.ApplyServer(topology.Record{Key: r.Key, Value: r.Value}, now)
-	}
-	if len(records.Config) > 0 {
-		g.reader.ApplyConfig(topology.Record{Key: records.ConfigKey, Value: records.Config})
-	}
-	g.logger.Info("Records pulled.", "peer", address, "version", g.version())
-}
-
-// records are what peers pull.
-func (g *Gateway) records() *pb.Records {
-	key, config := g.topology.ConfigRecord()
-	out := &pb.Records{ConfigKey: key, Config: config}
-	for key, value := range g.topology.Records() {
-		out.Servers = append(out.Servers, &pb.ServerRecord{Key: key, Value: value})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/topology"
+)
+
+const (
+	// minReaders is the number of daemons that read the store in a fleet of one zone; in
+	// others one in each zone does.
+	minReaders = 2
+	// pullPause is the least time between two pulls.
+	pullPause = 100 * time.Millisecond
+)
+
+func (g *Gateway) member() *pb.Member {
+	return &pb.Member{
+		Id:             g.settings.ID,
+		Zone:           g.settings.Zone,
+		Region:         g.settings.Region,
+		EntryAddress:   g.settings.Entry,
+		ControlAddress: g.settings.Control,
+		Draining:       !g.ready(),
+	}
+}
+
+// onDuty reports whether this daemon reads the store for others.
+func (g *Gateway) onDuty() bool {
+	rank, zones := g.exchange.Rank()
+	return rank == 0 || (zones == 1 && rank < minReaders)
+}
+
+// view is what peers receive.
+func (g *Gateway) view() *pb.View {
+	now := time.Now()
+	v := encodeView(g.pilot.View(now))
+	for _, w := range g.topology.Withdrawals(now) {
+		v.Withdrawn = append(v.Withdrawn, &pb.Withdrawal{Server: w.ID, Born: w.Born, Sequence: w.Sequence})
+	}
+	v.ConfigVersion = g.version()
+	v.ServerDigest = g.topology.Digest()
+	v.ConfigAgeMs = uint32(min(g.reader.Age(topology.Configs, now), time.Hour).Milliseconds())
+	v.ServerAgeMs = uint32(min(g.reader.Age(topology.Servers, now), time.Hour).Milliseconds())
+	return v
+}
+
+// received takes the view of a peer or of a zone.
+func (g *Gateway) received(from string, source *pb.Member, v *pb.View) {
+	now := time.Now()
+	g.pilot.SetPeer(from, decodeView(v), now)
+	for _, w := range v.Withdrawn {
+		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Born: w.Born, Sequence: w.Sequence, At: now}) {
+			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", from)
+		}
+	}
+	age := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	behind := false
+	switch version := g.version(); {
+	case v.ConfigVersion > version:
+		behind = true
+	case v.ConfigVersion == version && version > 0:
+		g.reader.Confirm(topology.Configs, age(v.ConfigAgeMs))
+	}
+	if v.ServerDigest == g.topology.Digest() {
+		g.reader.Confirm(topology.Servers, age(v.ServerAgeMs))
+	} else if g.reader.Newer(topology.Servers, age(v.ServerAgeMs)) {
+		behind = true
+	}
+	if behind && g.pulling.CompareAndSwap(false, true) {
+		go g.pull(source, age(v.ServerAgeMs))
+	}
+}
+
+func (g *Gateway) version() uint64 {
+	if c := g.topology.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// pull takes the records of a peer that knows more.
+func (g *Gateway) pull(source *pb.Member, listed time.Time) {
+	defer func() {
+		time.Sleep(pullPause)
+		g.pulling.Store(false)
+	}()
+	records, err := g.exchange.Pull(context.Background(), source.ControlAddress)
+	if err != nil {
+		g.logger.Warn("Records not pulled.", "peer", source.Id, "error", err)
+		return
+	}
+	if len(records.Config) > 0 {
+		g.reader.ApplyConfig(topology.Record{Key: records.ConfigKey, Value: records.Config})
+	}
+	servers := make([]topology.Record, 0, len(records.Servers))
+	for _, r := range records.Servers {
+		servers = append(servers, topology.Record{Key: r.Key, Value: r.Value})
+	}
+	g.reader.ApplyList(servers, listed, time.Now())
+	g.logger.Info("Records pulled.", "peer", source.Id, "version", g.version(), "servers", len(servers))
+}
+
+// records are what peers pull.
+func (g *Gateway) records() *pb.Records {
+	key, config := g.topology.ConfigRecord()
+	out := &pb.Records{ConfigKey: key, Config: config}
+	for key, value := range g.topology.Records() {
+		out.Servers = append(out.Servers, &pb.ServerRecord{Key: key, Value: value})
+	}
+	return out
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -7,8 +7,9 @@
 	"github.com/filbertrill/filbertrill/internal/placement"
 )
 
-// encodeView adds the view to the state that peers receive.
-func encodeView(s *pb.State, v forward.View) {
+// encodeView returns the message for a view.
+func encodeView(v forward.View) *pb.View {
+	s := &pb.View{}
 	for hash, l := range v.Loads {
 		s.Servers = append(s.Servers, &pb.ServerLoad{
 			Server:        hash,
@@ -23,10 +24,11 @@
 	for _, p := range v.Placements {
 		s.Placements = append(s.Placements, &pb.Placement{Server: p.Server, Part: p.Part, Tokens: uint32(p.Tokens)})
 	}
+	return s
 }
 
-// decodeView returns the view of a peer's state.
-func decodeView(s *pb.State) forward.View {
+// decodeView returns the view of a message.
+func decodeView(s *pb.View) forward.View {
 	v := forward.View{
 		Loads: make(map[uint64]placement.Load, len(s.Servers)),
 		Uses:  make(map[uint64]admission.Use, len(s.Accounts)),
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -46,44 +46,83 @@
 const (
 	// callTimeout bounds a call to the store beyond the time that it may wait.
 	callTimeout = 700 * time.Millisecond
-	// configWait is how long a read of the configuration waits for a change. A connection
-	// that has gone silent is noticed after it, and the configuration has to be in force
-	// within two seconds.
-	configWait = 1000 * time.Millisecond
+	// configWait is how long a read of the configuration waits for a change. Its end tells
+	// that there was none, which other daemons need to know before takeover.
+	configWait = 750 * time.Millisecond
 	// serverPace is the time between two reads of the servers' records. Servers write all
 	// the time, so that waiting reads would return at once.
-	serverPace = 600 * time.Millisecond
+	serverPace = 700 * time.Millisecond
 	// relistEvery is the time between two full listings of the servers.
 	relistEvery = 5 * time.Second
 	// minBackoff and maxBackoff bound the time between calls that fail.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// takeover is the age of what peers know at which a daemon reads the store itself. A
+	// configuration has to be in force within two seconds.
+	takeover = 1200 * time.Millisecond
+	// dutyPause is the time between two looks at whether to read.
+	dutyPause = 100 * time.Millisecond
 	// settle is how long after an outage of the store missing servers are kept: those
 	// alive register again within two seconds.
 	settle = 2500 * time.Millisecond
 )
 
+// ReaderOptions are the parts that a Reader works with.
+type ReaderOptions struct {
+	Store  Store
+	Target *Map
+	// Duty reports whether this daemon reads the store for others. One that does not takes
+	// what its peers know, and reads the store itself when they have fallen silent.
+	Duty   func() bool
+	Logger *slog.Logger
+}
+
 // Reader keeps a Map in step with the store.
 type Reader struct {
 	store  Store
 	target *Map
+	duty   func() bool
 	logger *slog.Logger
-	config atomic.Int64 // time of the last good read, Unix nanoseconds
-	server atomic.Int64
+	good   [2]atomic.Int64 // by topic: time at which all of it was known, Unix nanoseconds
 	listed atomic.Bool
 }
 
-// NewReader returns a reader that fills the map.
-func NewReader(store Store, target *Map, logger *slog.Logger) *Reader {
-	return &Reader{store: store, target: target, logger: logger}
+// NewReader returns a reader.
+func NewReader(o ReaderOptions) *Reader {
+	return &Reader{store: o.Store, target: o.Target, duty: o.Duty, logger: o.Logger}
 }
 
 // Listed reports whether the servers have been listed once.
 func (r *Reader) Listed() bool { return r.listed.Load() }
 
-// Age returns the time since the configuration was last known to be the newest.
-func (r *Reader) Age(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, r.config.Load()))
+// Age returns the time since the topic was last known to hold nothing newer.
+func (r *Reader) Age(t Topic, now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, r.good[t].Load()))
+}
+
+// Newer reports whether a peer's knowledge of the topic is more recent.
+func (r *Reader) Newer(t Topic, at time.Time) bool { return at.UnixNano() > r.good[t].Load() }
+
+// Confirm takes that a peer knew the same at the given time, and that nothing was newer.
+func (r *Reader) Confirm(t Topic, at time.Time) {
+	for {
+		old := r.good[t].Load()
+		if at.UnixNano() <= old || r.good[t].CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// ApplyList takes the list of servers that a peer knew at the given time.
+func (r *Reader) ApplyList(records []Record, at, now time.Time) {
+	for _, record := range records {
+		r.ApplyServer(record, now)
+	}
+	if r.Newer(Servers, at) {
+		r.reconcile(records, now, time.Time{})
+		r.Confirm(Servers, at)
+		r.listed.Store(true)
+	}
 }
 
 // Run reads until the context ends.
@@ -99,6 +138,11 @@
 	next := int64(-1)
 	for ctx.Err() == nil {
 		started := time.Now()
+		if !r.duty() && r.Age(t, started) < takeover {
+			next = -1
+			r.pause(ctx, dutyPause)
+			continue
+		}
 		full := next < 0 || (t == Servers && started.Sub(listedAt) > relistEvery)
 		records, end, err := r.call(ctx, t, next, full)
 		if errors.Is(err, ErrTruncated) {
@@ -132,13 +176,22 @@
 		if full {
 			next = end
 		}
-		r.mark(t, started)
+		r.Confirm(t, knownAt(t, started, len(records), full))
 		if t == Servers {
 			r.pause(ctx, serverPace-time.Since(started))
 		}
 	}
 }
 
+// knownAt returns the time at which what a call returned was all that there was. A read that
+// waited in vain says so of the end of its wait.
+func knownAt(t Topic, started time.Time, records int, full bool) time.Time {
+	if t == Configs && !full && records == 0 {
+		return started.Add(configWait)
+	}
+	return started
+}
+
 func (r *Reader) call(ctx context.Context, t Topic, from int64, full bool) ([]Record, int64, error) {
 	if full {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -154,14 +207,6 @@
 	return r.store.Read(ctx, t, from, wait)
 }
 
-func (r *Reader) mark(t Topic, at time.Time) {
-	if t == Configs {
-		r.config.Store(at.UnixNano())
-		return
-	}
-	r.server.Store(at.UnixNano())
-}
-
 // apply takes records into the map. While the store settles after an outage, removals wait
 // for the next full listing: leases may have run out though their holders live.
 func (r *Reader) apply(t Topic, records []Record, now time.Time, settling bool) {
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -4,10 +4,13 @@
 package topology
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/filbertrill/filbertrill/internal/routing"
 )
 
@@ -187,6 +190,19 @@
 	return out
 }
 
+// Digest names the list of backend servers: equal lists have equal digests.
+func (m *Map) Digest() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var sum uint64
+	for _, e := range m.servers {
+		s := e.Server
+		// Adding up makes the order of the map irrelevant.
+		sum += xxhash.Sum64String(s.ID + " " + s.Address + " " + strconv.FormatInt(s.Born, 10) + " " + strconv.Itoa(int(s.State)))
+	}
+	return sum
+}
+
 // Records returns the backend servers as the store keeps them, by id.
 func (m *Map) Records() map[string][]byte {
 	m.mu.Lock()
