--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -41,7 +41,6 @@
 	Taken     float64       // share of the best server's places that are taken
 	Left      time.Duration // until the caller's deadline
 	Use       Use           // of the account over the fleet, this request left out
-	Tokens    float64       // of this request
 	Levels    Levels
 	Window    time.Duration
 	Jitter    float64 // from [0, 1), spreads the callers that come back
@@ -61,7 +60,7 @@
 	case pressure > fullPressure:
 		return Verdict{TooLate, q.retry(q.drain())}
 	case q.burden() > q.allowance()*q.Objective.Seconds():
-		excess := max(0, q.taken()/q.Levels.Reached-1)
+		excess := max(0, q.Use.Admitted/q.Levels.Reached-1)
 		wait := time.Duration(excess * float64(q.Window))
 		return Verdict{OverShare, q.retry(max(wait, q.drain()))}
 	default:
@@ -77,17 +76,16 @@
 	return (q.Predicted - q.Own + own).Seconds() / max(q.Objective.Seconds(), 0.001)
 }
 
-// taken returns the tokens of the account over the window, with this request.
-func (q Question) taken() float64 { return q.Use.Admitted + q.Tokens }
-
 // allowance returns the share of the objective that the burden may reach. An account within
-// what it is owed has no bound but the objective; beyond, the more an account has received
+// what it is owed has no bound but the objective. What it has received before counts, not the
+// request itself (start-time fair queueing, Goyal et al. 1996): else an account that sends
+// only requests larger than its share would never be served. Beyond that, the more an account has received
 // against the level that the others reach, the earlier it yields.
 func (q Question) allowance() float64 {
-	if q.taken() <= q.Levels.Owed {
+	if q.Use.Admitted <= q.Levels.Owed {
 		return 1
 	}
-	return fairBurden * min(max(q.Levels.Reached/q.taken(), minYield), maxYield)
+	return fairBurden * min(max(q.Levels.Reached/q.Use.Admitted, minYield), maxYield)
 }
 
 // burden returns the delay, in seconds, that the request meets and causes: what the load of
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -18,7 +18,6 @@
 		Own:       40 * ms,
 		Objective: 400 * ms,
 		Left:      10 * time.Second,
-		Tokens:    1000,
 		Levels:    Levels{Owed: 10_000, Reached: 20_000},
 		Window:    4 * time.Second,
 	}
@@ -36,6 +35,18 @@
 	assert.Equal(t, Admitted, Decide(q).Reason)
 }
 
+// An account whose single requests are larger than its share is served while it has
+// received less than that: yushan-rounds, mix --seed 462942775984, FAIR.
+func TestRequestsLargerThanTheShareAreServed(t *testing.T) {
+	q := calm()
+	q.Own, q.Taken = 200*ms, 0.9
+	q.Predicted = q.Idle + 150*ms
+	q.Use = Use{Asked: 200_000}
+	assert.Equal(t, Admitted, Decide(q).Reason)
+	q.Use.Admitted = 50_000
+	assert.Equal(t, OverShare, Decide(q).Reason)
+}
+
 func TestEveryoneIsRefusedWhenLate(t *testing.T) {
 	q := calm()
 	q.Predicted = 500 * ms
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,7 +48,6 @@
 	closing atomic.Bool // connections are handed back after their answer
 	refuse  atomic.Bool // no request is taken any more
 	held    atomic.Int64
-	active  sync.WaitGroup
 }
 
 // NewHandler returns a handler.
--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -116,7 +116,6 @@
 		Taken:     float64(choice.Load.Running) / float64(max(1, choice.Server.Slots)),
 		Left:      c.limit.Sub(now),
 		Use:       p.shares.Use(account, now),
-		Tokens:    tokens,
 		Levels:    p.shares.Levels(now),
 		Window:    p.options.FairWindow,
 		Jitter:    jitter(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,11 +57,11 @@
 	handler  *forward.Handler
 	scrape   http.Handler
 
-	servers  []*http.Server
-	entry    *http.Server
-	draining atomic.Bool
-	stop     chan struct{}
-	pulling  atomic.Bool
+	entry       *http.Server
+	connections atomic.Int64 // open ones of callers
+	draining    atomic.Bool
+	stop        chan struct{}
+	pulling     atomic.Bool
 }
 
 // New wires the parts. Nothing serves before Run.
@@ -139,6 +139,7 @@
 
 func (g *Gateway) listen() error {
 	g.entry = g.server(g.handler)
+	g.entry.ConnState = g.countConnections
 	listeners := []struct {
 		address string
 		server  *http.Server
@@ -156,7 +157,6 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		g.servers = append(g.servers, l.server)
 		go func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				g.logger.Error("Address is not served.", "address", l.address, "error", err)
@@ -182,6 +182,16 @@
 	}
 }
 
+// countConnections follows the open connections of callers.
+func (g *Gateway) countConnections(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		g.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.connections.Add(-1)
+	}
+}
+
 // Reload logs that the settings have changed. What they hold for a running daemon, such
 // as seeds, is learnt from peers and the store.
 func (g *Gateway) Reload(s Settings) {
