Leave strained daemons out of the directory, and don't take own pauses for silence of peers

Change: a daemon measures how late its own timers fire and tells peers; the directory names it only when there is no other; time in which a daemon stood still does not count as silence. Test: TestCallersGoToUnstrainedDaemons, TestStrainFollowsLastingLag.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,6 +73,7 @@
 	mu         sync.Mutex
 	sequence   uint64
 	introduced time.Time
+	looked     time.Time        // last call of expire
 	peers      map[string]*peer // by id
 	zones      map[string]*zone // other zones, by name
 	addresses  map[string]*address
@@ -364,9 +365,20 @@
 	}
 }
 
-// expire marks silent peers and drops silent zones. The caller holds the lock.
+// expire marks silent peers and drops silent zones. Time in which this daemon itself stood
+// still is no silence of theirs. The caller holds the lock.
 func (x *Exchange) expire(now time.Time) {
 	suspect := max(minSuspect, suspectAfter*x.interval())
+	if pause := now.Sub(x.looked); !x.looked.IsZero() && pause > suspect/2 {
+		x.options.Logger.Warn("Stood still.", "pause", pause)
+		for _, p := range x.peers {
+			p.heard = p.heard.Add(pause)
+		}
+		for _, z := range x.zones {
+			z.heard = z.heard.Add(pause)
+		}
+	}
+	x.looked = now
 	for id, p := range x.peers {
 		silent := now.Sub(p.heard)
 		if p.live && silent > suspect {
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -15,35 +15,50 @@
 	maxEntries = 64
 )
 
-// entries returns the daemons that a caller of the zone may connect to: those of its zone
-// when there are enough, else those of its region, else all.
+// entry is a daemon that takes requests of callers.
+type entry struct {
+	address, zone, region string
+	strained              bool
+}
+
+// entries returns the daemons that a caller of the zone may connect to.
 func (g *Gateway) entries(zone, region string) Entries {
-	type entry struct{ address, zone, region string }
 	var all []entry
 	if !g.draining.Load() {
-		all = append(all, entry{g.settings.Entry, g.settings.Zone, g.settings.Region})
+		all = append(all, entry{g.settings.Entry, g.settings.Zone, g.settings.Region, g.strain.strained.Load()})
 	}
 	for _, m := range g.exchange.Members() {
 		if !m.Draining {
-			all = append(all, entry{m.EntryAddress, m.Zone, m.Region})
+			all = append(all, entry{m.EntryAddress, m.Zone, m.Region, m.Strained})
 		}
 	}
-	pick := func(match func(entry) bool) []string {
-		var out []string
-		for _, e := range all {
+	return Entries{Addresses: choose(all, zone, region), TTL: min(entryTTL, g.settings.EntryTTLMax)}
+}
+
+// choose returns the addresses of the caller's zone when there are enough, else of its region,
+// else all. Strained daemons are left out while there is another one.
+func choose(all []entry, zone, region string) []string {
+	usable := slices.DeleteFunc(slices.Clone(all), func(e entry) bool { return e.strained })
+	if len(usable) == 0 {
+		usable = all
+	}
+	near := []func(entry) bool{
+		func(e entry) bool { return e.zone == zone },
+		func(e entry) bool { return e.region == region },
+		func(entry) bool { return true },
+	}
+	var addresses []string
+	for _, match := range near {
+		addresses = nil
+		for _, e := range usable {
 			if match(e) {
-				out = append(out, e.address)
+				addresses = append(addresses, e.address)
 			}
 		}
-		return out
-	}
-	addresses := pick(func(e entry) bool { return e.zone == zone })
-	if len(addresses) < minLocal {
-		addresses = pick(func(e entry) bool { return e.region == region })
-	}
-	if len(addresses) < minLocal {
-		addresses = pick(func(entry) bool { return true })
+		if len(addresses) >= minLocal {
+			break
+		}
 	}
 	slices.Sort(addresses)
-	return Entries{Addresses: addresses[:min(len(addresses), maxEntries)], TTL: min(entryTTL, g.settings.EntryTTLMax)}
+	return addresses[:min(len(addresses), maxEntries)]
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	draining    atomic.Bool
 	stop        chan struct{}
 	pulling     atomic.Bool
+	strain      strain
 }
 
 // New wires the parts. Nothing serves before Run.
@@ -122,6 +123,7 @@
 	defer cancel()
 	go g.reader.Run(ctx)
 	go g.sweep(ctx)
+	go g.watchStrain(ctx)
 	go func() {
 		if err := g.exchange.Run(ctx); err != nil {
 			g.logger.Error("Exchange ended.", "error", err)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,6 +24,7 @@
 		EntryAddress:   g.settings.Entry,
 		ControlAddress: g.settings.Control,
 		Draining:       !g.ready(),
+		Strained:       g.strain.strained.Load(),
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/strain.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// strainTick is the time between two measurements of the lag.
+	strainTick = 20 * time.Millisecond
+	// strainGain is the weight of the newest lag in the average: about half a second counts.
+	strainGain = 0.05
+	// strainEnter and strainLeave are the average lags at which a daemon counts as strained
+	// and no longer so: each answer passes several wake-ups, against objectives of some
+	// hundred milliseconds.
+	strainEnter = 15 * time.Millisecond
+	strainLeave = 5 * time.Millisecond
+)
+
+// strain tells whether the process gets too little processor time, from how late its own
+// timers fire. A slow machine serves its callers worse than any other could, and takes its
+// own delays for those of the servers.
+type strain struct {
+	lag      time.Duration
+	strained atomic.Bool
+}
+
+// observe takes the lag of one timer and reports whether the state has changed.
+func (s *strain) observe(lag time.Duration) bool {
+	s.lag += time.Duration(strainGain * float64(lag-s.lag))
+	switch was := s.strained.Load(); {
+	case !was && s.lag > strainEnter:
+		s.strained.Store(true)
+		return true
+	case was && s.lag < strainLeave:
+		s.strained.Store(false)
+		return true
+	}
+	return false
+}
+
+// watchStrain measures until the context ends.
+func (g *Gateway) watchStrain(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := time.Now().Add(strainTick)
+		time.Sleep(strainTick)
+		if g.strain.observe(time.Since(due)) {
+			g.logger.Info("Strain changed.", "strained", g.strain.strained.Load(), "lag", g.strain.lag)
+			g.exchange.Wake()
+		}
+	}
+}
