--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -45,9 +45,10 @@
 // Handler answers callers. It is an http.Handler.
 type Handler struct {
 	Options
-	closing atomic.Bool // connections are handed back after their answer
-	refuse  atomic.Bool // no request is taken any more
-	held    atomic.Int64
+	closing atomic.Bool  // connections are handed back after their answer
+	refuse  atomic.Bool  // no request is taken any more
+	held    atomic.Int64 // bytes of bodies
+	active  atomic.Int64 // requests
 }
 
 // NewHandler returns a handler.
@@ -56,6 +57,9 @@
 // HandBack lets every answer close its connection.
 func (h *Handler) HandBack() { h.closing.Store(true) }
 
+// Active returns the number of requests under way.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
 // Refuse lets every further request be refused as not run.
 func (h *Handler) Refuse() { h.refuse.Store(true) }
 
@@ -82,6 +86,8 @@
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
 	c := &call{http: r, writer: w, arrived: time.Now()}
 	if h.closing.Load() || len(r.TransferEncoding) > 0 {
 		// Two lengths in one head would let bytes behind a chunked body pass for a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,12 +57,10 @@
 	handler  *forward.Handler
 	scrape   http.Handler
 
-	entry       *http.Server
-	connections atomic.Int64 // open ones of callers
-	draining    atomic.Bool
-	stop        chan struct{}
-	pulling     atomic.Bool
-	strain      strain
+	draining atomic.Bool
+	stop     chan struct{}
+	pulling  atomic.Bool
+	strain   strain
 }
 
 // New wires the parts. Nothing serves before Run.
@@ -140,13 +138,11 @@
 }
 
 func (g *Gateway) listen() error {
-	g.entry = g.server(g.handler)
-	g.entry.ConnState = g.countConnections
 	listeners := []struct {
 		address string
 		server  *http.Server
 	}{
-		{g.settings.Entry, g.entry},
+		{g.settings.Entry, g.server(g.handler)},
 		{g.settings.Directory, g.server(g.handlers.Directory(g.entries))},
 		{g.settings.Readiness, g.server(g.handlers.Readiness(g.ready))},
 		{g.settings.Metrics, g.server(g.scrape)},
@@ -184,16 +180,6 @@
 	}
 }
 
-// countConnections follows the open connections of callers.
-func (g *Gateway) countConnections(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		g.connections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		g.connections.Add(-1)
-	}
-}
-
 // Reload logs that the settings have changed. What they hold for a running daemon, such
 // as seeds, is learnt from peers and the store.
 func (g *Gateway) Reload(s Settings) {
