Spread callers by processor time, and name the log's clients by what they are

Change: the directory names a daemon in a share of its answers by its processor time. internal/platform is internal/logservice now, since platform/ is the adapter; one script generates all protocol code. Test: TestCallersSpreadByProcessor.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 generate:
 	./scripts/install-protoc.sh
-	./internal/peer/pb/generate.sh
+	./scripts/generate.sh
 
 generate-check:
 	./scripts/install-protoc.sh
--- a/internal/configsync/ring.go
+++ b/internal/configsync/ring.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 )
 
 // Limits of a Ring.
@@ -14,12 +14,12 @@
 
 // Ring keeps the newest records, without gaps.
 type Ring struct {
-	records []platform.Record
+	records []logservice.Record
 	bytes   int
 }
 
 // Add keeps a record. One that does not follow the last starts the ring anew.
-func (r *Ring) Add(record platform.Record) {
+func (r *Ring) Add(record logservice.Record) {
 	if n := len(r.records); n > 0 && record.Offset != r.records[n-1].Offset+1 {
 		r.Reset()
 	}
@@ -36,7 +36,7 @@
 
 // From returns records from the offset on, up to maxBytes but at least one. It reports
 // false when the offset is no longer kept.
-func (r *Ring) From(offset int64, maxBytes int) ([]platform.Record, bool) {
+func (r *Ring) From(offset int64, maxBytes int) ([]logservice.Record, bool) {
 	if len(r.records) == 0 || offset < r.records[0].Offset {
 		return nil, false
 	}
--- a/internal/configsync/spread_test.go
+++ b/internal/configsync/spread_test.go
@@ -9,9 +9,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 )
 
 func TestPushReachesEveryMember(t *testing.T) {
@@ -109,8 +109,8 @@
 	bases map[int64]int64 // of state records, by offset
 }
 
-func (l *keptLog) bounds() platform.Bounds {
-	return platform.Bounds{First: max(0, l.next-l.limit), Next: l.next}
+func (l *keptLog) bounds() logservice.Bounds {
+	return logservice.Bounds{First: max(0, l.next-l.limit), Next: l.next}
 }
 
 // readable reports whether a daemon without state can start from what the log keeps.
@@ -157,7 +157,7 @@
 func TestStateRecordDue(t *testing.T) {
 	limits := configsync.StateRecordLimits{Interval: time.Hour, Every: 200}
 	facts := func(change func(f *configsync.StateRecordFacts)) configsync.StateRecordFacts {
-		f := configsync.StateRecordFacts{Bounds: platform.Bounds{Next: 100}, Applied: 99, Base: 90, Offset: 91, Seen: epoch}
+		f := configsync.StateRecordFacts{Bounds: logservice.Bounds{Next: 100}, Applied: 99, Base: 90, Offset: 91, Seen: epoch}
 		change(&f)
 		return f
 	}
@@ -183,7 +183,7 @@
 	_, kept := r.From(0, 100)
 	require.False(t, kept)
 	for offset := range int64(600) {
-		r.Add(platform.Record{Offset: offset, Value: make([]byte, 10)})
+		r.Add(logservice.Record{Offset: offset, Value: make([]byte, 10)})
 	}
 	_, kept = r.From(600-513, 100)
 	require.False(t, kept)
@@ -193,7 +193,7 @@
 	require.EqualValues(t, 590, records[0].Offset)
 	_, kept = r.From(600, 100)
 	require.False(t, kept)
-	r.Add(platform.Record{Offset: 700})
+	r.Add(logservice.Record{Offset: 700})
 	_, kept = r.From(599, 100)
 	require.False(t, kept, "a gap starts the ring anew")
 }
--- a/internal/configsync/staterecord.go
+++ b/internal/configsync/staterecord.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 )
 
 // StateRecordLimits are the settings of state records.
@@ -14,11 +14,11 @@
 
 // StateRecordFacts is what a daemon knows of the log and of its state records.
 type StateRecordFacts struct {
-	Bounds  platform.Bounds // as last observed
-	Applied int64           // by this daemon
-	Base    int64           // highest base of the state records that the log keeps; -1 for none
-	Offset  int64           // of that state record; -1 for none
-	Seen    time.Time       // when that state record was first seen, or the daemon started
+	Bounds  logservice.Bounds // as last observed
+	Applied int64             // by this daemon
+	Base    int64             // highest base of the state records that the log keeps; -1 for none
+	Offset  int64             // of that state record; -1 for none
+	Seen    time.Time         // when that state record was first seen, or the daemon started
 }
 
 // StateRecordDue reports whether the log needs a new state record.
--- a/internal/controller/claims/claims.go
+++ b/internal/controller/claims/claims.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/claim"
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 )
 
 // Defaults of Options.
@@ -30,7 +30,7 @@
 
 // Options configure a Controller.
 type Options struct {
-	Log          platform.Log
+	Log          logservice.Log
 	Topic        string
 	Book         claim.Options
 	TickInterval time.Duration
@@ -199,14 +199,14 @@
 	offsets, err := c.opts.Log.Append(ctx, c.opts.Topic, [][]byte{value})
 	if err != nil {
 		c.opts.Logger.Debug("Append of claims got no answer.", "error", err)
-		return claim.AppendFailed{Certain: errors.Is(err, platform.ErrNotAppended)}
+		return claim.AppendFailed{Certain: errors.Is(err, logservice.ErrNotAppended)}
 	}
 	return claim.Appended{Offset: offsets[0]}
 }
 
 func (c *Controller) read(ctx context.Context, from int64) claim.Event {
 	records, err := c.opts.Log.Read(ctx, c.opts.Topic, from, readLimit)
-	if errors.Is(err, platform.ErrForgotten) {
+	if errors.Is(err, logservice.ErrForgotten) {
 		c.opts.Logger.Warn("Log has forgotten claims that were not read yet.", "offset", from)
 		return claim.Forgot{}
 	}
@@ -220,7 +220,7 @@
 	return claim.Read{Batches: batches, AtEnd: len(records) < readLimit}
 }
 
-func (c *Controller) decode(r platform.Record) claim.Batch {
+func (c *Controller) decode(r logservice.Record) claim.Batch {
 	batch, err := claim.Decode(r.Value)
 	if err != nil {
 		c.opts.Logger.Warn("Skipped a record of the claims topic.", "offset", r.Offset, "error", err)
--- a/internal/controller/claims/claims_test.go
+++ b/internal/controller/claims/claims_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/filbertrill/filbertrill/internal/claim"
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/test/standin/faults"
 	"github.com/filbertrill/filbertrill/test/standin/logstore"
 )
@@ -26,7 +26,7 @@
 	stop func()
 }
 
-func startNode(t *testing.T, name string, log platform.Log) *node {
+func startNode(t *testing.T, name string, log logservice.Log) *node {
 	c := NewController(Options{
 		Log:    log,
 		Book:   claim.Options{Daemon: name, Incarnation: 1, MinInterval: time.Nanosecond},
@@ -40,11 +40,11 @@
 	return n
 }
 
-func startLog(t *testing.T, opts logstore.Options) (*logstore.Server, platform.Log) {
+func startLog(t *testing.T, opts logstore.Options) (*logstore.Server, logservice.Log) {
 	store := logstore.New(opts)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	log, err := platform.NewHTTPLog(server.URL, 2*time.Second)
+	log, err := logservice.NewHTTPLog(server.URL, 2*time.Second)
 	require.NoError(t, err)
 	return store, log
 }
--- a/internal/controller/claims/find.go
+++ b/internal/controller/claims/find.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/claim"
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 )
 
 // findFirst returns the offset from which on the records matter: keys older than the window
@@ -29,7 +29,7 @@
 // search returns the offset of a record that is older than the cutoff and near the first that
 // is not; that of the first kept record when none is older. Records are nearly in the order
 // of their times.
-func (c *Controller) search(ctx context.Context, bounds platform.Bounds, cutoff time.Time) (claim.Positioned, error) {
+func (c *Controller) search(ctx context.Context, bounds logservice.Bounds, cutoff time.Time) (claim.Positioned, error) {
 	old, err := c.older(ctx, bounds.First, cutoff)
 	if err != nil || !old {
 		return claim.Positioned{First: bounds.First}, err
--- a/internal/controller/claims/memory.go
+++ b/internal/controller/claims/memory.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 )
 
 // memoryKept is the number of records that a MemoryLog keeps.
@@ -18,7 +18,7 @@
 	records [][]byte
 }
 
-var _ platform.Log = (*MemoryLog)(nil)
+var _ logservice.Log = (*MemoryLog)(nil)
 
 // Append adds the values. It never fails.
 func (l *MemoryLog) Append(_ context.Context, _ string, values [][]byte) ([]int64, error) {
@@ -37,22 +37,22 @@
 }
 
 // Read returns up to limit records from the offset on.
-func (l *MemoryLog) Read(_ context.Context, _ string, offset int64, limit int) ([]platform.Record, error) {
+func (l *MemoryLog) Read(_ context.Context, _ string, offset int64, limit int) ([]logservice.Record, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if offset < l.first {
-		return nil, platform.ErrForgotten
+		return nil, logservice.ErrForgotten
 	}
-	var out []platform.Record
+	var out []logservice.Record
 	for i := offset - l.first; i < int64(len(l.records)) && len(out) < limit; i++ {
-		out = append(out, platform.Record{Offset: l.first + i, Value: l.records[i]})
+		out = append(out, logservice.Record{Offset: l.first + i, Value: l.records[i]})
 	}
 	return out, nil
 }
 
 // Bounds returns the offsets kept.
-func (l *MemoryLog) Bounds(context.Context, string) (platform.Bounds, error) {
+func (l *MemoryLog) Bounds(context.Context, string) (logservice.Bounds, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return platform.Bounds{First: l.first, Next: l.first + int64(len(l.records))}, nil
+	return logservice.Bounds{First: l.first, Next: l.first + int64(len(l.records))}, nil
 }
--- a/internal/controller/config/config.go
+++ b/internal/controller/config/config.go
@@ -13,9 +13,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -53,7 +53,7 @@
 	Seeds        []string
 	Members      Members
 	Sender       Sender
-	Log          platform.Log
+	Log          logservice.Log
 	Topic        string
 	PollInterval time.Duration // between two reads of the log by a delegate
 	PollOthers   time.Duration // between two reads of the log by other daemons
@@ -159,9 +159,9 @@
 func (c *Controller) Current() *ticket.Config { return c.current.Load() }
 
 // Apply takes in records in the order of their offsets. Records that are applied already are ignored.
-func (c *Controller) Apply(records []platform.Record) { c.apply(records, fromLog) }
+func (c *Controller) Apply(records []logservice.Record) { c.apply(records, fromLog) }
 
-func (c *Controller) apply(records []platform.Record, from source) {
+func (c *Controller) apply(records []logservice.Record, from source) {
 	c.mu.Lock()
 	before := c.state.Applied()
 	for _, r := range records {
@@ -186,7 +186,7 @@
 	c.applied.Store(now)
 }
 
-func (c *Controller) applyOne(r platform.Record) {
+func (c *Controller) applyOne(r logservice.Record) {
 	c.noteStateRecord(r, time.Now())
 	verdict := c.state.Apply(r.Offset, r.Value)
 	c.logVerdict(verdict)
--- a/internal/controller/config/config_test.go
+++ b/internal/controller/config/config_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
 	"github.com/filbertrill/filbertrill/internal/controller/config"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -48,29 +48,29 @@
 	return []int64{int64(len(l.values) - 1)}, nil
 }
 
-func (l *memoryLog) Read(_ context.Context, _ string, offset int64, limit int) ([]platform.Record, error) {
+func (l *memoryLog) Read(_ context.Context, _ string, offset int64, limit int) ([]logservice.Record, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return nil, errDown
 	}
 	if offset < int64(l.first) {
-		return nil, platform.ErrForgotten
+		return nil, logservice.ErrForgotten
 	}
-	var out []platform.Record
+	var out []logservice.Record
 	for i := offset; i < int64(len(l.values)) && len(out) < limit; i++ {
-		out = append(out, platform.Record{Offset: i, Value: l.values[i]})
+		out = append(out, logservice.Record{Offset: i, Value: l.values[i]})
 	}
 	return out, nil
 }
 
-func (l *memoryLog) Bounds(context.Context, string) (platform.Bounds, error) {
+func (l *memoryLog) Bounds(context.Context, string) (logservice.Bounds, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Bounds{}, errDown
+		return logservice.Bounds{}, errDown
 	}
-	return platform.Bounds{First: int64(l.first), Next: int64(len(l.values))}, nil
+	return logservice.Bounds{First: int64(l.first), Next: int64(len(l.values))}, nil
 }
 
 // wires connect the controllers of a test. Messages arrive at once.
@@ -145,7 +145,7 @@
 func (e *end) Address(id string) string { return id }
 
 // run starts a daemon's controller.
-func (w *wires) run(t *testing.T, id string, log platform.Log) *config.Controller {
+func (w *wires) run(t *testing.T, id string, log logservice.Log) *config.Controller {
 	e := &end{id: id, wires: w}
 	c := config.NewController(config.Options{
 		SelfID:       id,
--- a/internal/controller/config/peers.go
+++ b/internal/controller/config/peers.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -26,8 +26,8 @@
 }
 
 // Submitted takes in a record that this daemon appended itself, and tells the peers.
-func (c *Controller) Submitted(record platform.Record) {
-	c.Apply([]platform.Record{record})
+func (c *Controller) Submitted(record logservice.Record) {
+	c.Apply([]logservice.Record{record})
 	c.Wake()
 }
 
@@ -56,7 +56,7 @@
 	return recordsMessage(records, applied)
 }
 
-func recordsMessage(records []platform.Record, applied int64) *pb.Envelope {
+func recordsMessage(records []logservice.Record, applied int64) *pb.Envelope {
 	m := &pb.ConfigRecords{AppliedOffset: applied}
 	for _, r := range records {
 		m.Records = append(m.Records, &pb.ConfigRecord{Offset: r.Offset, Value: r.Value})
@@ -66,9 +66,9 @@
 
 // Records takes in records that a peer sent.
 func (c *Controller) Records(from string, m *pb.ConfigRecords) {
-	records := make([]platform.Record, 0, len(m.Records))
+	records := make([]logservice.Record, 0, len(m.Records))
 	for _, r := range m.Records {
-		records = append(records, platform.Record{Offset: r.Offset, Value: r.Value})
+		records = append(records, logservice.Record{Offset: r.Offset, Value: r.Value})
 	}
 	c.apply(records, fromPeer)
 	c.requestIfBehind(from, m.AppliedOffset)
--- a/internal/controller/config/reader.go
+++ b/internal/controller/config/reader.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
-	"github.com/filbertrill/filbertrill/internal/platform"
 )
 
 // errHeadCut says that the log no longer holds the state.
@@ -110,7 +110,7 @@
 	next := c.next()
 	started := time.Now()
 	records, err := c.read(ctx, next)
-	if errors.Is(err, platform.ErrForgotten) {
+	if errors.Is(err, logservice.ErrForgotten) {
 		return false, c.readKept(ctx)
 	}
 	if err != nil {
@@ -135,13 +135,13 @@
 	c.evaluate(time.Now())
 }
 
-func (c *Controller) read(ctx context.Context, offset int64) ([]platform.Record, error) {
+func (c *Controller) read(ctx context.Context, offset int64) ([]logservice.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
 	defer cancel()
 	return c.opts.Log.Read(ctx, c.opts.Topic, offset, readLimit)
 }
 
-func (c *Controller) bounds(ctx context.Context) (platform.Bounds, error) {
+func (c *Controller) bounds(ctx context.Context) (logservice.Bounds, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
 	defer cancel()
 	return c.opts.Log.Bounds(ctx, c.opts.Topic)
--- a/internal/controller/config/staterecord.go
+++ b/internal/controller/config/staterecord.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/configsync"
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -25,7 +25,7 @@
 
 // noteStateRecord remembers a state record, and compares it with the state at its base.
 // The caller holds the lock.
-func (c *Controller) noteStateRecord(r platform.Record, now time.Time) {
+func (c *Controller) noteStateRecord(r logservice.Record, now time.Time) {
 	snapshot, ok := ticket.StateRecord(r.Value)
 	if !ok || snapshot.AppliedOffset >= r.Offset || r.Offset <= c.records.offset {
 		return
@@ -97,5 +97,5 @@
 		return
 	}
 	c.opts.Logger.Info("Recorded the state.", "offset", offsets[0], "base", snapshot.AppliedOffset)
-	c.Submitted(platform.Record{Offset: offsets[0], Value: value})
+	c.Submitted(logservice.Record{Offset: offsets[0], Value: value})
 }
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 )
 
 // Default times of the controller.
@@ -30,8 +30,8 @@
 // Options configure a Controller.
 type Options struct {
 	Self              *pb.Member
-	Seeds             []string              // peer addresses from the settings
-	List              platform.InstanceList // may be nil
+	Seeds             []string                // peer addresses from the settings
+	List              logservice.InstanceList // may be nil
 	Sender            Sender
 	HeartbeatInterval time.Duration
 	ListInterval      time.Duration
--- a/internal/controller/orders/log.go
+++ b/internal/controller/orders/log.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/order"
-	"github.com/filbertrill/filbertrill/internal/platform"
 )
 
 // read takes in the topic of orders to its end.
@@ -15,7 +15,7 @@
 	defer c.reading.Unlock()
 	for {
 		records, err := c.opts.Log.Read(ctx, c.opts.Topic, c.registry.Next(), readLimit)
-		if errors.Is(err, platform.ErrForgotten) {
+		if errors.Is(err, logservice.ErrForgotten) {
 			if err := c.skip(ctx); err != nil {
 				return err
 			}
--- a/internal/controller/orders/orders.go
+++ b/internal/controller/orders/orders.go
@@ -14,10 +14,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/filbertrill/filbertrill/internal/backend"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
 	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 )
 
 // Defaults of Options.
@@ -47,7 +47,7 @@
 // Options configure a Controller.
 type Options struct {
 	Self       order.Sender
-	Log        platform.Log
+	Log        logservice.Log
 	Topic      string
 	Members    Members
 	Send       SendFunc
--- a/internal/controller/orders/orders_test.go
+++ b/internal/controller/orders/orders_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/test/standin/logstore"
 )
 
@@ -71,7 +71,7 @@
 
 // start runs a sender of the server "e".
 func (b *bed) start(t *testing.T, id string, step func(string)) *Controller {
-	log, err := platform.NewHTTPLog(b.log.URL, 2*time.Second)
+	log, err := logservice.NewHTTPLog(b.log.URL, 2*time.Second)
 	require.NoError(t, err)
 	c := NewController(Options{
 		Self: order.Sender{ID: id, Incarnation: 1}, Log: log, Members: alone(id),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,11 +18,11 @@
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/operator"
 	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
 
@@ -31,8 +31,8 @@
 	settings Settings
 	logger   *slog.Logger
 
-	log     platform.Log
-	list    platform.InstanceList
+	log     logservice.Log
+	list    logservice.InstanceList
 	metrics *telemetry.Metrics
 	scrape  http.Handler
 
@@ -79,7 +79,7 @@
 }
 
 func (d *Daemon) openPlatform() error {
-	log, err := platform.NewHTTPLog(d.settings.Log, d.settings.LogTimeout)
+	log, err := logservice.NewHTTPLog(d.settings.Log, d.settings.LogTimeout)
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 	if d.settings.Instances == "" {
 		return nil
 	}
-	list, err := platform.NewHTTPInstanceList(d.settings.Instances, d.settings.LogTimeout)
+	list, err := logservice.NewHTTPInstanceList(d.settings.Instances, d.settings.LogTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 )
 
 const (
@@ -19,25 +22,32 @@
 type entry struct {
 	address, zone, region string
 	strained              bool
+	processor             float64 // cores
 }
 
 // entries returns the daemons that a caller of the zone may connect to.
 func (g *Gateway) entries(zone, region string) Entries {
 	var all []entry
 	if !g.draining.Load() {
-		all = append(all, entry{g.settings.Entry, g.settings.Zone, g.settings.Region, g.strain.strained.Load()})
+		all = append(all, entryOf(g.member()))
 	}
 	for _, m := range g.exchange.Members() {
 		if !m.Draining {
-			all = append(all, entry{m.EntryAddress, m.Zone, m.Region, m.Strained})
+			all = append(all, entryOf(m))
 		}
 	}
-	return Entries{Addresses: choose(all, zone, region), TTL: min(entryTTL, g.settings.EntryTTLMax)}
+	addresses := choose(all, zone, region, rand.Float64)
+	return Entries{Addresses: addresses, TTL: min(entryTTL, g.settings.EntryTTLMax)}
+}
+
+func entryOf(m *pb.Member) entry {
+	return entry{m.EntryAddress, m.Zone, m.Region, m.Strained, float64(m.Processor)}
 }
 
-// choose returns the addresses of the caller's zone when there are enough, else of its region,
-// else all. Strained daemons are left out while there is another one.
-func choose(all []entry, zone, region string) []string {
+// choose returns addresses of the caller's zone when there are enough, else of its region,
+// else of all. Strained daemons are left out while there is another one. Callers pick one of
+// the addresses at random: a daemon with less processor time is named in fewer answers.
+func choose(all []entry, zone, region string, random func() float64) []string {
 	usable := slices.DeleteFunc(slices.Clone(all), func(e entry) bool { return e.strained })
 	if len(usable) == 0 {
 		usable = all
@@ -47,18 +57,29 @@
 		func(e entry) bool { return e.region == region },
 		func(entry) bool { return true },
 	}
-	var addresses []string
+	var nearest []entry
 	for _, match := range near {
-		addresses = nil
-		for _, e := range usable {
-			if match(e) {
-				addresses = append(addresses, e.address)
-			}
-		}
-		if len(addresses) >= minLocal {
+		nearest = slices.DeleteFunc(slices.Clone(usable), func(e entry) bool { return !match(e) })
+		if len(nearest) >= minLocal {
 			break
 		}
 	}
+	return sample(nearest, random)
+}
+
+// sample draws each daemon with a chance in proportion to its processor time, the largest
+// always, and returns the addresses in order.
+func sample(entries []entry, random func() float64) []string {
+	most := 0.0
+	for _, e := range entries {
+		most = max(most, e.processor)
+	}
+	var addresses []string
+	for _, e := range entries {
+		if e.processor >= most || random() < e.processor/most {
+			addresses = append(addresses, e.address)
+		}
+	}
 	slices.Sort(addresses)
 	return addresses[:min(len(addresses), maxEntries)]
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,6 +25,7 @@
 		ControlAddress: g.settings.Control,
 		Draining:       !g.ready(),
 		Strained:       g.strain.strained.Load(),
+		Processor:      float32(g.settings.Processor),
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,9 +2,7 @@
 // own: it wires listeners, topology, exchange and forwarding, and stops them in order.
 package gateway
 
-import (
-	"time"
-)
+import "time"
 
 // Settings are the settings of a gateway.
 type Settings struct {
@@ -19,6 +17,7 @@
 	Seeds     []string
 
 	MemoryBytes int64         // limit of the process; 0 for none
+	Processor   float64       // cores that the process may use
 	Grace       time.Duration // between the signal to stop and the end of the process
 	EntryTTLMax time.Duration // longest time that callers keep an answer of the directory
 	FairWindow  time.Duration // over which shares of accounts are worked out
--- a/internal/gateway/strain_test.go
+++ b/internal/gateway/strain_test.go
@@ -7,6 +7,23 @@
 	"github.com/stretchr/testify/assert"
 )
 
+func never() float64 { return 1 }
+
+// Callers spread over daemons as these have processor time.
+func TestCallersSpreadByProcessor(t *testing.T) {
+	daemons := []entry{
+		{address: "large", zone: "a", processor: 0.8},
+		{address: "small", zone: "a", processor: 0.2},
+	}
+	named := map[string]int{}
+	for i := range 1000 {
+		for _, address := range choose(daemons, "a", "r", func() float64 { return float64(i) / 1000 }) {
+			named[address]++
+		}
+	}
+	assert.Equal(t, map[string]int{"large": 1000, "small": 250}, named)
+}
+
 func TestStrainFollowsLastingLag(t *testing.T) {
 	var s strain
 	s.observe(200 * time.Millisecond) // one pause of the collector is no strain
@@ -31,10 +48,10 @@
 		{address: "b2", zone: "b", region: "r"},
 		{address: "c1", zone: "c", region: "s"},
 	}
-	assert.Equal(t, []string{"a1", "b1", "b2"}, choose(daemons, "a", "r"))
-	assert.Equal(t, []string{"b1", "b2"}, choose(daemons, "b", "r"))
-	assert.Equal(t, []string{"a1", "b1", "b2", "c1"}, choose(daemons, "c", "s"))
+	assert.Equal(t, []string{"a1", "b1", "b2"}, choose(daemons, "a", "r", never))
+	assert.Equal(t, []string{"b1", "b2"}, choose(daemons, "b", "r", never))
+	assert.Equal(t, []string{"a1", "b1", "b2", "c1"}, choose(daemons, "c", "s", never))
 	strained := []entry{{address: "a1", zone: "a", region: "r", strained: true}}
-	assert.Equal(t, []string{"a1"}, choose(strained, "a", "r"))
-	assert.Empty(t, choose(nil, "a", "r"))
+	assert.Equal(t, []string{"a1"}, choose(strained, "a", "r", never))
+	assert.Empty(t, choose(nil, "a", "r", never))
 }
--- a/internal/platform/log.go
+++ b/internal/logservice/log.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/logservice/logservice.go
@@ -1,6 +1,6 @@
-// Package platform holds the clients of the platform's services: the append-only
+// Package logservice holds the clients of the platform's services: the append-only
 // log and the instance list.
-package platform
+package logservice
 
 import "context"
 
--- a/internal/platform/platform_test.go
+++ b/internal/logservice/logservice_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/test/standin/faults"
 	"github.com/filbertrill/filbertrill/test/standin/instances"
 	"github.com/filbertrill/filbertrill/test/standin/logstore"
@@ -20,12 +20,12 @@
 
 const timeout = 10 * time.Second
 
-func newLog(t *testing.T, opts logstore.Options) (*logstore.Server, *platform.HTTPLog) {
+func newLog(t *testing.T, opts logstore.Options) (*logstore.Server, *logservice.HTTPLog) {
 	t.Helper()
 	store := logstore.New(opts)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	log, err := platform.NewHTTPLog(server.URL, timeout)
+	log, err := logservice.NewHTTPLog(server.URL, timeout)
 	require.NoError(t, err)
 	return store, log
 }
@@ -39,7 +39,7 @@
 
 	records, err := log.Read(ctx, "a b/c", 1, 10)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Record{{Offset: 1, Value: []byte{}}, {Offset: 2, Value: []byte{0, 255}}}, records)
+	require.Equal(t, []logservice.Record{{Offset: 1, Value: []byte{}}, {Offset: 2, Value: []byte{0, 255}}}, records)
 
 	records, err = log.Read(ctx, "a b/c", 3, 10)
 	require.NoError(t, err)
@@ -47,7 +47,7 @@
 
 	bounds, err := log.Bounds(ctx, "a b/c")
 	require.NoError(t, err)
-	require.Equal(t, platform.Bounds{First: 0, Next: 3}, bounds)
+	require.Equal(t, logservice.Bounds{First: 0, Next: 3}, bounds)
 }
 
 func TestLogForgotten(t *testing.T) {
@@ -67,10 +67,10 @@
 				seconds.Add(4)
 			}
 			_, err := log.Read(ctx, "t", 0, 10)
-			require.ErrorIs(t, err, platform.ErrForgotten)
+			require.ErrorIs(t, err, logservice.ErrForgotten)
 			bounds, err := log.Bounds(ctx, "t")
 			require.NoError(t, err)
-			require.Equal(t, platform.Bounds{First: 1, Next: 2}, bounds)
+			require.Equal(t, logservice.Bounds{First: 1, Next: 2}, bounds)
 		})
 	}
 }
@@ -92,9 +92,9 @@
 			_, err := log.Append(context.Background(), "t", [][]byte{[]byte("v")})
 			require.Error(t, err)
 			if test.notAppended {
-				require.ErrorIs(t, err, platform.ErrNotAppended)
+				require.ErrorIs(t, err, logservice.ErrNotAppended)
 			} else {
-				require.NotErrorIs(t, err, platform.ErrNotAppended)
+				require.NotErrorIs(t, err, logservice.ErrNotAppended)
 			}
 			require.Equal(t, test.records, store.Topics()["t"].Records)
 		})
@@ -109,21 +109,21 @@
 	_, err := log.Append(context.Background(), "t", [][]byte{[]byte("v")})
 	require.NoError(t, err)
 	_, err = log.Append(context.Background(), "t", [][]byte{[]byte("v")})
-	require.ErrorIs(t, err, platform.ErrNotAppended)
+	require.ErrorIs(t, err, logservice.ErrNotAppended)
 	require.EqualValues(t, 1, store.Topics()["t"].Appends)
 }
 
 func TestAppendWithoutServer(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
-	log, err := platform.NewHTTPLog(server.URL, timeout)
+	log, err := logservice.NewHTTPLog(server.URL, timeout)
 	require.NoError(t, err)
 	// Enough failures for a breaker to open, if there were one.
 	for range 50 {
 		_, err = log.Append(context.Background(), "t", [][]byte{[]byte("v")})
-		require.ErrorIs(t, err, platform.ErrNotAppended)
+		require.ErrorIs(t, err, logservice.ErrNotAppended)
 		require.ErrorContains(t, err, "dial")
-		require.True(t, errors.Is(err, platform.ErrNotAppended))
+		require.True(t, errors.Is(err, logservice.ErrNotAppended))
 	}
 }
 
@@ -147,11 +147,11 @@
 				_, _ = w.Write([]byte(test.body))
 			}))
 			defer server.Close()
-			log, err := platform.NewHTTPLog(server.URL, timeout)
+			log, err := logservice.NewHTTPLog(server.URL, timeout)
 			require.NoError(t, err)
 			_, err = log.Append(context.Background(), "t", [][]byte{[]byte("v")})
 			require.Error(t, err)
-			require.NotErrorIs(t, err, platform.ErrNotAppended)
+			require.NotErrorIs(t, err, logservice.ErrNotAppended)
 			_, err = log.Read(context.Background(), "t", 0, 1)
 			require.Error(t, err)
 			_, err = log.Bounds(context.Background(), "t")
@@ -162,9 +162,9 @@
 
 func TestBadURLs(t *testing.T) {
 	for _, raw := range []string{"", "localhost:1", "ftp://a", "http://", "http://a:b"} {
-		_, err := platform.NewHTTPLog(raw, timeout)
+		_, err := logservice.NewHTTPLog(raw, timeout)
 		require.Error(t, err, raw)
-		_, err = platform.NewHTTPInstanceList(raw, timeout)
+		_, err = logservice.NewHTTPInstanceList(raw, timeout)
 		require.Error(t, err, raw)
 	}
 }
@@ -177,9 +177,9 @@
 	})
 	server := httptest.NewServer(list)
 	defer server.Close()
-	client, err := platform.NewHTTPInstanceList(server.URL+"/sd", timeout)
+	client, err := logservice.NewHTTPInstanceList(server.URL+"/sd", timeout)
 	require.NoError(t, err)
-	see := func(want ...platform.Instance) {
+	see := func(want ...logservice.Instance) {
 		t.Helper()
 		got, err := client.Instances(context.Background())
 		require.NoError(t, err)
@@ -189,11 +189,11 @@
 	list.Set(instances.Entry{Address: "127.0.0.1:1", Zone: "z1", State: instances.Live})
 	see()
 	seconds.Store(10)
-	see(platform.Instance{PeerAddress: "127.0.0.1:1", Zone: "z1"})
+	see(logservice.Instance{PeerAddress: "127.0.0.1:1", Zone: "z1"})
 	list.Set(instances.Entry{Address: "127.0.0.1:1", Zone: "z1", State: instances.Leaving})
-	see(platform.Instance{PeerAddress: "127.0.0.1:1", Zone: "z1"})
+	see(logservice.Instance{PeerAddress: "127.0.0.1:1", Zone: "z1"})
 	seconds.Store(20)
-	see(platform.Instance{PeerAddress: "127.0.0.1:1", Zone: "z1", Leaving: true})
+	see(logservice.Instance{PeerAddress: "127.0.0.1:1", Zone: "z1", Leaving: true})
 	list.Remove("127.0.0.1:1")
 	seconds.Store(30)
 	see()
@@ -219,7 +219,7 @@
 				_, _ = w.Write([]byte(body))
 			}))
 			defer server.Close()
-			client, err := platform.NewHTTPInstanceList(server.URL, timeout)
+			client, err := logservice.NewHTTPInstanceList(server.URL, timeout)
 			require.NoError(t, err)
 			_, err = client.Instances(context.Background())
 			require.Error(t, err)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,7 +6,7 @@
 
 	"github.com/filbertrill/filbertrill/internal/controller/config"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 )
 
 // Times of a submit.
@@ -21,7 +21,7 @@
 // Options configure a Server.
 type Options struct {
 	SelfID  string
-	Log     platform.Log
+	Log     logservice.Log
 	Topic   string
 	Config  *config.Controller
 	Members *members.Controller
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
-	"github.com/filbertrill/filbertrill/internal/platform"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
@@ -74,10 +74,10 @@
 		}
 		offsets, err := s.opts.Log.Append(ctx, s.opts.Topic, [][]byte{record})
 		if err == nil {
-			s.opts.Config.Submitted(platform.Record{Offset: offsets[0], Value: record})
+			s.opts.Config.Submitted(logservice.Record{Offset: offsets[0], Value: record})
 			return offsets[0], nil
 		}
-		refused := errors.Is(err, platform.ErrNotAppended)
+		refused := errors.Is(err, logservice.ErrNotAppended)
 		uncertain = uncertain || !refused
 		switch {
 		case uncertain && s.appears(ctx, t):
--- a/internal/peer/pb/generate.sh
+++ /dev/null
@@ -1,8 +0,0 @@
-#!/usr/bin/env bash
-# Regenerates peer.pb.go and peer_drpc.pb.go from peer.proto. Needs protoc.
-set -euo pipefail
-cd "$(dirname "$0")"
-bin=$(mktemp -d)
-trap 'rm -rf "$bin"' EXIT
-GOBIN=$bin go install google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
-PATH="$bin:$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative peer.proto
--- a/scripts/generate-check.sh
+++ b/scripts/generate-check.sh
@@ -3,20 +3,19 @@
 # differs. The working tree is left as it was.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-generated=internal/peer/pb
 
 before=$(mktemp -d)
-cp -p "$generated"/*.pb.go "$before"
+cp -p --parents internal/*/pb/*.pb.go "$before"
 restore() {
-	cp -p "$before"/*.pb.go "$generated"
+	cp -rp "$before"/. .
 	rm -rf "$before"
 }
 trap restore EXIT
 
-"$generated/generate.sh"
+scripts/generate.sh
 # The version of protoc is that of the machine and changes nothing else.
-for file in "$generated"/*.pb.go; do
-	if ! diff -u -I '^// *[-]* *protoc  *v' "$before/$(basename "$file")" "$file"; then
+for file in internal/*/pb/*.pb.go; do
+	if ! diff -u -I '^// *[-]* *protoc  *v' "$before/$file" "$file"; then
 		echo "generate-check: $file is out of date; run make generate" >&2
 		exit 1
 	fi
--- a/test/measure/effects/main.go
+++ b/test/measure/effects/main.go
@@ -18,7 +18,7 @@
 	"github.com/filbertrill/filbertrill/internal/claim"
 	"github.com/filbertrill/filbertrill/internal/controller/claims"
 	"github.com/filbertrill/filbertrill/internal/logging"
-	"github.com/filbertrill/filbertrill/internal/platform"
+	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/test/standin/faults"
 	"github.com/filbertrill/filbertrill/test/standin/logstore"
 )
@@ -40,7 +40,7 @@
 	stop  func()
 }
 
-func newFleet(size int, topicOf func(int) string, fault faults.Fault, log func(url string) platform.Log) *fleet {
+func newFleet(size int, topicOf func(int) string, fault faults.Fault, log func(url string) logservice.Log) *fleet {
 	store := logstore.New(logstore.Options{})
 	store.SetFault(fault)
 	server := httptest.NewServer(store)
@@ -62,15 +62,15 @@
 	return f
 }
 
-func platformLog(url string) platform.Log {
-	log, err := platform.NewHTTPLog(url, callTimeout)
+func platformLog(url string) logservice.Log {
+	log, err := logservice.NewHTTPLog(url, callTimeout)
 	if err != nil {
 		panic(err)
 	}
 	return log
 }
 
-func memoryLog(string) platform.Log { return &claims.MemoryLog{} }
+func memoryLog(string) logservice.Log { return &claims.MemoryLog{} }
 
 // result is what a load led to.
 type result struct {
@@ -162,7 +162,7 @@
 	fmt.Printf("%s_read_bytes_per_daemon_s=%.0f\n", name, float64(topic.BytesOut)/seconds/float64(size))
 }
 
-func measureAvailability(name string, fault faults.Fault, log func(string) platform.Log) {
+func measureAvailability(name string, fault faults.Fault, log func(string) logservice.Log) {
 	const rate = 50
 	f := newFleet(daemons, oneTopic, fault, log)
 	r := f.load(rate)
