--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -16,6 +16,10 @@
 // engines counts both.
 const generatedWeight = 2
 
+// idleShare is the share of its places up to which a server counts as idle. On the engine model
+// of the tests 0.2 leaves 7 of 1,173 calm requests refused, 20 without, and a flood loses nothing.
+const idleShare = 0.2
+
 // Pilot joins the decisions on requests: admission, placement and retry budgets. Its
 // methods are safe for concurrent use.
 type Pilot struct {
@@ -108,22 +112,40 @@
 	if !ok {
 		return choice, false, admission.Verdict{}
 	}
-	verdict := admission.Decide(admission.Question{
+	verdict := p.decide(c, account, choice, now)
+	if verdict.Reason != admission.Admitted {
+		// The server that keeps the prompt is busy. An idle one may read it again; on busy ones
+		// that would displace other requests.
+		other, found := p.board.Quickest(request, now)
+		if found && taken(other) < idleShare {
+			choice, verdict = other, p.decide(c, account, other, now)
+		}
+	}
+	if verdict.Reason == admission.Admitted && request.Engine {
+		p.shares.Admit(account, tokens, now)
+	}
+	return choice, true, verdict
+}
+
+// decide asks the admission policy for the request at the server. The caller holds the lock.
+func (p *Pilot) decide(c *call, account uint64, choice placement.Choice, now time.Time) admission.Verdict {
+	return admission.Decide(admission.Question{
 		Predicted: choice.Predicted,
 		Own:       choice.Own,
 		Idle:      choice.Idle,
 		Objective: c.route.Objective,
-		Taken:     float64(choice.Load.Running) / float64(max(1, choice.Server.Slots)),
+		Taken:     taken(choice),
 		Left:      c.limit.Sub(now),
 		Use:       p.shares.Use(account, now),
 		Levels:    p.shares.Levels(now),
 		Window:    p.options.FairWindow,
 		Jitter:    jitter(),
 	})
-	if verdict.Reason == admission.Admitted && request.Engine {
-		p.shares.Admit(account, tokens, now)
-	}
-	return choice, true, verdict
+}
+
+// taken returns the share of the server's places that are taken.
+func taken(c placement.Choice) float64 {
+	return float64(c.Load.Running) / float64(max(1, c.Server.Slots))
 }
 
 // next decides on a further attempt. It reports whether there is a server, and whether
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -184,6 +184,16 @@
 // Choose returns the best server for the request, leaving out those of the set, and
 // whether there is one.
 func (b *Board) Choose(r Request, tried map[string]bool, now time.Time) (Choice, bool) {
+	return b.choose(r, tried, rereadWeight, now)
+}
+
+// Quickest returns the server that answers first, whatever is read again there, and whether
+// there is one.
+func (b *Board) Quickest(r Request, now time.Time) (Choice, bool) {
+	return b.choose(r, nil, 0, now)
+}
+
+func (b *Board) choose(r Request, tried map[string]bool, reread float64, now time.Time) (Choice, bool) {
 	home := b.home(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for _, s := range b.servers {
@@ -191,7 +201,7 @@
 			continue
 		}
 		c := b.predict(s, r, s == home, now)
-		score := b.score(s, c, now)
+		score := b.score(s, c, reread, now)
 		if score < bestScore || (score == bestScore && s.ID < best.Server.ID) {
 			best, found, bestScore = c, true, score
 		}
@@ -231,9 +241,9 @@
 	return c
 }
 
-func (b *Board) score(s *server, c Choice, now time.Time) float64 {
+func (b *Board) score(s *server, c Choice, reread float64, now time.Time) float64 {
 	score := c.Predicted.Seconds()
-	score += rereadWeight * float64(c.Uncached) * b.model(s.Service).slope() * s.speed
+	score += reread * float64(c.Uncached) * b.model(s.Service).slope() * s.speed
 	if s.Zone != b.zone {
 		score += crossZone.Seconds()
 	}
