Replace daemons that the store turns away as readers, and read again sooner

Change: a daemon that the store has not answered for 1.5 s says so and the next one of its zone reads; takeover after 0.9 s, calls bounded by 0.5 s, reads each 0.5 s.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -190,19 +190,6 @@
 	return x.members("")
 }
 
-// Rank returns the place of this daemon among the daemons of its zone, and the number of
-// zones with live daemons.
-func (x *Exchange) Rank() (rank, zones int) {
-	self := x.options.Self()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	names := map[string]bool{self.Zone: true}
-	for _, m := range x.members("") {
-		names[m.Zone] = true
-	}
-	return Rank(self.Id, x.members(self.Zone)), len(names)
-}
-
 // Size returns the number of daemons of the fleet, those that have been silent for less
 // than a minute included.
 func (x *Exchange) Size() int {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,13 +26,25 @@
 		Draining:       !g.ready(),
 		Strained:       g.strain.strained.Load(),
 		Processor:      float32(g.settings.Processor),
+		StoreLost:      g.reader.Troubled(time.Now()),
 	}
 }
 
 // onDuty reports whether this daemon reads the store for others.
-func (g *Gateway) onDuty() bool {
-	rank, zones := g.exchange.Rank()
-	return rank == 0 || (zones == 1 && rank < minReaders)
+func (g *Gateway) onDuty() bool { return readsStore(g.member(), g.exchange.Members()) }
+
+// readsStore reports whether the daemon is one of those that read the store: the first ones
+// of its zone that the store answers.
+func readsStore(self *pb.Member, others []*pb.Member) bool {
+	zones := map[string]bool{self.Zone: true}
+	rank := 0
+	for _, m := range others {
+		zones[m.Zone] = true
+		if m.Zone == self.Zone && m.Id < self.Id && !m.Draining && !m.StoreLost {
+			rank++
+		}
+	}
+	return rank == 0 || (len(zones) == 1 && rank < minReaders)
 }
 
 // view is what peers receive.
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -45,21 +45,24 @@
 
 const (
 	// callTimeout bounds a call to the store beyond the time that it may wait.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	// configWait is how long a read of the configuration waits for a change. Its end tells
 	// that there was none, which other daemons need to know before takeover.
-	configWait = 750 * time.Millisecond
+	configWait = 500 * time.Millisecond
 	// serverPace is the time between two reads of the servers' records. Servers write all
 	// the time, so that waiting reads would return at once.
-	serverPace = 700 * time.Millisecond
+	serverPace = 500 * time.Millisecond
 	// relistEvery is the time between two full listings of the servers.
 	relistEvery = 5 * time.Second
 	// minBackoff and maxBackoff bound the time between calls that fail.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
-	// takeover is the age of what peers know at which a daemon reads the store itself. A
-	// configuration has to be in force within two seconds.
-	takeover = 1200 * time.Millisecond
+	// takeover is the age of what peers know at which a daemon reads the store itself. With
+	// one call that is lost a change has to be known within two seconds.
+	takeover = 900 * time.Millisecond
+	// troubleAfter is the time without an own good call after which a daemon on duty counts
+	// as unable to read, so that another one of its zone takes its place.
+	troubleAfter = 1500 * time.Millisecond
 	// dutyPause is the time between two looks at whether to read.
 	dutyPause = 100 * time.Millisecond
 	// settle is how long after an outage of the store missing servers are kept: those
@@ -85,6 +88,8 @@
 	logger *slog.Logger
 	good   [2]atomic.Int64 // by topic: time at which all of it was known, Unix nanoseconds
 	listed atomic.Bool
+	called atomic.Int64 // time of the last own good call, Unix nanoseconds
+	failed atomic.Bool  // the last own call failed
 }
 
 // NewReader returns a reader.
@@ -95,6 +100,11 @@
 // Listed reports whether the servers have been listed once.
 func (r *Reader) Listed() bool { return r.listed.Load() }
 
+// Troubled reports whether the store does not answer this daemon.
+func (r *Reader) Troubled(now time.Time) bool {
+	return r.failed.Load() && now.Sub(time.Unix(0, r.called.Load())) > troubleAfter
+}
+
 // Age returns the time since the topic was last known to hold nothing newer.
 func (r *Reader) Age(t Topic, now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, r.good[t].Load()))
@@ -155,6 +165,7 @@
 				r.logger.Warn("Store lost.", "topic", t, "error", err)
 			}
 			lost = true
+			r.failed.Store(true)
 			next = -1 // reads may have been stale or cut; list anew
 			r.pause(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
@@ -166,6 +177,8 @@
 			lost, restored = false, now
 		}
 		backoff = minBackoff
+		r.failed.Store(false)
+		r.called.Store(now.UnixNano())
 		r.apply(t, records, now, now.Sub(restored) < settle)
 		if full && t == Servers {
 			r.reconcile(records, now, restored)
