Measure strain by the wait of ready goroutines, and hand connections back under strain

Change: the lag includes one turn of the run queue; answers of a strained daemon close their connections.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -54,8 +54,9 @@
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler { return &Handler{Options: o} }
 
-// HandBack lets every answer close its connection.
-func (h *Handler) HandBack() { h.closing.Store(true) }
+// HandBack sets whether every answer closes its connection, so that callers ask the
+// directory where to connect.
+func (h *Handler) HandBack(on bool) { h.closing.Store(on) }
 
 // Active returns the number of requests under way.
 func (h *Handler) Active() int64 { return h.active.Load() }
@@ -89,7 +90,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	c := &call{http: r, writer: w, arrived: time.Now()}
-	if h.closing.Load() || len(r.TransferEncoding) > 0 {
+	if h.closing.Load() || h.refuse.Load() || len(r.TransferEncoding) > 0 {
 		// Two lengths in one head would let bytes behind a chunked body pass for a request.
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -37,7 +37,7 @@
 		return time.Duration(part*float64(g.settings.Grace)) - time.Since(started)
 	}
 	time.Sleep(share(handBackAfter))
-	g.handler.HandBack()
+	g.handler.HandBack(true)
 	time.Sleep(share(refuseAfter))
 	g.handler.Refuse()
 	quiet := time.Now()
--- a/internal/gateway/strain.go
+++ b/internal/gateway/strain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 	"time"
 )
@@ -18,8 +19,10 @@
 	strainLeave = 5 * time.Millisecond
 )
 
-// strain tells whether the process gets too little processor time, from how late its own
-// timers fire. A slow machine serves its callers worse than any other could, and takes its
+// strain tells whether the process gets too little processor time: from how late its own
+// timers fire, and how long goroutines that are ready wait for their turn. The scheduler runs
+// timers first, so that their lag alone stays small in a process that is far behind with its
+// connections. A slow machine serves its callers worse than any other could, and takes its
 // own delays for those of the servers.
 type strain struct {
 	lag      time.Duration
@@ -45,8 +48,10 @@
 	for ctx.Err() == nil {
 		due := time.Now().Add(strainTick)
 		time.Sleep(strainTick)
+		runtime.Gosched() // behind all goroutines that are ready
 		if g.strain.observe(time.Since(due)) {
 			g.logger.Info("Strain changed.", "strained", g.strain.strained.Load(), "lag", g.strain.lag)
+			g.handler.HandBack(g.strain.strained.Load())
 			g.exchange.Wake()
 		}
 	}
