--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -104,8 +104,10 @@
 }
 
 func refusal(c *call, code result.Code, choice placement.Choice, v admission.Verdict) error {
-	return result.New(code, "predicted %v of %v at %s, %d to read, %d running", choice.Predicted,
-		c.route.Objective, choice.Server.ID, choice.Load.Pending+choice.Uncached, choice.Load.Running).After(v.RetryAfter)
+	q := c.question
+	return result.New(code, "predicted %v (idle %v) of %v at %s, %d to read, %d running, account has %.0f of %.0f owed and %.0f reached",
+		q.Predicted, q.Idle, q.Objective, choice.Server.ID, choice.Load.Pending+choice.Uncached, choice.Load.Running,
+		q.Use.Admitted, q.Levels.Owed, q.Levels.Reached).After(v.RetryAfter)
 }
 
 // again reports whether another attempt may follow one that got so far.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/admission"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
@@ -78,6 +79,7 @@
 	limit    time.Time // the earlier of deadline and the route's timeout
 	config   *routing.Config
 
+	question admission.Question // of the last decision on admission
 	attempts []attemptRecord
 	begun    bool   // the answer has begun
 	last     uint64 // id of the last event passed on
--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -128,9 +128,10 @@
 	return choice, true, verdict
 }
 
-// decide asks the admission policy for the request at the server. The caller holds the lock.
+// decide asks the admission policy for the request at the server, and keeps what it depended
+// on for the log. The caller holds the lock.
 func (p *Pilot) decide(c *call, account uint64, choice placement.Choice, now time.Time) admission.Verdict {
-	return admission.Decide(admission.Question{
+	c.question = admission.Question{
 		Predicted: choice.Predicted,
 		Own:       choice.Own,
 		Idle:      choice.Idle,
@@ -141,7 +142,8 @@
 		Levels:    p.shares.Levels(now),
 		Window:    p.options.FairWindow,
 		Jitter:    jitter(),
-	})
+	}
+	return admission.Decide(c.question)
 }
 
 // taken returns the share of the server's places that are taken.
