--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -19,7 +19,7 @@
 // idleDelay is the share of the objective that the load of an idle server adds at most to a
 // prediction. The share of places that are taken says little: engines with 128 places are far
 // from idle when a fifth is taken.
-const idleDelay = 0.02
+const idleDelay = 0.006
 
 // Pilot joins the decisions on requests: admission, placement and retry budgets. Its
 // methods are safe for concurrent use.
