Answer refused requests from their heads, and give up sooner where nothing can come of it

Profile of a refusal on a new connection: two choices of a server, 40 KB of body read into memory first, a stack for the error; requests that found no connection below the equal share of 6 went to 22 servers in turn; 191 requests of callers that had left were sent on, as the server's reader had not run yet. Change: admission is decided before the body is read, and the server chosen again when reading took longer than 20 ms; a refusal carries no stack; one lookup of the model for each choice; a daemon may use a quarter of a server's spare connections beyond its equal share, and a request is given back after four servers out of reach; the caller's socket is looked at before each send. TestRefusalNeedsNoBody fails on the old code (no answer in 10 s).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// connectionShare is the part of a server's connections that the fleet uses.
-	connectionShare = 0.85
+	// maxUnsent is the number of servers that may turn out to be out of reach before a request
+	// is given back: with a quarter of the servers dark, one request in 256 meets four.
+	maxUnsent = 4
 	// maxForeign is the number of answers to other requests that are skipped on a connection.
 	maxForeign = 2
 	// maxWhole is the longest answer, in bytes, that is held until it is whole.
@@ -67,22 +68,34 @@
 		" took=" + a.took.String())
 }
 
-// attempt sends the request to servers until one has answered.
-func (h *Handler) attempt(ctx context.Context, c *call) error {
-	choice, ok, verdict := h.Pilot.first(c, time.Now())
+// admitLoad chooses a server and refuses the request if the load is too high. It needs the
+// head of the request only: a flood of refused requests must not fill the memory with bodies.
+func (h *Handler) admitLoad(c *call) (placement.Choice, error) {
+	c.decided = time.Now()
+	choice, ok, verdict := h.Pilot.first(c, c.decided)
 	switch {
 	case !ok:
-		return result.New(result.NoServerJoined, "no backend server is ready").After(restingRetry)
+		return choice, result.New(result.NoServerJoined, "no backend server is ready").After(restingRetry)
 	case verdict.Reason == admission.OverShare:
-		return refusal(c, result.AccountOverShare, choice, verdict)
+		return choice, refusal(c, result.AccountOverShare, choice, verdict)
 	case verdict.Reason == admission.TooLate:
-		return refusal(c, result.ServersBusy, choice, verdict)
+		return choice, refusal(c, result.ServersBusy, choice, verdict)
 	}
+	return choice, nil
+}
+
+// attempt sends the request to servers, first to the chosen one, until one has answered.
+func (h *Handler) attempt(ctx context.Context, c *call, choice placement.Choice) error {
 	tried := make(map[string]bool, 2)
-	received := 0
+	received, missed := 0, 0
 	for {
+		if callerLeft(c.http.Context()) {
+			return result.New(result.CallerGone, "the caller went away")
+		}
 		far, err := h.try(ctx, c, choice)
-		if far != unsent {
+		if far == unsent {
+			missed++
+		} else {
 			received++
 		}
 		if err == nil {
@@ -92,10 +105,10 @@
 		if callerGone(c.http.Context()) {
 			return result.Wrap(err, result.CallerGone, "the caller went away")
 		}
-		if !again(c, far, received) {
+		if missed >= maxUnsent || !again(c, far, received) {
 			return ended(c, far, err)
 		}
-		var allowed bool
+		var ok, allowed bool
 		choice, ok, allowed = h.Pilot.next(c, tried, far == unsent, time.Now())
 		if !ok || !allowed {
 			return ended(c, far, err)
@@ -105,7 +118,7 @@
 
 func refusal(c *call, code result.Code, choice placement.Choice, v admission.Verdict) error {
 	q := c.question
-	return result.New(code, "predicted %v (idle %v) of %v at %s, %d to read, %d running, account has %.0f of %.0f owed and %.0f reached",
+	return result.Refuse(code, "predicted %v (idle %v) of %v at %s, %d to read, %d running, account has %.0f of %.0f owed and %.0f reached",
 		q.Predicted, q.Idle, q.Objective, choice.Server.ID, choice.Load.Pending+choice.Uncached, choice.Load.Running,
 		q.Use.Admitted, q.Levels.Owed, q.Levels.Reached).After(v.RetryAfter)
 }
@@ -148,8 +161,6 @@
 	}
 }
 
-func callerGone(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
-
 // try sends the request to one server and passes its answer on.
 func (h *Handler) try(ctx context.Context, c *call, choice placement.Choice) (reach, error) {
 	started := time.Now()
@@ -179,7 +190,7 @@
 // exchange sends the request over a connection and passes the answer on.
 func (h *Handler) exchange(ctx context.Context, c *call, s routing.Server, a *placement.Attempt, record *attemptRecord) (reach, error) {
 	endpoint := upstream.Endpoint{Address: s.Address, ID: s.ID, Born: s.Born}
-	limit := int(connectionShare * float64(c.service.MaxConnections) / float64(max(1, h.Pilot.options.Daemons())))
+	limit := upstream.Limit(c.service.MaxConnections, h.Pilot.options.Daemons(), record.running)
 	conn, err := h.Pool.Get(ctx, endpoint, limit)
 	if err != nil {
 		return unsent, err
--- /dev/null
+++ b/internal/forward/cost_test.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/retry"
+	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
+	"github.com/filbertrill/filbertrill/internal/upstream"
+)
+
+// plainProtocol reads the parts of a prompt that all requests of the test have.
+type plainProtocol struct{}
+
+func (plainProtocol) Decode(*http.Request) (*Envelope, error) {
+	return &Envelope{
+		ID: "id", Deadline: 10 * time.Second, Prompt: 12_000, Output: 300,
+		Parts: []placement.Part{{ID: 1, Tokens: 512}, {ID: 2, Tokens: 4870}, {ID: 3, Tokens: 6618}},
+	}, nil
+}
+
+func (plainProtocol) Head(Dispatch) []byte        { return nil }
+func (plainProtocol) Answer(h http.Header) Answer { return Answer{} }
+
+const bodyBytes = 40 << 10
+
+// busyHandler returns a handler of a large fleet whose servers are all busy.
+func busyHandler(tb testing.TB) *Handler {
+	tb.Helper()
+	config, err := routing.Build(routing.Config{
+		Version:  1,
+		Limits:   routing.Limits{TokensPerSecond: 2_000_000},
+		Services: []routing.Service{{Name: "llm", EngineSlots: 12, MemoryTokens: 372_402}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Engine: true, Public: true,
+			Objective: 400 * time.Millisecond, MaxAttempts: 2, Targets: []routing.Target{{Service: "llm", Weight: 1}},
+		}},
+	})
+	require.NoError(tb, err)
+	servers := make([]routing.Server, 0, 112)
+	loads := make(map[uint64]placement.Load)
+	for i := range 112 {
+		id := fmt.Sprintf("s%03d", i)
+		servers = append(servers, routing.Server{ID: id, Service: "llm", Zone: "a", Slots: 12, State: routing.Ready})
+		loads[placement.Hash(id)] = placement.Load{Running: 1, Pending: 20_000, Memory: 20_000}
+	}
+	pilot := NewPilot(PilotOptions{
+		Zone: "a", FairWindow: 4 * time.Second, Daemons: func() int { return 65 },
+		RetryBudget: retry.WindowOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+	})
+	pilot.SetServers(servers, config)
+	for i := range 20 {
+		pilot.SetPeer(fmt.Sprint("p", i), View{Loads: loads}, time.Now().Add(time.Hour))
+	}
+	metrics, _, closer := telemetry.New(telemetry.Options{})
+	tb.Cleanup(func() { require.NoError(tb, closer.Close()) })
+	return NewHandler(Options{
+		Protocol: plainProtocol{},
+		Config:   func() *routing.Config { return config },
+		Age:      func(time.Time) time.Duration { return 0 },
+		Pilot:    pilot, Pool: upstream.NewPool(), Metrics: metrics,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+}
+
+// BenchmarkRefusal measures a refusal on a new connection, with what it costs the caller.
+func BenchmarkRefusal(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	server := &http.Server{Handler: busyHandler(b)}
+	go func() { _ = server.Serve(listener) }() // ends with the benchmark
+	defer func() { require.NoError(b, server.Close()) }()
+	body := bytes.Repeat([]byte("x"), bodyBytes)
+	head := []byte(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", bodyBytes))
+	b.ResetTimer()
+	for range b.N {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(b, err)
+		buffers := net.Buffers{head, body}
+		_, err = buffers.WriteTo(conn)
+		require.NoError(b, err)
+		answer, err := io.ReadAll(conn)
+		require.NoError(b, err)
+		require.Contains(b, string(answer), "503")
+		require.NoError(b, conn.Close())
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -30,6 +30,9 @@
 	restingRetry = 100 * time.Millisecond
 	// maxHeldBytes bounds the bodies held at once.
 	maxHeldBytes = 48 << 20
+	// choiceAge is the time for the reading of the body after which the server is chosen
+	// again: less than half the time between two views of the peers' loads.
+	choiceAge = 20 * time.Millisecond
 )
 
 // Options are the parts that a Handler works with.
@@ -80,6 +83,7 @@
 	config   *routing.Config
 
 	question admission.Question // of the last decision on admission
+	decided  time.Time          // when it was taken
 	attempts []attemptRecord
 	begun    bool   // the answer has begun
 	last     uint64 // id of the last event passed on
@@ -114,6 +118,10 @@
 	if err := h.admitCaller(c); err != nil {
 		return err
 	}
+	choice, err := h.admitLoad(c)
+	if err != nil {
+		return err // net/http reads the rest of the body, and holds none of it
+	}
 	held, err := h.readBody(c)
 	defer h.held.Add(-held)
 	if err != nil {
@@ -121,7 +129,12 @@
 	}
 	ctx, cancel := context.WithDeadline(c.http.Context(), c.limit)
 	defer cancel()
-	return h.attempt(ctx, c)
+	if time.Since(c.decided) > choiceAge {
+		if fresh, ok, _ := h.Pilot.next(c, nil, true, time.Now()); ok {
+			choice = fresh
+		}
+	}
+	return h.attempt(ctx, c, choice)
 }
 
 // admitCaller finds route and account of the request.
@@ -159,6 +172,9 @@
 	if t := c.arrived.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.limit) {
 		c.limit = t
 	}
+	if limit := c.config.Limits.MaxBodyBytes; limit > 0 && c.http.ContentLength > limit {
+		return result.New(result.BodyTooLarge, "the body is longer than %d bytes", limit)
+	}
 	return nil
 }
 
@@ -178,9 +194,6 @@
 	if c.http.ContentLength == 0 || c.http.Body == nil {
 		return 0, nil
 	}
-	if limit > 0 && c.http.ContentLength > limit {
-		return 0, result.New(result.BodyTooLarge, "the body is longer than %d bytes", limit)
-	}
 	if h.held.Load() > maxHeldBytes {
 		return 0, result.New(result.DaemonFull, "the daemon holds its limit of bodies").After(restingRetry)
 	}
--- /dev/null
+++ b/internal/forward/refusal_test.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A refused request is answered from its head alone. On yushan-rounds-grown scale-1 a flood
+// filled a machine of 112 MB with the bodies of requests that were refused once they were in.
+func TestRefusalNeedsNoBody(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	handler := busyHandler(t)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }() // ends with the test
+	defer func() { require.NoError(t, server.Close()) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40960\r\n\r\npart"))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Zero(t, handler.held.Load())
+	require.NoError(t, conn.Close())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,6 +170,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       forward.WithCaller,
 		ErrorLog:          log.New(io.Discard, "", 0), // aborted answers are logged by the handler
 	}
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -230,14 +230,14 @@
 
 func (b *Board) choose(r Request, tried map[string]bool, reread float64, now time.Time) (Choice, bool) {
 	b.dropSilentPeers(now)
-	home := b.home(r, now)
+	home, model := b.home(r, now), b.model(r.Service)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for _, s := range b.ready[r.Service] {
 		if tried[s.ID] {
 			continue
 		}
-		c := b.predict(s, r, s == home, now)
-		score := b.score(s, c, reread, now)
+		c := b.predict(s, r, model, s == home, now)
+		score := b.score(s, c, reread*model.slope(), now)
 		if score < bestScore {
 			best, found, bestScore = c, true, score
 		}
@@ -256,7 +256,7 @@
 	return places, taken
 }
 
-func (b *Board) predict(s *server, r Request, home bool, now time.Time) Choice {
+func (b *Board) predict(s *server, r Request, model *timeModel, home bool, now time.Time) Choice {
 	c := Choice{Server: s.Server, Load: b.load(s), Home: home}
 	if !r.Engine {
 		waiting := max(0, c.Load.Running+1-s.Slots)
@@ -265,7 +265,6 @@
 		return c
 	}
 	c.Uncached = s.uncached(r, home, now)
-	model := b.model(r.Service)
 	c.Predicted = model.predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed)
 	c.Idle = model.predict(c.Uncached, 0, s.speed)
 	c.Own = seconds(model.slope() * float64(c.Uncached) * s.speed)
@@ -276,9 +275,10 @@
 	return c
 }
 
+// score returns the cost in seconds of the choice, with reread for each token to read.
 func (b *Board) score(s *server, c Choice, reread float64, now time.Time) float64 {
 	score := c.Predicted.Seconds()
-	score += reread * float64(c.Uncached) * b.model(s.Service).slope() * s.speed
+	score += reread * float64(c.Uncached) * s.speed
 	if s.Zone != b.zone {
 		score += crossZone.Seconds()
 	}
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -21,6 +21,12 @@
 	return &Error{Code: code, Message: message, cause: errors.NewWithDepth(1, message)}
 }
 
+// Refuse returns an error with the code and a formatted message, without a stack: for
+// decisions that are taken thousands of times a second, where the code says who took it.
+func Refuse(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
 // Wrap returns an error with the code and a formatted message that keeps err as
 // its cause. The caller is shown the message only.
 func Wrap(err error, code Code, format string, args ...any) *Error {
--- /dev/null
+++ b/internal/socket/socket_test.go
@@ -0,0 +1,48 @@
+package socket
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestPeekWhileAnotherGoroutineReads(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	server, err := listener.Accept()
+	require.NoError(t, err)
+	raw, err := server.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	state := func() State {
+		s, err := Peek(raw)
+		require.NoError(t, err)
+		return s
+	}
+	becomes := func(want State) {
+		require.Eventually(t, func() bool { return state() == want }, 5*time.Second, time.Millisecond)
+	}
+	assert.Equal(t, Quiet, state())
+	_, err = client.Write([]byte("x"))
+	require.NoError(t, err)
+	becomes(Readable)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		var b [1]byte
+		_, _ = server.Read(b[:]) // the byte
+		_, _ = server.Read(b[:]) // waits until the client closes
+	}()
+	becomes(Quiet)
+	require.NoError(t, client.Close())
+	becomes(Closed)
+	<-read
+	require.NoError(t, server.Close())
+	_, err = Peek(raw)
+	assert.Error(t, err, "a closed descriptor has no state")
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/socket"
 )
 
 const (
@@ -68,14 +70,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	quiet := false
-	var b [1]byte
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	state, err := socket.Peek(c.raw)
+	return err == nil && state == socket.Quiet
 }
 
 // Send writes the head and the body. It reports whether a byte may have left.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,27 @@
 // ErrTooManyConnections is returned when the connections to a server are at their limit.
 var ErrTooManyConnections = errors.New("connections to the server are at their limit")
 
+const (
+	// fleetShare is the part of a server's connections that the fleet uses; the rest is for
+	// those that daemons have closed and the server not yet.
+	fleetShare = 0.85
+	// spareShare is the part of the unused connections that one daemon may take beyond its
+	// equal share: views are late, and four daemons may reach for them at once.
+	spareShare = 0.25
+)
+
+// Limit returns how many connections a daemon may open to a server that takes at most limit
+// connections, where the fleet runs so many requests. 0 stands for no limit. Equal shares
+// alone are useless in large fleets: 390 daemons would have one connection each.
+func Limit(limit, daemons, running int) int {
+	if limit <= 0 {
+		return 0
+	}
+	all := fleetShare * float64(limit)
+	equal := all / float64(max(1, daemons))
+	return max(1, int(max(equal, spareShare*(all-float64(running)))))
+}
+
 // Pool keeps the connections to backend servers, by address and identity. Its methods
 // are safe for concurrent use.
 type Pool struct {
