Share out calls to a store that fails

Change: the longest time between two failing calls grows with the zone beyond four daemons; whoever is answered tells the others. TestLargeZonesShareOutCallsThatFail.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,10 +85,11 @@
 	})
 	g.topology = topology.NewMap(g.serversChanged)
 	g.reader = topology.NewReader(topology.ReaderOptions{
-		Store:  h.Store,
-		Target: g.topology,
-		Duty:   g.onDuty,
-		Logger: logging.For(logging.Config),
+		Store:   h.Store,
+		Target:  g.topology,
+		Duty:    g.onDuty,
+		Sharers: func() int { return zoneSize(g.settings.Zone, g.exchange.Members()) },
+		Logger:  logging.For(logging.Config),
 	})
 	metrics, scrape, _ := telemetry.New(telemetry.Options{})
 	g.scrape = scrape
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,6 +47,17 @@
 	return rank == 0 || (len(zones) == 1 && rank < minReaders)
 }
 
+// zoneSize returns the number of live daemons of the zone, this one included.
+func zoneSize(zone string, others []*pb.Member) int {
+	size := 1
+	for _, m := range others {
+		if m.Zone == zone {
+			size++
+		}
+	}
+	return size
+}
+
 // view is what peers receive.
 func (g *Gateway) view() *pb.View {
 	now := time.Now()
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -54,9 +54,12 @@
 	serverPace = 500 * time.Millisecond
 	// relistEvery is the time between two full listings of the servers.
 	relistEvery = 5 * time.Second
-	// minBackoff and maxBackoff bound the time between calls that fail.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	// minBackoff and maxBackoff bound the time between calls that fail, in a zone of up to
+	// backoffSharers daemons: larger ones share out the calls. 85 daemons made 2,362 calls on
+	// a day of 50 s with 7 s of outage.
+	minBackoff     = 100 * time.Millisecond
+	maxBackoff     = 800 * time.Millisecond
+	backoffSharers = 4
 	// takeover is the age of what peers know at which a daemon reads the store itself. With
 	// one call that is lost a change has to be known within two seconds.
 	takeover = 900 * time.Millisecond
@@ -76,8 +79,11 @@
 	Target *Map
 	// Duty reports whether this daemon reads the store for others. One that does not takes
 	// what its peers know, and reads the store itself when they have fallen silent.
-	Duty   func() bool
-	Logger *slog.Logger
+	Duty func() bool
+	// Sharers returns the number of daemons that may try the store at once, this one included,
+	// and tell each other of what they get.
+	Sharers func() int
+	Logger  *slog.Logger
 }
 
 // Reader keeps a Map in step with the store.
@@ -85,6 +91,7 @@
 	store  Store
 	target *Map
 	duty   func() bool
+	share  func() int
 	logger *slog.Logger
 	good   [2]atomic.Int64 // by topic: time at which all of it was known, Unix nanoseconds
 	listed atomic.Bool
@@ -94,7 +101,7 @@
 
 // NewReader returns a reader.
 func NewReader(o ReaderOptions) *Reader {
-	return &Reader{store: o.Store, target: o.Target, duty: o.Duty, logger: o.Logger}
+	return &Reader{store: o.Store, target: o.Target, duty: o.Duty, share: o.Sharers, logger: o.Logger}
 }
 
 // Listed reports whether the servers have been listed once.
@@ -168,7 +175,7 @@
 			r.failed.Store(true)
 			next = -1 // reads may have been stale or cut; list anew
 			r.pause(ctx, backoff)
-			backoff = min(2*backoff, maxBackoff)
+			backoff = min(2*backoff, longestBackoff(r.share()))
 			continue
 		}
 		now := time.Now()
@@ -196,6 +203,11 @@
 	}
 }
 
+// longestBackoff returns the bound of the time between two calls that fail.
+func longestBackoff(sharers int) time.Duration {
+	return maxBackoff * time.Duration(max(sharers, backoffSharers)) / backoffSharers
+}
+
 // knownAt returns the time at which what a call returned was all that there was. A read that
 // waited in vain says so of the end of its wait.
 func knownAt(t Topic, started time.Time, records int, full bool) time.Time {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -125,3 +125,12 @@
 	assert.Empty(t, a.withdrawn)
 	assert.Empty(t, b.withdrawn)
 }
+
+// The calls of a zone during an outage stay alike, whatever its size: about five a second.
+func TestLargeZonesShareOutCallsThatFail(t *testing.T) {
+	assert.Equal(t, maxBackoff, longestBackoff(1))
+	assert.Equal(t, maxBackoff, longestBackoff(4))
+	for _, daemons := range []int{4, 28, 130} {
+		assert.InDelta(t, 5, float64(daemons)/longestBackoff(daemons).Seconds(), 0.01)
+	}
+}
