Make the way of a request through the gateway a chain of filters

Cause: the house style asks for a filter chain; the gateway's handler was one function with pure deciders, and the product's own interface had a chain of its own type. Ruled out: a folder for each filter as in internal/filter; they share the request on its way, whose fields would all have to be exported. Change: internal/chain is the one chain, of any type of request; the product's filters are its instance.

--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -3,10 +3,10 @@
 package filter
 
 import (
-	"context"
 	"net/http"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/chain"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
@@ -67,23 +67,13 @@
 }
 
 // Handler answers a request. An error that it returns has not been written to the caller.
-type Handler interface {
-	Handle(ctx context.Context, r *Request) error
-}
+type Handler = chain.Handler[*Request]
 
 // HandlerFunc is a function that is a Handler.
-type HandlerFunc func(ctx context.Context, r *Request) error
-
-// Handle calls the function.
-func (f HandlerFunc) Handle(ctx context.Context, r *Request) error { return f(ctx, r) }
+type HandlerFunc = chain.Func[*Request]
 
 // Filter wraps the next handler of the chain.
-type Filter func(next Handler) Handler
+type Filter = chain.Filter[*Request]
 
 // Chain returns the last handler behind the filters, the first of them outermost.
-func Chain(last Handler, filters ...Filter) Handler {
-	for i := len(filters) - 1; i >= 0; i-- {
-		last = filters[i](last)
-	}
-	return last
-}
+func Chain(last Handler, filters ...Filter) Handler { return chain.Link(last, filters...) }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/filbertrill/filbertrill/internal/admission"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -68,31 +67,18 @@
 		" took=" + a.took.String())
 }
 
-// admitLoad chooses a server and refuses the request if the load is too high. It needs the
-// head of the request only: a flood of refused requests must not fill the memory with bodies.
-func (h *Handler) admitLoad(c *call) (placement.Choice, error) {
-	c.decided = time.Now()
-	choice, ok, verdict := h.Pilot.first(c, c.decided)
-	switch {
-	case !ok:
-		return choice, result.New(result.NoServerJoined, "no backend server is ready").After(restingRetry)
-	case verdict.Reason == admission.OverShare:
-		return choice, refusal(c, result.AccountOverShare, choice, verdict)
-	case verdict.Reason == admission.TooLate:
-		return choice, refusal(c, result.ServersBusy, choice, verdict)
-	}
-	return choice, nil
-}
-
-// attempt sends the request to servers, first to the chosen one, until one has answered.
-func (h *Handler) attempt(ctx context.Context, c *call, choice placement.Choice) error {
+// attempt is the end of the chain: it sends the request to servers, first to the chosen one,
+// until one has answered.
+func (h *Handler) attempt(ctx context.Context, c *call) error {
+	ctx, cancel := context.WithDeadline(ctx, c.limit)
+	defer cancel()
 	tried := make(map[string]bool, 2)
 	received, missed := 0, 0
 	for {
 		if callerLeft(c.http.Context()) {
 			return result.New(result.CallerGone, "the caller went away")
 		}
-		far, err := h.try(ctx, c, choice)
+		far, err := h.try(ctx, c, c.choice)
 		if far == unsent {
 			missed++
 		} else {
@@ -101,7 +87,7 @@
 		if err == nil {
 			return nil
 		}
-		tried[choice.Server.ID] = true
+		tried[c.choice.Server.ID] = true
 		if callerGone(c.http.Context()) {
 			return result.Wrap(err, result.CallerGone, "the caller went away")
 		}
@@ -109,20 +95,13 @@
 			return ended(c, far, err)
 		}
 		var ok, allowed bool
-		choice, ok, allowed = h.Pilot.next(c, tried, far == unsent, time.Now())
+		c.choice, ok, allowed = h.Pilot.next(c, tried, far == unsent, time.Now())
 		if !ok || !allowed {
 			return ended(c, far, err)
 		}
 	}
 }
 
-func refusal(c *call, code result.Code, choice placement.Choice, v admission.Verdict) error {
-	q := c.question
-	return result.Refuse(code, "predicted %v (idle %v) of %v at %s, %d to read, %d running, account has %.0f of %.0f owed and %.0f reached",
-		q.Predicted, q.Idle, q.Objective, choice.Server.ID, choice.Load.Pending+choice.Uncached, choice.Load.Running,
-		q.Use.Admitted, q.Levels.Owed, q.Levels.Reached).After(v.RetryAfter)
-}
-
 // again reports whether another attempt may follow one that got so far.
 func again(c *call, far reach, received int) bool {
 	if received >= max(1, c.route.MaxAttempts) || time.Until(c.limit) < minLeft {
--- a/internal/forward/pilot.go
+++ b/internal/forward/pilot.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -141,7 +142,7 @@
 		Use:       p.shares.Use(account, now),
 		Levels:    p.shares.Levels(now),
 		Window:    p.options.FairWindow,
-		Jitter:    jitter(),
+		Jitter:    rand.Float64(),
 	}
 	return admission.Decide(c.question)
 }
--- /dev/null
+++ b/internal/forward/resolve.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/chain"
+	"github.com/filbertrill/filbertrill/internal/result"
+)
+
+const (
+	// defaultDeadline is the time for requests whose callers name none.
+	defaultDeadline = 30 * time.Second
+	// staleAfter is the age beyond which the configuration may lack a route or key that is
+	// in force: a request that it does not allow is then refused for now, not for good.
+	staleAfter = 1600 * time.Millisecond
+)
+
+// resolve is the filter that finds the route and the client account of the request.
+func (h *Handler) resolve(next chain.Handler[*call]) chain.Handler[*call] {
+	return chain.Func[*call](func(ctx context.Context, c *call) error {
+		if err := h.find(c); err != nil {
+			return err
+		}
+		return next.Handle(ctx, c)
+	})
+}
+
+func (h *Handler) find(c *call) error {
+	c.config = h.Config()
+	if c.config == nil {
+		return result.New(result.NoConfiguration, "no configuration is known yet").After(restingRetry)
+	}
+	envelope, err := h.Protocol.Decode(c.http)
+	if err != nil {
+		return result.Wrap(err, result.BodyMalformed, "the head of the request is malformed")
+	}
+	c.envelope = envelope
+	path := c.http.URL.EscapedPath()
+	c.route = c.config.Match(c.http.Host, path)
+	if c.route == nil {
+		return h.unknown(result.New(result.PathUnknown, "no route of the host begins the path"))
+	}
+	if c.config.HasAccounts() && !c.route.Public {
+		account := c.config.AccountOf(envelope.Key)
+		if account == nil {
+			return h.unknown(result.New(result.KeyUnknown, "the key belongs to no client account"))
+		}
+		c.account = account.Name
+	}
+	c.service = c.config.Service(c.route.Choose(envelope.ID))
+	if c.service == nil {
+		return result.New(result.NoServerJoined, "the service is not configured").After(restingRetry)
+	}
+	c.limit = c.arrived.Add(defaultDeadline)
+	if envelope.Deadline > 0 {
+		c.limit = c.arrived.Add(envelope.Deadline)
+	}
+	if t := c.arrived.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.limit) {
+		c.limit = t
+	}
+	if limit := c.config.Limits.MaxBodyBytes; limit > 0 && c.http.ContentLength > limit {
+		return result.New(result.BodyTooLarge, "the body is longer than %d bytes", limit)
+	}
+	return nil
+}
+
+// unknown returns the error, or one that promises nothing for good while a newer
+// configuration may be in force.
+func (h *Handler) unknown(err *result.Error) error {
+	if age := h.Age(time.Now()); age > staleAfter {
+		return result.Wrap(err, result.CutOff, "the configuration may be outdated").After(restingRetry)
+	}
+	return err
+}
