--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 	$(GO) run ./test/measure/slopes
 
 soak:
-	$(GO) test -run Soak -tags soak -count=1 -timeout=$(SOAK_TIMEOUT) ./test/...
+	$(GO) test -run Soak -tags soak -count=1 -timeout=$(SOAK_TIMEOUT) ./test/... ./platform
 
 fuzz:
 	./scripts/fuzz.sh $(FUZZ_TIME)
