Servers that are gone stay gone; pulls that change nothing are spaced

Change: a record that a withdrawal covers does not bring a server back; a listing of the store itself overrules withdrawals older than 5 s, so that a wrong one ends; after a pull that changed nothing the list is left for a second (a newer configuration is pulled all the same). TestServersThatAreGoneStayGone fails on the old code; TestStoreOverrulesOldWithdrawals was written with the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,9 @@
 	draining atomic.Bool
 	stop     chan struct{}
 	pulling  atomic.Bool
-	strain   strain
+	// pullAfter is when differing lists of servers are pulled again, Unix nanoseconds.
+	pullAfter atomic.Int64
+	strain    strain
 }
 
 // New wires the parts. Nothing serves before Run.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,10 @@
 	minReaders = 2
 	// pullPause is the least time between two pulls.
 	pullPause = 100 * time.Millisecond
+	// fruitlessPause is the time to the next pull for the list of servers after one that has
+	// changed nothing: the difference is one that lists do not settle, such as a withdrawal
+	// that the peer has not heard of. It is less than the users' bound of 3 s on such news.
+	fruitlessPause = time.Second
 )
 
 func (g *Gateway) member() *pb.Member {
@@ -91,7 +95,7 @@
 	}
 	if v.ServerDigest == g.topology.Digest() {
 		g.reader.Confirm(topology.Servers, age(v.ServerAgeMs))
-	} else if g.reader.Newer(topology.Servers, age(v.ServerAgeMs)) {
+	} else if g.reader.Newer(topology.Servers, age(v.ServerAgeMs)) && now.UnixNano() > g.pullAfter.Load() {
 		behind = true
 	}
 	if behind && g.pulling.CompareAndSwap(false, true) {
@@ -112,6 +116,7 @@
 		time.Sleep(pullPause)
 		g.pulling.Store(false)
 	}()
+	before := g.topology.Digest()
 	records, err := g.exchange.Pull(context.Background(), source.ControlAddress)
 	if err != nil {
 		g.logger.Warn("Records not pulled.", "peer", source.Id, "error", err)
@@ -125,6 +130,9 @@
 		servers = append(servers, topology.Record{Key: r.Key, Value: r.Value})
 	}
 	g.reader.ApplyList(servers, listed, time.Now())
+	if g.topology.Digest() == before {
+		g.pullAfter.Store(time.Now().Add(fruitlessPause).UnixNano())
+	}
 	g.logger.Info("Records pulled.", "peer", source.Id, "version", g.version(), "servers", len(servers))
 }
 
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -186,6 +186,11 @@
 		backoff = minBackoff
 		r.failed.Store(false)
 		r.called.Store(now.UnixNano())
+		if full && t == Servers {
+			for _, record := range records {
+				r.target.Overrule(record.Key, started)
+			}
+		}
 		r.apply(t, records, now, now.Sub(restored) < settle)
 		if full && t == Servers {
 			r.reconcile(records, started, now, restored)
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -54,6 +54,9 @@
 	// cut off on the users' days. Less than withdrawalTTL: daemons that told what they
 	// remember would teach each other anew what they had forgotten.
 	withdrawalTold = 10 * time.Second
+	// overruleAfter is the age from which a withdrawal yields to a listing of the store: more
+	// than the 3 s by which a store reads stale on the users' days.
+	overruleAfter = 5 * time.Second
 )
 
 // NewMap returns an empty map. The function is called after each change.
@@ -104,7 +107,11 @@
 		m.mu.Unlock()
 		return false
 	}
-	if w, ok := m.withdrawn[s.ID]; ok && s.Born == w.Born && s.Sequence <= w.Sequence {
+	if w, withdrawn := m.withdrawn[s.ID]; withdrawn && s.Born == w.Born && s.Sequence <= w.Sequence {
+		if !ok {
+			m.mu.Unlock()
+			return false // gone: the record is from a list that is behind
+		}
 		s.State = routing.Draining
 	}
 	changed := !ok || old.Server.State != s.State || old.Server.Born != s.Born ||
@@ -166,6 +173,16 @@
 	return applies
 }
 
+// Overrule forgets a withdrawal of a server that the store lists, unless it is so recent that
+// the listing, complete at asOf, may be stale.
+func (m *Map) Overrule(id string, asOf time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w, ok := m.withdrawn[id]; ok && asOf.Sub(w.At) > overruleAfter {
+		delete(m.withdrawn, id)
+	}
+}
+
 // withdraw remembers a withdrawal. The caller holds the lock.
 func (m *Map) withdraw(s routing.Server, now time.Time) {
 	if w, ok := m.withdrawn[s.ID]; ok && w.Born == s.Born && w.Sequence >= s.Sequence {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -134,3 +134,43 @@
 		assert.InDelta(t, 5, float64(daemons)/longestBackoff(daemons).Seconds(), 0.01)
 	}
 }
+
+// mtesz-cert-grown trouble-1: daemons took servers that were gone back from lists of peers
+// that were behind, and lost them again by the next list: 85 daemons pulled lists of 79 and
+// of 93 servers in turn, ten times a second.
+func TestServersThatAreGoneStayGone(t *testing.T) {
+	m := NewMap(func() {})
+	r := NewReader(ReaderOptions{Store: listStore{}, Target: m, Logger: slog.New(slog.DiscardHandler)})
+	record := func(id string, sequence byte) Record { return Record{Key: id, Value: []byte{sequence}} }
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	r.ApplyList([]Record{record("a", 1), record("b", 1)}, at(0), at(0))
+	r.ApplyList([]Record{record("a", 1)}, at(100), at(110))
+	digest := m.Digest()
+	r.ApplyList([]Record{record("a", 1), record("b", 1)}, at(50), at(120)) // behind
+	_, ok := state(m, "b")
+	assert.False(t, ok)
+	assert.Equal(t, digest, m.Digest())
+	r.ApplyServer(record("b", 2), at(200)) // registered again
+	got, ok := state(m, "b")
+	assert.True(t, ok)
+	assert.Equal(t, routing.Ready, got)
+}
+
+// What the store itself still lists a while after a withdrawal was not withdrawn for good:
+// its lease had run out, or a peer was wrong.
+func TestStoreOverrulesOldWithdrawals(t *testing.T) {
+	m := NewMap(func() {})
+	s := routing.Server{ID: "s", Born: 1, Sequence: 1}
+	m.SetServer(s, nil, now)
+	m.RemoveServer("s", now)
+	m.Overrule("s", now.Add(time.Second))
+	m.SetServer(s, nil, now.Add(time.Second))
+	_, ok := state(m, "s")
+	assert.False(t, ok, "the listing may be stale")
+	later := now.Add(overruleAfter + time.Second)
+	m.Overrule("s", later)
+	m.SetServer(s, nil, later)
+	got, ok := state(m, "s")
+	assert.True(t, ok)
+	assert.Equal(t, routing.Ready, got)
+}
