Ask callers back as the outage lasts, and name the request in the log

The lines name no request: the head was read after the look at the configuration. Change: without a configuration, or with one that may be outdated, Retry-After is the time that the outage has lasted, at most 2 s and 0.4 of the caller's patience. TestCallersComeBackAsTheOutageLasts was written with the change.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -37,6 +37,7 @@
 type Handler struct {
 	Options
 	chain   chain.Handler[*call]
+	started time.Time
 	closing atomic.Bool  // connections are handed back after their answer
 	refuse  atomic.Bool  // no request is taken any more
 	held    atomic.Int64 // bytes of bodies
@@ -45,7 +46,7 @@
 
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler {
-	h := &Handler{Options: o}
+	h := &Handler{Options: o, started: time.Now()}
 	h.chain = chain.Link[*call](chain.Func[*call](h.attempt),
 		h.record,
 		h.refuseWhenStopping,
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
 )
 
@@ -46,3 +48,23 @@
 	assert.Zero(t, h.collectFor(&call{route: c.route}), "the first event")
 	assert.Equal(t, maxStrainedPause, h.collectFor(&call{route: &routing.Route{}, events: 1}))
 }
+
+// mtesz-cert-grown trouble-1: all daemons lost power while the store was down, and callers
+// that were asked back after 100 ms had used up their tries before it came back.
+func TestCallersComeBackAsTheOutageLasts(t *testing.T) {
+	h := busyHandler(t)
+	h.Config = func() *routing.Config { return nil }
+	ask := func(lasted time.Duration) *result.Error {
+		h.started = time.Now().Add(-lasted)
+		c := &call{http: httptest.NewRequest(http.MethodPost, "/", nil), arrived: time.Now()}
+		err := result.From(h.find(c))
+		assert.Equal(t, result.NoConfiguration, err.Code)
+		assert.Equal(t, "id", c.envelope.ID, "the log names the request")
+		return err
+	}
+	assert.Equal(t, restingRetry, ask(0).RetryAfter, "a daemon that has just started")
+	assert.InDelta(t, 1, ask(time.Second).RetryAfter.Seconds(), 0.1)
+	assert.Equal(t, maxOutageRetry, ask(time.Minute).RetryAfter)
+	short := &call{envelope: &Envelope{Deadline: time.Second}}
+	assert.Equal(t, 400*time.Millisecond, h.outageRetry(short, time.Minute))
+}
--- a/internal/forward/resolve.go
+++ b/internal/forward/resolve.go
@@ -14,6 +14,12 @@
 	// staleAfter is the age beyond which the configuration may lack a route or key that is
 	// in force: a request that it does not allow is then refused for now, not for good.
 	staleAfter = 1600 * time.Millisecond
+	// maxOutageRetry bounds the time after which a caller comes back during an outage: one
+	// that has ended is noticed within a second.
+	maxOutageRetry = 2 * time.Second
+	// outageShare is the part of the caller's patience that one wait may take, so that there
+	// is time for an answer.
+	outageShare = 0.4
 )
 
 // resolve is the filter that finds the route and the client account of the request.
@@ -27,24 +33,24 @@
 }
 
 func (h *Handler) find(c *call) error {
-	c.config = h.Config()
-	if c.config == nil {
-		return result.New(result.NoConfiguration, "no configuration is known yet").After(restingRetry)
-	}
 	envelope, err := h.Protocol.Decode(c.http)
 	if err != nil {
 		return result.Wrap(err, result.BodyMalformed, "the head of the request is malformed")
 	}
 	c.envelope = envelope
+	c.config = h.Config()
+	if c.config == nil {
+		return result.New(result.NoConfiguration, "no configuration is known yet").After(h.outageRetry(c, c.arrived.Sub(h.started)))
+	}
 	path := c.http.URL.EscapedPath()
 	c.route = c.config.Match(c.http.Host, path)
 	if c.route == nil {
-		return h.unknown(result.New(result.PathUnknown, "no route of the host begins the path"))
+		return h.unknown(c, result.New(result.PathUnknown, "no route of the host begins the path"))
 	}
 	if c.config.HasAccounts() && !c.route.Public {
 		account := c.config.AccountOf(envelope.Key)
 		if account == nil {
-			return h.unknown(result.New(result.KeyUnknown, "the key belongs to no client account"))
+			return h.unknown(c, result.New(result.KeyUnknown, "the key belongs to no client account"))
 		}
 		c.account = account.Name
 	}
@@ -67,9 +73,20 @@
 
 // unknown returns the error, or one that promises nothing for good while a newer
 // configuration may be in force.
-func (h *Handler) unknown(err *result.Error) error {
+func (h *Handler) unknown(c *call, err *result.Error) error {
 	if age := h.Age(time.Now()); age > staleAfter {
-		return result.Wrap(err, result.CutOff, "the configuration may be outdated").After(restingRetry)
+		return result.Wrap(err, result.CutOff, "the configuration may be outdated").After(h.outageRetry(c, age))
 	}
 	return err
 }
+
+// outageRetry returns when a caller should come back that needs what the daemon can't know
+// now. An outage that has lasted for a while will, by what is known of it, last as long again:
+// callers that are asked back each tenth of a second use up their tries within it.
+func (h *Handler) outageRetry(c *call, lasted time.Duration) time.Duration {
+	patience := defaultDeadline
+	if c.envelope.Deadline > 0 {
+		patience = c.envelope.Deadline
+	}
+	return max(restingRetry, min(lasted, maxOutageRetry, time.Duration(outageShare*float64(patience))))
+}
