Register zones in the store, and find peers by their records

Ruled out: the store's groups, whose joins have to be renewed by every daemon. Change: the first daemon of a zone writes up to three control addresses when they change, at most each 10 s; one without peers reads the records after 3 s, then less and less often. A controller with a pure plan (internal/gateway/registrar.go). TestDaemonWithoutSeedsFindsItsPeers fails on the old code; TestFirstDaemonOfAZoneRegisters and TestDaemonWithoutPeersReadsTheRecordsLessAndLess were written with the change.

--- a/cmd/filbertrilld/gateway.go
+++ b/cmd/filbertrilld/gateway.go
@@ -27,11 +27,13 @@
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close()
 	logging.Setup(logging.Options{Level: slog.LevelInfo, Writer: out})
+	store := platform.NewStore(settings.Store)
 	g, err := gateway.New(settings.Gateway, gateway.Handlers{
 		Directory: platform.Directory,
 		Readiness: platform.Readiness,
 		Protocol:  platform.Protocol{},
-		Store:     platform.NewStore(settings.Store),
+		Store:     store,
+		Registry:  store,
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	Readiness func(ready func() bool) http.Handler
 	Protocol  forward.Protocol
 	Store     topology.Store
+	Registry  Registry
 }
 
 // Gateway is one running daemon.
@@ -130,6 +131,7 @@
 	go g.reader.Run(ctx)
 	go g.sweep(ctx)
 	go g.watchStrain(ctx)
+	go g.keepRegistered(ctx)
 	go func() {
 		if err := g.exchange.Run(ctx); err != nil {
 			g.logger.Error("Exchange ended.", "error", err)
