Number times by the steady clock, and hear daemons that start behind a clock set back

Cause: ages of the configuration and of the list, windows of shares and of the retry budget and the pause between pulls were worked out from the time of day, which may jump by seconds: after 2 s ahead a known route's absence is answered 503, after 2 s back newer lists are not pulled for 2 s. A daemon whose start has a lower number than its last one was not heard for a minute. Change: internal/steady; peers that are lost may come back with any other incarnation. Tests: the package exchange had none of its own: two daemons, sixteen in two zones, merging, TestRestartBehindAClockThatWasSetBack (written with the change; the old acceptState ignores every lower incarnation).

--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/filbertrill/filbertrill/internal/steady"
 )
 
 // buckets is the number of steps in which the window slides.
@@ -157,7 +159,7 @@
 }
 
 func (s *Shares) index(now time.Time) int64 {
-	return now.UnixNano() / (s.window.Nanoseconds() / buckets)
+	return steady.UnixNano(now) / (s.window.Nanoseconds() / buckets)
 }
 
 func (s *Shares) ring(account uint64) *ring {
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,157 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+)
+
+// node is a daemon that only exchanges.
+type node struct {
+	*Exchange
+	member *pb.Member
+	mu     sync.Mutex
+	heard  map[string]*pb.View
+}
+
+// newNode takes a port that is free for UDP and, after some tries, for TCP, too.
+func newNode(t *testing.T, id, zone string) *node {
+	t.Helper()
+	var err error
+	for range 20 {
+		var n *node
+		if n, err = tryNode(t, id, zone); err == nil {
+			return n
+		}
+	}
+	require.NoError(t, err)
+	return nil
+}
+
+func tryNode(t *testing.T, id, zone string) (*node, error) {
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := udp.LocalAddr().String()
+	require.NoError(t, udp.Close())
+	n := &node{heard: map[string]*pb.View{}, member: &pb.Member{Id: id, Zone: zone, ControlAddress: address}}
+	n.Exchange, err = New(Options{
+		Self: func() *pb.Member { return n.member }, Address: address,
+		View: func() *pb.View {
+			return &pb.View{Accounts: []*pb.AccountUse{{Account: 1, Asked: 10}}, ConfigVersion: 7}
+		},
+		Received: func(from string, _ *pb.Member, v *pb.View) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard[from] = v
+		},
+		Records: func() *pb.Records { return &pb.Records{ConfigKey: id} },
+		Logger:  slog.New(slog.DiscardHandler),
+	})
+	return n, err
+}
+
+func (n *node) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		assert.NoError(t, n.Run(ctx))
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		_ = n.listener.Close() // the server may have closed it
+	})
+}
+
+func (n *node) asked(from string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if v := n.heard[from]; v != nil && len(v.Accounts) == 1 {
+		return v.Accounts[0].Asked
+	}
+	return 0
+}
+
+func TestSmallFleetHearsEachOther(t *testing.T) {
+	a, b := newNode(t, "a", "z1"), newNode(t, "b", "z2")
+	b.Know(a.member.ControlAddress, "")
+	a.run(t)
+	b.run(t)
+	require.Eventually(t, func() bool { return a.asked("b") == 10 && b.asked("a") == 10 }, 5*time.Second, 5*time.Millisecond)
+	assert.Equal(t, 2, a.Size())
+	records, err := b.Pull(context.Background(), a.member.ControlAddress)
+	require.NoError(t, err)
+	assert.Equal(t, "a", records.ConfigKey)
+}
+
+// In a fleet beyond the mesh each daemon hears its zone one by one and another zone as a sum.
+func TestLargeFleetHearsSumsOfZones(t *testing.T) {
+	const perZone = 8
+	var nodes []*node
+	for _, zone := range []string{"z1", "z2"} {
+		for i := range perZone {
+			n := newNode(t, fmt.Sprintf("%s-%d", zone, i), zone)
+			if len(nodes) > 0 {
+				n.Know(nodes[0].member.ControlAddress, "")
+			}
+			nodes = append(nodes, n)
+		}
+	}
+	for _, n := range nodes {
+		n.run(t)
+	}
+	last := nodes[len(nodes)-1]
+	require.Eventually(t, func() bool {
+		return last.asked("zone z1") == 10*perZone && last.asked("z2-0") == 10 && nodes[1].asked("zone z2") == 10*perZone
+	}, 20*time.Second, 10*time.Millisecond)
+	assert.Equal(t, len(nodes), last.Size())
+	assert.Len(t, last.Members(), len(nodes)-1)
+}
+
+// A daemon that starts again behind a clock that was set back is heard as soon as its former
+// start counts as lost, not a minute later.
+func TestRestartBehindAClockThatWasSetBack(t *testing.T) {
+	a := newNode(t, "a", "z1")
+	b := &pb.Member{Id: "b", Zone: "z1", ControlAddress: "127.0.0.1:1"}
+	now := time.Now()
+	state := func(incarnation, sequence uint64) *pb.State {
+		return &pb.State{Member: b, Incarnation: incarnation, Sequence: sequence, View: &pb.View{}}
+	}
+	assert.True(t, a.acceptState(state(100, 5), now))
+	assert.False(t, a.acceptState(state(100, 4), now), "older")
+	assert.False(t, a.acceptState(state(90, 9), now), "an earlier start, while the later one is live")
+	a.peers["b"].live = false
+	assert.False(t, a.acceptState(state(100, 5), now), "late datagram of the lost start")
+	assert.True(t, a.acceptState(state(90, 9), now))
+	require.NoError(t, a.conn.Close())
+	require.NoError(t, a.listener.Close())
+}
+
+func TestMergeAddsLoadsAndTakesTheNewestKnowledge(t *testing.T) {
+	got := Merge([]*pb.View{
+		{Servers: []*pb.ServerLoad{{Server: 1, Running: 2, PendingTokens: 30}}, ConfigVersion: 4, ConfigAgeMs: 10, ServerDigest: 5, ServerAgeMs: 100,
+			Withdrawn: []*pb.Withdrawal{{Server: "s", Born: 1, Sequence: 3}}},
+		{Servers: []*pb.ServerLoad{{Server: 1, Running: 1, PendingTokens: 5}, {Server: 2, Running: 1}}, ConfigVersion: 5, ConfigAgeMs: 70, ServerDigest: 6, ServerAgeMs: 20,
+			Withdrawn: []*pb.Withdrawal{{Server: "s", Born: 1, Sequence: 4}}},
+	})
+	running := map[uint64]uint32{}
+	for _, l := range got.Servers {
+		running[l.Server] = l.Running
+	}
+	assert.Equal(t, map[uint64]uint32{1: 3, 2: 1}, running)
+	assert.EqualValues(t, 5, got.ConfigVersion)
+	assert.EqualValues(t, 70, got.ConfigAgeMs)
+	assert.EqualValues(t, 6, got.ServerDigest)
+	require.Len(t, got.Withdrawn, 1)
+	assert.EqualValues(t, 4, got.Withdrawn[0].Sequence)
+}
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -72,7 +72,10 @@
 		x.peers[s.Member.Id] = p
 	}
 	if old := p.state; old != nil && !newer(s.Incarnation, s.Sequence, old.Incarnation, old.Sequence) {
-		return false
+		// A daemon that started again behind a clock that was set back has a lower incarnation.
+		if p.live || s.Incarnation == old.Incarnation {
+			return false
+		}
 	}
 	if !p.live {
 		x.options.Logger.Info("Peer heard.", "peer", s.Member.Id, "incarnation", s.Incarnation)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 	draining atomic.Bool
 	stop     chan struct{}
 	pulling  atomic.Bool
-	// pullAfter is when differing lists of servers are pulled again, Unix nanoseconds.
+	// pullAfter is when differing lists of servers are pulled again, by steady.UnixNano.
 	pullAfter atomic.Int64
 	strain    strain
 }
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/steady"
+)
 
 // steps is the number of buckets in which a Window slides.
 const steps = 10
@@ -53,7 +57,7 @@
 }
 
 func (w *Window) slide(now time.Time) {
-	index := now.UnixNano() / max(1, w.options.Window.Nanoseconds()/steps)
+	index := steady.UnixNano(now) / max(1, w.options.Window.Nanoseconds()/steps)
 	if index-w.index >= steps {
 		w.requests, w.repeats = [steps]float64{}, [steps]float64{}
 		w.index = index
--- /dev/null
+++ b/internal/steady/steady_test.go
@@ -0,0 +1,19 @@
+package steady
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestNumbersAndTimesAgree(t *testing.T) {
+	now := time.Now()
+	assert.Zero(t, Time(UnixNano(now)).Sub(now))
+	assert.Equal(t, int64(time.Second), UnixNano(now.Add(time.Second))-UnixNano(now))
+	plain := time.Unix(1000, 7)
+	assert.Equal(t, plain.UnixNano(), UnixNano(plain))
+	// A daemon's own clock that has been set is seen by times without the steady reading only.
+	assert.NotContains(t, Time(UnixNano(now)).Round(0).String(), "m=")
+	assert.Contains(t, Time(UnixNano(now)).String(), "m=", "the age of such a time does not jump")
+}
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/steady"
 )
 
 // ErrTruncated is returned by Store.Read when the records asked for are no longer kept.
@@ -93,9 +94,9 @@
 	duty   func() bool
 	share  func() int
 	logger *slog.Logger
-	good   [2]atomic.Int64 // by topic: time at which all of it was known, Unix nanoseconds
+	good   [2]atomic.Int64 // by topic: time at which all of it was known, by steady.UnixNano
 	listed atomic.Bool
-	called atomic.Int64 // time of the last own good call, Unix nanoseconds
+	called atomic.Int64 // time of the last own good call, by steady.UnixNano
 	failed atomic.Bool  // the last own call failed
 }
 
@@ -109,22 +110,22 @@
 
 // Troubled reports whether the store does not answer this daemon.
 func (r *Reader) Troubled(now time.Time) bool {
-	return r.failed.Load() && now.Sub(time.Unix(0, r.called.Load())) > troubleAfter
+	return r.failed.Load() && now.Sub(steady.Time(r.called.Load())) > troubleAfter
 }
 
 // Age returns the time since the topic was last known to hold nothing newer.
 func (r *Reader) Age(t Topic, now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, r.good[t].Load()))
+	return now.Sub(steady.Time(r.good[t].Load()))
 }
 
 // Newer reports whether a peer's knowledge of the topic is more recent.
-func (r *Reader) Newer(t Topic, at time.Time) bool { return at.UnixNano() > r.good[t].Load() }
+func (r *Reader) Newer(t Topic, at time.Time) bool { return steady.UnixNano(at) > r.good[t].Load() }
 
 // Confirm takes that a peer knew the same at the given time, and that nothing was newer.
 func (r *Reader) Confirm(t Topic, at time.Time) {
 	for {
 		old := r.good[t].Load()
-		if at.UnixNano() <= old || r.good[t].CompareAndSwap(old, at.UnixNano()) {
+		if n := steady.UnixNano(at); n <= old || r.good[t].CompareAndSwap(old, n) {
 			return
 		}
 	}
@@ -185,7 +186,7 @@
 		}
 		backoff = minBackoff
 		r.failed.Store(false)
-		r.called.Store(now.UnixNano())
+		r.called.Store(steady.UnixNano(now))
 		if full && t == Servers {
 			for _, record := range records {
 				r.target.Overrule(record.Key, started)
