Pass a server's failure on when no other server can be asked

Change: the answer is kept until the attempts are over. TestFailureOfTheOnlyServer fails on the old code (502).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -129,6 +129,9 @@
 	}
 	late := !time.Now().Before(c.limit)
 	switch {
+	case c.failure != nil && !c.begun:
+		c.write(c.failure.response, c.failure.body) // more than we could say
+		return nil
 	case far == partly:
 		return result.Wrap(err, result.StreamBroken, "the answer broke off")
 	case !mayHaveRun:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -83,8 +83,9 @@
 	choice   placement.Choice // the server to send to
 	decided  time.Time        // when the request was admitted
 	attempts []attemptRecord
-	begun    bool   // the answer has begun
-	last     uint64 // id of the last event passed on
+	failure  *failure // of the last server that answered that it failed; nil for none
+	begun    bool     // the answer has begun
+	last     uint64   // id of the last event passed on
 	events   int
 	first    time.Duration // until the first event or the answer
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -59,6 +59,7 @@
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
 	if failed && again(c, unknown, len(c.attempts)+1) {
+		c.failure = &failure{response, body}
 		return unknown, errors.Newf("server failed with status %d", response.StatusCode)
 	}
 	if c.begun {
@@ -66,14 +67,24 @@
 	}
 	h.Pilot.Begin(a, time.Now())
 	c.first = time.Since(c.arrived)
+	c.write(response, body)
+	return whole, nil
+}
+
+// failure is a server's answer that it failed, kept for the case that no other server can be
+// asked.
+type failure struct {
+	response *http.Response // its body has been read
+	body     []byte
+}
+
+// write passes a whole answer on.
+func (c *call) write(response *http.Response, body []byte) {
 	copyHeader(c.writer.Header(), response.Header)
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.begun = true
 	c.writer.WriteHeader(response.StatusCode)
-	if _, err := c.writer.Write(body); err != nil {
-		return whole, nil // the caller left; the server has done its work
-	}
-	return whole, nil
+	_, _ = c.writer.Write(body) // a caller that has left needs none; the server has done its work
 }
 
 // relayEvents passes the events of a stream on as they arrive, whole ones only.
