--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -39,7 +40,9 @@
 // themselves for the first write the same or are soon overwritten.
 type registrar struct {
 	registry Registry
+	zone     string
 	know     func(control string)
+	logger   *slog.Logger
 
 	written   []string
 	writtenAt time.Time
@@ -82,28 +85,34 @@
 
 // keepRegistered runs the registrar until the context ends.
 func (g *Gateway) keepRegistered(ctx context.Context) {
-	r := &registrar{registry: g.handlers.Registry, know: func(control string) { g.exchange.Know(control, "") }}
+	r := &registrar{
+		registry: g.handlers.Registry,
+		zone:     g.settings.Zone,
+		know:     func(control string) { g.exchange.Know(control, "") },
+		logger:   g.logger,
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-time.After(registrarTick):
 			register, read := r.plan(g.member(), g.exchange.Members(), now)
-			g.sync(ctx, r, register, read, now)
+			r.sync(ctx, register, read, now)
 		}
 	}
 }
 
-func (g *Gateway) sync(ctx context.Context, r *registrar, register []string, read bool, now time.Time) {
+// sync does what is due.
+func (r *registrar) sync(ctx context.Context, register []string, read bool, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	if register != nil {
 		r.writtenAt = now // also when it fails: the store is not to be pressed
-		if err := r.registry.Register(ctx, g.settings.Zone, register); err != nil {
-			g.logger.Warn("Zone not registered.", "control", register, "error", err)
+		if err := r.registry.Register(ctx, r.zone, register); err != nil {
+			r.logger.Warn("Zone not registered.", "control", register, "error", err)
 		} else {
 			r.written = register
-			g.logger.Info("Zone registered.", "control", register)
+			r.logger.Info("Zone registered.", "control", register)
 		}
 	}
 	if !read {
@@ -112,10 +121,10 @@
 	r.readAt, r.reads = now, r.reads+1
 	control, err := r.registry.Registered(ctx)
 	if err != nil {
-		g.logger.Warn("Records of daemons not read.", "error", err)
+		r.logger.Warn("Records of daemons not read.", "error", err)
 		return
 	}
-	g.logger.Info("Without peers, records of daemons read.", "control", control)
+	r.logger.Info("Without peers, records of daemons read.", "control", control)
 	for _, address := range control {
 		r.know(address)
 	}
