Give the model of engines places and the reading rate of the users' engines

The model had 64 places, which never filled, and a fixed wait beyond them. Change: requests wait for a place by arrival; make measure-plays takes the users' figures, the tests keep the roomy ones and their bounds.

--- a/internal/pilot/load_test.go
+++ b/internal/pilot/load_test.go
@@ -22,7 +22,7 @@
 
 // newPlay returns a play on 10 engines. No caller comes back, so that each decision counts.
 func newPlay(daemons int, way plays.Way) *plays.Play {
-	return plays.New(plays.Options{Daemons: daemons, Engines: 10, Way: way, Seed: 1})
+	return plays.New(plays.Options{Daemons: daemons, Engines: 10, Figures: plays.Roomy(), Way: way, Seed: 1})
 }
 
 // Calm: nobody is refused for long, and shared parts are read once.
@@ -82,7 +82,7 @@
 // refused every request from then on.
 func TestSlowStartIsNoReasonToRefuseLater(t *testing.T) {
 	slow := plays.Start.Add(2 * time.Second)
-	p := plays.New(plays.Options{Daemons: 2, Engines: 10, Way: plays.Product, Seed: 1,
+	p := plays.New(plays.Options{Daemons: 2, Engines: 10, Figures: plays.Roomy(), Way: plays.Product, Seed: 1,
 		Lag: func(daemon int, now time.Time) time.Duration {
 			if daemon == 0 && now.Before(slow) {
 				return time.Second
@@ -119,7 +119,7 @@
 // 280 plain requests a second at 65 daemons, which know of each other's after a fifth of a
 // second, do not all go to the server that had the least load then.
 func TestPlainRequestsSpreadOnOldKnowledge(t *testing.T) {
-	const daemons, servers, slots, perSecond = 65, 4, 6, 280
+	const daemons, servers, places, perSecond = 65, 4, 6, 280
 	const work, objective, lag = 30 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond
 	p := plays.New(plays.Options{Daemons: daemons, Way: plays.Product, Seed: 1})
 	rng := rand.New(rand.NewPCG(1, 3))
@@ -127,8 +127,8 @@
 	var list []routing.Server
 	for i := range servers {
 		id := fmt.Sprint("p", i)
-		plain[id] = &modelPlain{free: make([]time.Time, slots)}
-		list = append(list, routing.Server{ID: id, Service: "plain", Zone: fmt.Sprint("z", i), Slots: slots})
+		plain[id] = &modelPlain{free: make([]time.Time, places)}
+		list = append(list, routing.Server{ID: id, Service: "plain", Zone: fmt.Sprint("z", i), Slots: places})
 	}
 	config, err := routing.Build(routing.Config{Services: []routing.Service{{Name: "plain"}}})
 	require.NoError(t, err)
@@ -173,7 +173,7 @@
 
 // Every request that is admitted ends, and leaves no load behind.
 func TestPlaysLeaveNoLoad(t *testing.T) {
-	p := plays.New(plays.Options{Daemons: 3, Engines: 4, Way: plays.Product, Seed: 1})
+	p := plays.New(plays.Options{Daemons: 3, Engines: 4, Figures: plays.Roomy(), Way: plays.Product, Seed: 1})
 	p.Poisson("account", 200, 3, plays.Start, 3*time.Second)
 	p.Run(3 * time.Second)
 	for _, each := range p.Pilots() {
--- a/test/measure/plays/main.go
+++ b/test/measure/plays/main.go
@@ -26,6 +26,7 @@
 	Length  time.Duration `help:"Length of a play." default:"24s"`
 	Daemons int           `help:"Daemons." default:"7"`
 	Engines int           `help:"Engines. The rates of the loads are for 10." default:"10"`
+	Roomy   bool          `help:"Engines with 64 places that read faster, in place of the users' with 16."`
 	Returns int           `help:"How often a refused caller comes back." default:"1"`
 	Plots   string        `help:"Folder for a plot of each load (SVG); none when empty." type:"path"`
 	List    bool          `help:"List the loads."`
@@ -74,8 +75,12 @@
 
 func measure(f flags, load plays.Load, table *tabwriter.Writer) error {
 	lines := make(map[plays.Way]*plays.Play)
+	figures := plays.Users()
+	if f.Roomy {
+		figures = plays.Roomy()
+	}
 	for _, way := range plays.Ways() {
-		p := plays.New(plays.Options{Daemons: f.Daemons, Engines: f.Engines, Way: way, Seed: f.Seed, Returns: f.Returns})
+		p := plays.New(plays.Options{Daemons: f.Daemons, Engines: f.Engines, Figures: figures, Way: way, Seed: f.Seed, Returns: f.Returns})
 		load.Put(p, f.Length)
 		p.Run(f.Length)
 		lines[way] = p
--- a/test/plays/engine.go
+++ b/test/plays/engine.go
@@ -8,29 +8,62 @@
 	"github.com/filbertrill/filbertrill/internal/placement"
 )
 
-// Figures of the model, near those of the users' engines.
+// Figures are those of an engine.
+type Figures struct {
+	Slots      int           // requests that it runs at once
+	ReadRate   float64       // prompt tokens a ms
+	FirstDelay time.Duration // from the last token read to the first event
+}
+
+// Roomy engines have more places than requests: reading is what is scarce.
+func Roomy() Figures { return Figures{64, 100, 50 * time.Millisecond} }
+
+// Users returns the figures of the users' engines, after 3,911 answers on their bench
+// (mtesz-cert-grown trouble-1, tenth percentile by prompt tokens to read): 60 ms and 12 ms for
+// each 1,000 tokens, whatever runs beside, up to 16 requests at once.
+func Users() Figures { return Figures{16, 81, 60 * time.Millisecond} }
+
 const (
-	readRate   = 100.0 // prompt tokens a ms
-	stepBase   = 4.0   // ms a token of one stream
-	stepPerRun = 0.05  // ms more for each request that runs
-	firstDelay = 50 * time.Millisecond
-	// placeDelay is the wait for each request beyond the places of an engine.
-	placeDelay = 30 * time.Millisecond
-	modelSlots = 64
+	stepBase   = 4.0  // ms a token of one stream
+	stepPerRun = 0.05 // ms more for each request that runs
 )
 
-// engine is one backend server: it reads prompts one after the other, keeps their parts, and
-// generates the more slowly the more requests it runs. It forgets nothing for lack of memory.
+// engine is one backend server: it runs so many requests at once, reads their prompts one
+// after the other and keeps the parts, and generates the more slowly the more requests run.
+// It forgets nothing for lack of memory.
 type engine struct {
+	Figures
 	free    time.Time // when what was sent before has been read
 	running int
+	waiting []func(now time.Time)
 	dark    bool // takes requests and answers none
 	kept    map[uint64]bool
 }
 
-// arrive returns when the first event of the request comes, and the shared tokens that are
-// read though another engine, or this one before a crash, had read them.
-func (e *engine) arrive(r placement.Request, now time.Time) (first time.Time, shared int) {
+// enter calls the function once there is a place for another request.
+func (e *engine) enter(now time.Time, run func(now time.Time)) {
+	if e.running >= e.Slots {
+		e.waiting = append(e.waiting, run)
+		return
+	}
+	e.running++
+	run(now)
+}
+
+// leave gives the place of a request to the one that has waited longest.
+func (e *engine) leave(now time.Time) {
+	if len(e.waiting) == 0 {
+		e.running--
+		return
+	}
+	next := e.waiting[0]
+	e.waiting = e.waiting[1:]
+	next(now)
+}
+
+// read returns when the first event of the request comes, and the shared tokens that the
+// engine has to read for it.
+func (e *engine) read(r placement.Request, now time.Time) (first time.Time, shared int) {
 	tokens := 0
 	for i, p := range r.Parts {
 		if e.kept[p.ID] {
@@ -46,12 +79,8 @@
 	if e.free.After(start) {
 		start = e.free
 	}
-	if wait := e.running - modelSlots; wait > 0 {
-		start = start.Add(time.Duration(wait) * placeDelay)
-	}
-	e.free = start.Add(milliseconds(float64(tokens) / readRate))
-	e.running++
-	return e.free.Add(firstDelay), shared
+	e.free = start.Add(milliseconds(float64(tokens) / e.ReadRate))
+	return e.free.Add(e.FirstDelay), shared
 }
 
 func (e *engine) stream(tokens int) time.Duration {
--- a/test/plays/play.go
+++ b/test/plays/play.go
@@ -64,10 +64,22 @@
 	t.Tokens += o.Tokens
 }
 
+func (t *Tally) answered(after time.Duration) {
+	switch {
+	case after <= objective:
+		t.InAim++
+	case after <= patience:
+		t.Late++
+	default:
+		t.Failed++
+	}
+}
+
 // Options are the settings of a play.
 type Options struct {
 	Daemons int
 	Engines int
+	Figures Figures // of each engine
 	Way     Way
 	Seed    uint64
 	// Returns is how often a refused caller comes back, when it is told to.
@@ -107,13 +119,13 @@
 	// Building fails for malformed routes only; there are none.
 	p.config, _ = routing.Build(routing.Config{
 		Limits:   routing.Limits{TokensPerSecond: float64(o.Engines) * 40_000},
-		Services: []routing.Service{{Name: service, EngineSlots: modelSlots, MemoryTokens: 1 << 20}},
+		Services: []routing.Service{{Name: service, EngineSlots: o.Figures.Slots, MemoryTokens: 1 << 20}},
 	})
 	for i := range o.Engines {
 		id := fmt.Sprintf("e%02d", i)
 		p.ids = append(p.ids, id)
-		p.ready = append(p.ready, routing.Server{ID: id, Service: service, Address: id, Zone: "z", Slots: modelSlots})
-		p.engines[id] = &engine{kept: map[uint64]bool{}}
+		p.ready = append(p.ready, routing.Server{ID: id, Service: service, Address: id, Zone: "z", Slots: o.Figures.Slots})
+		p.engines[id] = &engine{Figures: o.Figures, kept: map[uint64]bool{}}
 	}
 	for range o.Daemons {
 		each := pilot.New(pilot.Options{
@@ -192,39 +204,33 @@
 	server := p.engines[choice.Server.ID]
 	p.own[daemon][choice.Server.ID]++
 	end := func(at time.Time, o placement.Outcome) {
-		server.running--
 		p.own[daemon][choice.Server.ID]--
 		decider.End(attempt, o, at)
 	}
 	if server.dark {
-		server.running++
 		p.At(ask.Limit, func(now time.Time) {
 			p.tally(ask.Account, asked, func(t *Tally) { t.Failed++ })
 			end(now, placement.Abandoned)
 		})
 		return
 	}
-	first, shared := server.arrive(ask.Request, now)
-	if p.read[ask.Parts[1].ID] {
-		p.ReadAgain += shared
-	}
-	p.read[ask.Parts[1].ID] = true
-	if p.options.Lag != nil {
-		first = first.Add(p.options.Lag(daemon, now))
-	}
-	p.At(first, func(at time.Time) {
-		decider.Begin(attempt, at)
-		p.tally(ask.Account, asked, func(t *Tally) {
-			switch took := at.Sub(asked); {
-			case took <= objective:
-				t.InAim++
-			case took <= patience:
-				t.Late++
-			default:
-				t.Failed++
-			}
+	server.enter(now, func(now time.Time) {
+		first, shared := server.read(ask.Request, now)
+		if p.read[ask.Parts[1].ID] {
+			p.ReadAgain += shared
+		}
+		p.read[ask.Parts[1].ID] = true
+		if p.options.Lag != nil {
+			first = first.Add(p.options.Lag(daemon, now))
+		}
+		p.At(first, func(at time.Time) {
+			decider.Begin(attempt, at)
+			p.tally(ask.Account, asked, func(t *Tally) { t.answered(at.Sub(asked)) })
+			p.At(at.Add(server.stream(outputTokens)), func(now time.Time) {
+				server.leave(now)
+				end(now, placement.Served)
+			})
 		})
-		p.At(at.Add(server.stream(outputTokens)), func(now time.Time) { end(now, placement.Served) })
 	})
 }
 
