Refuse connections unread when their turn does not come

Change: a goroutine empties the kernel's queue; a connection whose turn does not come within 100 ms, or for which there is no room, gets 1102 with Retry-After without a byte of it being read, and is closed when the caller has had time to read that. Counted, and logged once a second. The shortened queue is gone.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -130,10 +131,25 @@
 			// connections wait for the work under way.
 			header.Set("Connection", "close")
 		}
-		header.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", retryAfter(e.RetryAfter))
 	}
-	body := []byte(`{"code":` + strconv.Itoa(int(e.Code)) + `,"name":"` + e.Code.Name() + `"}` + "\n")
+	body := failureBody(e.Code)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Code.HTTPStatus())
 	_, _ = w.Write(body) // a caller that has left needs no answer
 }
+
+func failureBody(code result.Code) []byte {
+	return []byte(`{"code":` + strconv.Itoa(int(code)) + `,"name":"` + code.Name() + `"}` + "\n")
+}
+
+func retryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
+// UnreadRefusal returns the whole answer for a connection that is refused before anything has
+// been read from it: nothing of its request can have run.
+func UnreadRefusal(code result.Code, after time.Duration) []byte {
+	body := failureBody(code)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nRetry-After: %s\r\n"+
+		"Content-Length: %d\r\nConnection: close\r\n\r\n%s",
+		code.HTTPStatus(), http.StatusText(code.HTTPStatus()), retryAfter(after), len(body), body)
+}
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
-	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -24,30 +25,41 @@
 	// crowdedShare is the part of the limit from which refusals close their connections:
 	// callers that open a new one for each request would fill the rest with idle ones.
 	crowdedShare = 0.25
-	// backlogPerCore is the number of connections that may wait to be accepted, for each core
-	// that the process may use: about what is accepted in half a second (BenchmarkRefusal: 0.1
-	// to 0.2 ms, and the platform charges system calls). Those that wait for longer are of
-	// callers that have left.
-	backlogPerCore = 1200
-	// minBacklog holds the callers that come back together when a daemon starts.
-	minBacklog = 128
+	// maxAcceptWait is the time that an accepted connection may wait for its turn. It is
+	// longer than the pauses of a daemon that keeps up (strainLeave), and short against
+	// objectives of some hundred milliseconds.
+	maxAcceptWait = 100 * time.Millisecond
+	// maxWaiting bounds the connections that wait: more are not served within maxAcceptWait
+	// by any machine that the users run.
+	maxWaiting = 256
+	// lingerFor is how long a connection that was refused unread stays open, so that the
+	// caller can read the answer: closing it with unread bytes would reset it.
+	lingerFor = 250 * time.Millisecond
+	// lingerTick is the time between two looks at such connections.
+	lingerTick = 100 * time.Millisecond
 )
 
-// connections counts and bounds the connections of callers. A daemon that accepts more than
-// it can hold is ended for its memory, with all that it has under way.
+// connections takes, counts and bounds the connections of callers. A daemon that accepts
+// more than it can hold is ended for its memory, and one that works on everything at once
+// answers everybody too late. Connections beyond what it can serve are refused without
+// reading a byte of them, which costs a fifth of a refusal by the chain.
 type connections struct {
-	open    atomic.Int64
 	limit   int
-	backlog int
-	slots   *semaphore.Weighted
-}
+	refusal func() []byte // the whole answer for a connection that is refused unread
+	counted func()        // called for each of these
+	logger  *slog.Logger
+
+	open    atomic.Int64 // served
+	refused atomic.Int64 // unread, since the last log line
 
-func newConnections(limit, backlog int) *connections {
-	return &connections{limit: limit, backlog: backlog, slots: semaphore.NewWeighted(int64(limit))}
+	mu        sync.Mutex
+	lingering []lingering
 }
 
-// backlog returns how many connections may wait to be accepted.
-func backlog(cores float64) int { return max(minBacklog, int(backlogPerCore*cores)) }
+type lingering struct {
+	conn  net.Conn
+	until time.Time
+}
 
 // connectionLimit returns how many connections a process with the limits holds. 0 stands for
 // a limit that is not known.
@@ -62,79 +74,95 @@
 	return max(limit, 1)
 }
 
-// listen binds the address for callers. Connections beyond the limit wait in the kernel's
-// queue. Keep-alive probes are off: idle connections have a time-out, and setting the probes
-// up costs four system calls a connection.
+// listen binds the address for callers. Keep-alive probes are off: idle connections have a
+// time-out, and setting the probes up costs four system calls a connection.
 func (c *connections) listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAlive: -1}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	if err := c.bound(listener); err != nil {
-		_ = listener.Close() // nothing was accepted
-		return nil, err
+	l := &orderlyListener{
+		Listener: listener,
+		owner:    c,
+		waiting:  make(chan waitingConn, maxWaiting),
+		failed:   make(chan error, 1),
+		closed:   make(chan struct{}),
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	return &boundedListener{listener, c.slots, ctx, stop}, nil
+	go l.pump()
+	go c.sweep(l.closed)
+	return l, nil
 }
 
-// bound shortens the queue of the kernel, which Go takes from the machine's setting: a second
-// listen on the same socket changes it.
-func (c *connections) bound(listener net.Listener) error {
-	sc, ok := listener.(syscall.Conn)
-	if !ok {
-		return errors.Newf("listener %T has no descriptor", listener)
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "descriptor of the listener")
-	}
-	var listenErr error
-	if err := raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), c.backlog) }); err != nil {
-		return errors.Wrap(err, "shorten the queue of connections")
-	}
-	return errors.Wrap(listenErr, "shorten the queue of connections")
+// orderlyListener lets connections wait for a short time only.
+type orderlyListener struct {
+	net.Listener
+	owner   *connections
+	waiting chan waitingConn
+	failed  chan error
+	closed  chan struct{}
+	once    sync.Once
 }
 
-// boundedListener takes a slot for each connection; track gives it back. The LimitListener of
-// golang.org/x/net hides the connection's descriptor, which forward.WithCaller needs.
-type boundedListener struct {
-	net.Listener
-	slots *semaphore.Weighted
-	ctx   context.Context
-	stop  context.CancelFunc
+type waitingConn struct {
+	net.Conn
+	since time.Time
 }
 
-// Accept waits for a slot and then for a connection. Work that is ready goes first: a daemon
-// that gets too little processor time finishes what it has accepted, and lets the rest wait.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	runtime.Gosched()
-	if err := l.slots.Acquire(l.ctx, 1); err != nil {
-		return nil, errors.Wrap(net.ErrClosed, "accept")
+// pump empties the kernel's queue, in which connections would wait for their turn unseen.
+func (l *orderlyListener) pump() {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			l.failed <- err
+			return
+		}
+		select {
+		case l.waiting <- waitingConn{conn, time.Now()}:
+		default:
+			l.owner.refuse(conn)
+		}
 	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		l.slots.Release(1)
+}
+
+// Accept returns the next connection to serve. Goroutines that are ready go first: a daemon
+// that gets too little processor time finishes what it has begun.
+func (l *orderlyListener) Accept() (net.Conn, error) {
+	for {
+		runtime.Gosched()
+		select {
+		case w := <-l.waiting:
+			if time.Since(w.since) <= maxAcceptWait && l.owner.take() {
+				return w.Conn, nil
+			}
+			l.owner.refuse(w.Conn)
+		case err := <-l.failed:
+			l.failed <- err // for further calls
+			return nil, err
+		}
 	}
-	return conn, err
 }
 
-// Close ends the waiting, too.
-func (l *boundedListener) Close() error {
-	l.stop()
+// Close ends the sweep, too.
+func (l *orderlyListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
 
+// take counts a connection to serve, and reports false when there are as many as the daemon
+// can hold.
+func (c *connections) take() bool {
+	if c.open.Add(1) <= int64(c.limit) {
+		return true
+	}
+	c.open.Add(-1)
+	return false
+}
+
 // track fits http.Server.ConnState of the server with the listener.
 func (c *connections) track(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		c.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
+	if state == http.StateClosed || state == http.StateHijacked {
 		c.open.Add(-1)
-		c.slots.Release(1)
-	case http.StateActive, http.StateIdle:
 	}
 }
 
@@ -142,3 +170,50 @@
 func (c *connections) crowded() bool {
 	return float64(c.open.Load()) > crowdedShare*float64(c.limit)
 }
+
+// refuse answers a connection without reading from it.
+func (c *connections) refuse(conn net.Conn) {
+	c.refused.Add(1)
+	c.counted()
+	_, err := conn.Write(c.refusal())
+	if half, ok := conn.(interface{ CloseWrite() error }); ok && err == nil {
+		err = half.CloseWrite()
+	}
+	if err != nil {
+		_ = conn.Close() // the caller has left
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = append(c.lingering, lingering{conn, time.Now().Add(lingerFor)})
+}
+
+// sweep closes connections that have lingered, and logs how many were refused.
+func (c *connections) sweep(stop <-chan struct{}) {
+	ticks := 0
+	for {
+		select {
+		case <-stop:
+			c.closeUntil(time.Now().Add(lingerFor))
+			return
+		case now := <-time.After(lingerTick):
+			c.closeUntil(now)
+		}
+		if ticks++; ticks%int(time.Second/lingerTick) == 0 {
+			if n := c.refused.Swap(0); n > 0 {
+				c.logger.Warn("Connections refused unread.", "connections", n, "open", c.open.Load(), "limit", c.limit)
+			}
+		}
+	}
+}
+
+func (c *connections) closeUntil(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for n < len(c.lingering) && !c.lingering[n].until.After(now) {
+		_ = c.lingering[n].conn.Close() // it has been answered
+		n++
+	}
+	c.lingering = append(c.lingering[:0], c.lingering[n:]...)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -17,6 +18,7 @@
 	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/pilot"
+	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
 	"github.com/filbertrill/filbertrill/internal/topology"
@@ -79,7 +81,6 @@
 		logger:   logging.For(logging.Daemon),
 		pool:     upstream.NewPool(),
 		stop:     make(chan struct{}),
-		callers:  newConnections(connectionLimit(s.MemoryBytes, s.Descriptors), backlog(s.Processor)),
 	}
 	g.pilot = pilot.New(pilot.Options{
 		Zone:        s.Zone,
@@ -97,6 +98,12 @@
 	})
 	metrics, scrape, _ := telemetry.New(telemetry.Options{})
 	g.scrape = scrape
+	g.callers = &connections{
+		limit:   connectionLimit(s.MemoryBytes, s.Descriptors),
+		refusal: unreadRefusal,
+		counted: func() { metrics.CountResult(result.DaemonFull, "") },
+		logger:  logging.For(logging.Entry),
+	}
 	g.handler = forward.NewHandler(forward.Options{
 		Protocol: h.Protocol,
 		Config:   g.topology.Config,
@@ -124,6 +131,14 @@
 	return g, nil
 }
 
+// unreadRetry is the mean time after which a caller comes back that was refused unread: a
+// flood lasts for seconds, and callers with time left may find another daemon.
+const unreadRetry = 800 * time.Millisecond
+
+func unreadRefusal() []byte {
+	return forward.UnreadRefusal(result.DaemonFull, time.Duration((0.5+rand.Float64())*float64(unreadRetry)))
+}
+
 // Run serves until a planned stop is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
