Go on accepting after a failure, and bound what lingers

Accepting had failed once, and the goroutine that empties the queue had ended. That it was for want of descriptors is inferred: 3,900 refused connections a second linger for a quarter of a second on a machine with 4,100. Change: only a closed listener ends it; at most 512 connections linger. TestAcceptingGoesOnAfterAFailure fails on the old code; TestLingeringConnectionsAreBounded was written with the change.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -35,6 +35,12 @@
 	// lingerFor is how long a connection that was refused unread stays open, so that the
 	// caller can read the answer: closing it with unread bytes would reset it.
 	lingerFor = 250 * time.Millisecond
+	// maxLingering bounds the descriptors that they take: of 4,100 the daemon needs half for
+	// callers and the rest for servers.
+	maxLingering = 512
+	// acceptPause is the wait after a connection that could not be accepted: until some of the
+	// lingering ones are closed.
+	acceptPause = 20 * time.Millisecond
 	// lingerTick is the time between two looks at such connections.
 	lingerTick = 100 * time.Millisecond
 )
@@ -82,6 +88,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
+	return c.order(listener), nil
+}
+
+// order returns a listener that lets the connections of another one wait for a short time.
+func (c *connections) order(listener net.Listener) net.Listener {
 	l := &orderlyListener{
 		Listener: listener,
 		owner:    c,
@@ -91,7 +102,7 @@
 	}
 	go l.pump()
 	go c.sweep(l.closed)
-	return l, nil
+	return l
 }
 
 // orderlyListener lets connections wait for a short time only.
@@ -113,10 +124,15 @@
 func (l *orderlyListener) pump() {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			l.failed <- err
 			return
 		}
+		if err != nil { // no descriptor is left, or the caller was faster
+			l.owner.logger.Warn("Connection not accepted.", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		select {
 		case l.waiting <- waitingConn{conn, time.Now()}:
 		default:
@@ -185,6 +201,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.lingering) >= maxLingering {
+		_ = c.lingering[0].conn.Close() // it was answered, and has had the most time of all
+		c.lingering = append(c.lingering[:0], c.lingering[1:]...)
+	}
 	c.lingering = append(c.lingering, lingering{conn, time.Now().Add(lingerFor)})
 }
 
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,3 +108,49 @@
 		require.NoError(t, c.Close())
 	}
 }
+
+// flakyListener fails to accept once, as one without descriptors does.
+type flakyListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// yushan-rounds-grown scale-1, RECOVER: a daemon that had once been without a descriptor said
+// that it was ready and took no further connection.
+func TestAcceptingGoesOnAfterAFailure(t *testing.T) {
+	c := &connections{limit: 4, refusal: unreadRefusal, counted: func() {}, logger: slog.New(slog.DiscardHandler)}
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := c.order(&flakyListener{Listener: tcp})
+	caller := ask(t, tcp.Addr().String(), 1)
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	require.NoError(t, caller.Close())
+	require.NoError(t, listener.Close())
+	_, err = listener.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// Connections that linger take a bounded number of descriptors.
+func TestLingeringConnectionsAreBounded(t *testing.T) {
+	c, address, hold := held(t, 1)
+	defer close(hold)
+	first := ask(t, address, 1)
+	require.Eventually(t, func() bool { return c.open.Load() == 1 }, 5*time.Second, time.Millisecond)
+	for range maxLingering + 50 {
+		require.NoError(t, ask(t, address, 1).Close())
+		c.mu.Lock()
+		assert.LessOrEqual(t, len(c.lingering), maxLingering)
+		c.mu.Unlock()
+	}
+	require.NoError(t, first.Close())
+}
