--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
@@ -12,6 +13,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/forward"
+	"github.com/filbertrill/filbertrill/internal/result"
 )
 
 const (
@@ -32,6 +36,9 @@
 	// maxWaiting bounds the connections that wait: more are not served within maxAcceptWait
 	// by any machine that the users run.
 	maxWaiting = 256
+	// unreadRetry is the mean time after which a caller comes back that was refused unread: a
+	// flood lasts for seconds, and callers with time left may find another daemon.
+	unreadRetry = 800 * time.Millisecond
 	// lingerFor is how long a connection that was refused unread stays open, so that the
 	// caller can read the answer: closing it with unread bytes would reset it.
 	lingerFor = 250 * time.Millisecond
@@ -187,6 +194,12 @@
 	return float64(c.open.Load()) > crowdedShare*float64(c.limit)
 }
 
+// unreadRefusal returns the answer to callers that are refused unread. They are spread over
+// the mean time, so that they do not come back together.
+func unreadRefusal() []byte {
+	return forward.UnreadRefusal(result.DaemonFull, time.Duration((0.5+rand.Float64())*float64(unreadRetry)))
+}
+
 // refuse answers a connection without reading from it.
 func (c *connections) refuse(conn net.Conn) {
 	c.refused.Add(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"io"
 	"log"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -131,14 +130,6 @@
 	return g, nil
 }
 
-// unreadRetry is the mean time after which a caller comes back that was refused unread: a
-// flood lasts for seconds, and callers with time left may find another daemon.
-const unreadRetry = 800 * time.Millisecond
-
-func unreadRefusal() []byte {
-	return forward.UnreadRefusal(result.DaemonFull, time.Duration((0.5+rand.Float64())*float64(unreadRetry)))
-}
-
 // Run serves until a planned stop is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
