A zone's sum says of the list of servers what its delegate knows

The sum named the list of the zone's best informed daemon, but others pull from the delegate, and took what its older list lacked for gone; since servers that are gone stay gone, that lasts. Change: digest and age of the list in a sum are the delegate's own.

--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -8,10 +8,11 @@
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 )
 
-// Merge sums the views of the daemons of one zone. Loads and uses add up; of the knowledge
-// of the store the newest counts.
+// Merge sums the views of the daemons of one zone, the delegate's first. Loads and uses add up;
+// of the configuration the newest counts. What is said of the list of servers is what the
+// delegate itself knows: others pull the list from it, and would take what it lacks for gone.
 func Merge(views []*pb.View) *pb.View {
-	out := &pb.View{ConfigAgeMs: math.MaxUint32, ServerAgeMs: math.MaxUint32}
+	out := &pb.View{ConfigAgeMs: math.MaxUint32, ServerDigest: views[0].ServerDigest, ServerAgeMs: views[0].ServerAgeMs}
 	servers := make(map[uint64]*pb.ServerLoad)
 	accounts := make(map[uint64]*pb.AccountUse)
 	withdrawn := make(map[string]*pb.Withdrawal)
@@ -38,9 +39,6 @@
 		} else if v.ConfigVersion == out.ConfigVersion {
 			out.ConfigAgeMs = min(out.ConfigAgeMs, v.ConfigAgeMs)
 		}
-		if v.ServerAgeMs < out.ServerAgeMs {
-			out.ServerDigest, out.ServerAgeMs = v.ServerDigest, v.ServerAgeMs
-		}
 	}
 	for _, l := range servers {
 		out.Servers = append(out.Servers, l)
