Give each test process a loopback address of its own

Cause: packages are tested side by side, and each process looked for a free port from pid*97 on, bound it, closed it and let toxiproxy bind it again. Neighbouring pids start 97 ports apart and a network of links takes more, so two processes walk the same ports; one took a port between the other's look and its start. A cut link's port could be lost in the same way. Ruled out: outgoing connections (the ports lie below the kernel's range) and leftover processes (a fresh run). No check changed.

--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "start link %s", name)
 	}
-	proxy := toxiproxy.NewProxy(server, name, lastingAddress(), forward.listener.Addr().String())
+	proxy := toxiproxy.NewProxy(server, name, LastingAddress(), forward.listener.Addr().String())
 	if err := proxy.Start(); err != nil {
 		forward.close()
 		return nil, errors.Wrapf(err, "start link %s", name)
--- a/test/cluster/port.go
+++ b/test/cluster/port.go
@@ -7,31 +7,36 @@
 	"sync/atomic"
 )
 
-// firstPort and ports are a range below the kernel's ports for outgoing connections and
-// beside that of the tests of platform. An outgoing connection would take the port of a link
-// while the link is cut, and the link could not be mended.
+// firstPort and ports are a range below the kernel's ports for outgoing connections.
 const (
 	firstPort = 12_000
-	ports     = 8_000
+	ports     = 20_000
 )
 
-// nextPort starts at a place of its own in each test process.
-var nextPort atomic.Uint32
+// host is a loopback address of this test process alone. Packages are tested side by side, and
+// a port that is free for a moment, as that of a cut link, would be taken by another of them.
+var host = hostOf(os.Getpid())
+
+// hostOf maps process ids below 2^22, the kernel's bound, onto 127.64.0.0/10.
+func hostOf(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64|pid>>16&0x3f, pid>>8&0xff, pid&0xff)
+}
 
-func init() { nextPort.Store(uint32(os.Getpid()) * 97) }
+var nextPort atomic.Uint32
 
-// lastingAddress returns a free address of the loopback interface that stays free of outgoing
-// connections, or one of the kernel's choice when there is none.
-func lastingAddress() string {
+// LastingAddress returns an address of the loopback interface that neither outgoing connections
+// nor other processes take, a new one at each of 20,000 calls. It returns one of the kernel's
+// choice when there is none.
+func LastingAddress() string {
 	for range ports {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		address := fmt.Sprintf("%s:%d", host, firstPort+nextPort.Add(1)%ports)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			continue // taken by another test
+			continue // taken by this process
 		}
 		if l.Close() == nil {
 			return address
 		}
 	}
-	return "127.0.0.1:0"
+	return host + ":0"
 }
