Don't look for free ports while child processes are being started

Cause: an address was tried out by a listener that was closed again. A child process forked in between holds the listener until it begins its own program, and tests start daemons all the time. Ruled out: other processes (private address), outgoing connections (below their range). Change: addresses are counted, not tried out; a link that can't listen tries again for up to 5 s, which covers links cut and mended.

--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"strings"
+	"syscall"
+	"time"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/cockroachdb/errors"
@@ -11,6 +13,13 @@
 	"github.com/rs/zerolog"
 )
 
+const (
+	// portWait is far longer than a child process takes to begin its program, also on a busy
+	// machine; portPoll is the pause between two tries.
+	portWait = 5 * time.Second
+	portPoll = 5 * time.Millisecond
+)
+
 // Link is a TCP path that passes a fault-injecting proxy.
 type Link struct {
 	proxy   *toxiproxy.Proxy
@@ -26,11 +35,12 @@
 		return nil, errors.Wrapf(err, "start link %s", name)
 	}
 	proxy := toxiproxy.NewProxy(server, name, LastingAddress(), forward.listener.Addr().String())
-	if err := proxy.Start(); err != nil {
+	link := &Link{proxy: proxy, forward: forward}
+	if err := link.start(); err != nil {
 		forward.close()
 		return nil, errors.Wrapf(err, "start link %s", name)
 	}
-	return &Link{proxy: proxy, forward: forward}, nil
+	return link, nil
 }
 
 // Address returns where the link listens.
@@ -48,7 +58,18 @@
 	if l.proxy.Enabled {
 		return nil
 	}
-	return l.proxy.Start()
+	return l.start()
+}
+
+// start listens. A port that has just been closed stays taken while a child process, forked in
+// between, has not yet begun its own program.
+func (l *Link) start() error {
+	for deadline := time.Now().Add(portWait); ; time.Sleep(portPoll) {
+		err := l.proxy.Start()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return err
+		}
+	}
 }
 
 // Silence swallows all data both ways and closes nothing, on open and new connections.
--- a/test/cluster/port.go
+++ b/test/cluster/port.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"sync/atomic"
 )
@@ -25,18 +24,8 @@
 var nextPort atomic.Uint32
 
 // LastingAddress returns an address of the loopback interface that neither outgoing connections
-// nor other processes take, a new one at each of 20,000 calls. It returns one of the kernel's
-// choice when there is none.
+// nor other processes take, a new one at each of 20,000 calls. It does not try it out: a child
+// process that is just being started would hold on to the listener, and keep the port taken.
 func LastingAddress() string {
-	for range ports {
-		address := fmt.Sprintf("%s:%d", host, firstPort+nextPort.Add(1)%ports)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // taken by this process
-		}
-		if l.Close() == nil {
-			return address
-		}
-	}
-	return host + ":0"
+	return fmt.Sprintf("%s:%d", host, firstPort+nextPort.Add(1)%ports)
 }
--- a/test/cluster/port_test.go
+++ b/test/cluster/port_test.go
@@ -1,23 +1,24 @@
 package cluster
 
 import (
+	"encoding/binary"
 	"net"
+	"net/netip"
+	"os/exec"
+	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
 // Test processes that run side by side have ids close to each other.
 func TestTestProcessesShareNoAddress(t *testing.T) {
-	seen := map[string]int{}
-	for pid := range 1 << 22 {
-		host := hostOf(pid)
-		other, taken := seen[host]
-		require.False(t, taken, "processes %d and %d", pid, other)
-		seen[host] = pid
-	}
-	for _, pid := range []int{1, 255, 256, 65_536, 1<<22 - 1} {
-		require.True(t, net.ParseIP(hostOf(pid)).IsLoopback())
+	first := netip.MustParseAddr("127.64.0.0").As4()
+	base := binary.BigEndian.Uint32(first[:])
+	for pid := 1; pid < 1<<22; pid += 89 {
+		own := netip.MustParseAddr(hostOf(pid)).As4()
+		require.Equal(t, base+uint32(pid), binary.BigEndian.Uint32(own[:]))
 	}
 }
 
@@ -30,3 +31,31 @@
 		require.NoError(t, l.Close())
 	}
 }
+
+// Tests start daemons while others start, cut and mend links. A child process holds all
+// listeners of its parent from the fork until it begins its own program.
+func TestLinksStartBesideChildProcesses(t *testing.T) {
+	stop := make(chan struct{})
+	var children sync.WaitGroup
+	for range 8 {
+		children.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					assert.NoError(t, exec.Command("true").Run())
+				}
+			}
+		})
+	}
+	defer children.Wait()
+	defer close(stop)
+	for range 300 {
+		link, err := NewLink("beside-children")
+		require.NoError(t, err)
+		link.Cut()
+		require.NoError(t, link.Heal())
+		link.Close()
+	}
+}
