Strained daemons predict by what their peers have learnt

Ruled out: the shares (both daemons name the same levels, within 5%); the directory (it leaves the daemon out; callers stay). Change: a daemon that is strained learns nothing from its answers and predicts by the mean of its peers' models, which travel in their states (weighed by observations, zone sums too).

--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -16,6 +16,7 @@
 	servers := make(map[uint64]*pb.ServerLoad)
 	accounts := make(map[uint64]*pb.AccountUse)
 	withdrawn := make(map[string]*pb.Withdrawal)
+	models := make(map[uint64]*pb.EngineModel)
 	for _, v := range views {
 		for _, l := range v.Servers {
 			sum := entry(servers, l.Server, &pb.ServerLoad{Server: l.Server})
@@ -33,6 +34,9 @@
 				withdrawn[w.Server] = w
 			}
 		}
+		for _, m := range v.Models {
+			mergeModel(entry(models, m.Service, &pb.EngineModel{Service: m.Service}), m)
+		}
 		out.Placements = append(out.Placements, v.Placements...)
 		if v.ConfigVersion > out.ConfigVersion {
 			out.ConfigVersion, out.ConfigAgeMs = v.ConfigVersion, v.ConfigAgeMs
@@ -49,9 +53,25 @@
 	for _, w := range withdrawn {
 		out.Withdrawn = append(out.Withdrawn, w)
 	}
+	for _, m := range models {
+		out.Models = append(out.Models, m)
+	}
 	return out
 }
 
+// mergeModel turns mean into the mean of itself and m, weighed by their observations.
+func mergeModel(mean, m *pb.EngineModel) {
+	total := mean.Observations + m.Observations
+	if total <= 0 {
+		return
+	}
+	share := m.Observations / total
+	mean.Base += share * (m.Base - mean.Base)
+	mean.PerToken += share * (m.PerToken - mean.PerToken)
+	mean.PerRunning += share * (m.PerRunning - mean.PerRunning)
+	mean.Observations = total
+}
+
 func entry[K comparable, V any](m map[K]V, key K, fresh V) V {
 	if old, ok := m[key]; ok {
 		return old
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -24,6 +24,15 @@
 	for _, p := range v.Placements {
 		s.Placements = append(s.Placements, &pb.Placement{Server: p.Server, Part: p.Part, Tokens: uint32(p.Tokens)})
 	}
+	for service, m := range v.Models {
+		s.Models = append(s.Models, &pb.EngineModel{
+			Service:      service,
+			Base:         float32(m.Base),
+			PerToken:     float32(m.PerToken),
+			PerRunning:   float32(m.PerRunning),
+			Observations: float32(m.Observations),
+		})
+	}
 	return s
 }
 
@@ -32,6 +41,16 @@
 	v := pilot.View{
 		Loads: make(map[uint64]placement.Load, len(s.Servers)),
 		Uses:  make(map[uint64]admission.Use, len(s.Accounts)),
+
+		Models: make(map[uint64]placement.Model, len(s.Models)),
+	}
+	for _, m := range s.Models {
+		v.Models[m.Service] = placement.Model{
+			Base:         float64(m.Base),
+			PerToken:     float64(m.PerToken),
+			PerRunning:   float64(m.PerRunning),
+			Observations: float64(m.Observations),
+		}
 	}
 	for _, l := range s.Servers {
 		v.Loads[l.Server] = placement.Load{
--- a/internal/pilot/load_test.go
+++ b/internal/pilot/load_test.go
@@ -98,6 +98,28 @@
 	assert.GreaterOrEqual(t, share(later.InAim, later.Asked), 0.99)
 }
 
+// yushan-rounds-grown scale-1, FAIR: the callers of the largest account all came to one daemon
+// that was short of processor time. It took its own delays for load of the servers and refused
+// what peers admitted for others: 2.97 million tokens in 6 s against 6.25 million.
+func TestAccountAtADelayedDaemonReceivesAlike(t *testing.T) {
+	p := plays.New(plays.Options{Daemons: 7, Engines: 10, Figures: plays.Roomy(), Way: plays.Product, Seed: 1,
+		Lag: func(daemon int, now time.Time) time.Duration {
+			if daemon == 0 {
+				return 300 * time.Millisecond
+			}
+			return 0
+		}})
+	p.Pilots()[0].SetDelayed(true)
+	p.Poisson("pinned", 250, 1, plays.Start, playLength)
+	for i := range 3 {
+		p.Poisson(fmt.Sprint("spread", i), 250, 7, plays.Start, playLength)
+	}
+	p.Run(playLength)
+	pinned, spread := p.Outcome["pinned"], p.Outcome["spread0"]
+	t.Logf("pinned %+v, spread %+v", *pinned, *spread)
+	assert.Greater(t, share(pinned.Tokens, spread.Tokens), 0.5)
+}
+
 // modelPlain is a server of a plain service: it runs so many requests at once, by arrival.
 type modelPlain struct{ free []time.Time }
 
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +101,7 @@
 	Loads      map[uint64]placement.Load // by server
 	Uses       map[uint64]admission.Use  // by account
 	Placements []placement.Placement
+	Models     map[uint64]placement.Model // by service
 }
 
 // SetPeer takes the view of a peer.
@@ -108,6 +110,7 @@
 	defer p.mu.Unlock()
 	p.board.SetPeerLoad(id, v.Loads, now)
 	p.board.SetPeerPlacements(v.Placements, now)
+	p.board.SetPeerModels(id, v.Models, now)
 	p.shares.SetPeer(id, v.Uses, now)
 }
 
@@ -115,7 +118,20 @@
 func (p *Pilot) View(now time.Time) View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return View{p.board.OwnLoad(), p.shares.Own(now), append([]placement.Placement(nil), p.board.Placements(now)...)}
+	return View{
+		Loads:      p.board.OwnLoad(),
+		Uses:       p.shares.Own(now),
+		Placements: slices.Clone(p.board.Placements(now)),
+		Models:     p.board.Models(),
+	}
+}
+
+// SetDelayed tells whether this daemon gets too little processor time to judge the servers by
+// the time that their answers take.
+func (p *Pilot) SetDelayed(delayed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.SetDelayed(delayed)
 }
 
 // Decide decides on the first attempt of a request.
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -66,6 +66,9 @@
 	delete(s.oldest, a)
 	s.own.Pending -= a.load.Pending
 	a.load.Pending = 0
+	if b.delayed {
+		return
+	}
 	took := now.Sub(a.sent).Seconds()
 	if !a.request.Engine {
 		if s.latency == 0 {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -25,6 +25,9 @@
 	failurePenalty = 3 * time.Second
 	// peerLoadTTL is how long the load that a peer reported counts.
 	peerLoadTTL = 1500 * time.Millisecond
+	// peerModelTTL is how long what a peer learnt of the engines counts: their timing changes
+	// with the load they get, over seconds.
+	peerModelTTL = 10 * time.Second
 	// homeTrust is the part of a shared prompt that is taken for cached on its home server
 	// while no server is known to keep it: daemons that know nothing choose alike.
 	homeTrust = 0.6
@@ -105,6 +108,9 @@
 	foreign map[uint64]Load       // sum of the peers' views, by server hash
 	models  map[string]*timeModel // by service
 	recent  []Placement           // of this daemon, oldest first
+
+	delayed    bool // see SetDelayed
+	peerModels map[string]peerModels
 }
 
 // Placement tells that a server was sent a prompt that begins with a shared part.
@@ -125,6 +131,8 @@
 		peers:   make(map[string]peerView),
 		foreign: make(map[uint64]Load),
 		models:  make(map[string]*timeModel),
+
+		peerModels: make(map[string]peerModels),
 	}
 }
 
@@ -230,7 +238,7 @@
 
 func (b *Board) choose(r Request, tried map[string]bool, reread float64, now time.Time) (Choice, bool) {
 	b.dropSilentPeers(now)
-	home, model := b.home(r, now), b.model(r.Service)
+	home, model := b.home(r, now), b.timing(r.Service, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for _, s := range b.ready[r.Service] {
 		if tried[s.ID] {
@@ -256,7 +264,7 @@
 	return places, taken
 }
 
-func (b *Board) predict(s *server, r Request, model *timeModel, home bool, now time.Time) Choice {
+func (b *Board) predict(s *server, r Request, model timing, home bool, now time.Time) Choice {
 	c := Choice{Server: s.Server, Load: b.load(s), Home: home}
 	if !r.Engine {
 		waiting := max(0, c.Load.Running+1-s.Slots)
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -22,14 +22,25 @@
 	priorBound = 4
 )
 
-// timeModel predicts the time to the first event of an engine from the prompt tokens it
-// has still to read and the requests it runs: weighted least squares with forgetting.
+// timing predicts the time to the first event of an engine from the prompt tokens it has
+// still to read and the requests it runs: seconds, seconds a token, seconds a running request.
+type timing [3]float64
+
+// slope returns the seconds that a token to read takes.
+func (t timing) slope() float64 { return t[1] }
+
+func (t timing) predict(tokens, running int, speed float64) time.Duration {
+	return seconds(speed * (t[0] + t[1]*float64(tokens) + t[2]*float64(running)))
+}
+
+// timeModel learns the timing of a service's engines by weighted least squares with forgetting.
 type timeModel struct {
-	xx    [3][3]float64 // sums of products of (1, tokens, running)
-	xy    [3]float64
-	coef  [3]float64 // seconds, seconds a token, seconds a running request
-	start float64    // prior seconds a token
-	since int
+	timing
+	xx       [3][3]float64 // sums of products of (1, tokens, running)
+	xy       [3]float64
+	start    float64 // prior seconds a token
+	since    int
+	observed float64 // observations, weighed like the sums
 }
 
 func newTimeModel() *timeModel {
@@ -52,8 +63,8 @@
 
 func (m *timeModel) reset(slope float64) {
 	m.start = slope
-	m.coef = [3]float64{priorBase, slope, 0}
-	m.xx, m.xy = [3][3]float64{}, [3]float64{}
+	m.timing = timing{priorBase, slope, 0}
+	m.xx, m.xy, m.observed = [3][3]float64{}, [3]float64{}, 0
 	for _, x := range []float64{0, priorSpread} {
 		for i := range priorWeight {
 			m.add([3]float64{1, x, float64(i)}, priorBase+slope*x)
@@ -80,6 +91,7 @@
 	// One silent server must not teach the model of all.
 	took = min(took, 4*m.predict(tokens, running, 1).Seconds())
 	m.add([3]float64{1, float64(tokens), float64(running)}, took)
+	m.observed = m.observed*forget + 1
 	m.since++
 	if m.since >= refit {
 		m.since = 0
@@ -97,14 +109,7 @@
 	if err := coef.SolveVec(a, mat.NewVecDense(3, m.xy[:])); err != nil {
 		return // singular: the last solution stays
 	}
-	m.coef[0] = clamp(coef.AtVec(0), 0.001, priorBase*priorBound)
-	m.coef[1] = clamp(coef.AtVec(1), m.start/priorBound, m.start*priorBound)
-	m.coef[2] = max(coef.AtVec(2), 0)
-}
-
-// slope returns the seconds that a token to read takes.
-func (m *timeModel) slope() float64 { return m.coef[1] }
-
-func (m *timeModel) predict(tokens, running int, speed float64) time.Duration {
-	return seconds(speed * (m.coef[0] + m.coef[1]*float64(tokens) + m.coef[2]*float64(running)))
+	m.timing[0] = clamp(coef.AtVec(0), 0.001, priorBase*priorBound)
+	m.timing[1] = clamp(coef.AtVec(1), m.start/priorBound, m.start*priorBound)
+	m.timing[2] = max(coef.AtVec(2), 0)
 }
