Turn connections away without the poller, and by the wait of the first in the queue

Change: while the first connection in the queue has waited for half of what it may, or the limit is reached, new ones are accepted and answered by four system calls. Others go the usual way.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,10 @@
 	// longer than the pauses of a daemon that keeps up (strainLeave), and short against
 	// objectives of some hundred milliseconds.
 	maxAcceptWait = 100 * time.Millisecond
+	// maxHeadWait is the wait of the first connection in the queue from which further ones are
+	// turned away as they come: they would wait longer, and those that wait in vain are
+	// answered late and at a higher cost.
+	maxHeadWait = maxAcceptWait / 2
 	// maxWaiting bounds the connections that wait: a core that spends 0.4 ms on each takes as
 	// many within maxAcceptWait.
 	maxWaiting = 256
@@ -71,7 +77,7 @@
 }
 
 type lingering struct {
-	conn  net.Conn
+	conn  io.Closer
 	until time.Time
 }
 
@@ -104,10 +110,13 @@
 	l := &orderlyListener{
 		Listener: listener,
 		owner:    c,
-		waiting:  make(chan waitingConn, maxWaiting),
+		turn:     make(chan struct{}, 1),
 		failed:   make(chan error, 1),
 		closed:   make(chan struct{}),
 	}
+	if sc, ok := listener.(syscall.Conn); ok {
+		l.raw, _ = sc.SyscallConn() // without it, connections are turned away by the usual way
+	}
 	go l.pump()
 	go c.sweep(l.closed)
 	return l
@@ -116,11 +125,15 @@
 // orderlyListener lets connections wait for a short time only.
 type orderlyListener struct {
 	net.Listener
-	owner   *connections
-	waiting chan waitingConn
-	failed  chan error
-	closed  chan struct{}
-	once    sync.Once
+	raw    syscall.RawConn
+	owner  *connections
+	turn   chan struct{} // a connection may wait
+	failed chan error
+	closed chan struct{}
+	once   sync.Once
+
+	mu      sync.Mutex
+	waiting []waitingConn // by arrival
 }
 
 type waitingConn struct {
@@ -131,6 +144,9 @@
 // pump empties the kernel's queue, in which connections would wait for their turn unseen.
 func (l *orderlyListener) pump() {
 	for {
+		if l.full(time.Now()) && l.turnAway() {
+			continue
+		}
 		conn, err := l.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			l.failed <- err
@@ -141,29 +157,84 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		select {
-		case l.waiting <- waitingConn{conn, time.Now()}:
-		default:
+		if now := time.Now(); l.full(now) {
 			l.owner.refuse(conn)
+		} else {
+			l.push(waitingConn{conn, now})
+		}
+	}
+}
+
+// full reports whether a connection that comes now would wait in vain.
+func (l *orderlyListener) full(now time.Time) bool {
+	if l.owner.open.Load() >= int64(l.owner.limit) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) >= maxWaiting || len(l.waiting) > 0 && now.Sub(l.waiting[0].since) > maxHeadWait
+}
+
+// turnAway accepts and refuses the next connection, and reports whether there was one. The
+// connection is never known to the runtime's poller, which takes most of what it would cost
+// (BenchmarkUnreadRefusal).
+func (l *orderlyListener) turnAway() bool {
+	if l.raw == nil {
+		return false
+	}
+	taken := false
+	err := l.raw.Control(func(listener uintptr) {
+		fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if err != nil {
+			return // none is waiting, or an error that the next Accept returns
 		}
+		taken = true
+		l.owner.refuseRaw(rawConn(fd))
+	})
+	return taken && err == nil
+}
+
+func (l *orderlyListener) push(w waitingConn) {
+	l.mu.Lock()
+	l.waiting = append(l.waiting, w)
+	l.mu.Unlock()
+	select {
+	case l.turn <- struct{}{}:
+	default:
 	}
 }
 
+func (l *orderlyListener) pop() (w waitingConn, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		return waitingConn{}, false
+	}
+	w = l.waiting[0]
+	l.waiting[0] = waitingConn{}
+	l.waiting = l.waiting[1:]
+	return w, true
+}
+
 // Accept returns the next connection to serve. Goroutines that are ready go first: a daemon
 // that gets too little processor time finishes what it has begun.
 func (l *orderlyListener) Accept() (net.Conn, error) {
 	for {
 		runtime.Gosched()
-		select {
-		case w := <-l.waiting:
-			if time.Since(w.since) <= maxAcceptWait && l.owner.take() {
-				return w.Conn, nil
+		w, ok := l.pop()
+		if !ok {
+			select {
+			case <-l.turn:
+			case err := <-l.failed:
+				l.failed <- err // for further calls
+				return nil, err
 			}
-			l.owner.refuse(w.Conn)
-		case err := <-l.failed:
-			l.failed <- err // for further calls
-			return nil, err
+			continue
+		}
+		if time.Since(w.since) <= maxAcceptWait && l.owner.take() {
+			return w.Conn, nil
 		}
+		l.owner.refuse(w.Conn)
 	}
 }
 
@@ -209,6 +280,30 @@
 	if half, ok := conn.(interface{ CloseWrite() error }); ok && err == nil {
 		err = half.CloseWrite()
 	}
+	c.linger(conn, err)
+}
+
+// refuseRaw is refuse for a connection that the runtime does not know.
+func (c *connections) refuseRaw(conn rawConn) {
+	c.refused.Add(1)
+	c.counted()
+	// The buffer of a new connection takes the whole answer.
+	_, err := syscall.Write(int(conn), c.refusal())
+	if err == nil {
+		err = syscall.Shutdown(int(conn), syscall.SHUT_WR)
+	}
+	c.linger(conn, err)
+}
+
+// rawConn is the descriptor of a connection.
+type rawConn int
+
+// Close closes the descriptor.
+func (c rawConn) Close() error { return syscall.Close(int(c)) }
+
+// linger keeps a connection that was answered open for a while; one whose answer failed is
+// closed.
+func (c *connections) linger(conn io.Closer, err error) {
 	if err != nil {
 		_ = conn.Close() // the caller has left
 		return
