Let engines fetch prompts from the servers that keep them

A prompt whose server is busy goes elsewhere and is read there anew. Ruled out: heavier affinity (weights were measured before); it trades queueing for reading. Change: placement knows the server that keeps most of a prompt. When the chosen one lacks 64 tokens or more of it, the request names the keeper, the prediction counts the transfer, and a fetched token is charged like one read once (a token read again: 12 times). Peers are told of shared parts of 64 tokens and more (256 before). Servers that fail or are silent are no source.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -47,6 +47,8 @@
 	running   int
 	pending   int
 	home      bool
+	source    string // of fetched prompt parts
+	fetched   int    // tokens
 	reach     reach
 	status    int
 	took      time.Duration
@@ -61,6 +63,8 @@
 		" running=" + strconv.Itoa(a.running) +
 		" pending=" + strconv.Itoa(a.pending) +
 		" home=" + strconv.FormatBool(a.home) +
+		" source=" + a.source +
+		" fetched=" + strconv.Itoa(a.fetched) +
 		" reused=" + strconv.FormatBool(a.reused) +
 		" reach=" + strconv.Itoa(int(a.reach)) +
 		" status=" + strconv.Itoa(a.status) +
@@ -153,9 +157,11 @@
 		running:   choice.Load.Running,
 		pending:   choice.Load.Pending,
 		home:      choice.Home,
+		source:    choice.Source.ID,
+		fetched:   choice.Fetched,
 	}
 	attempt := h.Pilot.Start(c.ask(), choice, started)
-	far, err := h.exchange(ctx, c, choice.Server, attempt, &record)
+	far, err := h.exchange(ctx, c, choice, attempt, &record)
 	outcome := placement.Served
 	if err != nil {
 		outcome = placement.Failed
@@ -170,7 +176,8 @@
 }
 
 // exchange sends the request over a connection and passes the answer on.
-func (h *Handler) exchange(ctx context.Context, c *call, s routing.Server, a *placement.Attempt, record *attemptRecord) (reach, error) {
+func (h *Handler) exchange(ctx context.Context, c *call, choice placement.Choice, a *placement.Attempt, record *attemptRecord) (reach, error) {
+	s := choice.Server
 	endpoint := upstream.Endpoint{Address: s.Address, ID: s.ID, Born: s.Born}
 	limit := upstream.Limit(c.service.MaxConnections, h.Pilot.Daemons(), record.running)
 	conn, err := h.Pool.Get(ctx, endpoint, limit)
@@ -183,7 +190,7 @@
 		return unsent, errors.New("the caller went away before the request was sent")
 	}
 	watch := newWatch(ctx, conn, c)
-	far, err := h.converse(c, s, conn, a, watch, record)
+	far, err := h.converse(c, choice, conn, a, watch, record)
 	if !watch.stop() || err != nil {
 		conn.Spoil()
 	}
@@ -191,7 +198,7 @@
 	return far, err
 }
 
-func (h *Handler) converse(c *call, s routing.Server, conn *upstream.Conn, a *placement.Attempt, watch *watch, record *attemptRecord) (reach, error) {
+func (h *Handler) converse(c *call, choice placement.Choice, conn *upstream.Conn, a *placement.Attempt, watch *watch, record *attemptRecord) (reach, error) {
 	lastEvent := c.envelope.LastEvent
 	if c.events > 0 {
 		lastEvent = strconv.FormatUint(c.last, 10)
@@ -200,7 +207,8 @@
 		Request:   c.http,
 		Envelope:  c.envelope,
 		Account:   c.account,
-		Server:    s,
+		Server:    choice.Server,
+		FetchFrom: choice.Source.Address,
 		Left:      time.Until(c.limit),
 		LastEvent: lastEvent,
 		BodyBytes: len(c.body),
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -28,6 +28,7 @@
 	Envelope  *Envelope
 	Account   string
 	Server    routing.Server
+	FetchFrom string        // address of another server from which this one fetches what it lacks of the prompt; empty for none
 	Left      time.Duration // until the caller's deadline
 	LastEvent string        // after which a stream goes on
 	BodyBytes int
--- a/internal/pilot/load_test.go
+++ b/internal/pilot/load_test.go
@@ -120,6 +120,29 @@
 	assert.Greater(t, share(pinned.Tokens, spread.Tokens), 0.5)
 }
 
+// Hot key: half of all requests are about one subject, more than the server that keeps it can
+// read. Others fetch its prompt rather than read it again.
+func TestHotPromptsAreFetched(t *testing.T) {
+	var readAgain []int
+	var got []plays.Tally
+	for _, rate := range []float64{0, 900} {
+		figures := plays.Users()
+		figures.FetchRate = rate
+		p := plays.New(plays.Options{Daemons: 7, Engines: 10, Figures: figures, Way: plays.Product, Seed: 1})
+		for i := range 8 {
+			p.Poisson(fmt.Sprint("account", i), 10, 7, plays.Start, playLength)
+		}
+		p.About(0, "account0", 80, plays.Start, playLength)
+		p.Run(playLength)
+		readAgain = append(readAgain, p.ReadAgain)
+		got = append(got, p.Total())
+	}
+	t.Logf("without fetches %+v, read again %d; with %+v, read again %d", got[0], readAgain[0], got[1], readAgain[1])
+	assert.Less(t, readAgain[1], readAgain[0]/4)
+	assert.Greater(t, got[1].InAim, got[0].InAim)
+	assert.LessOrEqual(t, got[1].Late, got[0].Late)
+}
+
 // modelPlain is a server of a plain service: it runs so many requests at once, by arrival.
 type modelPlain struct{ free []time.Time }
 
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -92,6 +92,7 @@
 		}
 		if s.EngineSlots > 0 && ready > 0 {
 			p.board.SetCapacity(s.Name, c.Limits.TokensPerSecond/float64(ready), s.MemoryTokens)
+			p.board.SetFetchRate(s.Name, s.FetchRate())
 		}
 	}
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -35,7 +35,7 @@
 	// are lost.
 	placementTTL = 450 * time.Millisecond
 	// minShared is the least shared tokens that are told to peers: less is cheap to read.
-	minShared = 256
+	minShared = 64
 )
 
 // Part is a piece of a prompt that other requests may share.
@@ -77,6 +77,9 @@
 	Uncached  int           // prompt tokens that the server has to read
 	Load      Load          // of the server, as known
 	Home      bool          // the server is the first choice of the prompt's shared part
+
+	Source  routing.Server // from which the server fetches parts of the prompt; none without an id
+	Fetched int            // prompt tokens that it fetches
 }
 
 type server struct {
@@ -109,7 +112,8 @@
 	models  map[string]*timeModel // by service
 	recent  []Placement           // of this daemon, oldest first
 
-	delayed    bool // see SetDelayed
+	delayed    bool               // see SetDelayed
+	fetchRate  map[string]float64 // by service
 	peerModels map[string]peerModels
 }
 
@@ -133,6 +137,7 @@
 		models:  make(map[string]*timeModel),
 
 		peerModels: make(map[string]peerModels),
+		fetchRate:  make(map[string]float64),
 	}
 }
 
@@ -239,13 +244,14 @@
 func (b *Board) choose(r Request, tried map[string]bool, reread float64, now time.Time) (Choice, bool) {
 	b.dropSilentPeers(now)
 	home, model := b.home(r, now), b.timing(r.Service, now)
+	from := b.source(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for _, s := range b.ready[r.Service] {
 		if tried[s.ID] {
 			continue
 		}
-		c := b.predict(s, r, model, s == home, now)
-		score := b.score(s, c, reread*model.slope(), now)
+		c := b.predict(s, r, model, s == home, from, now)
+		score := b.score(s, c, reread*model.slope(), now) + fetchWeight*model.slope()*float64(c.Fetched)
 		if score < bestScore {
 			best, found, bestScore = c, true, score
 		}
@@ -264,7 +270,7 @@
 	return places, taken
 }
 
-func (b *Board) predict(s *server, r Request, model timing, home bool, now time.Time) Choice {
+func (b *Board) predict(s *server, r Request, model timing, home bool, from source, now time.Time) Choice {
 	c := Choice{Server: s.Server, Load: b.load(s), Home: home}
 	if !r.Engine {
 		waiting := max(0, c.Load.Running+1-s.Slots)
@@ -273,8 +279,10 @@
 		return c
 	}
 	c.Uncached = s.uncached(r, home, now)
-	c.Predicted = model.predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed)
-	c.Idle = model.predict(c.Uncached, 0, s.speed)
+	b.fetch(&c, r, from)
+	fetching := b.fetchTime(r.Service, c.Fetched)
+	c.Predicted = model.predict(c.Load.Pending+c.Uncached, c.Load.Running, s.speed) + fetching
+	c.Idle = model.predict(c.Uncached, 0, s.speed) + fetching
 	c.Own = seconds(model.slope() * float64(c.Uncached) * s.speed)
 	if over := c.Load.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
 		// A place frees about each time that a stream ends; streams last a second or more.
--- /dev/null
+++ b/internal/placement/fetch.go
@@ -0,0 +1,63 @@
+package placement
+
+import "time"
+
+const (
+	// minFetched is the least tokens that are fetched: fewer are read as quickly.
+	minFetched = 64
+	// fetchSetup is the time that a fetch takes whatever its size; not measured.
+	fetchSetup = 3 * time.Millisecond
+	// fetchWeight charges a fetched token beyond the time that it takes, in times of reading
+	// one: it takes the links of two engines, but leaves them to go on reading.
+	fetchWeight = 1.0
+	// maxSourceFailures is the share of recent failures beyond which nothing is fetched from a
+	// server.
+	maxSourceFailures = 0.3
+)
+
+// source is the server that keeps most of a prompt.
+type source struct {
+	*server
+	tokens int // from the begin of the prompt on
+}
+
+// SetFetchRate gives the tokens a second that engines of the service fetch from each other's
+// memory; with 0 they read everything themselves.
+func (b *Board) SetFetchRate(service string, tokensPerSecond float64) {
+	b.fetchRate[service] = tokensPerSecond
+}
+
+// source returns the server of the service that is known to keep most of the prompt.
+func (b *Board) source(r Request, now time.Time) source {
+	var best source
+	if b.fetchRate[r.Service] <= 0 {
+		return best
+	}
+	for _, s := range b.ready[r.Service] {
+		tokens := s.cache.prefix(r.Parts, now)
+		if tokens > best.tokens && s.failureShare(now) <= maxSourceFailures && s.silence(now) == 0 {
+			best = source{s, tokens}
+		}
+	}
+	return best
+}
+
+// fetch lets the server of the choice fetch what it lacks of the prompt from the source, when
+// that is worth it.
+func (b *Board) fetch(c *Choice, r Request, from source) {
+	kept := r.Prompt - c.Uncached
+	tokens := min(from.tokens, r.Prompt) - kept
+	if from.server == nil || from.ID == c.Server.ID || tokens < minFetched {
+		return
+	}
+	c.Source, c.Fetched = from.Server, tokens
+	c.Uncached -= tokens
+}
+
+// fetchTime returns the time in which the tokens are fetched.
+func (b *Board) fetchTime(service string, tokens int) time.Duration {
+	if tokens == 0 {
+		return 0
+	}
+	return fetchSetup + seconds(float64(tokens)/b.fetchRate[service])
+}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -57,6 +57,17 @@
 	MaxConnections int // of all callers together to one server
 	EngineSlots    int // requests that a model engine runs at once; 0 for plain services
 	MemoryTokens   int64
+	TokenBytes     float64 // of engine memory for each token; 0 when engines fetch nothing from each other
+	LinkBytes      float64 // a second, between engines
+}
+
+// FetchRate returns the tokens a second that an engine fetches from another one's memory; 0
+// when it can't.
+func (s *Service) FetchRate() float64 {
+	if s.TokenBytes <= 0 || s.LinkBytes <= 0 {
+		return 0
+	}
+	return s.LinkBytes / s.TokenBytes
 }
 
 // Account is a client account.
--- a/test/plays/engine.go
+++ b/test/plays/engine.go
@@ -13,19 +13,22 @@
 	Slots      int           // requests that it runs at once
 	ReadRate   float64       // prompt tokens a ms
 	FirstDelay time.Duration // from the last token read to the first event
+	FetchRate  float64       // tokens a ms that engines fetch from each other; 0 when they can't
 }
 
 // Roomy engines have more places than requests: reading is what is scarce.
-func Roomy() Figures { return Figures{64, 100, 50 * time.Millisecond} }
+func Roomy() Figures { return Figures{Slots: 64, ReadRate: 100, FirstDelay: 50 * time.Millisecond} }
 
 // Users returns the figures of the users' engines, after 3,911 answers on their bench
 // (mtesz-cert-grown trouble-1, tenth percentile by prompt tokens to read): 60 ms and 12 ms for
 // each 1,000 tokens, whatever runs beside, up to 16 requests at once.
-func Users() Figures { return Figures{16, 81, 60 * time.Millisecond} }
+func Users() Figures { return Figures{Slots: 16, ReadRate: 81, FirstDelay: 60 * time.Millisecond} }
 
 const (
 	stepBase   = 4.0  // ms a token of one stream
 	stepPerRun = 0.05 // ms more for each request that runs
+	// fetchSetup is the time that a fetch takes whatever its size.
+	fetchSetup = 3 * time.Millisecond
 )
 
 // engine is one backend server: it runs so many requests at once, reads their prompts one
@@ -34,6 +37,7 @@
 type engine struct {
 	Figures
 	free    time.Time // when what was sent before has been read
+	link    time.Time // when what was fetched before has been moved
 	running int
 	waiting []func(now time.Time)
 	dark    bool // takes requests and answers none
@@ -61,6 +65,29 @@
 	next(now)
 }
 
+// fetch moves what the other engine keeps of the prompt beyond what this one keeps, one
+// transfer after the other on both links, and returns when it is there.
+func (e *engine) fetch(from *engine, r placement.Request, now time.Time) time.Time {
+	tokens := 0
+	for _, p := range r.Parts {
+		if from.kept[p.ID] && !e.kept[p.ID] {
+			e.kept[p.ID] = true
+			tokens += p.Tokens
+		}
+	}
+	if tokens == 0 || e.FetchRate <= 0 {
+		return now
+	}
+	for _, link := range []time.Time{e.link, from.link} {
+		if link.After(now) {
+			now = link
+		}
+	}
+	now = now.Add(fetchSetup + milliseconds(float64(tokens)/e.FetchRate))
+	e.link, from.link = now, now
+	return now
+}
+
 // read returns when the first event of the request comes, and the shared tokens that the
 // engine has to read for it.
 func (e *engine) read(r placement.Request, now time.Time) (first time.Time, shared int) {
--- a/test/plays/loads.go
+++ b/test/plays/loads.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// About sends requests of the account about one subject, to any daemon.
+func (p *Play) About(subject uint64, account string, perSecond float64, from time.Time, length time.Duration) {
+	p.shaped(account, p.options.Daemons, from, length, perSecond, even, func() uint64 { return subject })
+}
+
 func (p *Play) anySubject() uint64 { return uint64(p.rng.IntN(subjects)) }
 
 func (p *Play) everyone(perSecond float64, length time.Duration, shape func(time.Duration) float64) {
@@ -83,7 +88,7 @@
 		{"hot-key", "calm; in the middle third 150 a second about one subject", func(p *Play, d time.Duration) {
 			p.everyone(12, d, even)
 			from, length := third(d)
-			p.shaped("account0", p.options.Daemons, from, length, 150, even, func() uint64 { return 0 })
+			p.About(0, "account0", 150, from, length)
 		}},
 		{"crash", "16 a second each; in the middle third three engines answer nothing, known after 1 s", func(p *Play, d time.Duration) {
 			p.everyone(16, d, even)
--- a/test/plays/play.go
+++ b/test/plays/play.go
@@ -119,7 +119,7 @@
 	// Building fails for malformed routes only; there are none.
 	p.config, _ = routing.Build(routing.Config{
 		Limits:   routing.Limits{TokensPerSecond: float64(o.Engines) * 40_000},
-		Services: []routing.Service{{Name: service, EngineSlots: o.Figures.Slots, MemoryTokens: 1 << 20}},
+		Services: []routing.Service{{Name: service, EngineSlots: o.Figures.Slots, MemoryTokens: 1 << 20, TokenBytes: 1, LinkBytes: 1000 * o.Figures.FetchRate}},
 	})
 	for i := range o.Engines {
 		id := fmt.Sprintf("e%02d", i)
@@ -215,6 +215,9 @@
 		return
 	}
 	server.enter(now, func(now time.Time) {
+		if source, ok := p.engines[choice.Source.ID]; ok {
+			now = server.fetch(source, ask.Request, now)
+		}
 		first, shared := server.read(ask.Request, now)
 		if p.read[ask.Parts[1].ID] {
 			p.ReadAgain += shared
