Let connections that wait take turns by account

An account that asks for little comes to a daemon that another one floods. Change: once connections wait, the pump accepts further ones without the poller, peeks at the begin of the request for its account and size, and accounts take turns; the account with most places loses them first. What was refused this way counts as asked for. The log names the accounts refused, and a request's line the caller's address.

--- a/internal/forward/cost_test.go
+++ b/internal/forward/cost_test.go
@@ -30,6 +30,7 @@
 	}, nil
 }
 
+func (plainProtocol) Glance([]byte) Envelope      { return Envelope{} }
 func (plainProtocol) Head(Dispatch) []byte        { return nil }
 func (plainProtocol) Answer(h http.Header) Answer { return Answer{} }
 
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -46,6 +46,9 @@
 type Protocol interface {
 	// Decode reads the envelope of a caller's request.
 	Decode(r *http.Request) (*Envelope, error)
+	// Glance returns what the begin of a request says of its key, prompt and output, as far as
+	// it has arrived. It checks nothing.
+	Glance(begin []byte) Envelope
 	// Head returns the head of the request to a server, up to and with the empty line.
 	Head(d Dispatch) []byte
 	// Answer reads the head of a server's answer.
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -41,7 +41,7 @@
 	}
 	attrs := []slog.Attr{
 		slog.String("request", id), slog.String("route", route), slog.String("account", c.account),
-		slog.Int("code", int(code)), slog.Duration("took", took), slog.Duration("first", c.first),
+		slog.String("caller", c.http.RemoteAddr), slog.Int("code", int(code)), slog.Duration("took", took), slog.Duration("first", c.first),
 		slog.Int("events", c.events),
 	}
 	if c.config != nil {
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -8,6 +8,9 @@
 	"math"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,10 +25,22 @@
 	assert.Equal(t, math.MaxInt32, connectionLimit(0, 0))
 }
 
+// newConnections returns connections whose requests name their account as key.
+func newConnections(limit int) *connections {
+	return &connections{
+		limit: limit, refusal: unreadRefusal, counted: func(string, float64) {}, logger: slog.New(slog.DiscardHandler),
+		look: func(head []byte) (string, float64) {
+			_, key, _ := strings.Cut(string(head), "Key: ")
+			key, _, _ = strings.Cut(key, "\r\n")
+			return key, 0
+		},
+	}
+}
+
 // held returns connections with a server whose requests wait until the channel is closed.
 func held(t *testing.T, limit int) (c *connections, address string, hold chan struct{}) {
 	t.Helper()
-	c = &connections{limit: limit, refusal: unreadRefusal, counted: func() {}, logger: slog.New(slog.DiscardHandler)}
+	c = newConnections(limit)
 	listener, err := c.listen("127.0.0.1:0")
 	require.NoError(t, err)
 	hold = make(chan struct{})
@@ -86,7 +101,7 @@
 
 // A connection that has waited for its turn too long is refused, also with room for it.
 func TestConnectionsThatWaitedAreRefused(t *testing.T) {
-	c := &connections{limit: 4, refusal: unreadRefusal, counted: func() {}, logger: slog.New(slog.DiscardHandler)}
+	c := newConnections(4)
 	listener, err := c.listen("127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, listener.Close()) }()
@@ -126,7 +141,7 @@
 // yushan-rounds-grown scale-1, RECOVER: a daemon that had once been without a descriptor said
 // that it was ready and took no further connection.
 func TestAcceptingGoesOnAfterAFailure(t *testing.T) {
-	c := &connections{limit: 4, refusal: unreadRefusal, counted: func() {}, logger: slog.New(slog.DiscardHandler)}
+	c := newConnections(4)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	listener := c.order(&flakyListener{Listener: tcp})
@@ -154,3 +169,61 @@
 	}
 	require.NoError(t, first.Close())
 }
+
+// yushan-rounds-grown scale-1 --seed 323009637818, FAIR: an account that asked for little at a
+// daemon that another one flooded was refused unread with the flood, and got 16% of it.
+func TestFloodLeavesTurnsToOtherAccounts(t *testing.T) {
+	const flooders, asked, serveTime = 32, 20, 2 * time.Millisecond
+	c := newConnections(1000)
+	listener, err := c.listen("127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { // a server that answers 500 requests a second
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			time.Sleep(serveTime)
+			_, _ = conn.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			_ = conn.Close()
+			c.open.Add(-1)
+		}
+	}()
+	status := func(account string) int {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			return 0
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nKey: %s\r\n\r\n", account)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	var stop atomic.Bool
+	var refused atomic.Int64
+	var flood sync.WaitGroup
+	for range flooders {
+		flood.Go(func() {
+			for !stop.Load() {
+				if status("flood") == http.StatusServiceUnavailable {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return refused.Load() > 100 }, 10*time.Second, time.Millisecond)
+	served := 0
+	for range asked {
+		if status("small") == http.StatusOK {
+			served++
+		}
+	}
+	stop.Store(true)
+	flood.Wait()
+	require.NoError(t, listener.Close())
+	assert.GreaterOrEqual(t, served, asked/2, "half of what it asks for")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,8 +100,14 @@
 	g.callers = &connections{
 		limit:   connectionLimit(s.MemoryBytes, s.Descriptors),
 		refusal: unreadRefusal,
-		counted: func() { metrics.CountResult(result.DaemonFull, "") },
-		logger:  logging.For(logging.Entry),
+		counted: func(account string, tokens float64) {
+			metrics.CountResult(result.DaemonFull, "")
+			if account != "" && tokens > 0 {
+				g.pilot.Ask(account, tokens, time.Now())
+			}
+		},
+		look:   g.look,
+		logger: logging.For(logging.Entry),
 	}
 	g.handler = forward.NewHandler(forward.Options{
 		Protocol: h.Protocol,
@@ -198,6 +204,20 @@
 	}
 }
 
+// look returns the client account that the begin of a request names, "" when it is not known,
+// and the tokens that it asks for.
+func (g *Gateway) look(begin []byte) (account string, tokens float64) {
+	c := g.topology.Config()
+	if c == nil {
+		return "", 0
+	}
+	glance := g.handlers.Protocol.Glance(begin)
+	if a := c.AccountOf(glance.Key); a != nil {
+		account = a.Name
+	}
+	return account, pilot.Tokens(glance.Prompt, glance.Output)
+}
+
 func (g *Gateway) know(seeds []string) {
 	for _, control := range seeds {
 		g.exchange.Know(control, "")
--- /dev/null
+++ b/internal/gateway/incoming.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// incomingConn is a connection of a caller that has not been served yet.
+type incomingConn interface {
+	io.WriteCloser
+	// CloseWrite tells the caller that nothing follows.
+	CloseWrite() error
+	// peek returns the begin of the request without taking it from the connection, in the
+	// buffer; nothing when nothing has arrived.
+	peek(buffer []byte) []byte
+	// known returns the connection for the runtime to serve.
+	known() (net.Conn, error)
+}
+
+// waitingCaller is a connection with what its request says of itself, as far as it has
+// arrived and was looked at.
+type waitingCaller struct {
+	incomingConn
+	account string
+	tokens  float64 // that it asks for
+}
+
+// runtimeConn is a connection that the runtime has accepted.
+type runtimeConn struct{ net.Conn }
+
+func (c runtimeConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil // the end is told by Close
+}
+
+func (c runtimeConn) peek(buffer []byte) (head []byte) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil // closed: reading it will tell
+	}
+	if err := raw.Control(func(fd uintptr) { head = rawConn(fd).peek(buffer) }); err != nil {
+		return nil // closed
+	}
+	return head
+}
+
+func (c runtimeConn) known() (net.Conn, error) { return c.Conn, nil }
+
+// rawConn is the descriptor of a connection that the runtime does not know: its poller, and
+// what net.Conn asks of the kernel, take most of what a refusal costs (BenchmarkUnreadRefusal).
+type rawConn int
+
+// Write implements incomingConn. The buffer of a new connection takes the answer whole.
+func (c rawConn) Write(b []byte) (int, error) { return syscall.Write(int(c), b) }
+
+// CloseWrite implements incomingConn.
+func (c rawConn) CloseWrite() error { return syscall.Shutdown(int(c), syscall.SHUT_WR) }
+
+// Close implements incomingConn.
+func (c rawConn) Close() error { return syscall.Close(int(c)) }
+
+func (c rawConn) peek(buffer []byte) []byte {
+	n, _, err := syscall.Recvfrom(int(c), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if err != nil {
+		return nil // not arrived yet, or a caller that left: reading it will tell
+	}
+	return buffer[:max(n, 0)]
+}
+
+func (c rawConn) known() (net.Conn, error) {
+	file := os.NewFile(uintptr(c), "caller")
+	defer file.Close() // net.FileConn duplicates it
+	conn, err := net.FileConn(file)
+	return conn, errors.Wrap(err, "take over a connection")
+}
--- a/internal/gateway/refusal_cost_test.go
+++ b/internal/gateway/refusal_cost_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -49,7 +48,8 @@
 // BenchmarkUnreadRefusal measures the processor time of a connection that is refused unread.
 func BenchmarkUnreadRefusal(b *testing.B) {
 	refused := make(chan struct{}, 1<<16)
-	c := &connections{refusal: unreadRefusal, counted: func() { refused <- struct{}{} }, logger: slog.New(slog.DiscardHandler)}
+	c := newConnections(0)
+	c.counted = func(string, float64) { refused <- struct{}{} }
 	listener, err := c.listen("127.0.0.1:0")
 	require.NoError(b, err)
 	go func() { _ = (&http.Server{ConnState: c.track}).Serve(listener) }() // ends with the benchmark
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -135,12 +135,22 @@
 	p.board.SetDelayed(delayed)
 }
 
+// Tokens returns what a request counts for in the shares of accounts.
+func Tokens(prompt, output int) float64 { return float64(prompt + generatedWeight*output) }
+
+// Ask records what a request of the account asked for that was refused without a decision.
+func (p *Pilot) Ask(account string, tokens float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shares.Ask(AccountHash(account), tokens, now)
+}
+
 // Decide decides on the first attempt of a request.
 func (p *Pilot) Decide(a Ask, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget(a.Service).Request(now)
-	tokens := float64(a.Prompt + generatedWeight*a.Output)
+	tokens := Tokens(a.Prompt, a.Output)
 	account := AccountHash(a.Account)
 	if a.Engine {
 		p.shares.Ask(account, tokens, now)
