Let daemons that start learn where prompts are kept

Change: a warm-up controller. A daemon pulls from a peer of its zone which engines keep which parts; when none knows, the first daemon of the zone asks the engines for their lists, once.

--- a/cmd/filbertrilld/gateway.go
+++ b/cmd/filbertrilld/gateway.go
@@ -34,6 +34,7 @@
 		Protocol:  platform.Protocol{},
 		Store:     store,
 		Registry:  store,
+		Engines:   platform.NewEngines(),
 	})
 	if err != nil {
 		return err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,6 +64,8 @@
 	Received func(from string, source *pb.Member, v *pb.View)
 	// Records returns what peers pull.
 	Records func() *pb.Records
+	// Prompts returns which engines keep which prompts.
+	Prompts func() *pb.Prompts
 	Logger  *slog.Logger
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -54,6 +54,7 @@
 			n.heard[from] = v
 		},
 		Records: func() *pb.Records { return &pb.Records{ConfigKey: id} },
+		Prompts: func() *pb.Prompts { return &pb.Prompts{Servers: []*pb.ServerPrompts{{Server: 7}}} },
 		Logger:  slog.New(slog.DiscardHandler),
 	})
 	return n, err
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -15,18 +15,35 @@
 const pullTimeout = 1500 * time.Millisecond
 
 // Pull asks the peer at the control address for its newest records.
-func (x *Exchange) Pull(ctx context.Context, control string) (*pb.Records, error) {
+func (x *Exchange) Pull(ctx context.Context, control string) (records *pb.Records, err error) {
+	err = call(ctx, control, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+		records, err = peer.Pull(ctx, &pb.PullRequest{})
+		return err
+	})
+	return records, err
+}
+
+// PullPrompts asks the peer at the control address which engines keep which prompts.
+func (x *Exchange) PullPrompts(ctx context.Context, control string) (prompts *pb.Prompts, err error) {
+	err = call(ctx, control, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+		prompts, err = peer.PullPrompts(ctx, &pb.PullRequest{})
+		return err
+	})
+	return prompts, err
+}
+
+// call calls a peer on a connection of its own: pulls are rare.
+func call(ctx context.Context, control string, do func(context.Context, pb.DRPCExchangeClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", control)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect to peer")
+		return errors.Wrap(err, "connect to peer")
 	}
 	conn := drpcconn.New(raw)
 	defer conn.Close()
-	records, err := pb.NewDRPCExchangeClient(conn).Pull(ctx, &pb.PullRequest{})
-	return records, errors.Wrap(err, "pull from peer")
+	return errors.Wrap(do(ctx, pb.NewDRPCExchangeClient(conn)), "pull from peer")
 }
 
 type puller struct{ x *Exchange }
@@ -35,3 +52,8 @@
 func (p puller) Pull(context.Context, *pb.PullRequest) (*pb.Records, error) {
 	return p.x.options.Records(), nil
 }
+
+// PullPrompts answers a peer.
+func (p puller) PullPrompts(context.Context, *pb.PullRequest) (*pb.Prompts, error) {
+	return p.x.options.Prompts(), nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 	Protocol  forward.Protocol
 	Store     topology.Store
 	Registry  Registry
+	Engines   Engines
 }
 
 // Gateway is one running daemon.
@@ -67,6 +68,8 @@
 	// pullAfter is when differing lists of servers are pulled again, by steady.UnixNano.
 	pullAfter atomic.Int64
 	strain    strain
+	// knowsPrompts is set once the daemon knows where prompts are kept as well as it can.
+	knowsPrompts atomic.Bool
 }
 
 // New wires the parts. Nothing serves before Run.
@@ -126,6 +129,7 @@
 		View:     g.view,
 		Received: g.received,
 		Records:  g.records,
+		Prompts:  g.prompts,
 		Logger:   logging.For(logging.Peer),
 	})
 	if err != nil {
@@ -144,6 +148,7 @@
 	go g.sweep(ctx)
 	go g.watchStrain(ctx)
 	go g.keepRegistered(ctx)
+	go g.warmUp(ctx)
 	go func() {
 		if err := g.exchange.Run(ctx); err != nil {
 			g.logger.Error("Exchange ended.", "error", err)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,6 +32,7 @@
 		Strained:       g.strain.strained.Load(),
 		Processor:      float32(g.settings.Processor),
 		StoreLost:      g.reader.Troubled(time.Now()),
+		KnowsPrompts:   g.knowsPrompts.Load(),
 	}
 }
 
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// Kept returns which engines are taken to keep which parts of prompts.
+func (p *Pilot) Kept(now time.Time) map[uint64][]placement.KeptPart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.board.Kept(now)
+}
+
+// Learn takes the parts of prompts that an engine keeps.
+func (p *Pilot) Learn(server uint64, parts []placement.KeptPart, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.Learn(server, parts, now)
+}
+
 // SetDelayed tells whether this daemon gets too little processor time to judge the servers by
 // the time that their answers take.
 func (p *Pilot) SetDelayed(delayed bool) {
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -71,6 +71,17 @@
 	return ok && now.Sub(entry.used) <= partTTL
 }
 
+// list returns the parts that are taken for kept, the least recently used first.
+func (c *promptCache) list(now time.Time) []KeptPart {
+	var parts []KeptPart
+	for _, id := range c.parts.Keys() {
+		if entry, ok := c.parts.Peek(id); ok && now.Sub(entry.used) <= partTTL {
+			parts = append(parts, KeptPart{Part{ID: id, Tokens: entry.tokens}, now.Sub(entry.used)})
+		}
+	}
+	return parts
+}
+
 // prefix returns the tokens up to the last part that is kept: an engine keeps a part only
 // for prompts that begin like the one it was read in.
 func (c *promptCache) prefix(parts []Part, now time.Time) int {
--- /dev/null
+++ b/internal/placement/prompts.go
@@ -0,0 +1,42 @@
+package placement
+
+import "time"
+
+// KeptPart is a part of prompts that an engine is taken to keep.
+type KeptPart struct {
+	Part
+	Age time.Duration // since its last use, as known
+}
+
+// Kept returns the parts that each engine is taken to keep, by Hash of its id, the least
+// recently used first.
+func (b *Board) Kept(now time.Time) map[uint64][]KeptPart {
+	kept := make(map[uint64][]KeptPart, len(b.byHash))
+	for hash, s := range b.byHash {
+		if parts := s.cache.list(now); len(parts) > 0 {
+			kept[hash] = parts
+		}
+	}
+	return kept
+}
+
+// Learn takes the parts that an engine keeps, the least recently used first, as a peer or the
+// engine itself says. What is known to have been used later stays.
+func (b *Board) Learn(server uint64, parts []KeptPart, now time.Time) {
+	s, ok := b.byHash[server]
+	if !ok {
+		return
+	}
+	own := s.cache.list(now)
+	told := make(map[uint64]time.Duration, len(parts))
+	for _, p := range parts {
+		told[p.ID] = p.Age
+		s.cache.put(p.Part, now.Add(-p.Age))
+	}
+	for _, p := range own { // taken for used later than what is told, in their order
+		if age, ok := told[p.ID]; !ok || p.Age <= age {
+			s.cache.put(p.Part, now.Add(-p.Age))
+		}
+	}
+	s.cache.shrink()
+}
--- /dev/null
+++ b/internal/placement/prompts_test.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A daemon that learns from a peer sends prompts where the peer would, though it has sent none.
+func TestPromptsAreLearntFromPeers(t *testing.T) {
+	peer, b := newBoard(12), newBoard(12)
+	for subject := range uint64(40) {
+		r := prompt(subject+2, 1)
+		home, ok := peer.Choose(r, nil, epoch)
+		require.True(t, ok)
+		elsewhere, ok := peer.Choose(r, map[string]bool{home.Server.ID: true}, epoch)
+		require.True(t, ok)
+		peer.End(peer.Start(r, elsewhere, epoch), Served, epoch)
+	}
+	for server, parts := range peer.Kept(epoch) {
+		b.Learn(server, parts, epoch)
+	}
+	for subject := range uint64(40) {
+		want, _ := peer.Choose(prompt(subject+2, 2), nil, epoch)
+		got, _ := b.Choose(prompt(subject+2, 2), nil, epoch)
+		assert.Equal(t, want.Server.ID, got.Server.ID)
+		assert.Equal(t, 1000, got.Uncached)
+	}
+}
+
+func TestOlderKnowledgeReplacesNoNewer(t *testing.T) {
+	b := newBoard(1)
+	hash := Hash("s0")
+	part := func(id uint64, age time.Duration) KeptPart { return KeptPart{Part{id, 100}, age} }
+	b.Learn(hash, []KeptPart{part(1, 2*time.Second), part(2, time.Second)}, epoch)
+	b.Learn(hash, []KeptPart{part(1, 9*time.Second), part(3, 0)}, epoch)
+	for after, want := range map[time.Duration][]uint64{
+		partTTL - 3*time.Second: {1, 2, 3},
+		partTTL - time.Second:   {2, 3},
+	} {
+		var kept []uint64
+		for _, p := range b.Kept(epoch.Add(after))[hash] {
+			kept = append(kept, p.ID)
+		}
+		assert.ElementsMatch(t, want, kept, "the age of the last use counts")
+	}
+	b.Learn(Hash("unknown"), []KeptPart{part(1, 0)}, epoch)
+}
