--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -19,9 +19,9 @@
 	maxYield = 5
 	minYield = 0.3
 	// leadYield takes the place of minYield for accounts beyond Levels.Bound, which leaves them
-	// servers without any other request. leadPower makes them yield by half at 1.2 of the bound.
+	// servers without any other request. Yielding by degrees from the bound on let accounts go
+	// 1.4 times beyond it.
 	leadYield = 0.1
-	leadPower = 4
 	// fullPressure is the share of the objective beyond which every request is refused:
 	// it would be late, and so would those behind it. The rest covers the error of predictions.
 	fullPressure = 0.95
@@ -105,11 +105,10 @@
 	if q.Use.Admitted <= q.Levels.Owed {
 		return 1
 	}
-	yield := min(max(math.Pow(q.Levels.Reached/q.Use.Admitted, yieldPower), minYield), maxYield)
-	if q.Use.Admitted > q.Levels.Bound {
-		yield = max(leadYield, yield*math.Pow(q.Levels.Bound/q.Use.Admitted, leadPower))
+	if q.Use.Lately > q.Levels.Bound {
+		return fairBurden * leadYield
 	}
-	return fairBurden * yield
+	return fairBurden * min(max(math.Pow(q.Levels.Reached/q.Use.Admitted, yieldPower), minYield), maxYield)
 }
 
 // burden returns the delay, in seconds, that the request meets and causes: what the load of
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -81,7 +81,7 @@
 func TestLeadIsBounded(t *testing.T) {
 	q := calm()
 	q.Taken, q.Predicted = 0.1, q.Idle+12*ms
-	q.Use = Use{Asked: 50_000, Admitted: 25_000}
+	q.Use = Use{Asked: 50_000, Admitted: 25_000, Lately: 16_000}
 	assert.Equal(t, Admitted, Decide(q).Reason)
 	q.Levels.Bound = 15_000
 	assert.Equal(t, OverShare, Decide(q).Reason)
@@ -90,20 +90,31 @@
 }
 
 func TestBoundFollowsTheAccountThatIsBehind(t *testing.T) {
-	s := NewShares(4 * time.Second)
-	s.SetCapacity(1000)
 	now := time.Unix(1000, 0)
-	for account, use := range map[uint64]Use{
+	with := func(uses map[uint64]Use) *Shares {
+		s := NewShares(4 * time.Second)
+		s.SetCapacity(1000)
+		for account, use := range uses {
+			s.Ask(account, use.Asked, now)
+			s.Admit(account, use.Admitted, now)
+		}
+		return s
+	}
+	s := with(map[uint64]Use{
 		1: {Asked: 9000, Admitted: 6000},
 		2: {Asked: 9000, Admitted: 2500}, // its daemon can't send more
 		3: {Asked: 300, Admitted: 100},   // wants little: its refusals have other reasons
-	} {
-		s.Ask(account, use.Asked, now)
-		s.Admit(account, use.Admitted, now)
-	}
+	})
 	assert.InDelta(t, maxLead*2500, s.Levels(now).Bound, 1e-9)
-	s.Admit(2, 4000, now)
-	assert.Greater(t, s.Levels(now.Add(levelAge)).Bound, 6000.0)
+
+	now = now.Add(2 * time.Second) // what was given before is half a window old
+	s.Admit(1, 500, now)
+	s.Admit(2, 400, now)
+	levels := s.Levels(now)
+	assert.InDelta(t, levels.Owed/2, levels.Bound, 1e-9, "nobody yields below what all are owed")
+
+	s = with(map[uint64]Use{1: {Asked: 9000, Admitted: 6000}, 2: {Asked: 3000, Admitted: 2500}})
+	assert.Greater(t, s.Levels(now).Bound, 6000.0, "an account that gets most of what it asks for holds nobody back")
 }
 
 func TestRetryAfterIsWithinWhatCallersHonour(t *testing.T) {
@@ -129,7 +140,7 @@
 	s.Ask(1, 100, now)
 	s.Admit(1, 60, now)
 	s.SetPeer("b", map[uint64]Use{1: {Asked: 50, Admitted: 10}}, now)
-	assert.Equal(t, Use{Asked: 150, Admitted: 70}, s.Use(1, now))
+	assert.Equal(t, Use{Asked: 150, Admitted: 70, Lately: 60}, s.Use(1, now))
 
 	now = now.Add(2 * time.Second) // the peer has fallen silent
 	assert.Equal(t, Use{Asked: 100, Admitted: 60}, s.Use(1, now))
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -18,6 +18,11 @@
 type Use struct {
 	Asked    float64
 	Admitted float64
+	Lately   float64 // of Admitted, in the second half of the window
+}
+
+func (u Use) plus(o Use) Use {
+	return Use{u.Asked + o.Asked, u.Admitted + o.Admitted, u.Lately + o.Lately}
 }
 
 // Shares keeps what accounts asked for over a sliding window, of this daemon and of its
@@ -49,7 +54,10 @@
 	// maxLead is how many times as much an account may receive, beyond what all are owed, as
 	// another one that wants more than the level: the users ask that no one gets less than half
 	// of what the best served account gets, and requests under way blur both.
-	maxLead = 1.6
+	maxLead = 1.7
+	// content is the share of what it asks for with which an account is not left behind, whatever
+	// others receive: the users ask for half.
+	content = 0.7
 	// levelAge is how old worked-out shares may be.
 	levelAge = 50 * time.Millisecond
 )
@@ -106,8 +114,7 @@
 			delete(s.peers, peer)
 			continue
 		}
-		use.Asked += p.uses[account].Asked
-		use.Admitted += p.uses[account].Admitted
+		use = use.plus(p.uses[account])
 	}
 	return use
 }
@@ -116,7 +123,7 @@
 type Levels struct {
 	Owed    float64 // out of the capacity that the accounts are promised together
 	Reached float64 // out of what the servers have taken lately, where that is more
-	Bound   float64 // beyond which an account leaves too far behind another one that wants as much
+	Bound   float64 // of Use.Lately, beyond which an account leaves too far behind another one that wants as much
 }
 
 // Levels returns the max-min fair shares of the accounts that ask now.
@@ -131,10 +138,7 @@
 			continue
 		}
 		for account, use := range p.uses {
-			sum := total[account]
-			sum.Asked += use.Asked
-			sum.Admitted += use.Admitted
-			total[account] = sum
+			total[account] = total[account].plus(use)
 		}
 	}
 	asked := make([]float64, 0, len(total))
@@ -145,18 +149,19 @@
 	}
 	promised := s.capacity * s.window.Seconds()
 	s.levels = Levels{Owed: MaxMin(asked, promised), Reached: MaxMin(asked, max(promised, admitted))}
-	s.levels.Bound = max(s.levels.Owed, maxLead*least(total, s.levels.Reached))
+	s.levels.Bound = max(s.levels.Owed/2, maxLead*least(total, s.levels.Reached))
 	s.levelsAt = now
 	return s.levels
 }
 
-// least returns what the account has received that received least of those that ask for more
-// than the level: infinity when there is none.
+// least returns what the account has received lately that received least of those that ask for
+// more than the level and don't get most of it: infinity when there is none. Over the whole window, one that has just
+// begun to flood would take all of the next seconds before it is ahead.
 func least(uses map[uint64]Use, level float64) float64 {
 	got := math.Inf(1)
 	for _, use := range uses {
-		if use.Asked > level {
-			got = min(got, use.Admitted)
+		if use.Asked > level && use.Admitted < content*use.Asked {
+			got = min(got, use.Lately)
 		}
 	}
 	return got
@@ -204,9 +209,12 @@
 func (r *ring) sum(index int64) Use {
 	var use Use
 	r.at(index)
-	for _, slot := range r.slots {
+	for i, slot := range r.slots {
 		use.Asked += slot.Asked
 		use.Admitted += slot.Admitted
+		if age := (index - int64(i)) % buckets; (age+buckets)%buckets < buckets/2 {
+			use.Lately += slot.Admitted
+		}
 	}
 	return use
 }
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -28,6 +28,7 @@
 			sum := entry(accounts, u.Account, &pb.AccountUse{Account: u.Account})
 			sum.Asked += u.Asked
 			sum.Admitted += u.Admitted
+			sum.Lately += u.Lately
 		}
 		for _, w := range v.Withdrawn {
 			if old, ok := withdrawn[w.Server]; !ok || old.Born < w.Born || (old.Born == w.Born && old.Sequence < w.Sequence) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -19,7 +19,9 @@
 		})
 	}
 	for hash, u := range v.Uses {
-		s.Accounts = append(s.Accounts, &pb.AccountUse{Account: hash, Asked: uint64(u.Asked), Admitted: uint64(u.Admitted)})
+		s.Accounts = append(s.Accounts, &pb.AccountUse{
+			Account: hash, Asked: uint64(u.Asked), Admitted: uint64(u.Admitted), Lately: uint64(u.Lately),
+		})
 	}
 	for _, p := range v.Placements {
 		s.Placements = append(s.Placements, &pb.Placement{Server: p.Server, Part: p.Part, Tokens: uint32(p.Tokens)})
@@ -60,7 +62,7 @@
 		}
 	}
 	for _, u := range s.Accounts {
-		v.Uses[u.Account] = admission.Use{Asked: float64(u.Asked), Admitted: float64(u.Admitted)}
+		v.Uses[u.Account] = admission.Use{Asked: float64(u.Asked), Admitted: float64(u.Admitted), Lately: float64(u.Lately)}
 	}
 	for _, p := range s.Placements {
 		v.Placements = append(v.Placements, placement.Placement{Server: p.Server, Part: p.Part, Tokens: int(p.Tokens)})
