Refuse unread connections with one system call less

Cause: a flooded daemon of 0.19 cores answers 5,000 connections a second unread, and each call counts. Change: no half-close (the answer says that the connection ends), answers built once. Ruled out: fewer looks at heads (they are there at the first look: 22 of 22,000 were not).

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -104,19 +104,25 @@
 	return float64(c.open.Load()) > crowdedShare*float64(c.limit)
 }
 
-// unreadRefusal returns the answer to callers that are refused unread. They are spread over
-// the mean time, so that they do not come back together.
-func unreadRefusal() []byte {
-	return forward.UnreadRefusal(result.DaemonFull, time.Duration((0.5+rand.Float64())*float64(unreadRetry)))
-}
+// unreadRefusals are the answers to callers that are refused unread. They are spread over the
+// mean time, so that callers do not come back together.
+var unreadRefusals = func() (answers [64][]byte) {
+	for i := range answers {
+		spread := 0.5 + float64(i)/float64(len(answers))
+		answers[i] = forward.UnreadRefusal(result.DaemonFull, time.Duration(spread*float64(unreadRetry)))
+	}
+	return answers
+}()
+
+// unreadRefusal returns one of them.
+func unreadRefusal() []byte { return unreadRefusals[rand.IntN(len(unreadRefusals))] }
 
 // refuse answers a connection without reading from it, and keeps it open for a while.
 func (c *connections) refuse(w waitingCaller) {
 	c.counted(w.account, w.tokens)
+	// The answer says that it is the last one on the connection; each system call less is a
+	// request more that is served.
 	_, err := w.Write(c.refusal())
-	if err == nil {
-		err = w.CloseWrite()
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refused == nil {
--- a/internal/gateway/incoming.go
+++ b/internal/gateway/incoming.go
@@ -12,8 +12,6 @@
 // incomingConn is a connection of a caller that has not been served yet.
 type incomingConn interface {
 	io.WriteCloser
-	// CloseWrite tells the caller that nothing follows.
-	CloseWrite() error
 	// peek returns the begin of the request without taking it from the connection, in the
 	// buffer; nothing when nothing has arrived.
 	peek(buffer []byte) []byte
@@ -32,13 +30,6 @@
 // runtimeConn is a connection that the runtime has accepted.
 type runtimeConn struct{ net.Conn }
 
-func (c runtimeConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil // the end is told by Close
-}
-
 func (c runtimeConn) peek(buffer []byte) (head []byte) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -63,9 +54,6 @@
 // Write implements incomingConn. The buffer of a new connection takes the answer whole.
 func (c rawConn) Write(b []byte) (int, error) { return syscall.Write(int(c), b) }
 
-// CloseWrite implements incomingConn.
-func (c rawConn) CloseWrite() error { return syscall.Shutdown(int(c), syscall.SHUT_WR) }
-
 // Close implements incomingConn.
 func (c rawConn) Close() error { return syscall.Close(int(c)) }
 
