--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -51,9 +51,9 @@
 const (
 	// peerTTL is how long the use that a peer reported counts.
 	peerTTL = 1500 * time.Millisecond
-	// maxLead is how many times as much an account may receive, beyond what all are owed, as
-	// another one that wants more than the level: the users ask that no one gets less than half
-	// of what the best served account gets, and requests under way blur both.
+	// maxLead is how many times as much an account may receive lately, beyond what all are owed,
+	// as another one that wants more than the level: the users ask that no one gets less than
+	// half of what the best served account gets, and requests under way blur both.
 	maxLead = 1.7
 	// content is the share of what it asks for with which an account is not left behind, whatever
 	// others receive: the users ask for half.
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -46,8 +46,8 @@
 
 // connections takes, counts and bounds the connections of callers. A daemon that accepts
 // more than it can hold is ended for its memory, and one that works on everything at once
-// answers everybody too late. Connections beyond what it can serve are refused without
-// reading a byte of them.
+// answers everybody too late. Connections beyond what it can serve are refused unread: their
+// requests are looked at for the account at most, and nothing of them is taken.
 type connections struct {
 	limit   int
 	refusal func() []byte                        // the whole answer for a connection that is refused unread
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -78,7 +78,8 @@
 		if l.pressed() {
 			l.acceptFresh()
 		}
-		if l.sort(time.Now()); len(l.fresh) > 0 {
+		l.classify(time.Now())
+		if len(l.fresh) > 0 {
 			time.Sleep(headPoll)
 			continue
 		}
@@ -100,9 +101,9 @@
 	}
 }
 
-// sort places the connections whose requests have arrived, and those that have waited for it
-// for too long.
-func (l *orderlyListener) sort(now time.Time) {
+// classify places the connections whose requests have arrived, and those that have waited for
+// it for too long.
+func (l *orderlyListener) classify(now time.Time) {
 	kept := l.fresh[:0]
 	for _, w := range l.fresh {
 		head := w.conn.peek(l.head)
