--- a/internal/pilot/load_test.go
+++ b/internal/pilot/load_test.go
@@ -235,8 +235,7 @@
 }
 
 // Plain requests do not all go to the server that had the least load when the daemons last heard
-// of it: at 280 a second of 800 that the servers can answer, and at 600 (yushan-rounds-grown, mix
-// --seed 173776354103: half of the order-posts were late or refused).
+// of it: at 280 a second of 800 that the servers can answer, and at 600.
 func TestPlainRequestsSpreadOnOldKnowledge(t *testing.T) {
 	assert.LessOrEqual(t, playPlain(t, 280), 0.01)
 	assert.LessOrEqual(t, playPlain(t, 600), 0.05)
