Log what an admission decision is based on

The log of a request told the usage and levels only when it was refused, and never the cost of the request, the recent usage, its limit and the age of the peers' reports.

Each request of an engine now has the attribute admission: cost, demand, usage, recent usage, levels, limit, load delay, the allowed one, and the age of the oldest report. No decision changes.

Tests of admission, scheduler, forward and platform pass. The cost of the longer line was not measured.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -66,6 +66,7 @@
 	Usage          Usage         // of the account over the fleet, without this request
 	Levels         Levels        // over the fleet
 	Window         time.Duration // fairness window that Usage and Levels cover
+	ReportAge      time.Duration // of the oldest peer report in Usage and Levels; for logs only
 	Jitter         float64       // in [0, 1), spreads the retries of refused callers
 }
 
@@ -126,6 +127,17 @@
 	return (in.Predicted - in.PredictedIdle).Seconds() + in.SlotOccupancy*prefill.Seconds()
 }
 
+// LoadDelay returns the delay that the request meets and causes at its server.
+func (in Input) LoadDelay() time.Duration {
+	return time.Duration(in.loadDelay() * float64(time.Second))
+}
+
+// AllowedLoadDelay returns the LoadDelay above which the request is refused as beyond the share of
+// its account.
+func (in Input) AllowedLoadDelay() time.Duration {
+	return time.Duration(in.loadDelayAllowance() * float64(in.Objective))
+}
+
 // capacityWait returns the time until the backlog of the best server falls to retryObjectiveRatio
 // of the objective.
 func (in Input) capacityWait() time.Duration {
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -122,6 +122,17 @@
 	return usage
 }
 
+// ReportAge returns the time since the oldest peer report that counts was received.
+func (s *Shares) ReportAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, p := range s.peers {
+		if age := now.Sub(p.receivedAt); age <= peerUsageTTL {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // Levels are max-min fair levels: the most tokens per window that an account receives while other
 // accounts have unmet demand. They are infinite when no account has.
 type Levels struct {
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/admission"
@@ -29,6 +31,9 @@
 	c.decidedAt = time.Now()
 	decision := h.Scheduler.Decide(c.schedulerRequest(), c.decidedAt)
 	c.choice = decision.Choice
+	if decision.Found && c.route.Engine {
+		c.admission = &admissionRecord{decision.Cost, decision.Input}
+	}
 	switch {
 	case !decision.Found:
 		return result.New(result.NoServerJoined, "no backend server is ready").WithRetryAfter(defaultRetryAfter)
@@ -56,6 +61,21 @@
 	}
 }
 
+// admissionRecord describes an admission decision in the log. Summed over the logs of all daemons,
+// the costs of the admitted requests are the true usage that the believed one is compared with.
+type admissionRecord struct {
+	cost  float64
+	input admission.Input
+}
+
+// LogValue implements slog.LogValuer.
+func (a *admissionRecord) LogValue() slog.Value {
+	in := &a.input
+	return slog.StringValue(fmt.Sprintf("cost=%.0f demand=%.0f usage=%.0f recent=%.0f guaranteed=%.0f attained=%.0f limit=%.0f delay=%v allowed=%v reportage=%v",
+		a.cost, in.Usage.Demand, in.Usage.Admitted, in.Usage.RecentAdmitted, in.Levels.Guaranteed, in.Levels.Attained, in.Levels.RecentLimit,
+		in.LoadDelay().Round(time.Microsecond), in.AllowedLoadDelay().Round(time.Microsecond), in.ReportAge))
+}
+
 // refusalError returns the result of a request that is refused because of the load, with the input
 // of the decision in its text.
 func refusalError(code result.Code, d scheduler.Decision) error {
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -47,6 +47,9 @@
 	if c.config != nil {
 		attrs = append(attrs, slog.Uint64("config", c.config.Version))
 	}
+	if c.admission != nil {
+		attrs = append(attrs, slog.Any("admission", c.admission))
+	}
 	for i, a := range c.attempts {
 		attrs = append(attrs, slog.Any("attempt"+strconv.Itoa(i+1), a))
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -50,6 +50,7 @@
 	Found   bool // false when no backend server is ready
 	Verdict admission.Verdict
 	Input   admission.Input // of the verdict
+	Cost    float64         // of the request, see RequestCost
 }
 
 // Options are the settings of a Scheduler.
@@ -191,6 +192,7 @@
 	if d.Verdict.Reason == admission.Admitted && r.Engine {
 		s.shares.RecordAdmitted(account, cost, now)
 	}
+	d.Cost = cost
 	return d
 }
 
@@ -207,6 +209,7 @@
 		Usage:          s.shares.Usage(account, now),
 		Levels:         s.shares.Levels(now),
 		Window:         s.options.FairWindow,
+		ReportAge:      s.shares.ReportAge(now),
 		Jitter:         rand.Float64(),
 	}
 	return Decision{Choice: choice, Found: true, Verdict: admission.Decide(input), Input: input}
