--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -137,6 +137,49 @@
 	assert.Greater(t, ratio(pinned.Tokens, spread.Tokens), 0.5)
 }
 
+// newPinnedFlood returns a simulation in which the account "pinned" sends all requests to one daemon
+// that can process a small part of them, while three floods that begin at different times are spread
+// over all daemons, and engines crash and return idle.
+func newPinnedFlood(seed uint64, daemons int, capacity float64) *simulation.Simulation {
+	const perDaemon = 12 * time.Millisecond // views are sent less often in a larger fleet
+	s := simulation.New(simulation.Options{
+		Daemons: daemons, Engines: 20, EngineSpec: simulation.BenchmarkedEngine(), Policy: simulation.Product, Seed: seed,
+		ViewInterval: min(time.Duration(daemons)*perDaemon, 250*time.Millisecond), ViewDelay: 100 * time.Millisecond,
+		DaemonCapacity: func(daemon int) float64 {
+			if daemon == 0 {
+				return capacity
+			}
+			return 0
+		},
+	})
+	at := func(second float64) time.Time {
+		return simulation.Start.Add(time.Duration(second * float64(time.Second)))
+	}
+	for i := range 8 {
+		s.Poisson(fmt.Sprint("calm", i), 4, daemons, simulation.Start, 20*time.Second)
+	}
+	s.Poisson("pinned", 500, 1, at(1), 19*time.Second)
+	s.Poisson("flood0", 200, daemons, at(3), 17*time.Second)
+	s.Poisson("flood1", 400, daemons, at(7), 13*time.Second)
+	s.Poisson("flood2", 800, daemons, at(10), 10*time.Second)
+	s.Outage(at(11), 2*time.Second, 5)
+	return s
+}
+
+func TestAccountAtSlowDaemonReceivesHalfOfBestServedDuringFloods(t *testing.T) {
+	for _, daemons := range []int{7, 30} {
+		for _, capacity := range []float64{40, 80} {
+			for seed := range uint64(3) {
+				s := newPinnedFlood(seed+1, daemons, capacity)
+				s.Run(20 * time.Second)
+				gap := s.Shares.LargestGap(2, 20)
+				t.Logf("%d daemons, %v requests/s, seed %d: %v; admitted %.1f million", daemons, capacity, seed+1, gap, s.Shares.Admitted()/1e6)
+				assert.GreaterOrEqual(t, gap.Ratio, 0.5)
+			}
+		}
+	}
+}
+
 // Half of all requests share one prompt prefix, more than the server with the cached prefix can
 // serve. Other servers fetch the prefix instead of processing it again.
 func TestPopularPrefixIsFetched(t *testing.T) {
--- a/test/simulation/loads.go
+++ b/test/simulation/loads.go
@@ -101,7 +101,7 @@
 		{"crash", "8 accounts with 16 requests/s each; three engines do not respond in the middle third, detected after 1 s", func(s *Simulation, d time.Duration) {
 			s.allAccounts(16, d, constantRate)
 			start, length := middleThird(d)
-			s.outage(start, length, 3)
+			s.Outage(start, length, 3)
 		}},
 		{"scale-in", "8 accounts with 16 requests/s each; three engines are removed at half time", func(s *Simulation, d time.Duration) {
 			s.allAccounts(16, d, constantRate)
@@ -110,9 +110,9 @@
 	}
 }
 
-// outage makes the first engines unresponsive for the given length. They lose their caches. The
+// Outage makes the first engines unresponsive for the given length. They lose their caches. The
 // daemons stop using them after 1 s, and use them again at the end.
-func (s *Simulation) outage(start time.Time, length time.Duration, engines int) {
+func (s *Simulation) Outage(start time.Time, length time.Duration, engines int) {
 	all := s.readyServers
 	setUnresponsive := func(unresponsive bool) func(time.Time) {
 		return func(time.Time) {
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -89,6 +89,11 @@
 	// ObservationDelay returns how much later an overloaded daemon observes a first event. It
 	// may be nil.
 	ObservationDelay func(daemon int, now time.Time) time.Duration
+	// DaemonCapacity returns the requests per second that a daemon has the processor time for.
+	// It refuses further ones unread. 0 stands for any number. It may be nil.
+	DaemonCapacity func(daemon int) float64
+	// ViewInterval and ViewDelay replace viewInterval and viewDelay if they are not 0.
+	ViewInterval, ViewDelay time.Duration
 }
 
 // Simulation runs scheduled requests and faults on a model of a fleet. It is not safe for
@@ -104,11 +109,14 @@
 	schedulers   []*scheduler.Scheduler
 	config       *routing.Config
 	inFlight     []map[string]int // requests in flight, by daemon and engine
+	freeAt       []time.Time      // by daemon, when it has processed earlier requests, see Options.DaemonCapacity
 
 	// ByAccount holds the results by account.
 	ByAccount map[string]*Results
 	// BySecond holds the results by second of the simulation in which requests were sent.
 	BySecond []Results
+	// Shares holds what each account asked for and received by second.
+	Shares ShareLog
 	// RecomputedTokens is the number of tokens of shared parts that engines processed although a
 	// request with the same prefix had been processed before.
 	RecomputedTokens int
@@ -119,7 +127,14 @@
 func New(o Options) *Simulation {
 	s := &Simulation{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), engines: map[string]*engine{},
-		ByAccount: map[string]*Results{}, prefilled: map[uint64]bool{},
+		ByAccount: map[string]*Results{}, Shares: ShareLog{}, prefilled: map[uint64]bool{},
+		freeAt: make([]time.Time, o.Daemons),
+	}
+	if o.ViewInterval == 0 {
+		s.options.ViewInterval = viewInterval
+	}
+	if o.ViewDelay == 0 {
+		s.options.ViewDelay = viewDelay
 	}
 	// Build fails only for invalid routes, and there are none.
 	s.config, _ = routing.Build(routing.Config{
@@ -155,10 +170,10 @@
 // plus callerTimeout.
 func (s *Simulation) Run(length time.Duration) {
 	for i, sched := range s.schedulers {
-		for t := Start; t.Before(Start.Add(length + callerTimeout)); t = t.Add(viewInterval) {
+		for t := Start; t.Before(Start.Add(length + callerTimeout)); t = t.Add(s.options.ViewInterval) {
 			s.At(t.Add(time.Duration(i)*time.Millisecond), func(now time.Time) {
 				view := sched.View(now)
-				s.At(now.Add(viewDelay), func(now time.Time) {
+				s.At(now.Add(s.options.ViewDelay), func(now time.Time) {
 					for j, other := range s.schedulers {
 						if j != i {
 							other.SetPeer(fmt.Sprint("d", i), view, now)
@@ -200,7 +215,16 @@
 // attempt.
 func (s *Simulation) attempt(request scheduler.Request, daemon int, sentAt, now time.Time, retriesLeft int) {
 	sched := s.schedulers[daemon]
-	choice, refused, retryAfter := s.choose(request, daemon, now)
+	cost := scheduler.RequestCost(request.PromptTokens, request.OutputTokens)
+	var choice placement.Choice
+	var retryAfter time.Duration
+	refused := !s.acceptRequest(daemon, now)
+	if refused {
+		sched.RecordDemand(request.Account, cost, now)
+	} else {
+		choice, refused, retryAfter = s.choose(request, daemon, now)
+	}
+	s.Shares.record(request.Account, now, cost, !refused)
 	if refused {
 		if retryAt := now.Add(max(retryAfter, minRetryDelay)); retriesLeft > 0 && retryAt.Before(request.Deadline) {
 			s.At(retryAt, func(now time.Time) { s.attempt(request, daemon, sentAt, now, retriesLeft-1) })
@@ -247,6 +271,18 @@
 	})
 }
 
+// acceptRequest reports whether the daemon has processor time for a request that arrives now.
+func (s *Simulation) acceptRequest(daemon int, now time.Time) bool {
+	if s.options.DaemonCapacity == nil || s.options.DaemonCapacity(daemon) == 0 {
+		return true
+	}
+	if s.freeAt[daemon].After(now) {
+		return false
+	}
+	s.freeAt[daemon] = now.Add(time.Duration(float64(time.Second) / s.options.DaemonCapacity(daemon)))
+	return true
+}
+
 // choose decides on the request by the policy of the simulation.
 func (s *Simulation) choose(request scheduler.Request, daemon int, now time.Time) (choice placement.Choice, refused bool, retryAfter time.Duration) {
 	switch s.options.Policy {
