Bound the lead over underserved accounts at all servers

Change: the limit holds at idle servers, too. It bounds rates since accounts compete, so that a series of floods doesn't set back those that began earlier. Each daemon paces its part of the limit, in proportion to the demand that arrives there, and pays off what a large request exceeds. The ratio is derived from the requirement (2 over 1.5 windows) and the delay of the measurement.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -19,10 +19,6 @@
 	// idle servers available to accounts however far they exceed the attained level.
 	maxAllowanceFactor = 5
 	minAllowanceFactor = 0.3
-	// leadAllowanceFactor replaces minAllowanceFactor for accounts beyond Levels.RecentLimit; it
-	// leaves them only servers without other requests. Lowering the factor gradually beyond the
-	// limit let accounts exceed the limit by a factor of 1.4.
-	leadAllowanceFactor = 0.1
 	// maxObjectiveRatio is the predicted share of the objective above which every request is
 	// refused: it would miss the objective and delay the requests queued after it. The remaining
 	// 0.05 covers prediction errors.
@@ -64,6 +60,10 @@
 	SlotOccupancy  float64       // share of the best server's slots that are in use
 	TimeToDeadline time.Duration // until the caller's deadline
 	Usage          Usage         // of the account over the fleet, without this request
+	Own            Usage         // part of Usage at this daemon
+	DemandShare    float64       // part of the account's demand that arrives at this daemon
+	Credit         float64       // tokens that the account may receive here, see Shares.Credit
+	CreditRate     float64       // tokens per second: this daemon's part of Levels.Limit
 	Levels         Levels        // over the fleet
 	Window         time.Duration // fairness window that Usage and Levels cover
 	ReportAge      time.Duration // of the oldest peer report in Usage and Levels; for logs only
@@ -84,9 +84,7 @@
 	case ratio > maxObjectiveRatio && in.loadDelay() > minLateLoadDelay*in.Objective.Seconds():
 		return Verdict{TooLate, in.retryAfter(in.capacityWait())}
 	case in.loadDelay() > in.loadDelayAllowance()*in.Objective.Seconds():
-		excess := max(0, in.Usage.Admitted/in.Levels.Attained-1)
-		wait := time.Duration(excess * float64(in.Window))
-		return Verdict{OverShare, in.retryAfter(max(wait, in.capacityWait()))}
+		return Verdict{OverShare, in.retryAfter(max(in.shareWait(), in.capacityWait()))}
 	default:
 		return Verdict{Reason: Admitted}
 	}
@@ -104,20 +102,37 @@
 // within its guaranteed level is bounded only by the objective. Only earlier usage counts, not
 // the request itself (start-time fair queueing, Goyal et al. 1996): otherwise an account that
 // sends only requests larger than its share would never be served. Beyond the guaranteed level
-// the allowance falls as the account's usage grows relative to the attained level. It falls
-// sharply when another account with as much demand is far behind, for instance because its daemon
-// is overloaded.
+// the allowance falls as the account's usage grows relative to the attained level. Beyond the limit
+// it is negative, which excludes idle servers, too: what an account receives there counts like the
+// rest.
 func (in Input) loadDelayAllowance() float64 {
-	if in.Usage.Admitted <= in.Levels.Guaranteed {
+	switch {
+	case in.withinGuaranteedDemand():
+		return 1
+	case in.beyondLimit():
+		return -1
+	case in.Usage.Admitted <= in.Levels.Guaranteed:
 		return 1
-	}
-	if in.Usage.RecentAdmitted > in.Levels.RecentLimit {
-		return overShareLoadDelay * leadAllowanceFactor
 	}
 	return overShareLoadDelay * min(max(math.Pow(in.Levels.Attained/in.Usage.Admitted, allowanceExponent),
 		minAllowanceFactor), maxAllowanceFactor)
 }
 
+// withinGuaranteedDemand reports whether all demand of the account fits its guaranteed level, so that
+// it can't exceed a limit. The part of this daemon is compared, too, since peers report the begin of
+// a flood late.
+func (in Input) withinGuaranteedDemand() bool {
+	return in.Usage.Demand <= in.Levels.Guaranteed && in.Own.Demand <= in.DemandShare*in.Levels.Guaranteed
+}
+
+// beyondLimit reports whether the account has received more than Levels.Limit over the fleet, or more
+// than this daemon's part of it. The usage over the fleet is known with a delay, in which all daemons
+// together could exceed the limit several times. Parts follow the demand (distributed rate limiting,
+// Raghavan et al. 2007).
+func (in Input) beyondLimit() bool {
+	return in.Usage.rate() > in.Levels.Limit || in.Credit <= 0
+}
+
 // loadDelay returns the delay in seconds that the request meets and causes: what the server's
 // load adds to the prediction, plus the prefill of the request's own prompt (up to
 // maxPrefillShare) weighted by slot occupancy. On an idle server it is zero, however large the
@@ -138,6 +153,17 @@
 	return time.Duration(in.loadDelayAllowance() * float64(in.Objective))
 }
 
+// shareWait returns the time until the account has a share again: the part of the window that its
+// excess over the attained level or the limit fills, or the time until its debt is paid off.
+func (in Input) shareWait() time.Duration {
+	excess := max(0, in.Usage.Admitted/in.Levels.Attained-1, in.Usage.rate()/in.Levels.Limit-1)
+	wait := excess * in.Window.Seconds()
+	if in.Credit < 0 {
+		wait = max(wait, -in.Credit/in.CreditRate)
+	}
+	return time.Duration(min(wait, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // capacityWait returns the time until the backlog of the best server falls to retryObjectiveRatio
 // of the objective.
 func (in Input) capacityWait() time.Duration {
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -18,7 +18,9 @@
 		Prefill:        40 * ms,
 		Objective:      400 * ms,
 		TimeToDeadline: 10 * time.Second,
-		Levels:         Levels{Guaranteed: 10_000, Attained: 20_000, RecentLimit: math.Inf(1)},
+		DemandShare:    1,
+		Credit:         math.Inf(1),
+		Levels:         Levels{Guaranteed: 10_000, Attained: 20_000, Limit: math.Inf(1)},
 		Window:         4 * time.Second,
 	}
 }
@@ -76,45 +78,121 @@
 	assert.Positive(t, beyond)
 }
 
-// An account far ahead of an underserved one yields until that one has caught up, except on idle
-// servers.
+// An account far ahead of an underserved one yields until that one has caught up, at idle servers,
+// too: what it receives there counts for the requirement like the rest.
 func TestLeadOverUnderservedAccountIsBounded(t *testing.T) {
 	in := idleInput()
 	in.SlotOccupancy, in.Predicted = 0.1, in.PredictedIdle+12*ms
-	in.Usage = Usage{Demand: 50_000, Admitted: 25_000, RecentAdmitted: 16_000}
+	in.Usage = Usage{Demand: 50_000, Admitted: 25_000}
 	assert.Equal(t, Admitted, Decide(in).Reason)
-	in.Levels.RecentLimit = 15_000
+	in.Levels.Limit = 24_000
 	assert.Equal(t, OverShare, Decide(in).Reason)
 	in.SlotOccupancy, in.Predicted = 0, in.PredictedIdle
-	assert.Equal(t, Admitted, Decide(in).Reason, "idle servers serve everyone")
+	assert.Equal(t, OverShare, Decide(in).Reason)
+	in.Levels.Limit = 26_000
+	assert.Equal(t, Admitted, Decide(in).Reason)
+	in.Credit = -1
+	assert.Equal(t, OverShare, Decide(in).Reason, "the daemon has used its part of the limit")
+}
+
+// Limits don't concern accounts whose demand is within the guaranteed level.
+func TestSmallAccountIsNotLimited(t *testing.T) {
+	in := idleInput()
+	in.Usage, in.Own = Usage{Demand: 9000, Admitted: 9000}, Usage{Demand: 5000, Admitted: 5000}
+	in.Levels.Limit, in.Credit = in.Levels.Guaranteed, -1
+	assert.Equal(t, Admitted, Decide(in).Reason)
+	in.DemandShare = 0.1 // peers have not reported the demand of a flood that has just begun yet
+	assert.Equal(t, OverShare, Decide(in).Reason)
 }
 
-func TestRecentLimitFollowsLeastServedAccount(t *testing.T) {
+// unmetFor is the Usage.UnmetBuckets of an account that is refused since so many quarters.
+func unmetFor(quarters int) uint8 { return uint8(1<<(quarters*bucketsPerQuarter) - 1) }
+
+func TestLimitFollowsLeastServedAccount(t *testing.T) {
 	now := time.Unix(1000, 0)
-	newSharesWith := func(usage map[uint64]Usage) *Shares {
+	levelsOf := func(usage map[uint64]Usage) Levels {
 		s := NewShares(4 * time.Second)
 		s.SetCapacity(1000)
-		for account, u := range usage {
-			s.RecordDemand(account, u.Demand, now)
-			s.RecordAdmitted(account, u.Admitted, now)
+		s.SetPeerUsage("peer", usage, now)
+		return s.Levels(now)
+	}
+	quarters := func(tokens ...float64) (q [quarterCount]float64) {
+		copy(q[:], tokens)
+		return q
+	}
+	largest := Usage{Demand: 30_000, Admitted: 6000, Quarters: quarters(1500, 1500, 1500, 1500), UnmetBuckets: unmetFor(4)}
+	behind := Usage{Demand: 9000, Admitted: 2500, Quarters: quarters(700, 600, 600, 600), UnmetBuckets: unmetFor(4)}
+	small := Usage{Demand: 300, Admitted: 100, UnmetBuckets: unmetFor(4)}
+	assert.InDelta(t, maxLeadRatio*2500, levelsOf(map[uint64]Usage{1: largest, 2: behind, 3: small}).Limit, 1e-9,
+		"an account with little demand sets no limit")
+
+	satisfied := Usage{Demand: 5000, Admitted: 4000, UnmetBuckets: unmetFor(4)}
+	assert.Equal(t, maxLeadRatio*6000, levelsOf(map[uint64]Usage{1: largest, 2: satisfied}).Limit,
+		"an account that gets most of its demand sets no limit")
+
+	begun := Usage{Demand: 9000, Admitted: 1000, Quarters: quarters(1000), UnmetBuckets: unmetFor(1)}
+	assert.Equal(t, maxLeadRatio*6000, levelsOf(map[uint64]Usage{1: largest, 2: begun}).Limit,
+		"an account that has just begun sets no limit")
+	begun = Usage{Demand: 9000, Admitted: 1500, Quarters: quarters(500, 1000), UnmetBuckets: unmetFor(2)}
+	assert.InDelta(t, maxLeadRatio*3000, levelsOf(map[uint64]Usage{1: largest, 2: begun}).Limit, 1e-9,
+		"what others received before it began does not count")
+
+	starved := Usage{Demand: 9000, Admitted: 100, Quarters: quarters(25, 25, 25, 25), UnmetBuckets: unmetFor(4)}
+	levels := levelsOf(map[uint64]Usage{1: largest, 2: starved})
+	assert.InDelta(t, levels.Guaranteed, levels.Limit, 1e-9, "no account yields below the guaranteed level")
+}
+
+func TestUnmetBuckets(t *testing.T) {
+	s := NewShares(4 * time.Second)
+	now := time.Unix(1000, 0)
+	bucket := 4 * time.Second / bucketCount
+	for i := range 6 {
+		at := now.Add(time.Duration(i) * bucket)
+		s.RecordDemand(1, 100, at)
+		if i != 3 { // nothing is refused in this bucket
+			s.RecordAdmitted(1, 60, at)
+			continue
 		}
-		return s
+		s.RecordAdmitted(1, 100, at)
 	}
-	s := newSharesWith(map[uint64]Usage{
-		1: {Demand: 9000, Admitted: 6000},
-		2: {Demand: 9000, Admitted: 2500}, // its daemon can't send more
-		3: {Demand: 300, Admitted: 100},   // demand is below the level, so it doesn't count as underserved
-	})
-	assert.InDelta(t, maxLeadRatio*2500, s.Levels(now).RecentLimit, 1e-9)
-
-	now = now.Add(2 * time.Second) // the usage above is now in the older half of the window
-	s.RecordAdmitted(1, 500, now)
-	s.RecordAdmitted(2, 400, now)
-	levels := s.Levels(now)
-	assert.InDelta(t, levels.Guaranteed/2, levels.RecentLimit, 1e-9, "no account yields below half of the guaranteed level")
+	usage := s.Usage(1, now.Add(5*bucket))
+	assert.Equal(t, uint8(0b111011), usage.UnmetBuckets)
+	assert.Equal(t, 3, usage.unmetQuarters())
+	assert.InDelta(t, 400.0/3*4, usage.rate(), 1e-9)
+	assert.Equal(t, [quarterCount]float64{120, 160, 120, 0}, usage.Quarters)
+}
+
+// Summed over all daemons, the parts of the demand are 1 although each daemon knows its own demand
+// earlier than that of its peers.
+func TestDemandShareLeavesOutUnreportedDemand(t *testing.T) {
+	s := NewShares(4 * time.Second)
+	now := time.Unix(1000, 0)
+	_, ok := s.DemandShare(1, now)
+	assert.False(t, ok)
+	s.RecordDemand(1, 100, now)
+	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 300}}, now.Add(time.Second))
+	share, ok := s.DemandShare(1, now.Add(time.Second))
+	assert.True(t, ok)
+	assert.InDelta(t, 0.25, share, 1e-9)
+	s.RecordDemand(1, 5000, now.Add(time.Second))
+	share, _ = s.DemandShare(1, now.Add(time.Second))
+	assert.InDelta(t, 0.25, share, 1e-9)
+}
 
-	s = newSharesWith(map[uint64]Usage{1: {Demand: 9000, Admitted: 6000}, 2: {Demand: 3000, Admitted: 2500}})
-	assert.Greater(t, s.Levels(now).RecentLimit, 6000.0, "an account that gets most of its demand does not limit others")
+func TestCreditBoundsRateAndCarriesDebt(t *testing.T) {
+	s := NewShares(4 * time.Second)
+	now := time.Unix(1000, 0)
+	admitted, rate := 0.0, 1000.0
+	for range 600 { // 6 s
+		if s.Credit(1, rate, now) > 0 {
+			s.RecordAdmitted(1, 700, now)
+			admitted += 700
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	assert.InDelta(t, 6*rate, admitted, rate*pacerBurst.Seconds()+700)
+	assert.Equal(t, math.Inf(1), s.Credit(1, math.Inf(1), now))
+	assert.InDelta(t, rate*pacerBurst.Seconds(), s.Credit(1, rate, now), 1e-9, "without a limit no debt is kept")
 }
 
 func TestRetryAfterIsWithinDeadline(t *testing.T) {
@@ -140,10 +218,10 @@
 	s.RecordDemand(1, 100, now)
 	s.RecordAdmitted(1, 60, now)
 	s.SetPeerUsage("b", map[uint64]Usage{1: {Demand: 50, Admitted: 10}}, now)
-	assert.Equal(t, Usage{Demand: 150, Admitted: 70, RecentAdmitted: 60}, s.Usage(1, now))
+	assert.Equal(t, Usage{Demand: 150, Admitted: 70, Quarters: [quarterCount]float64{60}, UnmetBuckets: 1}, s.Usage(1, now))
 
 	now = now.Add(2 * time.Second) // the peer's report has expired
-	assert.Equal(t, Usage{Demand: 100, Admitted: 60}, s.Usage(1, now))
+	assert.Equal(t, Usage{Demand: 100, Admitted: 60, Quarters: [quarterCount]float64{0, 0, 60}, UnmetBuckets: 1 << 4}, s.Usage(1, now))
 	now = now.Add(3 * time.Second) // the window has passed
 	assert.Equal(t, Usage{}, s.Usage(1, now))
 }
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -11,18 +11,64 @@
 	"github.com/filbertrill/filbertrill/internal/monotonic"
 )
 
-// bucketCount is the number of buckets of a sliding window.
-const bucketCount = 8
+const (
+	// bucketCount is the number of buckets of a sliding window.
+	bucketCount       = 8
+	quarterCount      = 4
+	bucketsPerQuarter = bucketCount / quarterCount
+)
 
 // Usage is what an account demanded and received over the window, in tokens.
 type Usage struct {
-	Demand         float64
-	Admitted       float64
-	RecentAdmitted float64 // part of Admitted received in the second half of the window
+	Demand   float64
+	Admitted float64
+	// Quarters are the parts of Admitted received in each quarter of the window, the newest first.
+	Quarters [quarterCount]float64
+	// UnmetBuckets has bit i set if the account was refused in the bucket i before the newest.
+	UnmetBuckets uint8
 }
 
 func (u Usage) plus(other Usage) Usage {
-	return Usage{u.Demand + other.Demand, u.Admitted + other.Admitted, u.RecentAdmitted + other.RecentAdmitted}
+	u.Demand += other.Demand
+	u.Admitted += other.Admitted
+	for i := range u.Quarters {
+		u.Quarters[i] += other.Quarters[i]
+	}
+	u.UnmetBuckets |= other.UnmetBuckets
+	return u
+}
+
+// unmetQuarters returns the number of quarters of the window, counted back from now, in each of
+// which the account was refused.
+func (u Usage) unmetQuarters() int {
+	const quarterMask = 1<<bucketsPerQuarter - 1
+	quarters := 0
+	for quarters < quarterCount && u.UnmetBuckets>>(quarters*bucketsPerQuarter)&quarterMask != 0 {
+		quarters++
+	}
+	return quarters
+}
+
+// rate returns the tokens per window that the account receives. For an account that was refused
+// since less than a window it is taken over that time only: service is compared while accounts
+// compete (start-time fair queueing, Goyal et al. 1996). What they received before, or did not ask
+// for, counts for nothing.
+func (u Usage) rate() float64 {
+	quarters := u.unmetQuarters()
+	if quarters == 0 || quarters == quarterCount {
+		return u.Admitted
+	}
+	sum := 0.0
+	for _, admitted := range u.Quarters[:quarters] {
+		sum += admitted
+	}
+	return sum * quarterCount / float64(quarters)
+}
+
+// underserved reports whether the account was refused for half a window or longer, receives less
+// than satisfiedShare of its demand, and the guaranteed level is not enough for half of it.
+func (u Usage) underserved(guaranteed float64) bool {
+	return u.unmetQuarters() >= 2 && u.Demand > 2*guaranteed && u.Admitted < satisfiedShare*u.Demand
 }
 
 // Shares tracks the usage of accounts over a sliding window, both of this daemon and as reported
@@ -32,6 +78,7 @@
 	window   time.Duration
 	capacity float64               // tokens per second
 	accounts map[uint64]*usageRing // usage of this daemon
+	pacers   map[uint64]*pacer     // of this daemon, see Credit
 	peers    map[string]peerUsage
 
 	levels           Levels
@@ -53,10 +100,10 @@
 const (
 	// peerUsageTTL is how long a peer's usage report counts.
 	peerUsageTTL = 1500 * time.Millisecond
-	// maxLeadRatio bounds the RecentAdmitted of an account relative to that of the least served
-	// account with unmet demand. The requirement is that no account receives less than half of
-	// what the best served one does; requests in flight blur both figures, hence 1.7 instead of 2.
-	maxLeadRatio = 1.7
+	// maxLeadRatio bounds the rate of an account relative to that of the least served account with
+	// unmet demand. The requirement is a ratio of at most 2 over 1.5 windows. Rates are means over
+	// a window, so that a limit follows a change late by half a window: 2 / (1 + 0.5/1.5).
+	maxLeadRatio = 1.5
 	// satisfiedShare is the share of its demand that an account must receive to count as served,
 	// whatever others receive. The requirement is half.
 	satisfiedShare = 0.7
@@ -69,6 +116,7 @@
 	return &Shares{
 		window:   window,
 		accounts: make(map[uint64]*usageRing),
+		pacers:   make(map[uint64]*pacer),
 		peers:    make(map[string]peerUsage),
 	}
 }
@@ -84,6 +132,9 @@
 // RecordAdmitted adds the tokens of a request that is sent to a server.
 func (s *Shares) RecordAdmitted(account uint64, tokens float64, now time.Time) {
 	s.accountRing(account).bucketAt(s.bucketIndex(now)).Admitted += tokens
+	if p, ok := s.pacers[account]; ok {
+		p.credit -= tokens
+	}
 }
 
 // SetPeerUsage replaces the usage by account that the peer reported. The map must not be changed
@@ -101,6 +152,7 @@
 			usage[account] = sum
 		} else {
 			delete(s.accounts, account)
+			delete(s.pacers, account)
 		}
 	}
 	return usage
@@ -133,12 +185,59 @@
 	return oldest
 }
 
+// DemandShare returns the part of the demand of the account over the fleet that arrives at this
+// daemon. The newest bucket is left out, since the reports of peers don't contain it yet: otherwise
+// each daemon would take a flood that has just begun for its own alone. ok is false if no demand is
+// known.
+func (s *Shares) DemandShare(account uint64, now time.Time) (share float64, ok bool) {
+	own, peers := 0.0, 0.0
+	if r, ok := s.accounts[account]; ok {
+		index := s.bucketIndex(now)
+		own = r.sum(index).Demand - r.bucketAt(index).Demand
+	}
+	for _, p := range s.peers {
+		if now.Sub(p.receivedAt) <= peerUsageTTL {
+			peers += p.usage[account].Demand
+		}
+	}
+	if own == 0 {
+		return 0, false
+	}
+	return own / (own + peers), true
+}
+
+// OwnUsageOf returns the usage of the account at this daemon alone.
+func (s *Shares) OwnUsageOf(account uint64, now time.Time) Usage {
+	if r, ok := s.accounts[account]; ok {
+		return r.sum(s.bucketIndex(now))
+	}
+	return Usage{}
+}
+
+// Credit returns the tokens that the account may still receive from this daemon at the rate, in
+// tokens per second. It is infinite if the rate is.
+func (s *Shares) Credit(account uint64, rate float64, now time.Time) float64 {
+	p, ok := s.pacers[account]
+	switch {
+	case math.IsInf(rate, 1):
+		delete(s.pacers, account)
+		return rate
+	case !ok:
+		p = &pacer{credit: rate * pacerBurst.Seconds(), updatedAt: now}
+		s.pacers[account] = p
+	}
+	p.accrue(rate, now)
+	return p.credit
+}
+
 // Levels are max-min fair levels: the most tokens per window that an account receives while other
 // accounts have unmet demand. They are infinite when no account has.
 type Levels struct {
-	Guaranteed  float64 // from the configured capacity
-	Attained    float64 // from the tokens admitted over the window, if they exceed that capacity
-	RecentLimit float64 // of Usage.RecentAdmitted; accounts beyond it yield to underserved ones
+	Guaranteed float64 // from the configured capacity
+	Attained   float64 // from the tokens admitted over the window, if they exceed that capacity
+	// Limit bounds the Usage.rate of all accounts while others are underserved. It is never
+	// below Guaranteed.
+	Limit float64
 }
 
 // Levels returns the levels of the accounts with demand in the window; it recomputes them at most
@@ -165,20 +264,17 @@
 	}
 	guaranteed := s.capacity * s.window.Seconds()
 	s.levels = Levels{Guaranteed: MaxMinLevel(demands, guaranteed), Attained: MaxMinLevel(demands, max(guaranteed, admitted))}
-	s.levels.RecentLimit = max(s.levels.Guaranteed/2, maxLeadRatio*leastServed(total, s.levels.Attained))
+	s.levels.Limit = max(s.levels.Guaranteed, maxLeadRatio*leastServed(total, s.levels.Guaranteed))
 	s.levelsComputedAt = now
 	return s.levels
 }
 
-// leastServed returns the lowest RecentAdmitted of the underserved accounts: those whose demand
-// exceeds the level and that get less than satisfiedShare of it. It returns infinity when there
-// is none. Compared over the whole window, an account that has just started a burst could take
-// all capacity for seconds before it counts as ahead.
-func leastServed(usage map[uint64]Usage, level float64) float64 {
+// leastServed returns the lowest rate of the underserved accounts, or infinity if there is none.
+func leastServed(usage map[uint64]Usage, guaranteed float64) float64 {
 	lowest := math.Inf(1)
 	for _, u := range usage {
-		if u.Demand > level && u.Admitted < satisfiedShare*u.Demand {
-			lowest = min(lowest, u.RecentAdmitted)
+		if u.underserved(guaranteed) {
+			lowest = min(lowest, u.rate())
 		}
 	}
 	return lowest
@@ -232,8 +328,10 @@
 	for i, bucket := range r.buckets {
 		usage.Demand += bucket.Demand
 		usage.Admitted += bucket.Admitted
-		if age := (index - int64(i)) % bucketCount; (age+bucketCount)%bucketCount < bucketCount/2 {
-			usage.RecentAdmitted += bucket.Admitted
+		age := ((index-int64(i))%bucketCount + bucketCount) % bucketCount
+		usage.Quarters[age/bucketsPerQuarter] += bucket.Admitted
+		if bucket.Demand > bucket.Admitted {
+			usage.UnmetBuckets |= 1 << age
 		}
 	}
 	return usage
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -29,7 +29,11 @@
 			sum := getOrInsert(accounts, usage.Account, &pb.AccountUse{Account: usage.Account})
 			sum.Asked += usage.Asked
 			sum.Admitted += usage.Admitted
-			sum.Lately += usage.Lately
+			sum.Unmet |= usage.Unmet
+			sum.Quarters = append(sum.Quarters, make([]uint64, max(0, len(usage.Quarters)-len(sum.Quarters)))...)
+			for i, admitted := range usage.Quarters {
+				sum.Quarters[i] += admitted
+			}
 		}
 		for _, w := range v.Withdrawn {
 			if old, ok := withdrawn[w.Server]; !ok || old.Born < w.Born || (old.Born == w.Born && old.Sequence < w.Sequence) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -19,9 +19,7 @@
 		})
 	}
 	for hash, usage := range v.Usage {
-		message.Accounts = append(message.Accounts, &pb.AccountUse{
-			Account: hash, Asked: uint64(usage.Demand), Admitted: uint64(usage.Admitted), Lately: uint64(usage.RecentAdmitted),
-		})
+		message.Accounts = append(message.Accounts, encodeUsage(hash, usage))
 	}
 	for _, p := range v.Placements {
 		message.Placements = append(message.Placements, &pb.Placement{Server: p.Server, Part: p.Part, Tokens: uint32(p.Tokens)})
@@ -62,10 +60,37 @@
 		}
 	}
 	for _, usage := range message.Accounts {
-		v.Usage[usage.Account] = admission.Usage{Demand: float64(usage.Asked), Admitted: float64(usage.Admitted), RecentAdmitted: float64(usage.Lately)}
+		v.Usage[usage.Account] = decodeUsage(usage)
 	}
 	for _, p := range message.Placements {
 		v.Placements = append(v.Placements, placement.Placement{Server: p.Server, Part: p.Part, Tokens: int(p.Tokens)})
 	}
 	return v
 }
+
+// encodeUsage converts the usage of an account to its protobuf message.
+func encodeUsage(account uint64, usage admission.Usage) *pb.AccountUse {
+	message := &pb.AccountUse{
+		Account:  account,
+		Asked:    uint64(usage.Demand),
+		Admitted: uint64(usage.Admitted),
+		Unmet:    uint32(usage.UnmetBuckets),
+	}
+	for _, admitted := range usage.Quarters {
+		message.Quarters = append(message.Quarters, uint64(admitted))
+	}
+	return message
+}
+
+// decodeUsage converts a protobuf message to the usage of an account.
+func decodeUsage(message *pb.AccountUse) admission.Usage {
+	usage := admission.Usage{
+		Demand:       float64(message.Asked),
+		Admitted:     float64(message.Admitted),
+		UnmetBuckets: uint8(message.Unmet),
+	}
+	for i := range min(len(usage.Quarters), len(message.Quarters)) {
+		usage.Quarters[i] = float64(message.Quarters[i])
+	}
+	return usage
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -207,14 +208,31 @@
 		SlotOccupancy:  slotOccupancy(choice),
 		TimeToDeadline: r.Deadline.Sub(now),
 		Usage:          s.shares.Usage(account, now),
+		Own:            s.shares.OwnUsageOf(account, now),
+		DemandShare:    s.demandShare(account, now),
 		Levels:         s.shares.Levels(now),
 		Window:         s.options.FairWindow,
 		ReportAge:      s.shares.ReportAge(now),
 		Jitter:         rand.Float64(),
 	}
+	if r.Engine {
+		input.CreditRate = input.DemandShare * input.Levels.Limit / s.options.FairWindow.Seconds()
+		input.Credit = s.shares.Credit(account, input.CreditRate, now)
+	} else { // limits count tokens, and plain requests have none
+		input.Levels.Limit, input.Credit = math.Inf(1), math.Inf(1)
+	}
 	return Decision{Choice: choice, Found: true, Verdict: admission.Decide(input), Input: input}
 }
 
+// demandShare returns the part of the account's demand that arrives at this daemon. Without reported
+// demand it is taken to be spread evenly. The caller holds the lock.
+func (s *Scheduler) demandShare(account uint64, now time.Time) float64 {
+	if share, ok := s.shares.DemandShare(account, now); ok {
+		return share
+	}
+	return 1 / float64(max(1, s.options.Daemons()))
+}
+
 // slotOccupancy returns the share of the server's slots in use. It exceeds 1 when requests
 // queue at the server.
 func slotOccupancy(c placement.Choice) float64 {
