Bound the fairness gap of the own interface for any number of zones

Change: all other pools together count at most half, min(0.25, 1/(2(P-1))) each. When another pool appears, virtual times are kept. Up to three pools nothing changes. The bound is 8 P b for any P.

TestFairnessGapBoundHoldsForManyZones failed before (bound -640 at 8 zones, infinite at 5).

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -17,6 +17,7 @@
 	inFlight               int                       // running grants on this pool's servers
 	endedGrants            int                       // ended grants on this pool's servers
 	remoteServices         map[string]*remoteService // by pool
+	remoteWeight           float64                   // see remoteServiceWeight
 	demands                map[*reporterState]*Demand
 	waiting                int       // requests at all reporters
 	serviceChangedAt       time.Time // last change of endedCost, runningCharge or inFlight
@@ -35,20 +36,31 @@
 	inFlight      int
 }
 
-// remoteServiceWeight is the fraction of other pools' service that counts towards virtual
+// maxRemoteServiceWeight is the largest weight that remoteServiceWeight returns.
+const maxRemoteServiceWeight = 0.25
+
+// remoteServiceWeight returns the fraction of other pools' service that counts towards virtual
 // time. Each pool sees all waiting accounts and shares its own slots fairly. A fraction is
 // enough to keep the errors of the pools from accumulating, and it limits the effect of
-// late reports.
-const remoteServiceWeight = 0.25
+// late reports. All other pools together count at most half: the fairness gap is bounded only
+// while they count less than the own pool (docs/design/dispatch.md).
+func remoteServiceWeight(remotePools int) float64 {
+	return min(maxRemoteServiceWeight, 0.5/float64(max(1, remotePools)))
+}
 
-func (r *remoteService) service() Cost {
-	return remoteServiceWeight * (r.served - r.baseline + r.runningCharge)
+func (a *account) remoteService() Cost {
+	sum := Cost(0)
+	for _, r := range a.remoteServices {
+		sum += r.served - r.baseline + r.runningCharge
+	}
+	return a.remoteWeight * sum
 }
 
-func newAccount(id string, offset float64) *account {
+func newAccount(id string, offset, remoteWeight float64) *account {
 	return &account{
 		id:             id,
 		offset:         offset,
+		remoteWeight:   remoteWeight,
 		remoteServices: map[string]*remoteService{},
 		demands:        map[*reporterState]*Demand{},
 		heapIndex:      notInHeap,
@@ -56,11 +68,7 @@
 }
 
 func (a *account) service() Cost {
-	sum := a.endedCost + a.runningCharge
-	for _, r := range a.remoteServices {
-		sum += r.service()
-	}
-	return sum
+	return a.endedCost + a.runningCharge + a.remoteService()
 }
 
 func (a *account) virtualTime() float64 { return a.offset + a.service()/a.spec.Weight }
@@ -74,7 +82,7 @@
 	}
 	sum := a.endedCost + min(a.runningCharge, meanCost*Cost(a.inFlight))
 	for _, r := range a.remoteServices {
-		sum += remoteServiceWeight * (r.served - r.baseline + min(r.runningCharge, meanCost*Cost(r.inFlight)))
+		sum += a.remoteWeight * (r.served - r.baseline + min(r.runningCharge, meanCost*Cost(r.inFlight)))
 	}
 	return a.offset + sum/a.spec.Weight
 }
@@ -104,6 +112,13 @@
 	a.spec = spec
 }
 
+// setRemoteWeight replaces the weight of other pools' service and keeps the virtual time.
+func (a *account) setRemoteWeight(weight float64) {
+	before := a.virtualTime()
+	a.remoteWeight = weight
+	a.offset += before - a.virtualTime()
+}
+
 // raiseVirtualTime raises the virtual time to at least the minimum.
 func (a *account) raiseVirtualTime(minimum float64) {
 	if gap := minimum - a.virtualTime(); gap > 0 {
@@ -130,12 +145,9 @@
 // dropRemoteService removes a pool and moves its service into the offset, so that the
 // virtual time does not change.
 func (a *account) dropRemoteService(pool string) {
-	r, ok := a.remoteServices[pool]
-	if !ok {
-		return
-	}
-	a.offset += r.service() / a.spec.Weight
+	before := a.virtualTime()
 	delete(a.remoteServices, pool)
+	a.offset += before - a.virtualTime()
 }
 
 // replaceDemand replaces the demand of a reporter.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -140,7 +140,7 @@
 func (d *Dispatcher) account(id string) *account {
 	a, ok := d.accounts[id]
 	if !ok {
-		a = newAccount(id, d.systemVirtualTime)
+		a = newAccount(id, d.systemVirtualTime, remoteServiceWeight(len(d.remotePools)))
 		a.setSpec(d.pool.Accounts[id])
 		d.accounts[id] = a
 	}
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -16,17 +16,16 @@
 
 // Parameters of the random simulations.
 const (
-	seeds               = 1000
-	costPerSecond       = 100.0 // per slot
-	maxCost             = 200.0 // per request
-	minCost             = 20.0  // per request
-	loadTime            = 6 * time.Second
-	drainTime           = 5 * time.Minute
-	maxRemoteDelay      = 8 * time.Millisecond
-	stallTime           = 200 * time.Millisecond
-	exchangeInterval    = 50 * time.Millisecond
-	maxShareFactor      = 2.0
-	remoteServiceWeight = 0.25
+	seeds            = 1000
+	costPerSecond    = 100.0 // per slot
+	maxCost          = 200.0 // per request
+	minCost          = 20.0  // per request
+	loadTime         = 6 * time.Second
+	drainTime        = 5 * time.Minute
+	maxRemoteDelay   = 8 * time.Millisecond
+	stallTime        = 200 * time.Millisecond
+	exchangeInterval = 50 * time.Millisecond
+	maxShareFactor   = 2.0
 )
 
 func randomCost(r *dispatchsim.Rand) float64 {
@@ -82,8 +81,12 @@
 	shortestRun := time.Duration(minCost / costPerSecond * float64(time.Second))
 	unreported := maxInFlight * (1 + math.Ceil(float64(maxReportAge)/float64(shortestRun)))
 	zones := float64(o.Zones)
-	step := remoteServiceWeight*unreported + maxInFlight + 1
-	byStart = 4 * zones * step / (1 - remoteServiceWeight*(zones-1))
+	remoteWeight := 0.25
+	if o.Zones > 3 {
+		remoteWeight = 0.5 / (zones - 1)
+	}
+	step := remoteWeight*unreported + maxInFlight + 1
+	byStart = 4 * zones * step / (1 - remoteWeight*(zones-1))
 	return byStart, byStart + 2*maxInFlight
 }
 
@@ -138,6 +141,42 @@
 	})
 }
 
+// The bound must not depend on the number of zones being small.
+func TestFairnessGapBoundHoldsForManyZones(t *testing.T) {
+	for _, zones := range []int{5, 8, 12} {
+		for seed := range uint64(3) {
+			o := manyZonesOptions(seed, zones)
+			r := dispatchsim.New(o).Run(drainTime)
+			require.NoError(t, checkAllRanOnce(seed, r))
+			require.NoError(t, checkGaps(seed, o, r, maxReportAge))
+		}
+	}
+}
+
+// manyZonesOptions returns a fleet with one daemon and one server for each zone and two accounts
+// for each server, half of them with all callers in one zone.
+func manyZonesOptions(seed uint64, zones int) dispatchsim.Options {
+	o := dispatchsim.Options{
+		Seed: seed, Scope: dispatchsim.ScopeZone, Zones: zones, Daemons: zones, RemoteStandby: 1,
+		Local:         dispatchsim.Link{Delay: 300 * time.Microsecond},
+		Remote:        dispatchsim.Link{Delay: 5 * time.Millisecond, Jitter: 3 * time.Millisecond, StallProbability: 0.01, StallDuration: stallTime},
+		CostPerSecond: costPerSecond, Length: loadTime,
+	}
+	for zone := range zones {
+		o.Servers = append(o.Servers, dispatchsim.Server{Zone: zone, Slots: 2})
+	}
+	for i := range 2 * zones {
+		a := dispatchsim.Account{Weight: 1, Outstanding: 2 * zones, Cost: randomCost, Daemons: []int{i % zones}}
+		if i%2 == 0 {
+			for zone := range zones {
+				a.Daemons = append(a.Daemons, zone)
+			}
+		}
+		o.Accounts = append(o.Accounts, a)
+	}
+	return o
+}
+
 func TestLostAndDuplicateMessagesLoseNoRequest(t *testing.T) {
 	forEachSeed(t, func(seed uint64) error {
 		o, r := randomOptions(seed)
--- a/internal/dispatch/remote_pool.go
+++ b/internal/dispatch/remote_pool.go
@@ -50,6 +50,9 @@
 			results:       map[string]*resultCounter{},
 		}
 		d.remotePools[pool] = remote
+		for _, a := range d.accounts {
+			a.setRemoteWeight(remoteServiceWeight(len(d.remotePools)))
+		}
 	}
 	return remote
 }
