Read the log again when it drops a record between two reads of a test

The check reads the bounds of the log, then its records; a record that is appended in between drops the first one, the log answers 404, and require.NoError inside require.Eventually ends only the goroutine of the check, which then waits 30 s.

Checks and bounds are the same.

--- a/test/integration/config/propagation_test.go
+++ b/test/integration/config/propagation_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertrill/filbertrill/internal/result"
@@ -122,24 +124,37 @@
 		if b.First == 0 {
 			return true
 		}
-		for _, value := range f.logRecords(b.First) {
-			if s, ok := ticket.DecodeStateRecord(value); ok && s.AppliedOffset >= (b.First+b.Next)/2-2 {
-				return true
-			}
+		values, err := f.readLogRecords(b.First)
+		if err != nil {
+			return false // the log has dropped the first record since
 		}
-		return false
+		return slices.ContainsFunc(values, func(value []byte) bool {
+			s, ok := ticket.DecodeStateRecord(value)
+			return ok && s.AppliedOffset >= (b.First+b.Next)/2-2
+		})
 	}, cluster.WaitTimeout, pollInterval)
 }
 
-func (f *fleet) logRecords(offset int64) (values [][]byte) {
+func (f *fleet) logRecords(offset int64) [][]byte {
+	f.t.Helper()
+	values, err := f.readLogRecords(offset)
+	require.NoError(f.t, err)
+	return values
+}
+
+// readLogRecords returns the records from the offset on. It returns an error if the log does not
+// retain the record at the offset.
+func (f *fleet) readLogRecords(offset int64) (values [][]byte, err error) {
 	f.t.Helper()
 	body := f.getFromLog("/topics/filbertrill-config/partitions/0/messages?count=1000&offset=" + strconv.FormatInt(offset, 10))
 	var records []struct{ Value []byte }
-	require.NoError(f.t, json.Unmarshal([]byte(body), &records), body)
+	if err := json.Unmarshal([]byte(body), &records); err != nil {
+		return nil, errors.Wrap(err, body)
+	}
 	for _, r := range records {
 		values = append(values, r.Value)
 	}
-	return values
+	return values, nil
 }
 
 // ticketRecordCount returns the number of ticket records in the log.
