Let accounts that are behind use busier servers

With the lead bounded, the least served account decides how much all others may receive.

Change: while there is a limit, the allowed load delay grows with the ratio of the highest rate to the account's, up to the present maximum at the ratio that the limit allows.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -14,6 +14,9 @@
 	// With 1, an account whose overloaded daemon sent too few requests stayed at a quarter of the
 	// usage of the others.
 	allowanceExponent = 2
+	// leadExponent is the exponent of the ratio of the highest rate to the account's. An account that
+	// is behind by maxLeadRatio gets maxAllowanceFactor: its service bounds that of all others.
+	leadExponent = 4
 	// maxAllowanceFactor and minAllowanceFactor bound the factor applied to overShareLoadDelay.
 	// The maximum limits accounts between the guaranteed and the attained level; the minimum keeps
 	// idle servers available to accounts however far they exceed the attained level.
@@ -114,8 +117,11 @@
 	case in.Usage.Admitted <= in.Levels.Guaranteed:
 		return 1
 	}
-	return overShareLoadDelay * min(max(math.Pow(in.Levels.Attained/in.Usage.Admitted, allowanceExponent),
-		minAllowanceFactor), maxAllowanceFactor)
+	factor := max(math.Pow(in.Levels.Attained/in.Usage.Admitted, allowanceExponent), minAllowanceFactor)
+	if !math.IsInf(in.Levels.Limit, 1) {
+		factor = max(factor, math.Pow(in.Levels.HighestRate/in.Usage.rate(), leadExponent))
+	}
+	return overShareLoadDelay * min(factor, maxAllowanceFactor)
 }
 
 // withinGuaranteedDemand reports whether all demand of the account fits its guaranteed level, so that
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -95,6 +95,19 @@
 	assert.Equal(t, OverShare, Decide(in).Reason, "the daemon has used its part of the limit")
 }
 
+// The least served account may use servers that are too busy for accounts near the limit.
+func TestLeastServedAccountTakesPrecedence(t *testing.T) {
+	in := idleInput()
+	in.Predicted = in.PredictedIdle + 150*ms
+	in.Levels.Limit, in.Levels.HighestRate = maxLeadRatio*30_000, 45_000
+	in.Usage = Usage{Demand: 90_000, Admitted: 30_000}
+	assert.Equal(t, Admitted, Decide(in).Reason)
+	in.Usage.Admitted = 40_000
+	assert.Equal(t, OverShare, Decide(in).Reason)
+	in.Usage.Admitted, in.Levels.HighestRate = 30_000, 30_000
+	assert.Equal(t, OverShare, Decide(in).Reason, "no other account received more")
+}
+
 // Limits don't concern accounts whose demand is within the guaranteed level.
 func TestSmallAccountIsNotLimited(t *testing.T) {
 	in := idleInput()
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -238,6 +238,8 @@
 	// Limit bounds the Usage.rate of all accounts while others are underserved. It is never
 	// below Guaranteed.
 	Limit float64
+	// HighestRate is the highest Usage.rate of all accounts.
+	HighestRate float64
 }
 
 // Levels returns the levels of the accounts with demand in the window; it recomputes them at most
@@ -257,13 +259,18 @@
 		}
 	}
 	demands := make([]float64, 0, len(total))
-	admitted := 0.0
+	admitted, highestRate := 0.0, 0.0
 	for _, usage := range total {
 		demands = append(demands, usage.Demand)
 		admitted += usage.Admitted
+		highestRate = max(highestRate, usage.rate())
 	}
 	guaranteed := s.capacity * s.window.Seconds()
-	s.levels = Levels{Guaranteed: MaxMinLevel(demands, guaranteed), Attained: MaxMinLevel(demands, max(guaranteed, admitted))}
+	s.levels = Levels{
+		Guaranteed:  MaxMinLevel(demands, guaranteed),
+		Attained:    MaxMinLevel(demands, max(guaranteed, admitted)),
+		HighestRate: highestRate,
+	}
 	s.levels.Limit = max(s.levels.Guaranteed, maxLeadRatio*leastServed(total, s.levels.Guaranteed))
 	s.levelsComputedAt = now
 	return s.levels
