--- a/internal/gateway/view_benchmark_test.go
+++ b/internal/gateway/view_benchmark_test.go
@@ -27,7 +27,10 @@
 		state.View.Servers = append(state.View.Servers, &pb.ServerLoad{Server: placement.Hash(id), Running: 1, PendingTokens: 1000, MemoryTokens: 3000})
 	}
 	for i := range 30 {
-		state.View.Accounts = append(state.View.Accounts, &pb.AccountUse{Account: uint64(i) << 32, Asked: 1 << 20, Admitted: 1 << 19})
+		state.View.Accounts = append(state.View.Accounts, &pb.AccountUse{
+			Account: uint64(i) << 32, Asked: 1 << 20, Admitted: 1 << 19,
+			Quarters: []uint64{1 << 17, 1 << 17, 1 << 17, 1 << 17}, Unmet: 0xff,
+		})
 	}
 	for i := range 20 {
 		state.View.Placements = append(state.View.Placements, &pb.Placement{Server: placement.Hash(fmt.Sprintf("i-%010d", i)), Part: uint64(i) << 40, Tokens: 5000})
