Split usage over the window from shares

shares.go held the sliding window of an account, the reports of peers and the levels. The window and what is derived from one account's usage move to usage.go; its buckets hold demand and admitted tokens only. No behaviour changes: tests of admission and scheduler pass.

--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -11,66 +11,6 @@
 	"github.com/filbertrill/filbertrill/internal/monotonic"
 )
 
-const (
-	// bucketCount is the number of buckets of a sliding window.
-	bucketCount       = 8
-	quarterCount      = 4
-	bucketsPerQuarter = bucketCount / quarterCount
-)
-
-// Usage is what an account demanded and received over the window, in tokens.
-type Usage struct {
-	Demand   float64
-	Admitted float64
-	// Quarters are the parts of Admitted received in each quarter of the window, the newest first.
-	Quarters [quarterCount]float64
-	// UnmetBuckets has bit i set if the account was refused in the bucket i before the newest.
-	UnmetBuckets uint8
-}
-
-func (u Usage) plus(other Usage) Usage {
-	u.Demand += other.Demand
-	u.Admitted += other.Admitted
-	for i := range u.Quarters {
-		u.Quarters[i] += other.Quarters[i]
-	}
-	u.UnmetBuckets |= other.UnmetBuckets
-	return u
-}
-
-// unmetQuarters returns the number of quarters of the window, counted back from now, in each of
-// which the account was refused.
-func (u Usage) unmetQuarters() int {
-	const quarterMask = 1<<bucketsPerQuarter - 1
-	quarters := 0
-	for quarters < quarterCount && u.UnmetBuckets>>(quarters*bucketsPerQuarter)&quarterMask != 0 {
-		quarters++
-	}
-	return quarters
-}
-
-// rate returns the tokens per window that the account receives. For an account that was refused
-// since less than a window it is taken over that time only: service is compared while accounts
-// compete (start-time fair queueing, Goyal et al. 1996). What they received before, or did not ask
-// for, counts for nothing.
-func (u Usage) rate() float64 {
-	quarters := u.unmetQuarters()
-	if quarters == 0 || quarters == quarterCount {
-		return u.Admitted
-	}
-	sum := 0.0
-	for _, admitted := range u.Quarters[:quarters] {
-		sum += admitted
-	}
-	return sum * quarterCount / float64(quarters)
-}
-
-// underserved reports whether the account was refused for half a window or longer, receives less
-// than satisfiedShare of its demand, and the guaranteed level is not enough for half of it.
-func (u Usage) underserved(guaranteed float64) bool {
-	return u.unmetQuarters() >= 2 && u.Demand > 2*guaranteed && u.Admitted < satisfiedShare*u.Demand
-}
-
 // Shares tracks the usage of accounts over a sliding window, both of this daemon and as reported
 // by its peers, and computes the max-min fair shares of the capacity. It is not safe for
 // concurrent use.
@@ -91,12 +31,6 @@
 	receivedAt time.Time
 }
 
-// usageRing holds the usage of one account in a ring of buckets.
-type usageRing struct {
-	buckets [bucketCount]Usage
-	index   int64 // of the newest bucket
-}
-
 const (
 	// peerUsageTTL is how long a peer's usage report counts.
 	peerUsageTTL = 1500 * time.Millisecond
@@ -126,12 +60,12 @@
 
 // RecordDemand adds the tokens of a request to the demand of the account.
 func (s *Shares) RecordDemand(account uint64, tokens float64, now time.Time) {
-	s.accountRing(account).bucketAt(s.bucketIndex(now)).Demand += tokens
+	s.accountRing(account).bucketAt(s.bucketIndex(now)).demand += tokens
 }
 
 // RecordAdmitted adds the tokens of a request that is sent to a server.
 func (s *Shares) RecordAdmitted(account uint64, tokens float64, now time.Time) {
-	s.accountRing(account).bucketAt(s.bucketIndex(now)).Admitted += tokens
+	s.accountRing(account).bucketAt(s.bucketIndex(now)).admitted += tokens
 	if p, ok := s.pacers[account]; ok {
 		p.credit -= tokens
 	}
@@ -193,7 +127,7 @@
 	own, peers := 0.0, 0.0
 	if r, ok := s.accounts[account]; ok {
 		index := s.bucketIndex(now)
-		own = r.sum(index).Demand - r.bucketAt(index).Demand
+		own = r.sum(index).Demand - r.bucketAt(index).demand
 	}
 	for _, p := range s.peers {
 		if now.Sub(p.receivedAt) <= peerUsageTTL {
@@ -314,32 +248,3 @@
 	}
 	return r
 }
-
-// bucketAt advances the ring to the bucket of the index, clears the buckets that have left the
-// window, and returns the newest one.
-func (r *usageRing) bucketAt(index int64) *Usage {
-	if index-r.index >= bucketCount {
-		*r = usageRing{index: index}
-	}
-	for r.index < index {
-		r.index++
-		r.buckets[r.index%bucketCount] = Usage{}
-	}
-	return &r.buckets[r.index%bucketCount]
-}
-
-// sum advances the ring to the index and returns the usage over the window.
-func (r *usageRing) sum(index int64) Usage {
-	var usage Usage
-	r.bucketAt(index)
-	for i, bucket := range r.buckets {
-		usage.Demand += bucket.Demand
-		usage.Admitted += bucket.Admitted
-		age := ((index-int64(i))%bucketCount + bucketCount) % bucketCount
-		usage.Quarters[age/bucketsPerQuarter] += bucket.Admitted
-		if bucket.Demand > bucket.Admitted {
-			usage.UnmetBuckets |= 1 << age
-		}
-	}
-	return usage
-}
