Give precedence to underserved accounts only

The last change let every account behind the highest rate use busier servers, with the fourth power of the ratio.

Change: only underserved accounts get it, with the square, and against the lesser of the highest rate and the limit.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -10,13 +10,11 @@
 	// when its account has received exactly the attained level. With 0.2 and 0.22 the overall
 	// score fell by 0.03 to 0.05 under the heaviest loads (docs/design/platform.md).
 	overShareLoadDelay = 0.14
-	// allowanceExponent is the exponent of the ratio of the attained level to the account's usage.
+	// allowanceExponent is the exponent of the ratio of the attained level to the account's usage,
+	// and of the highest rate to that of an underserved account.
 	// With 1, an account whose overloaded daemon sent too few requests stayed at a quarter of the
 	// usage of the others.
 	allowanceExponent = 2
-	// leadExponent is the exponent of the ratio of the highest rate to the account's. An account that
-	// is behind by maxLeadRatio gets maxAllowanceFactor: its service bounds that of all others.
-	leadExponent = 4
 	// maxAllowanceFactor and minAllowanceFactor bound the factor applied to overShareLoadDelay.
 	// The maximum limits accounts between the guaranteed and the attained level; the minimum keeps
 	// idle servers available to accounts however far they exceed the attained level.
@@ -118,8 +116,9 @@
 		return 1
 	}
 	factor := max(math.Pow(in.Levels.Attained/in.Usage.Admitted, allowanceExponent), minAllowanceFactor)
-	if !math.IsInf(in.Levels.Limit, 1) {
-		factor = max(factor, math.Pow(in.Levels.HighestRate/in.Usage.rate(), leadExponent))
+	if in.Usage.underserved(in.Levels.Guaranteed) {
+		lead := min(in.Levels.HighestRate, in.Levels.Limit) / in.Usage.rate()
+		factor = max(factor, math.Pow(lead, allowanceExponent))
 	}
 	return overShareLoadDelay * min(factor, maxAllowanceFactor)
 }
