Set no limit without a guaranteed level

Found by reading the change again: without a configured capacity the guaranteed level is 0, and one account that is not served at all (its daemon hangs, or no server is ready) would set the limit of all others to 0 for good. The test showed a limit of 0 for it before.

Change: without a configured capacity the guaranteed level is taken from what was admitted; at level 0 there is no limit.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -61,8 +61,8 @@
 	SlotOccupancy  float64       // share of the best server's slots that are in use
 	TimeToDeadline time.Duration // until the caller's deadline
 	Usage          Usage         // of the account over the fleet, without this request
-	Own            Usage         // part of Usage at this daemon
-	DemandShare    float64       // part of the account's demand that arrives at this daemon
+	OwnDemand      float64       // part of Usage.Demand at this daemon
+	DemandShare    float64       // see Shares.DemandShare
 	Credit         float64       // tokens that the account may receive here, see Shares.Credit
 	CreditRate     float64       // tokens per second: this daemon's part of Levels.Limit
 	Levels         Levels        // over the fleet
@@ -117,7 +117,7 @@
 	}
 	factor := max(math.Pow(in.Levels.Attained/in.Usage.Admitted, allowanceExponent), minAllowanceFactor)
 	if in.Usage.underserved(in.Levels.Guaranteed) {
-		lead := min(in.Levels.HighestRate, in.Levels.Limit) / in.Usage.rate()
+		lead := min(in.Levels.HighestRate, in.Levels.Limit) / max(in.Usage.rate(), 1)
 		factor = max(factor, math.Pow(lead, allowanceExponent))
 	}
 	return overShareLoadDelay * min(factor, maxAllowanceFactor)
@@ -127,7 +127,7 @@
 // it can't exceed a limit. The part of this daemon is compared, too, since peers report the begin of
 // a flood late.
 func (in Input) withinGuaranteedDemand() bool {
-	return in.Usage.Demand <= in.Levels.Guaranteed && in.Own.Demand <= in.DemandShare*in.Levels.Guaranteed
+	return in.Usage.Demand <= in.Levels.Guaranteed && in.OwnDemand <= in.DemandShare*in.Levels.Guaranteed
 }
 
 // beyondLimit reports whether the account has received more than Levels.Limit over the fleet, or more
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -111,7 +111,7 @@
 // Limits don't concern accounts whose demand is within the guaranteed level.
 func TestSmallAccountIsNotLimited(t *testing.T) {
 	in := idleInput()
-	in.Usage, in.Own = Usage{Demand: 9000, Admitted: 9000}, Usage{Demand: 5000, Admitted: 5000}
+	in.Usage, in.OwnDemand = Usage{Demand: 9000, Admitted: 9000}, 5000
 	in.Levels.Limit, in.Credit = in.Levels.Guaranteed, -1
 	assert.Equal(t, Admitted, Decide(in).Reason)
 	in.DemandShare = 0.1 // peers have not reported the demand of a flood that has just begun yet
@@ -155,6 +155,18 @@
 	assert.InDelta(t, levels.Guaranteed, levels.Limit, 1e-9, "no account yields below the guaranteed level")
 }
 
+// Otherwise one account that is not served at all would keep all others from being served.
+func TestNoLimitWithoutGuaranteedLevel(t *testing.T) {
+	s := NewShares(4 * time.Second)
+	now := time.Unix(1000, 0)
+	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 9000, UnmetBuckets: unmetFor(4)}}, now)
+	assert.Equal(t, math.Inf(1), s.Levels(now).Limit)
+	now = now.Add(time.Second)
+	s.RecordDemand(2, 8000, now)
+	s.RecordAdmitted(2, 8000, now)
+	assert.InDelta(t, 4000, s.Levels(now).Limit, 1e-9, "half of what was admitted")
+}
+
 func TestUnmetBuckets(t *testing.T) {
 	s := NewShares(4 * time.Second)
 	now := time.Unix(1000, 0)
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -140,12 +140,12 @@
 	return own / (own + peers), true
 }
 
-// OwnUsageOf returns the usage of the account at this daemon alone.
-func (s *Shares) OwnUsageOf(account uint64, now time.Time) Usage {
+// OwnDemand returns the part of the account's demand over the window that arrives at this daemon.
+func (s *Shares) OwnDemand(account uint64, now time.Time) float64 {
 	if r, ok := s.accounts[account]; ok {
-		return r.sum(s.bucketIndex(now))
+		return r.sum(s.bucketIndex(now)).Demand
 	}
-	return Usage{}
+	return 0
 }
 
 // Credit returns the tokens that the account may still receive from this daemon at the rate, in
@@ -167,7 +167,7 @@
 // Levels are max-min fair levels: the most tokens per window that an account receives while other
 // accounts have unmet demand. They are infinite when no account has.
 type Levels struct {
-	Guaranteed float64 // from the configured capacity
+	Guaranteed float64 // from the configured capacity, or like Attained if there is none
 	Attained   float64 // from the tokens admitted over the window, if they exceed that capacity
 	// Limit bounds the Usage.rate of all accounts while others are underserved. It is never
 	// below Guaranteed.
@@ -199,13 +199,19 @@
 		admitted += usage.Admitted
 		highestRate = max(highestRate, usage.rate())
 	}
-	guaranteed := s.capacity * s.window.Seconds()
+	capacity := s.capacity * s.window.Seconds()
+	if capacity == 0 {
+		capacity = admitted
+	}
 	s.levels = Levels{
-		Guaranteed:  MaxMinLevel(demands, guaranteed),
-		Attained:    MaxMinLevel(demands, max(guaranteed, admitted)),
+		Guaranteed:  MaxMinLevel(demands, capacity),
+		Attained:    MaxMinLevel(demands, max(capacity, admitted)),
+		Limit:       math.Inf(1),
 		HighestRate: highestRate,
 	}
-	s.levels.Limit = max(s.levels.Guaranteed, maxLeadRatio*leastServed(total, s.levels.Guaranteed))
+	if s.levels.Guaranteed > 0 {
+		s.levels.Limit = max(s.levels.Guaranteed, maxLeadRatio*leastServed(total, s.levels.Guaranteed))
+	}
 	s.levelsComputedAt = now
 	return s.levels
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -208,7 +208,7 @@
 		SlotOccupancy:  slotOccupancy(choice),
 		TimeToDeadline: r.Deadline.Sub(now),
 		Usage:          s.shares.Usage(account, now),
-		Own:            s.shares.OwnUsageOf(account, now),
+		OwnDemand:      s.shares.OwnDemand(account, now),
 		DemandShare:    s.demandShare(account, now),
 		Levels:         s.shares.Levels(now),
 		Window:         s.options.FairWindow,
