--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/chain"
+	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
@@ -53,12 +55,35 @@
 	for i, a := range c.attempts {
 		attrs = append(attrs, slog.Any("attempt"+strconv.Itoa(i+1), a))
 	}
+	if c.envelope != nil && anyAnswerBroke(c.attempts) {
+		attrs = append(attrs, slog.String("parts", formatSharedParts(c.envelope.Parts)))
+	}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", firstLine(err)))
 	}
 	h.Logger.LogAttrs(context.Background(), slog.LevelInfo, "Request ended.", attrs...)
 }
 
+// anyAnswerBroke reports whether the server may have run the request in an attempt that got no complete answer.
+func anyAnswerBroke(attempts []attemptRecord) bool {
+	return slices.ContainsFunc(attempts, func(a attemptRecord) bool {
+		return a.progress == maybeRun || a.progress == partlyForwarded
+	})
+}
+
+// formatSharedParts returns the hashed IDs of the prompt parts that other requests may share, all but the last one, in
+// hexadecimal.
+func formatSharedParts(parts []placement.Part) string {
+	var b strings.Builder
+	for i, p := range parts[:max(0, len(parts)-1)] {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(p.ID, 16))
+	}
+	return b.String()
+}
+
 // firstLine returns the error's text up to its first line break.
 func firstLine(err error) string {
 	text := err.Error()
