--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -46,14 +46,15 @@
 	Output  string        `help:"Output format: text or json." enum:"text,json" default:"text"`
 	Timeout time.Duration `help:"Timeout of the whole command." default:"30s"`
 
-	Ticket   ticketCommands  `cmd:"" help:"Check, submit and follow change tickets."`
-	Status   statusCommand   `cmd:"" help:"Show one daemon's view of the fleet and the log."`
-	Members  membersCommand  `cmd:"" help:"List the members."`
-	Accounts accountsCommand `cmd:"" help:"List the client accounts."`
-	Servers  serversCommand  `cmd:"" help:"List the backend servers."`
-	Entries  entriesCommand  `cmd:"" help:"List the addresses that clients connect to."`
-	Drain    drainCommand    `cmd:"" help:"Ask a member to finish its requests and leave the fleet."`
-	Version  versionCommand  `cmd:"" help:"Show the version of this tool."`
+	Ticket     ticketCommands     `cmd:"" help:"Check, submit and follow change tickets."`
+	Status     statusCommand      `cmd:"" help:"Show one daemon's view of the fleet and the log."`
+	Members    membersCommand     `cmd:"" help:"List the members."`
+	Accounts   accountsCommand    `cmd:"" help:"List the client accounts."`
+	Servers    serversCommand     `cmd:"" help:"List the backend servers."`
+	Entries    entriesCommand     `cmd:"" help:"List the addresses that clients connect to."`
+	Drain      drainCommand       `cmd:"" help:"Ask a member to finish its requests and leave the fleet."`
+	Quarantine quarantineCommands `cmd:"" help:"Show and clear the prompt parts that daemons on the platform suspect of ending servers. Takes control addresses as --daemon."`
+	Version    versionCommand     `cmd:"" help:"Show the version of this tool."`
 }
 
 type ticketCommands struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,7 +72,11 @@
 	// CachedParts returns the cached prefix parts of engines that PullCachedParts of a peer
 	// receives.
 	CachedParts func() *pb.Prompts
-	Logger      *slog.Logger
+	// Quarantine returns the prompt parts that are held back, LiftQuarantine releases one and reports whether it was
+	// held. Both are called for operators.
+	Quarantine     func() *pb.QuarantineList
+	LiftQuarantine func(part uint64) bool
+	Logger         *slog.Logger
 }
 
 // Exchange sends the state of this daemon and receives those of its peers. Its methods are safe for
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -18,7 +18,11 @@
 	accounts := make(map[uint64]*pb.AccountUse)
 	withdrawn := make(map[string]*pb.Withdrawal)
 	models := make(map[uint64]*pb.EngineModel)
+	suspects := make(map[uint64]*pb.Suspect)
 	for _, v := range views {
+		for _, s := range v.Suspects {
+			mergeSuspect(getOrInsert(suspects, s.Part, &pb.Suspect{Part: s.Part}), s)
+		}
 		for _, l := range v.Servers {
 			sum := getOrInsert(servers, l.Server, &pb.ServerLoad{Server: l.Server})
 			sum.Running += l.Running
@@ -62,9 +66,39 @@
 	for _, m := range models {
 		out.Models = append(out.Models, m)
 	}
+	for _, s := range suspects {
+		out.Suspects = append(out.Suspects, s)
+	}
 	return out
 }
 
+// mergeSuspect adds the evidence of s. Of ages, the latest event counts.
+func mergeSuspect(sum, s *pb.Suspect) {
+	for _, e := range s.Ends {
+		i := slices.IndexFunc(sum.Ends, func(known *pb.ServerEnd) bool { return known.Server == e.Server })
+		if i < 0 {
+			// Copied, because the message of the peer is kept.
+			sum.Ends = append(sum.Ends, &pb.ServerEnd{Server: e.Server, AgeMs: e.AgeMs, Begun: e.Begun, Disproved: e.Disproved})
+			continue
+		}
+		sum.Ends[i].Begun = sum.Ends[i].Begun || e.Begun
+		sum.Ends[i].Disproved = sum.Ends[i].Disproved || e.Disproved
+	}
+	sum.SoundAgeMs = lowerAge(sum.SoundAgeMs, s.SoundAgeMs)
+	sum.LiftedAgeMs = lowerAge(sum.LiftedAgeMs, s.LiftedAgeMs)
+	if s.Trials > sum.Trials {
+		sum.Trials, sum.TrialAgeMs = s.Trials, s.TrialAgeMs
+	}
+}
+
+// lowerAge returns the lower of two ages, of which 0 stands for never.
+func lowerAge(a, b uint32) uint32 {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
+
 // mergeModel updates mean to the average of mean and m, weighted by their observations.
 func mergeModel(mean, m *pb.EngineModel) {
 	total := mean.Observations + m.Observations
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -60,3 +60,32 @@
 func (s pullServer) PullPrompts(context.Context, *pb.PullRequest) (*pb.Prompts, error) {
 	return s.exchange.options.CachedParts(), nil
 }
+
+// ListQuarantine implements pb.DRPCExchangeServer.
+func (s pullServer) ListQuarantine(context.Context, *pb.PullRequest) (*pb.QuarantineList, error) {
+	return s.exchange.options.Quarantine(), nil
+}
+
+// LiftQuarantine implements pb.DRPCExchangeServer.
+func (s pullServer) LiftQuarantine(_ context.Context, r *pb.LiftRequest) (*pb.LiftResult, error) {
+	return &pb.LiftResult{Held: s.exchange.options.LiftQuarantine(r.Part)}, nil
+}
+
+// ListQuarantine gets the prompt parts that the daemon at the address holds back.
+func ListQuarantine(ctx context.Context, controlAddress string) (list *pb.QuarantineList, err error) {
+	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+		list, err = peer.ListQuarantine(ctx, &pb.PullRequest{})
+		return err
+	})
+	return list, err
+}
+
+// LiftQuarantine releases a prompt part in the fleet of the daemon at the address. It reports whether the part was held.
+func LiftQuarantine(ctx context.Context, controlAddress string, part uint64) (held bool, err error) {
+	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+		lifted, err := peer.LiftQuarantine(ctx, &pb.LiftRequest{Part: part})
+		held = lifted.GetHeld()
+		return err
+	})
+	return held, err
+}
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -7,6 +7,7 @@
 	"github.com/filbertrill/filbertrill/internal/admission"
 	"github.com/filbertrill/filbertrill/internal/chain"
 	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/scheduler"
 )
@@ -29,6 +30,9 @@
 	c.decidedAt = time.Now()
 	decision := h.Scheduler.Decide(c.schedulerRequest(), c.decidedAt)
 	c.choice = decision.Choice
+	if decision.Quarantined != nil {
+		return quarantineError(*decision.Quarantined, c.decidedAt)
+	}
 	if decision.Found && c.route.Engine {
 		c.admission = &admissionRecord{decision.Cost, decision.Input}
 	}
@@ -59,6 +63,15 @@
 	}
 }
 
+// minQuarantineRetryAfter is the Retry-After of requests with a quarantined part while another daemon tries one.
+const minQuarantineRetryAfter = time.Second
+
+// quarantineError returns the result of a request that is refused because of a prompt part.
+func quarantineError(held quarantine.Status, now time.Time) error {
+	return result.NewWithoutStack(result.PromptQuarantined, "prompt part %x is held since %s, %d servers ended under it",
+		held.Part, held.Since.Format(time.RFC3339), len(held.Servers)).WithRetryAfter(max(minQuarantineRetryAfter, held.Until.Sub(now)))
+}
+
 // refusalError returns the result of a request that is refused because of the load, with the input
 // of the decision in its text.
 func refusalError(code result.Code, d scheduler.Decision) error {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,7 @@
 	status          int // HTTP status of the answer; 0 for none
 	duration        time.Duration
 	reusedConn      bool
+	serverBroke     bool // the server closed the connection before the answer was complete
 }
 
 // LogValue implements slog.LogValuer.
@@ -173,6 +175,9 @@
 			outcome = placement.Abandoned
 		}
 	}
+	if record.serverBroke && ctx.Err() == nil && progress != notSent {
+		h.Scheduler.RecordBroken(attempt, record.status/100 == 2, time.Now())
+	}
 	h.Scheduler.End(attempt, outcome, time.Now())
 	record.progress, record.duration = progress, time.Since(started)
 	c.attempts = append(c.attempts, record)
@@ -195,13 +200,20 @@
 	}
 	w := newWatchdog(ctx, conn, c)
 	progress, err := h.roundTrip(c, choice, conn, a, w, record)
-	if !w.stop() || err != nil {
+	closedHere := !w.stop()
+	record.serverBroke = !closedHere && isConnectionBroken(err)
+	if closedHere || err != nil {
 		conn.DisableReuse()
 	}
 	h.Pool.Put(endpoint, conn)
 	return progress, err
 }
 
+// isConnectionBroken reports whether err is the end of a connection that the other side has closed or reset.
+func isConnectionBroken(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 // roundTrip sends the request over the connection and forwards the answer.
 func (h *Handler) roundTrip(c *call, choice placement.Choice, conn *upstream.Conn, a *placement.Attempt, w *watchdog, record *attemptRecord) (attemptProgress, error) {
 	lastEventID := c.envelope.LastEventID
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -30,6 +30,9 @@
 		if err != nil {
 			return err
 		}
+		if held, ok := h.Scheduler.HeldPart(c.schedulerRequest(), time.Now()); ok {
+			return quarantineError(held, time.Now())
+		}
 		if time.Since(c.decidedAt) > maxChoiceAge {
 			if newChoice, ok, _ := h.Scheduler.DecideRetry(c.schedulerRequest(), nil, true, time.Now()); ok {
 				c.choice = newChoice
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -68,6 +68,9 @@
 		return partlyForwarded, errors.Newf("server did not resume the stream, status %d", response.StatusCode)
 	}
 	h.Scheduler.RecordFirstEvent(a, time.Now())
+	if response.StatusCode/100 == 2 {
+		h.Scheduler.RecordComplete(a, time.Now())
+	}
 	c.timeToFirstEvent = time.Since(c.arrivedAt)
 	c.writeAnswer(response, body)
 	return fullyForwarded, nil
@@ -91,6 +94,7 @@
 // relayEvents forwards the events of a stream as they arrive, each only when it is complete.
 func (h *Handler) relayEvents(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt, w *watchdog) (attemptProgress, error) {
 	buffer := make([]byte, 0, 4<<10)
+	eventsBefore := c.eventCount
 	flusher := http.NewResponseController(c.writer)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -107,6 +111,9 @@
 				conn.DisableReuse()
 				return c.brokenStreamProgress(), forwardErr
 			}
+			if forwarded > 0 {
+				h.Scheduler.RecordEvents(a, c.eventCount-eventsBefore, time.Now())
+			}
 			buffer = append(buffer[:0], buffer[forwarded:]...)
 			if err == nil {
 				time.Sleep(h.batchDelay(c))
@@ -114,7 +121,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return h.finishEvents(c, conn, response, buffer)
+			return h.finishEvents(c, conn, response, buffer, a)
 		case err != nil:
 			conn.DisableReuse()
 			return c.brokenStreamProgress(), errors.Wrap(err, "read stream")
@@ -127,11 +134,12 @@
 
 // finishEvents handles the end of a stream. If rest, the data after the last complete event, holds
 // more than white space, the stream broke within an event and finishEvents returns an error.
-func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte) (attemptProgress, error) {
+func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt) (attemptProgress, error) {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		conn.DisableReuse()
-		return c.brokenStreamProgress(), errors.New("stream ends within an event")
+		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends within an event")
 	}
+	h.Scheduler.RecordComplete(a, time.Now())
 	if !c.answerStarted {
 		h.startAnswer(c, response)
 	}
@@ -156,7 +164,6 @@
 	if c.timeToFirstEvent == 0 {
 		c.timeToFirstEvent = time.Since(c.arrivedAt)
 	}
-	h.Scheduler.RecordFirstEvent(a, time.Now())
 	if !c.answerStarted {
 		h.startAnswer(c, response)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	scheduler      *scheduler.Scheduler
 	pool           *upstream.Pool
 	handler        *forward.Handler
+	metrics        *telemetry.Metrics
 	metricsHandler http.Handler
 
 	connLimiter    *connLimiter
@@ -97,6 +98,7 @@
 		FairWindow:  s.FairWindow,
 		RetryBudget: retry.WindowOptions{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Daemons:     func() int { return g.exchange.FleetSize() },
+		TriesPart:   g.triesPart,
 	})
 	g.topology = topology.NewState(g.serversChanged)
 	g.reader = topology.NewReader(topology.ReaderOptions{
@@ -107,7 +109,7 @@
 		Logger:      logging.For(logging.Config),
 	})
 	metrics, metricsHandler, _ := telemetry.New(telemetry.Options{})
-	g.metricsHandler = metricsHandler
+	g.metrics, g.metricsHandler = metrics, metricsHandler
 	g.connLimiter = &connLimiter{
 		limit:           connectionLimit(s.MemoryLimitBytes, s.FileDescriptorLimit),
 		refusalResponse: randomUnreadRefusal,
@@ -138,6 +140,8 @@
 		OnView:         g.receiveView,
 		Records:        g.recordsMessage,
 		CachedParts:    g.cachedPartsMessage,
+		Quarantine:     g.quarantineMessage,
+		LiftQuarantine: g.liftQuarantine,
 		Logger:         logging.For(logging.Peer),
 	})
 	if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,6 +72,7 @@
 // viewMessage returns the view that is sent to peers.
 func (g *Gateway) viewMessage() *pb.View {
 	now := time.Now()
+	g.publishQuarantine()
 	v := encodeView(g.scheduler.View(now))
 	for _, w := range g.topology.Withdrawals(now) {
 		v.Withdrawn = append(v.Withdrawn, &pb.Withdrawal{
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -33,6 +33,9 @@
 			Observations: float32(m.Observations),
 		})
 	}
+	for _, r := range v.Quarantine {
+		message.Suspects = append(message.Suspects, encodeSuspect(r))
+	}
 	return message
 }
 
@@ -62,6 +65,9 @@
 	for _, usage := range message.Accounts {
 		v.Usage[usage.Account] = decodeUsage(usage)
 	}
+	for _, m := range message.Suspects {
+		v.Quarantine = append(v.Quarantine, decodeSuspect(m))
+	}
 	for _, p := range message.Placements {
 		v.Placements = append(v.Placements, placement.Placement{Server: p.Server, Part: p.Part, Tokens: int(p.Tokens)})
 	}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
 
 const (
 	// slowdownGain is the weight of the newest observation in server.slowdown.
@@ -27,6 +31,7 @@
 	prefillTokens  int // tokens pending at the server at the start, plus the own uncached ones
 	running        int // other requests at the server at the start
 	firstEventSeen bool
+	sound          bool // see SetSound
 	ended          bool
 }
 
@@ -58,6 +63,34 @@
 	return a
 }
 
+// Server returns the hash of the server's ID and incarnation. ok is false for a server that was no longer known at the
+// start.
+func (a *Attempt) Server() (hash uint64, ok bool) {
+	if a.server == nil {
+		return 0, false
+	}
+	return mix(a.server.hash, uint64(a.server.Incarnation)), true
+}
+
+// Draining reports whether the server was leaving when it was last heard of.
+func (a *Attempt) Draining() bool { return a.server != nil && a.server.State != routing.Ready }
+
+// SharedParts returns the IDs of the prompt parts that other requests may share.
+func (a *Attempt) SharedParts() []uint64 { return a.request.SharedParts() }
+
+// SetSound marks the attempt as one whose answer has gone on after its begin. It returns false if it was marked before.
+func (a *Attempt) SetSound() bool {
+	wasSound := a.sound
+	a.sound = true
+	return !wasSound
+}
+
+// Sound reports whether SetSound was called.
+func (a *Attempt) Sound() bool { return a.sound }
+
+// SentAt returns the time of the start.
+func (a *Attempt) SentAt() time.Time { return a.sentAt }
+
 // RecordFirstEvent records the first event of the attempt, or the answer of a plain service.
 // Further calls have no effect.
 func (b *Balancer) RecordFirstEvent(a *Attempt, now time.Time) {
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -352,6 +352,18 @@
 	return r.Parts[len(r.Parts)-2].ID, tokens, true
 }
 
+// SharedParts returns the IDs of the prompt parts that other requests may share, all but the last one.
+func (r Request) SharedParts() []uint64 {
+	if !r.Engine || len(r.Parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(r.Parts)-1)
+	for _, p := range r.Parts[:len(r.Parts)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // Placements returns what this daemon sent to servers within placementTTL. The slice is valid
 // until the next call of a method.
 func (b *Balancer) Placements(now time.Time) []Placement {
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -34,6 +34,7 @@
 	NoServerJoined     Code = 1105
 	AccountOverShare   Code = 1106
 	ServersBusy        Code = 1107
+	PromptQuarantined  Code = 1108
 )
 
 // Requests that were not run because of the state of the daemon.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 
 	"github.com/filbertrill/filbertrill/internal/admission"
 	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/routing"
 )
@@ -34,6 +35,7 @@
 	balancer     *placement.Balancer
 	shares       *admission.Shares
 	retryBudgets map[string]*retry.Window
+	quarantine   *quarantine.Registry
 	options      Options
 }
 
@@ -52,6 +54,9 @@
 	Verdict admission.Verdict
 	Input   admission.Input // of the verdict
 	Cost    float64         // of the request, see RequestCost
+	// Quarantined is the prompt part for which the request must not be sent. It is nil for none, and nothing else is
+	// set otherwise.
+	Quarantined *quarantine.Status
 }
 
 // Options are the settings of a Scheduler.
@@ -60,14 +65,21 @@
 	FairWindow  time.Duration
 	RetryBudget retry.WindowOptions
 	Daemons     func() int // returns the size of the fleet, unreachable daemons included
+	// TriesPart reports whether this daemon makes the trials of a suspected prompt part, see quarantine.New. If it is
+	// nil, it does.
+	TriesPart func(part uint64) bool
 }
 
 // New returns a scheduler without servers.
 func New(options Options) *Scheduler {
+	if options.TriesPart == nil {
+		options.TriesPart = func(uint64) bool { return true }
+	}
 	return &Scheduler{
 		balancer:     placement.NewBalancer(options.Zone),
 		shares:       admission.NewShares(options.FairWindow),
 		retryBudgets: make(map[string]*retry.Window),
+		quarantine:   quarantine.New(options.TriesPart),
 		options:      options,
 	}
 }
@@ -107,6 +119,7 @@
 	Usage        map[uint64]admission.Usage // by AccountHash
 	Placements   []placement.Placement
 	TimingModels map[uint64]placement.TimingModel // by hash of the service's name
+	Quarantine   []quarantine.Report
 }
 
 // SetPeer replaces the view of a peer.
@@ -117,6 +130,7 @@
 	s.balancer.AddPeerPlacements(view.Placements, now)
 	s.balancer.SetPeerTimingModels(id, view.TimingModels, now)
 	s.shares.SetPeerUsage(id, view.Usage, now)
+	s.quarantine.Merge(view.Quarantine, now)
 }
 
 // View returns the view of this daemon.
@@ -128,6 +142,7 @@
 		Usage:        s.shares.OwnUsage(now),
 		Placements:   slices.Clone(s.balancer.Placements(now)),
 		TimingModels: s.balancer.TimingModels(),
+		Quarantine:   s.quarantine.Reports(now),
 	}
 }
 
@@ -171,6 +186,9 @@
 func (s *Scheduler) Decide(r Request, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if held, ok := s.heldPart(r, now); ok {
+		return Decision{Quarantined: &held}
+	}
 	s.retryBudget(r.Service).RecordRequest(now)
 	cost := RequestCost(r.PromptTokens, r.OutputTokens)
 	account := AccountHash(r.Account)
@@ -245,6 +263,9 @@
 func (s *Scheduler) DecideRetry(r Request, tried map[string]bool, free bool, now time.Time) (choice placement.Choice, ok, allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, held := s.heldPart(r, now); held {
+		return choice, false, false
+	}
 	choice, ok = s.balancer.Choose(r.Request, tried, now)
 	if !ok {
 		return choice, false, false
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -69,6 +69,15 @@
 	m.state.cutOff.Update(value)
 }
 
+// SetQuarantined sets whether a prompt part is held back. The gauge is 1 or 0.
+func (m *Metrics) SetQuarantined(part string, held bool) {
+	value := 0.0
+	if held {
+		value = 1
+	}
+	m.state.scope.Tagged(map[string]string{"part": part}).Gauge("quarantined").Update(value)
+}
+
 // setServiceGauge sets a gauge of a service. It ignores services whose label value is Other,
 // since one gauge can't hold the values of several services.
 func (m *Metrics) setServiceGauge(name, service string, n int) {
