--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,7 +55,8 @@
 	status          int // HTTP status of the answer; 0 for none
 	duration        time.Duration
 	reusedConn      bool
-	serverBroke     bool // the server closed the connection before the answer was complete
+	serverBroke     bool    // the server closed the connection before the answer was complete
+	requestLimit    float64 // see AnswerInfo; negative for none
 }
 
 // LogValue implements slog.LogValuer.
@@ -71,6 +72,7 @@
 		" reused=" + strconv.FormatBool(a.reusedConn) +
 		" reach=" + strconv.Itoa(int(a.progress)) +
 		" status=" + strconv.Itoa(a.status) +
+		" limit=" + strconv.FormatFloat(a.requestLimit, 'g', 4, 64) +
 		" took=" + a.duration.String())
 }
 
@@ -165,6 +167,7 @@
 		home:            choice.Home,
 		fetchSource:     choice.Source.ID,
 		fetchedTokens:   choice.FetchedTokens,
+		requestLimit:    -1,
 	}
 	attempt := h.Scheduler.Start(c.schedulerRequest(), choice, started)
 	progress, err := h.sendOnPooledConn(ctx, c, choice, attempt, &record)
@@ -243,6 +246,9 @@
 		conn.DisableReuse()
 	}
 	record.status = response.StatusCode
+	if answer.HasRequestLimit {
+		record.requestLimit = answer.RequestLimit
+	}
 	switch {
 	case answer.NotRun, answer.WrongServer:
 		discardBody(conn, response)
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -41,6 +41,10 @@
 	NotRun      bool   // the server did not run the request and never will
 	Signed      bool
 	WrongServer bool // the server is not the one that the request was meant for
+	// RequestLimit is how many requests per second the server takes from the whole fleet. HasRequestLimit is false if it
+	// names no limit.
+	RequestLimit    float64
+	HasRequestLimit bool
 }
 
 // Protocol encodes and decodes the headers of requests and answers.
