--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -56,6 +56,9 @@
 	maxDatagramBytes = 60 << 10
 )
 
+// ZonePrefix begins the names of zones in Options.OnView.
+const ZonePrefix = "zone "
+
 // Options are the settings and callbacks of an Exchange.
 type Options struct {
 	// Self returns this daemon.
@@ -65,7 +68,7 @@
 	// View returns the view of this daemon that is sent to peers.
 	View func() *pb.View
 	// OnView is called with each newer view of a peer or of another zone. from is the ID of the
-	// peer, or the name of the zone after "zone "; source is the peer or the zone's delegate.
+	// peer, or the name of the zone after ZonePrefix; source is the peer or the zone's delegate.
 	OnView func(from string, source *pb.Member, v *pb.View)
 	// Records returns the records that PullRecords of a peer receives.
 	Records func() *pb.Records
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -19,7 +19,18 @@
 	withdrawn := make(map[string]*pb.Withdrawal)
 	models := make(map[uint64]*pb.EngineModel)
 	suspects := make(map[uint64]*pb.Suspect)
+	limits := make(map[uint64]*pb.ServerLimit)
+	demands := make(map[uint64]*pb.ServiceDemand)
 	for _, v := range views {
+		out.Daemons += v.Daemons
+		for _, l := range v.Limits {
+			if known, ok := limits[l.Server]; !ok || l.AgeMs < known.AgeMs {
+				limits[l.Server] = l
+			}
+		}
+		for _, d := range v.Demands {
+			getOrInsert(demands, d.Service, &pb.ServiceDemand{Service: d.Service}).PerSecond += d.PerSecond
+		}
 		for _, s := range v.Suspects {
 			mergeSuspect(getOrInsert(suspects, s.Part, &pb.Suspect{Part: s.Part}), s)
 		}
@@ -66,6 +77,12 @@
 	for _, m := range models {
 		out.Models = append(out.Models, m)
 	}
+	for _, l := range limits {
+		out.Limits = append(out.Limits, l)
+	}
+	for _, d := range demands {
+		out.Demands = append(out.Demands, d)
+	}
 	for _, s := range suspects {
 		out.Suspects = append(out.Suspects, s)
 	}
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -95,7 +95,7 @@
 	if !x.acceptZone(z, fromDelegate, now) {
 		return
 	}
-	x.options.OnView("zone "+z.Zone, z.Delegate, z.View)
+	x.options.OnView(ZonePrefix+z.Zone, z.Delegate, z.View)
 }
 
 // acceptZone stores the summary of another zone. It returns false if its view is not needed: the
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -37,6 +37,8 @@
 		c.admission = &admissionRecord{decision.Cost, decision.Input}
 	}
 	switch {
+	case !decision.Found && decision.Limited:
+		return result.New(result.ServersBusy, "all backend servers have reached the limits that they name").WithRetryAfter(defaultRetryAfter)
 	case !decision.Found:
 		return result.New(result.NoServerJoined, "no backend server is ready").WithRetryAfter(defaultRetryAfter)
 	case decision.Verdict.Reason == admission.OverShare:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -246,8 +246,12 @@
 		conn.DisableReuse()
 	}
 	record.status = response.StatusCode
-	if answer.HasRequestLimit {
+	switch {
+	case answer.HasRequestLimit:
 		record.requestLimit = answer.RequestLimit
+		h.Scheduler.RecordLimit(a, answer.RequestLimit, time.Now())
+	case response.StatusCode/100 == 2:
+		h.Scheduler.RecordNoLimit(a, time.Now())
 	}
 	switch {
 	case answer.NotRun, answer.WrongServer:
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -34,9 +34,7 @@
 			return quarantineError(held, time.Now())
 		}
 		if time.Since(c.decidedAt) > maxChoiceAge {
-			if newChoice, ok, _ := h.Scheduler.DecideRetry(c.schedulerRequest(), nil, true, time.Now()); ok {
-				c.choice = newChoice
-			}
+			c.choice = h.Scheduler.ChooseAgain(c.schedulerRequest(), c.choice, time.Now())
 		}
 		return next.Handle(ctx, c)
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,7 @@
 		stop:     make(chan struct{}),
 	}
 	g.scheduler = scheduler.New(scheduler.Options{
+		ID:          s.ID,
 		Zone:        s.Zone,
 		FairWindow:  s.FairWindow,
 		RetryBudget: retry.WindowOptions{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/monotonic"
 	"github.com/filbertrill/filbertrill/internal/topology"
@@ -94,7 +96,11 @@
 // if that has newer records. It implements exchange.Options.OnView.
 func (g *Gateway) receiveView(from string, source *pb.Member, v *pb.View) {
 	now := time.Now()
-	g.scheduler.SetPeer(from, decodeView(v), now)
+	zone, isZone := strings.CutPrefix(from, exchange.ZonePrefix)
+	if !isZone {
+		zone = ""
+	}
+	g.scheduler.SetPeer(from, decodeView(v, zone), now)
 	timeOf := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, w := range v.Withdrawn {
 		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Incarnation: w.Born, Sequence: w.Sequence, FirstSeen: timeOf(w.AgeMs)}) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -36,16 +36,19 @@
 	for _, r := range v.Quarantine {
 		message.Suspects = append(message.Suspects, encodeSuspect(r))
 	}
+	encodeLimits(message, v.Limits)
 	return message
 }
 
-// decodeView converts a protobuf message to a view.
-func decodeView(message *pb.View) scheduler.View {
+// decodeView converts a protobuf message to a view. zone is the zone that the message summarizes, empty for the view of
+// one daemon.
+func decodeView(message *pb.View, zone string) scheduler.View {
 	v := scheduler.View{
 		Loads: make(map[uint64]placement.Load, len(message.Servers)),
 		Usage: make(map[uint64]admission.Usage, len(message.Accounts)),
 
 		TimingModels: make(map[uint64]placement.TimingModel, len(message.Models)),
+		Limits:       decodeLimits(message, zone),
 	}
 	for _, m := range message.Models {
 		v.TimingModels[m.Service] = placement.TimingModel{
--- a/internal/gateway/view_benchmark_test.go
+++ b/internal/gateway/view_benchmark_test.go
@@ -48,7 +48,7 @@
 		for range b.N {
 			d := &pb.Datagram{}
 			require.NoError(b, proto.Unmarshal(data, d))
-			sched.SetPeer("a1", decodeView(d.State.View), now)
+			sched.SetPeer("a1", decodeView(d.State.View, ""), now)
 		}
 	})
 	b.Run("send", func(b *testing.B) {
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -63,13 +63,12 @@
 	return a
 }
 
-// Server returns the hash of the server's ID and incarnation. ok is false for a server that was no longer known at the
-// start.
+// Server returns the ServerIdentity of the server. ok is false for a server that was no longer known at the start.
 func (a *Attempt) Server() (hash uint64, ok bool) {
 	if a.server == nil {
 		return 0, false
 	}
-	return mix(a.server.hash, uint64(a.server.Incarnation)), true
+	return a.server.identity, true
 }
 
 // Draining reports whether the server was leaving when it was last heard of.
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -89,7 +90,8 @@
 type server struct {
 	routing.Server
 	hash               uint64
-	ownLoad            Load // of this daemon
+	identity           uint64 // see ServerIdentity
+	ownLoad            Load   // of this daemon
 	cache              *promptCache
 	slowdown           float64   // moving average of observed over predicted time
 	plainLatency       float64   // moving average in seconds; 0 before the first plain request
@@ -116,6 +118,7 @@
 	regressions      map[string]*timingRegression // by service
 	recentPlacements []Placement                  // of this daemon, oldest first
 
+	available     func(identity uint64, now time.Time) bool
 	overloaded    bool               // see SetOverloaded
 	rotation      int                // see rotate
 	fetchRate     map[string]float64 // tokens per second, by service
@@ -141,6 +144,7 @@
 		peerLoadSum: make(map[uint64]Load),
 		regressions: make(map[string]*timingRegression),
 
+		available:     func(uint64, time.Time) bool { return true },
 		timingsByPeer: make(map[string]peerTimingModels),
 		fetchRate:     make(map[string]float64),
 	}
@@ -150,6 +154,15 @@
 // their messages.
 func Hash(id string) uint64 { return xxhash.Sum64String(id) }
 
+// ServerIdentity returns a hash of the server's ID and incarnation.
+func ServerIdentity(s routing.Server) uint64 { return mix(Hash(s.ID), uint64(s.Incarnation)) }
+
+// SetAvailable sets the function that reports whether a server, by its ServerIdentity, takes another request now. Choose
+// leaves out the others.
+func (b *Balancer) SetAvailable(available func(identity uint64, now time.Time) bool) {
+	b.available = available
+}
+
 // SetServers replaces the servers. State observed of a server is kept unless its incarnation or
 // address has changed.
 func (b *Balancer) SetServers(servers []routing.Server) {
@@ -163,6 +176,7 @@
 		created := &server{
 			Server:             s,
 			hash:               Hash(s.ID),
+			identity:           ServerIdentity(s),
 			cache:              newPromptCache(),
 			slowdown:           1,
 			awaitingFirstEvent: make(map[*Attempt]struct{}),
@@ -238,7 +252,7 @@
 }
 
 // Choose returns the server with the lowest score for the request, without the excluded server
-// IDs. The result is false when there is none.
+// IDs. The result is false when there is none that is available.
 func (b *Balancer) Choose(r Request, excluded map[string]bool, now time.Time) (Choice, bool) {
 	return b.choose(r, excluded, prefillWeight, now)
 }
@@ -257,7 +271,7 @@
 	src := b.fetchSource(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for s := range b.rotate(r.Service) {
-		if excluded[s.ID] {
+		if excluded[s.ID] || !b.available(s.identity, now) {
 			continue
 		}
 		c := b.predict(s, r, coeffs, s == home, src, now)
@@ -269,6 +283,17 @@
 	return best, found
 }
 
+// Ready returns the ServerIdentity of each ready server of the service.
+func (b *Balancer) Ready(service string) iter.Seq[uint64] {
+	return func(yield func(uint64) bool) {
+		for _, s := range b.ready[service] {
+			if !yield(s.identity) {
+				return
+			}
+		}
+	}
+}
+
 // Slots returns the total slots of the ready servers of the service, and how many are in use.
 func (b *Balancer) Slots(service string, now time.Time) (total, used int) {
 	b.expirePeerLoads(now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/serverlimit"
 )
 
 // generatedTokenWeight is the cost of a generated token in prompt tokens. The capacity of engines,
@@ -36,6 +37,7 @@
 	shares       *admission.Shares
 	retryBudgets map[string]*retry.Window
 	quarantine   *quarantine.Registry
+	limiter      *serverlimit.Limiter
 	options      Options
 }
 
@@ -50,7 +52,8 @@
 // Decision is the decision on the first attempt of a request.
 type Decision struct {
 	Choice  placement.Choice
-	Found   bool // false when no backend server is ready
+	Found   bool // false when no backend server is ready, or none may receive another request
+	Limited bool // if none was found: some are ready, but have reached their limits
 	Verdict admission.Verdict
 	Input   admission.Input // of the verdict
 	Cost    float64         // of the request, see RequestCost
@@ -61,6 +64,7 @@
 
 // Options are the settings of a Scheduler.
 type Options struct {
+	ID          string // of this daemon
 	Zone        string
 	FairWindow  time.Duration
 	RetryBudget retry.WindowOptions
@@ -75,13 +79,16 @@
 	if options.TriesPart == nil {
 		options.TriesPart = func(uint64) bool { return true }
 	}
-	return &Scheduler{
+	s := &Scheduler{
 		balancer:     placement.NewBalancer(options.Zone),
 		shares:       admission.NewShares(options.FairWindow),
 		retryBudgets: make(map[string]*retry.Window),
 		quarantine:   quarantine.New(options.TriesPart),
+		limiter:      serverlimit.New(serverlimit.Options{ID: options.ID, Zone: options.Zone, Daemons: options.Daemons}),
 		options:      options,
 	}
+	s.balancer.SetAvailable(s.limiter.Allow)
+	return s
 }
 
 // AccountHash returns the identifier of an account in messages between daemons.
@@ -93,6 +100,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.SetServers(servers)
+	limited := make([]serverlimit.Server, 0, len(servers))
+	for _, server := range servers {
+		limited = append(limited, serverlimit.Server{ID: placement.ServerIdentity(server), Service: placement.Hash(server.Service)})
+	}
+	s.limiter.SetServers(limited)
 	if config == nil {
 		return
 	}
@@ -120,6 +132,7 @@
 	Placements   []placement.Placement
 	TimingModels map[uint64]placement.TimingModel // by hash of the service's name
 	Quarantine   []quarantine.Report
+	Limits       serverlimit.Report
 }
 
 // SetPeer replaces the view of a peer.
@@ -131,6 +144,7 @@
 	s.balancer.SetPeerTimingModels(id, view.TimingModels, now)
 	s.shares.SetPeerUsage(id, view.Usage, now)
 	s.quarantine.Merge(view.Quarantine, now)
+	s.limiter.SetPeer(id, view.Limits, now)
 }
 
 // View returns the view of this daemon.
@@ -143,6 +157,7 @@
 		Placements:   slices.Clone(s.balancer.Placements(now)),
 		TimingModels: s.balancer.TimingModels(),
 		Quarantine:   s.quarantine.Reports(now),
+		Limits:       s.limiter.Report(now),
 	}
 }
 
@@ -190,6 +205,7 @@
 		return Decision{Quarantined: &held}
 	}
 	s.retryBudget(r.Service).RecordRequest(now)
+	s.limiter.RecordDemand(placement.Hash(r.Service), now)
 	cost := RequestCost(r.PromptTokens, r.OutputTokens)
 	account := AccountHash(r.Account)
 	if r.Engine {
@@ -197,7 +213,7 @@
 	}
 	choice, ok := s.balancer.Choose(r.Request, nil, now)
 	if !ok {
-		return Decision{}
+		return Decision{Limited: s.anyLimited(r.Service)}
 	}
 	d := s.checkAdmission(r, account, choice, now)
 	if d.Verdict.Reason != admission.Admitted {
@@ -208,8 +224,11 @@
 			d = s.checkAdmission(r, account, fastest, now)
 		}
 	}
-	if d.Verdict.Reason == admission.Admitted && r.Engine {
-		s.shares.RecordAdmitted(account, cost, now)
+	if d.Verdict.Reason == admission.Admitted {
+		s.limiter.Take(placement.ServerIdentity(d.Choice.Server))
+		if r.Engine {
+			s.shares.RecordAdmitted(account, cost, now)
+		}
 	}
 	d.Cost = cost
 	return d
@@ -270,7 +289,24 @@
 	if !ok {
 		return choice, false, false
 	}
-	return choice, true, free || s.retryBudget(r.Service).Take(now, s.options.Daemons())
+	if !free && !s.retryBudget(r.Service).Take(now, s.options.Daemons()) {
+		return choice, true, false
+	}
+	s.limiter.Take(placement.ServerIdentity(choice.Server))
+	return choice, true, true
+}
+
+// ChooseAgain replaces the choice for a request that was not sent yet. It returns the old one if there is no other.
+func (s *Scheduler) ChooseAgain(r Request, old placement.Choice, now time.Time) placement.Choice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.Return(placement.ServerIdentity(old.Server))
+	choice, ok := s.balancer.Choose(r.Request, nil, now)
+	if !ok {
+		choice = old
+	}
+	s.limiter.Take(placement.ServerIdentity(choice.Server))
+	return choice
 }
 
 // Daemons returns the size of the fleet, unreachable daemons included.
