--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,8 @@
 
 import (
 	"bufio"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -21,6 +23,8 @@
 	// readBufferSize is the size in bytes of a connection's read buffer. It is large enough
 	// for several events that arrive together.
 	readBufferSize = 4 << 10
+	// maxHeadBytes is the size of the largest head of an answer that is read, readBufferSize more or less.
+	maxHeadBytes = 64 << 10
 	// tcpUserTimeoutMillis bounds how long sent bytes may stay unacknowledged. Without it,
 	// connections to a host that lost power hang for minutes.
 	tcpUserTimeoutMillis = 3000
@@ -28,10 +32,14 @@
 	sockoptTCPUserTimeout = 0x12
 )
 
+// ErrHeadTooLong is returned by Conn.Receive when the head of an answer is longer than 64 KiB.
+var ErrHeadTooLong = errors.New("head of the answer is too long")
+
 // Conn is a connection to one backend server. It serves one request at a time.
 type Conn struct {
 	net.Conn
-	reader        *bufio.Reader
+	limited       *io.LimitedReader // of the connection, limits heads
+	reader        *bufio.Reader     // of limited
 	rawConn       syscall.RawConn
 	lastUsed      time.Time     // end of the last request
 	idleTimeout   time.Duration // from the server's Keep-Alive header; 0 if it sent none
@@ -56,7 +64,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
-	return &Conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize), rawConn: rawConn}, nil
+	limited := &io.LimitedReader{R: netConn, N: math.MaxInt64}
+	return &Conn{Conn: netConn, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), rawConn: rawConn}, nil
 }
 
 // DisableReuse makes Pool.Put close the connection instead of keeping it.
@@ -87,12 +96,18 @@
 }
 
 // Receive reads the head of the answer to a request with the given method. The caller reads
-// the body from the returned answer. After an error, or if the server closes the connection
+// the body from the returned answer. It returns ErrHeadTooLong for a head without end. After an error, or if the server closes the connection
 // after this answer, the connection is not reused.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.limited.N = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	tooLong := c.limited.N <= 0
+	c.limited.N = math.MaxInt64
 	if err != nil {
 		c.reuseDisabled = true
+		if tooLong { // the error is the end of the limited reader
+			return nil, ErrHeadTooLong
+		}
 		return nil, errors.Wrap(err, "read answer")
 	}
 	if response.Close || !response.ProtoAtLeast(1, 1) {
--- /dev/null
+++ b/internal/upstream/conn_test.go
@@ -0,0 +1,68 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// serveRaw accepts connections and calls write with each. It returns the address.
+func serveRaw(t *testing.T, write func(conn net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go write(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// endlessly writes start and then the text until the other side closes the connection.
+func endlessly(start, text string) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		defer conn.Close()
+		_, err := conn.Write([]byte(start))
+		for err == nil {
+			_, err = conn.Write([]byte(text))
+		}
+	}
+}
+
+// allocatedBytes returns the bytes that the process has allocated so far.
+func allocatedBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.TotalAlloc
+}
+
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, write := range map[string]func(conn net.Conn){
+		"line":    endlessly("", strings.Repeat("x", 4096)),
+		"headers": endlessly("HTTP/1.1 200 OK\r\n", strings.Repeat("X-Field: value\r\n", 200)),
+	} {
+		address := serveRaw(t, write)
+		pool := NewPool()
+		conn, err := pool.Get(context.Background(), Endpoint{Address: address}, 0)
+		require.NoError(t, err)
+		time.AfterFunc(2*time.Second, func() { _ = conn.Close() })
+		before, start := allocatedBytes(), time.Now()
+		_, err = conn.Receive("GET")
+		assert.ErrorIs(t, err, ErrHeadTooLong, name)
+		assert.Less(t, time.Since(start), time.Second, name)
+		assert.Less(t, allocatedBytes()-before, uint64(4<<20), "%s: bytes allocated", name)
+		pool.Put(Endpoint{Address: address}, conn)
+	}
+}
