--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -285,9 +285,13 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			break // the body ends with the connection: no further answer can follow
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedAnswerBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedAnswerBytes+1))
+		if err != nil {
 			return nil, AnswerInfo{}, errors.Wrap(err, "skip answer to another request")
 		}
+		if n > maxBufferedAnswerBytes {
+			return nil, AnswerInfo{}, errors.Newf("answer to another request is longer than %d bytes", maxBufferedAnswerBytes)
+		}
 	}
 	return nil, AnswerInfo{}, errors.New("connection carries answers to other requests")
 }
