--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -44,6 +44,7 @@
 	closeConnections atomic.Bool  // see SetCloseConnections
 	refuseRequests   atomic.Bool  // see RefuseRequests
 	bufferedBytes    atomic.Int64 // total size of buffered bodies
+	answerMemory     answerMemory
 	activeRequests   atomic.Int64
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -44,21 +44,22 @@
 	return maxBatchDelay
 }
 
-// maxEventBytes is the size of the largest event that is forwarded.
-const maxEventBytes = 1 << 20
+const (
+	// eventBufferBytes is the size of the buffer with which a stream begins. It is doubled for longer events.
+	eventBufferBytes = 4 << 10
+	// maxEventBytes is the size of the largest event that is forwarded.
+	maxEventBytes = 256 << 10
+)
 
 // relayBuffered reads the complete answer and then forwards it. An answer with a server error is
 // stored in the call instead if the request may be retried.
 func (h *Handler) relayBuffered(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt) (attemptProgress, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswerBytes+1))
+	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
+	defer h.answerMemory.release(len(body))
 	if err != nil {
 		conn.DisableReuse()
 		return maybeRun, errors.Wrap(err, "read answer")
 	}
-	if len(body) > maxBufferedAnswerBytes {
-		conn.DisableReuse()
-		return maybeRun, errors.Newf("answer is longer than %d bytes", maxBufferedAnswerBytes)
-	}
 	failed := response.StatusCode >= http.StatusInternalServerError
 	if failed && mayRetry(c, maybeRun, len(c.attempts)+1) {
 		c.serverFailure = &failedAnswer{response, body}
@@ -93,11 +94,16 @@
 
 // relayEvents forwards the events of a stream as they arrive, each only when it is complete.
 func (h *Handler) relayEvents(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt, w *watchdog) (attemptProgress, error) {
-	buffer := make([]byte, 0, 4<<10)
+	buffer := make([]byte, 0, eventBufferBytes)
+	defer func() { h.answerMemory.release(cap(buffer) - eventBufferBytes) }()
 	eventsBefore := c.eventCount
 	flusher := http.NewResponseController(c.writer)
 	for {
 		if len(buffer) == cap(buffer) {
+			if err := h.answerMemory.reserve(cap(buffer)); err != nil {
+				conn.DisableReuse()
+				return c.brokenStreamProgress(), err
+			}
 			grown := make([]byte, len(buffer), 2*cap(buffer))
 			copy(grown, buffer)
 			buffer = grown
