--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -60,7 +60,7 @@
 var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "Idempotency-Key"}
 
 // Call sends the request to the backend server and returns the complete response, whatever its status.
-// The error is marked ErrNotSent if no byte of the request can have reached the server.
+// A response of more than 8 MiB is an error. The error is marked ErrNotSent if no byte of the request can have reached the server.
 func (p *PlainClient) Call(ctx context.Context, address string, r PlainRequest) (*PlainResponse, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, r.body())
 	if err != nil {
@@ -82,9 +82,12 @@
 		return nil, errors.Wrap(err, "call plain service")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read response of plain service")
 	}
+	if len(body) > maxResponseBytes {
+		return nil, errors.Newf("response of plain service is longer than %d bytes", maxResponseBytes)
+	}
 	return &PlainResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
--- a/internal/backend/plain_test.go
+++ b/internal/backend/plain_test.go
@@ -89,3 +89,19 @@
 	require.Equal(t, http.StatusTemporaryRedirect, resp.Status)
 	require.EqualValues(t, 1, requests.Load())
 }
+
+func TestPlainAnswerWithoutEndIsNotCut(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for chunk := make([]byte, 64<<10); ; {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	for _, repeatable := range []bool{false, true} {
+		_, err := NewPlainClient(NewTransport()).Call(t.Context(), server.Listener.Addr().String(), PlainRequest{Method: http.MethodGet, Path: "/", Repeatable: repeatable})
+		require.ErrorContains(t, err, "longer than")
+		require.NotErrorIs(t, err, ErrNotSent)
+	}
+}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -16,7 +16,7 @@
 const maxTrailerBytes = 4 << 10
 
 // maxEventBytes is the maximum size of one event.
-const maxEventBytes = 4 << 20
+const maxEventBytes = 256 << 10
 
 // endMarker is the data of the last event of a complete stream.
 const endMarker = "[DONE]"
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -17,7 +17,8 @@
 // Limits and timeouts of the clients.
 const (
 	dialTimeout           = 2 * time.Second
-	maxResponseBytes      = 64 << 20
+	maxResponseBytes      = 8 << 20
+	maxResponseHeadBytes  = 64 << 10
 	maxIdleConnsPerServer = 256
 	idleConnTimeout       = 30 * time.Second
 	// writeBufferBytes is allocated for each open connection, so it is smaller than the default of 4 KiB.
@@ -46,6 +47,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
 
