--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -23,6 +23,7 @@
 	demands := make(map[uint64]*pb.ServiceDemand)
 	for _, v := range views {
 		out.Daemons += v.Daemons
+		out.StoreEra = max(out.StoreEra, v.StoreEra)
 		for _, l := range v.Limits {
 			if known, ok := limits[l.Server]; !ok || l.AgeMs < known.AgeMs {
 				limits[l.Server] = l
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	// nextServerPull is the earliest time at which a differing list of servers is pulled
 	// again, as monotonic.UnixNano.
 	nextServerPull atomic.Int64
+	peerStoreEra   atomic.Uint64 // highest era of the store that a peer has reported
 	overload       overloadDetector
 	// cachedPartsKnown is set when the warm-up has ended. The daemon then knows the cached
 	// prefix parts of engines as well as its peers do.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -84,9 +84,23 @@
 	known := g.reader.Freshness(now)
 	v.ConfigVersion, v.ConfigAgeMs = known.ConfigVersion, ageMillis(known.ConfigAge)
 	v.ServerDigest, v.ServerAgeMs = known.ServerDigest, ageMillis(known.ServerAge)
+	v.StoreEra = g.storeEra()
 	return v
 }
 
+// storeEra returns the highest era of the store that this daemon has seen or a peer has reported.
+func (g *Gateway) storeEra() uint64 { return max(g.platform.Registry.Era(), g.peerStoreEra.Load()) }
+
+// receiveStoreEra records the era that a peer has reported.
+func (g *Gateway) receiveStoreEra(era uint64) {
+	for {
+		known := g.peerStoreEra.Load()
+		if era <= known || g.peerStoreEra.CompareAndSwap(known, era) {
+			return
+		}
+	}
+}
+
 // ageMillis converts an age to milliseconds, rounded up and limited to one hour.
 func ageMillis(age time.Duration) uint32 {
 	return uint32((min(max(age, 0), time.Hour) + time.Millisecond - 1).Milliseconds())
@@ -96,6 +110,7 @@
 // if that has newer records. It implements exchange.Options.OnView.
 func (g *Gateway) receiveView(from string, source *pb.Member, v *pb.View) {
 	now := time.Now()
+	g.receiveStoreEra(v.StoreEra)
 	zone, isZone := strings.CutPrefix(from, exchange.ZonePrefix)
 	if !isZone {
 		zone = ""
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -27,12 +27,18 @@
 	assert.True(t, isStoreReader(&pb.Member{Id: "b2", Zone: "b"}, []*pb.Member{b1}), "a fleet of one zone has two readers")
 }
 
+// emptyRegistry is a Registry of a store that was never called.
+type emptyRegistry struct{ Registry }
+
+func (emptyRegistry) Era() uint64 { return 0 }
+
 // Guards against a false withdrawal that never expires: daemons that recorded the time of receipt
 // as the time of the withdrawal kept sending it to each other.
 func TestReceiveViewKeepsWithdrawalAge(t *testing.T) {
 	newGateway := func() *Gateway {
 		m := topology.NewState(func() {})
 		return &Gateway{
+			platform:  Platform{Registry: emptyRegistry{}},
 			topology:  m,
 			reader:    topology.NewReader(topology.ReaderOptions{State: m}),
 			scheduler: scheduler.New(scheduler.Options{Zone: "z", FairWindow: 4 * time.Second, Daemons: func() int { return 2 }}),
--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -16,6 +16,9 @@
 	Register(ctx context.Context, zone string, addresses []string) error
 	// Registered returns the control addresses stored for all zones.
 	Registered(ctx context.Context) ([]string, error)
+	// Era returns the highest era of the store in its answers so far. It rises when the store was restored from a copy,
+	// which may lack what was registered last.
+	Era() uint64
 }
 
 const (
@@ -47,7 +50,9 @@
 	addPeer  func(address string)
 	logger   *slog.Logger
 
+	era          uint64    // highest era of the store that a daemon of the fleet knows
 	registered   []string  // addresses of the last successful registration
+	registeredIn uint64    // era of the store after the last successful registration
 	registeredAt time.Time // of the last attempt
 	noPeersSince time.Time // zero while there are peers
 	readAt       time.Time // of the last attempt
@@ -81,7 +86,7 @@
 			addresses = append(addresses, m.ControlAddress)
 		}
 	}
-	if slices.Equal(addresses, r.registered) {
+	if slices.Equal(addresses, r.registered) && r.era <= r.registeredIn {
 		return nil, read
 	}
 	return addresses, read
@@ -100,6 +105,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-time.After(registrarInterval):
+			r.era = g.storeEra()
 			register, read := r.plan(g.member(), g.exchange.Members(), now)
 			r.execute(ctx, register, read, now)
 		}
@@ -115,7 +121,7 @@
 		if err := r.registry.Register(ctx, r.zone, register); err != nil {
 			r.logger.Warn("Zone registration failed.", "control", register, "error", err)
 		} else {
-			r.registered = register
+			r.registered, r.registeredIn = register, r.registry.Era()
 			r.logger.Info("Zone registered.", "control", register)
 		}
 	}
--- a/internal/gateway/registrar_test.go
+++ b/internal/gateway/registrar_test.go
@@ -23,6 +23,13 @@
 	register, _ = r.plan(a1, []*pb.Member{a3, a4, b1}, now.Add(minRegisterInterval))
 	assert.Equal(t, []string{"a1", "a3", "a4"}, register)
 
+	r.registered, r.registeredIn, r.era = register, 3, 3
+	register, _ = r.plan(a1, []*pb.Member{a3, a4, b1}, now.Add(2*minRegisterInterval))
+	assert.Nil(t, register, "unchanged")
+	r.era = 4
+	register, _ = r.plan(a1, []*pb.Member{a3, a4, b1}, now.Add(2*minRegisterInterval))
+	assert.NotNil(t, register, "the store was restored and may have lost the registration")
+
 	var second registrar
 	register, _ = second.plan(a2, []*pb.Member{a1, b1}, now)
 	assert.Nil(t, register, "the daemon with the lowest ID registers")
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -38,6 +38,9 @@
 	// there are none it waits up to the given time for one. It returns ErrTruncated when the
 	// store no longer has the offset.
 	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (records []Record, end int64, err error)
+	// Era returns the highest era in the answers so far, 0 for none. It rises when the store was restored from a copy
+	// that lacks the last records: their offsets are then given out again.
+	Era() uint64
 	// DecodeConfig decodes a record of topic Configs. It returns nil for records of other keys
 	// than the configuration's.
 	DecodeConfig(r Record) (*routing.Config, error)
@@ -191,6 +194,7 @@
 	backoff, storeDown := minBackoff, false
 	var listedAt, recoveredAt time.Time
 	next := int64(-1)
+	var era uint64 // at the last listing
 	for ctx.Err() == nil {
 		started := time.Now()
 		if !r.readsStore() && r.Age(t, started) < takeoverAge {
@@ -217,6 +221,18 @@
 			continue
 		}
 		now := time.Now()
+		if newEra := r.store.Era(); newEra != era {
+			if era != 0 {
+				// Changes at reused offsets would be missed, and the copy may lack servers that register again.
+				r.logger.Info("Store was restored from a copy, listing the newest records.", "topic", t, "era", newEra)
+				recoveredAt = now
+			}
+			era = newEra
+			if !full {
+				next = -1
+				continue
+			}
+		}
 		if storeDown {
 			r.logger.Info("Store is reachable again.", "topic", t, "end", end)
 			storeDown, recoveredAt = false, now
