--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -127,7 +127,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return h.finishEvents(c, conn, response, buffer, a)
+			return h.finishEvents(c, conn, response, buffer, a, c.eventCount-eventsBefore)
 		case err != nil:
 			conn.DisableReuse()
 			return c.brokenStreamProgress(), errors.Wrap(err, "read stream")
@@ -138,14 +138,21 @@
 	}
 }
 
-// finishEvents handles the end of a stream. If rest, the data after the last complete event, holds
-// more than white space, the stream broke within an event and finishEvents returns an error.
-func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt) (attemptProgress, error) {
+// finishEvents handles the end of a stream, of which events have arrived in this attempt. If rest, the data after the last
+// complete event, holds more than white space, or if a stream that ends with its connection has no events, it broke and
+// finishEvents returns an error.
+func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt, events int) (attemptProgress, error) {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		conn.DisableReuse()
 		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends within an event")
 	}
-	h.Scheduler.RecordComplete(a, time.Now())
+	switch endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
+	case !endsWithConnection:
+		h.Scheduler.RecordComplete(a, time.Now())
+	case events == 0:
+		conn.DisableReuse()
+		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends without an event")
+	}
 	if !c.answerStarted {
 		h.startAnswer(c, response)
 	}
