--- a/cmd/filbertrilld/gateway.go
+++ b/cmd/filbertrilld/gateway.go
@@ -34,7 +34,9 @@
 		Protocol:  platform.Protocol{},
 		Store:     store,
 		Registry:  store,
-		Engines:   platform.NewEngines(),
+
+		Quarantine: store,
+		Engines:    platform.NewEngines(),
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	Store     topology.Store
 	Registry  Registry
 	Engines   Engines
+	// Quarantine may be nil; the evidence against prompt parts is then kept in memory only.
+	Quarantine QuarantineStore
 }
 
 // Gateway is the running daemon: the listeners, the state that they share and the goroutines
@@ -164,6 +166,9 @@
 	go g.watchOverload(ctx)
 	go g.runRegistrar(ctx)
 	go g.warmUp(ctx)
+	if g.platform.Quarantine != nil {
+		go g.runQuarantineKeeper(ctx)
+	}
 	go func() {
 		if err := g.exchange.Run(ctx); err != nil {
 			g.logger.Error("Exchange failed.", "error", err)
--- /dev/null
+++ b/internal/gateway/quarantine_store.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/quarantine"
+)
+
+// QuarantineStore keeps the evidence against suspected prompt parts, for the case that all daemons end at once.
+type QuarantineStore interface {
+	// SaveSuspect replaces the value that is stored for a part, or removes it if the value is nil.
+	SaveSuspect(ctx context.Context, part string, value []byte) error
+	// SavedSuspects returns the stored values by part.
+	SavedSuspects(ctx context.Context) (map[string][]byte, error)
+}
+
+const (
+	// quarantineSaveInterval is the time between two comparisons of the suspected parts with what is stored.
+	quarantineSaveInterval = 500 * time.Millisecond
+	// maxSavesPerInterval bounds the writes to the store.
+	maxSavesPerInterval = 4
+	// quarantineCallTimeout bounds the calls to the store in one interval.
+	quarantineCallTimeout = time.Second
+)
+
+// quarantineKeeper loads the stored evidence at the start of a daemon that reads the store, and keeps the store up to date
+// if this daemon is the one of the fleet that writes. Two daemons may do so for a while; they write the same.
+type quarantineKeeper struct {
+	store QuarantineStore
+	saved map[string]savedSuspect // nil until loaded
+	era   uint64                  // of the store when saved was loaded
+}
+
+// savedSuspect tells what of the evidence against a part is stored.
+type savedSuspect struct{ ends, trials int }
+
+// runQuarantineKeeper runs the keeper until the context ends.
+func (g *Gateway) runQuarantineKeeper(ctx context.Context) {
+	k := &quarantineKeeper{store: g.platform.Quarantine}
+	for {
+		if g.readsStore() && !g.member().StoreLost {
+			callCtx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
+			if err := g.keepQuarantine(callCtx, k); err != nil {
+				g.logger.Warn("Suspected prompt parts were not loaded or saved.", "error", err)
+				k.saved = nil // load again
+			}
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(quarantineSaveInterval):
+		}
+	}
+}
+
+// keepQuarantine loads what is stored, once and after the store was restored from a copy, and saves what has changed.
+func (g *Gateway) keepQuarantine(ctx context.Context, k *quarantineKeeper) error {
+	if era := g.storeEra(); k.saved == nil || era != k.era {
+		if err := g.loadQuarantine(ctx, k); err != nil {
+			return err
+		}
+		k.era = era
+	}
+	if !g.savesQuarantine() {
+		return nil
+	}
+	return k.save(ctx, g.scheduler.QuarantineReports(time.Now()), time.Now())
+}
+
+// savesQuarantine reports whether this daemon writes the evidence to the store: it has the lowest ID of those that are
+// ready and reach the store.
+func (g *Gateway) savesQuarantine() bool {
+	for _, m := range g.exchange.Members() {
+		if m.Id < g.settings.ID && !m.Draining && !m.StoreLost {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Gateway) loadQuarantine(ctx context.Context, k *quarantineKeeper) error {
+	values, err := k.store.SavedSuspects(ctx)
+	if err != nil {
+		return err
+	}
+	k.saved = make(map[string]savedSuspect, len(values))
+	var reports []quarantine.Report
+	for part, value := range values {
+		var stored pb.StoredSuspect
+		if err := proto.Unmarshal(value, &stored); err != nil || stored.Suspect == nil {
+			g.logger.Warn("Invalid stored evidence ignored.", "part", part, "error", err)
+			continue
+		}
+		report := decodeSuspect(stored.Suspect)
+		report.AddAge(max(0, time.Since(time.UnixMilli(stored.SavedUnixMs))))
+		reports = append(reports, report)
+		k.saved[part] = savedSuspect{len(report.Ends), report.Trials}
+	}
+	if len(reports) > 0 {
+		g.scheduler.MergeQuarantine(reports, time.Now())
+		g.logger.Info("Evidence against prompt parts loaded.", "parts", len(reports))
+	}
+	return nil
+}
+
+// save writes the evidence that has changed, and removes that of parts that are no longer suspected.
+func (k *quarantineKeeper) save(ctx context.Context, suspects []quarantine.Report, now time.Time) error {
+	writes := 0
+	write := func(part string, value []byte) error {
+		writes++
+		return errors.Wrapf(k.store.SaveSuspect(ctx, part, value), "part %s", part)
+	}
+	suspected := make(map[string]bool, len(suspects))
+	for _, report := range suspects {
+		part := formatPart(report.Part)
+		suspected[part] = true
+		state := savedSuspect{len(report.Ends), report.Trials}
+		if k.saved[part] == state || writes == maxSavesPerInterval {
+			continue
+		}
+		value, err := proto.Marshal(&pb.StoredSuspect{Suspect: encodeSuspect(report), SavedUnixMs: now.UnixMilli()})
+		if err != nil {
+			return errors.Wrap(err, "encode evidence")
+		}
+		if err := write(part, value); err != nil {
+			return err
+		}
+		k.saved[part] = state
+	}
+	for part := range k.saved {
+		if suspected[part] || writes == maxSavesPerInterval {
+			continue
+		}
+		if err := write(part, nil); err != nil {
+			return err
+		}
+		delete(k.saved, part)
+	}
+	return nil
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -23,6 +23,16 @@
 	TrialAge  time.Duration // of the last one, if there are any
 }
 
+// AddAge makes the report older. It is used for reports that were stored.
+func (r *Report) AddAge(age time.Duration) {
+	for i := range r.Ends {
+		r.Ends[i].Age += age
+	}
+	r.SoundAge += age
+	r.LiftedAge += age
+	r.TrialAge += age
+}
+
 // ReportedEnd is an End in a Report.
 type ReportedEnd struct {
 	Server    uint64
@@ -61,6 +71,16 @@
 	return reports
 }
 
+// SuspectReports returns the reports of the suspected parts.
+func (r *Registry) SuspectReports(now time.Time) []Report {
+	r.expire(now)
+	reports := make([]Report, 0, len(r.suspects))
+	for id, p := range r.suspects {
+		reports = append(reports, p.report(id, now))
+	}
+	return reports
+}
+
 func (p *part) report(id uint64, now time.Time) Report {
 	report := Report{Part: id, Trials: p.trials}
 	_, report.TrialAge = ageOf(p.trialAt, now)
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -64,6 +64,20 @@
 	return s.quarantine.List(now)
 }
 
+// QuarantineReports returns the evidence against the suspected prompt parts.
+func (s *Scheduler) QuarantineReports(now time.Time) []quarantine.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.SuspectReports(now)
+}
+
+// MergeQuarantine adds evidence from before the start of this daemon.
+func (s *Scheduler) MergeQuarantine(reports []quarantine.Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.Merge(reports, now)
+}
+
 // LiftQuarantine clears a suspected prompt part. It reports whether the part was suspected.
 func (s *Scheduler) LiftQuarantine(part uint64, now time.Time) bool {
 	s.mu.Lock()
