--- a/internal/forward/answer_memory.go
+++ b/internal/forward/answer_memory.go
@@ -7,9 +7,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxAnswerMemory bounds the answers that are buffered at a time, and the events that haven't ended, of all requests. It
-// is a quarter of the least memory that a daemon has.
-const maxAnswerMemory = 16 << 20
+const (
+	// answerBufferBytes is the size of the buffer with which an answer begins. It is doubled for longer ones.
+	answerBufferBytes = 4 << 10
+	// maxAnswerMemory bounds the buffers of all answers beyond their first size. The process may need four times as
+	// much: a buffer is copied when it is doubled, and the garbage collector lets the heap double.
+	maxAnswerMemory = 8 << 20
+)
 
 // errAnswerMemory ends attempts for which no memory is left.
 var errAnswerMemory = errors.New("buffered answers have reached their limit of memory")
@@ -28,24 +32,38 @@
 
 func (m *answerMemory) release(n int) { m.used.Add(-int64(n)) }
 
-// readAll reads to the end like io.ReadAll, but no more than limit bytes, and reserves what it reads. The caller releases
-// the length of the result, also after an error. It returns an error if there are more bytes than limit.
+// grow returns a copy of the full buffer with twice its capacity. The buffer begins with answerBufferBytes; what it has
+// beyond is released with releaseBuffer.
+func (m *answerMemory) grow(buffer []byte) ([]byte, error) {
+	if err := m.reserve(cap(buffer)); err != nil {
+		return buffer, err
+	}
+	grown := make([]byte, len(buffer), 2*cap(buffer))
+	copy(grown, buffer)
+	return grown, nil
+}
+
+func (m *answerMemory) releaseBuffer(buffer []byte) { m.release(cap(buffer) - answerBufferBytes) }
+
+// readAll reads to the end like io.ReadAll, but no more than limit bytes. The caller calls releaseBuffer with the result,
+// also after an error. It returns an error if there are more bytes than limit.
 func (m *answerMemory) readAll(r io.Reader, limit int) ([]byte, error) {
-	var data []byte
-	chunk := make([]byte, 4<<10)
+	data := make([]byte, 0, answerBufferBytes)
 	for {
-		n, err := r.Read(chunk)
-		if len(data)+n > limit {
-			return data, errors.Newf("answer is longer than %d bytes", limit)
-		}
-		if reserveErr := m.reserve(n); reserveErr != nil {
-			return data, reserveErr
+		if len(data) == cap(data) {
+			var err error
+			if data, err = m.grow(data); err != nil {
+				return data, err
+			}
 		}
-		data = append(data, chunk[:n]...)
-		if errors.Is(err, io.EOF) {
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case len(data) > limit:
+			return data, errors.Newf("answer is longer than %d bytes", limit)
+		case errors.Is(err, io.EOF):
 			return data, nil
-		}
-		if err != nil {
+		case err != nil:
 			return data, err
 		}
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -44,18 +44,14 @@
 	return maxBatchDelay
 }
 
-const (
-	// eventBufferBytes is the size of the buffer with which a stream begins. It is doubled for longer events.
-	eventBufferBytes = 4 << 10
-	// maxEventBytes is the size of the largest event that is forwarded.
-	maxEventBytes = 256 << 10
-)
+// maxEventBytes is the size of the largest event that is forwarded.
+const maxEventBytes = 256 << 10
 
 // relayBuffered reads the complete answer and then forwards it. An answer with a server error is
 // stored in the call instead if the request may be retried.
 func (h *Handler) relayBuffered(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt) (attemptProgress, error) {
 	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
-	defer h.answerMemory.release(len(body))
+	defer h.answerMemory.releaseBuffer(body)
 	if err != nil {
 		conn.DisableReuse()
 		return maybeRun, errors.Wrap(err, "read answer")
@@ -94,19 +90,17 @@
 
 // relayEvents forwards the events of a stream as they arrive, each only when it is complete.
 func (h *Handler) relayEvents(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt, w *watchdog) (attemptProgress, error) {
-	buffer := make([]byte, 0, eventBufferBytes)
-	defer func() { h.answerMemory.release(cap(buffer) - eventBufferBytes) }()
-	eventsBefore := c.eventCount
+	buffer := make([]byte, 0, answerBufferBytes)
+	defer func() { h.answerMemory.releaseBuffer(buffer) }()
+	eventsBefore, anyEvent := c.eventCount, false
 	flusher := http.NewResponseController(c.writer)
 	for {
 		if len(buffer) == cap(buffer) {
-			if err := h.answerMemory.reserve(cap(buffer)); err != nil {
+			var err error
+			if buffer, err = h.answerMemory.grow(buffer); err != nil {
 				conn.DisableReuse()
 				return c.brokenStreamProgress(), err
 			}
-			grown := make([]byte, len(buffer), 2*cap(buffer))
-			copy(grown, buffer)
-			buffer = grown
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
@@ -118,6 +112,7 @@
 				return c.brokenStreamProgress(), forwardErr
 			}
 			if forwarded > 0 {
+				anyEvent = true
 				h.Scheduler.RecordEvents(a, c.eventCount-eventsBefore, time.Now())
 			}
 			buffer = append(buffer[:0], buffer[forwarded:]...)
@@ -127,7 +122,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return h.finishEvents(c, conn, response, buffer, a, c.eventCount-eventsBefore)
+			return h.finishEvents(c, conn, response, buffer, a, anyEvent)
 		case err != nil:
 			conn.DisableReuse()
 			return c.brokenStreamProgress(), errors.Wrap(err, "read stream")
@@ -138,10 +133,10 @@
 	}
 }
 
-// finishEvents handles the end of a stream, of which events have arrived in this attempt. If rest, the data after the last
-// complete event, holds more than white space, or if a stream that ends with its connection has no events, it broke and
-// finishEvents returns an error.
-func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt, events int) (attemptProgress, error) {
+// finishEvents handles the end of a stream; anyEvent tells whether an event has arrived in this attempt. If rest, the data
+// after the last complete event, holds more than white space, or if a stream that ends with its connection has no
+// events, it broke and finishEvents returns an error.
+func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt, anyEvent bool) (attemptProgress, error) {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		conn.DisableReuse()
 		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends within an event")
@@ -149,7 +144,7 @@
 	switch endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
 	case !endsWithConnection:
 		h.Scheduler.RecordComplete(a, time.Now())
-	case events == 0:
+	case !anyEvent:
 		conn.DisableReuse()
 		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends without an event")
 	}
