--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -29,7 +29,7 @@
 func (h *Handler) chooseServer(c *call) error {
 	c.decidedAt = time.Now()
 	decision := h.Scheduler.Decide(c.schedulerRequest(), c.decidedAt)
-	c.choice = decision.Choice
+	c.choice, c.trial = decision.Choice, decision.Trial
 	if decision.Quarantined != nil {
 		return quarantineError(*decision.Quarantined, c.decidedAt)
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return err
 		}
-		if held, ok := h.Scheduler.HeldPart(c.schedulerRequest(), time.Now()); ok {
+		if held, ok := h.Scheduler.HeldPart(c.schedulerRequest()); ok && !c.trial {
 			return quarantineError(held, time.Now())
 		}
 		if time.Since(c.decidedAt) > maxChoiceAge {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -86,6 +86,7 @@
 
 	choice           placement.Choice // the server of the next attempt
 	decidedAt        time.Time        // time of the admission decision
+	trial            bool             // see scheduler.Decision
 	admission        *admissionRecord // nil before the decision, and for plain services
 	attempts         []attemptRecord
 	serverFailure    *failedAnswer // last answer with a server error; nil for none
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,12 +5,9 @@
 package quarantine
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -32,11 +29,6 @@
 	aliveWindow = 5 * time.Second
 	// evidenceTTL is the time after the last ended server for which the evidence against a part is kept.
 	evidenceTTL = 10 * time.Minute
-	// trialDelay is the time after the last ended server or trial until one request with a suspected part is sent, in
-	// case that the suspicion is wrong. It doubles with each trial, maxTrialDoublings times at most, so that a part
-	// that ends servers is found out again before its evidence expires.
-	trialDelay        = 20 * time.Second
-	maxTrialDoublings = 4
 	// maxParts bounds the parts with evidence, maxEnds the ended servers that are kept for each.
 	maxParts = 512
 	maxEnds  = 32
@@ -44,74 +36,6 @@
 	maxSoundParts = 8192
 )
 
-// End is the end of a backend server while a request was in flight there. Servers are identified by a hash of their ID
-// and incarnation.
-type End struct {
-	Server    uint64
-	At        time.Time
-	Begun     bool // a part of the answer had arrived
-	Disproved bool // the server has answered since
-}
-
-// part is the evidence against a prompt part.
-type part struct {
-	ends      []End // of different servers
-	soundAt   time.Time
-	heldAt    time.Time // when it became suspected; zero if it isn't
-	liftedAt  time.Time // by an operator; earlier evidence doesn't count
-	trials    int       // requests that were sent although it was suspected
-	trialAt   time.Time // of the last one
-	changedAt time.Time // when something was added that peers may not know
-}
-
-// lastEnd returns the time of the last ended server, zero if there is none.
-func (p *part) lastEnd() time.Time {
-	var last time.Time
-	for _, e := range p.ends {
-		if e.At.After(last) {
-			last = e.At
-		}
-	}
-	return last
-}
-
-// counts reports whether the end is evidence against the part.
-func (p *part) counts(e End) bool {
-	return !e.Disproved && e.At.After(p.liftedAt) && (p.soundAt.IsZero() || e.At.After(p.soundAt.Add(soundTTL)))
-}
-
-// weight returns the evidence against the part without the servers whose end is explained otherwise.
-func (p *part) weight(explained map[uint64]bool) int {
-	total := 0
-	for _, e := range p.ends {
-		switch {
-		case !p.counts(e) || explained[e.Server]:
-		case e.Begun:
-			total += beginWeight
-		default:
-			total += waitWeight
-		}
-	}
-	return total
-}
-
-// incriminated reports whether the evidence makes the part a suspect, without the servers whose end is explained
-// otherwise.
-func (p *part) incriminated(explained map[uint64]bool) bool {
-	return p.weight(explained) >= suspectWeight
-}
-
-// nextTrial returns the time of the next trial.
-func (p *part) nextTrial() time.Time {
-	last := p.lastEnd()
-	if p.trialAt.After(last) {
-		last = p.trialAt
-	}
-	return last.Add(trialDelay << min(p.trials, maxTrialDoublings))
-}
-
-func (p *part) suspected() bool { return !p.heldAt.IsZero() }
-
 // Change is a part that became suspected, or is no longer.
 type Change struct {
 	Status
@@ -201,9 +125,17 @@
 // part, unless suspected parts that the request doesn't have explain the evidence against it: of several parts that
 // were always together when servers ended, only requests with all of them are held, so that other requests can show
 // which ones are sound.
-func (r *Registry) Held(parts []uint64, now time.Time) (Status, bool) {
+func (r *Registry) Held(parts []uint64) (Status, bool) {
+	for _, id := range r.incriminated(parts) {
+		return r.suspects[id].status(id), true
+	}
+	return Status{}, false
+}
+
+// incriminated returns those of a request's parts for which it is held.
+func (r *Registry) incriminated(parts []uint64) []uint64 {
 	if !slices.ContainsFunc(parts, func(id uint64) bool { return r.suspects[id] != nil }) {
-		return Status{}, false
+		return nil
 	}
 	explained := make(map[uint64]bool)
 	for id, p := range r.suspects {
@@ -211,21 +143,13 @@
 			p.explain(explained)
 		}
 	}
+	var ids []uint64
 	for _, id := range parts {
-		if p := r.suspects[id]; p != nil && p.incriminated(explained) && !r.startTrial(id, p, now) {
-			return p.status(id), true
+		if p := r.suspects[id]; p != nil && p.incriminated(explained) {
+			ids = append(ids, id)
 		}
 	}
-	return Status{}, false
-}
-
-// startTrial reports whether a request with the suspected part is sent as a trial.
-func (r *Registry) startTrial(id uint64, p *part, now time.Time) bool {
-	if now.Before(p.nextTrial()) || !r.mayTry(id) {
-		return false
-	}
-	p.trials, p.trialAt, p.changedAt = p.trials+1, now, now
-	return true
+	return ids
 }
 
 // List returns the suspected parts, the earliest first.
@@ -257,16 +181,6 @@
 	return changes
 }
 
-func (p *part) status(id uint64) Status {
-	s := Status{Part: id, Since: p.heldAt, Until: p.nextTrial()}
-	for _, e := range p.ends {
-		if !e.Disproved {
-			s.Servers = append(s.Servers, e.Server)
-		}
-	}
-	return s
-}
-
 // part returns the evidence against a part, and adds an entry if there is none.
 func (r *Registry) part(id uint64, now time.Time) *part {
 	p, ok := r.parts[id]
@@ -331,20 +245,11 @@
 	}
 }
 
-// explain adds the servers whose end is evidence against the part.
-func (p *part) explain(explained map[uint64]bool) {
-	for _, e := range p.ends {
-		if p.counts(e) {
-			explained[e.Server] = true
-		}
-	}
-}
-
 // update recomputes after a change of the evidence whether the part is suspected.
 func (r *Registry) update(id uint64, p *part, now time.Time) {
 	switch incriminated := p.incriminated(nil); {
 	case incriminated && !p.suspected():
-		p.heldAt, p.changedAt = now, now
+		p.suspectedAt, p.changedAt = now, now
 		r.suspects[id] = p
 		r.changes = append(r.changes, Change{p.status(id), true})
 	case !incriminated:
@@ -358,7 +263,7 @@
 		return
 	}
 	r.changes = append(r.changes, Change{p.status(id), false})
-	p.heldAt = time.Time{}
+	p.suspectedAt = time.Time{}
 	delete(r.suspects, id)
 }
 
@@ -375,13 +280,3 @@
 
 // sortedIDs returns the IDs of the parts in ascending order.
 func (r *Registry) sortedIDs() []uint64 { return slices.Sorted(maps.Keys(r.parts)) }
-
-// TrialRank returns the rank of a daemon for the trials of a part. The daemon with the highest rank makes them.
-func TrialRank(part uint64, daemon string) uint64 {
-	var key [8]byte
-	binary.LittleEndian.PutUint64(key[:], part)
-	hash := xxhash.New()
-	_, _ = hash.Write(key[:]) // never fails
-	_, _ = hash.WriteString(daemon)
-	return hash.Sum64()
-}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -18,9 +18,10 @@
 	return now
 }
 
+// isHeld reports whether a request with the parts is held, unless it is sent as a trial.
 func isHeld(r *Registry, now time.Time, parts ...uint64) bool {
-	_, held := r.Held(parts, now)
-	return held
+	_, held := r.Held(parts)
+	return held && !r.StartTrial(parts, now)
 }
 
 func neverTry(uint64) bool { return false }
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -197,7 +197,8 @@
 
 // send sends the request, or its repeat, to a server unless it is held back.
 func (f *fleetSimulation) send(r *simulatedRequest, now time.Time) {
-	_, held := f.registries[r.daemon].Held(r.parts, now)
+	_, held := f.registries[r.daemon].Held(r.parts)
+	held = held && (r.repeat || !f.registries[r.daemon].StartTrial(r.parts, now))
 	if !r.crashing && f.afterBound(now) {
 		count := f.sound[r.parts[0]]
 		if count == nil {
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -8,18 +8,18 @@
 )
 
 // heldPart returns the prompt part of the request that is held in quarantine, if there is one. The caller holds the lock.
-func (s *Scheduler) heldPart(r Request, now time.Time) (quarantine.Status, bool) {
+func (s *Scheduler) heldPart(r Request) (quarantine.Status, bool) {
 	if !s.quarantine.AnySuspected() {
 		return quarantine.Status{}, false
 	}
-	return s.quarantine.Held(r.SharedParts(), now)
+	return s.quarantine.Held(r.SharedParts())
 }
 
 // HeldPart returns the prompt part for which the request must not be sent, if there is one.
-func (s *Scheduler) HeldPart(r Request, now time.Time) (quarantine.Status, bool) {
+func (s *Scheduler) HeldPart(r Request) (quarantine.Status, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heldPart(r, now)
+	return s.heldPart(r)
 }
 
 // RecordEvents records that events of a stream have arrived; count is their number in this attempt so far.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,6 +57,8 @@
 	Verdict admission.Verdict
 	Input   admission.Input // of the verdict
 	Cost    float64         // of the request, see RequestCost
+	// Trial tells that the request is sent although a prompt part is held, to find out whether it still ends servers.
+	Trial bool
 	// Quarantined is the prompt part for which the request must not be sent. It is nil for none, and nothing else is
 	// set otherwise.
 	Quarantined *quarantine.Status
@@ -201,8 +203,11 @@
 func (s *Scheduler) Decide(r Request, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if held, ok := s.heldPart(r, now); ok {
-		return Decision{Quarantined: &held}
+	trial := false
+	if held, ok := s.heldPart(r); ok {
+		if trial = s.quarantine.StartTrial(r.SharedParts(), now); !trial {
+			return Decision{Quarantined: &held}
+		}
 	}
 	s.retryBudget(r.Service).RecordRequest(now)
 	s.limiter.RecordDemand(placement.Hash(r.Service), now)
@@ -213,7 +218,7 @@
 	}
 	choice, ok := s.balancer.Choose(r.Request, nil, now)
 	if !ok {
-		return Decision{Limited: s.anyLimited(r.Service)}
+		return Decision{Limited: s.anyLimited(r.Service), Trial: trial}
 	}
 	d := s.checkAdmission(r, account, choice, now)
 	if d.Verdict.Reason != admission.Admitted {
@@ -230,7 +235,7 @@
 			s.shares.RecordAdmitted(account, cost, now)
 		}
 	}
-	d.Cost = cost
+	d.Cost, d.Trial = cost, trial
 	return d
 }
 
@@ -282,7 +287,7 @@
 func (s *Scheduler) DecideRetry(r Request, tried map[string]bool, free bool, now time.Time) (choice placement.Choice, ok, allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, held := s.heldPart(r, now); held {
+	if _, held := s.heldPart(r); held {
 		return choice, false, false
 	}
 	choice, ok = s.balancer.Choose(r.Request, tried, now)
