--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -85,11 +85,17 @@
 		out.Demands = append(out.Demands, d)
 	}
 	for _, s := range suspects {
+		if len(out.Suspects) == maxMergedSuspects {
+			break // daemons repeat their evidence, and the order of the map differs each time
+		}
 		out.Suspects = append(out.Suspects, s)
 	}
 	return out
 }
 
+// maxMergedSuspects bounds the evidence in a summary, so that it fits into a datagram with 32 ends for each part.
+const maxMergedSuspects = 64
+
 // mergeSuspect adds the evidence of s. Of ages, the latest event counts.
 func mergeSuspect(sum, s *pb.Suspect) {
 	for _, e := range s.Ends {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -77,6 +77,9 @@
 // other requests may share.
 func (r *Registry) RecordEnd(parts []uint64, e End, now time.Time) {
 	for _, id := range parts {
+		if soundAt := r.sound.at(id); !soundAt.IsZero() && !e.At.After(soundAt.Add(soundTTL)) {
+			continue // never counts, so that peers needn't know it either
+		}
 		p := r.part(id, now)
 		r.addEnd(p, e, now)
 		r.update(id, p, now)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -74,6 +74,16 @@
 	assert.Equal(t, 2, trials)
 }
 
+func TestEndsOfSoundPartsAreNotReported(t *testing.T) {
+	r := New(neverTry)
+	r.RecordSound([]uint64{7}, testStart)
+	now := endUnder(r, true, testStart, []uint64{1, 2, 3}, 7, 8)
+	reports := r.Reports(now)
+	assert.Len(t, reports, 1)
+	assert.EqualValues(t, 8, reports[0].Part)
+	assert.True(t, isHeld(r, now, 7, 8))
+}
+
 func TestReportsCarryEvidenceAndItsEnd(t *testing.T) {
 	a, b := New(neverTry), New(neverTry)
 	now := endUnder(a, true, testStart, []uint64{1, 2}, 7)
