--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -65,13 +65,13 @@
 	r := New(func(uint64) bool { return true })
 	now := endUnder(r, true, testStart, []uint64{1, 2, 3}, 7)
 	trials := 0
-	for ; now.Before(testStart.Add(100 * time.Second)); now = now.Add(100 * time.Millisecond) {
+	for ; now.Before(testStart.Add(15 * time.Minute)); now = now.Add(100 * time.Millisecond) {
 		if !isHeld(r, now, 7) {
 			trials++
 			now = endUnder(r, true, now, []uint64{uint64(100 + trials)}, 7)
 		}
 	}
-	assert.Equal(t, 2, trials)
+	assert.Equal(t, 2, trials, "the part is held although requests with it still come")
 }
 
 func TestEndsOfSoundPartsAreNotReported(t *testing.T) {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// trialDelay is the time after the last ended server or trial until one request with a suspected part is sent, in
-	// case that the suspicion is wrong. It doubles with each trial, maxTrialDoublings times at most, so that a part
-	// that ends servers is found out again before its evidence expires.
-	trialDelay        = 20 * time.Second
-	maxTrialDoublings = 4
+	// trialDelay is the time after the last ended server until one request with a suspected part is sent, in case that
+	// the suspicion is wrong. Each trial multiplies the delay by trialBackoff. The second one comes before the evidence
+	// expires and the third would not, so that few servers end under a part that does end them.
+	trialDelay   = 20 * time.Second
+	trialBackoff = 16
 )
 
 // nextTrial returns the time of the next trial.
@@ -21,7 +21,11 @@
 	if p.trialAt.After(last) {
 		last = p.trialAt
 	}
-	return last.Add(trialDelay << min(p.trials, maxTrialDoublings))
+	delay := trialDelay
+	for range min(p.trials, 2) {
+		delay *= trialBackoff
+	}
+	return last.Add(delay)
 }
 
 // StartTrial reports whether a request that is held for its parts is sent nevertheless, as a trial. It is if a trial of
