Log the digest of requests whose answer broke off

The logs name route, account and address of a request that was in flight at a server that ended, but a plain request has no prompt parts, so they can't tell whether it is one request or all of a kind. The log now has its digest: method, path, account and body.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/chain"
+	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
@@ -40,6 +41,11 @@
 	})
 }
 
+// digest returns the identity of the request for the quarantine. It is valid once the body was read.
+func (c *call) digest() uint64 {
+	return quarantine.RequestDigest(c.request.Method, c.request.URL.RequestURI(), c.account, c.body)
+}
+
 // readBody reads the whole body into the call, so that it can be sent again in a retry. It returns
 // the bytes that it has added to bufferedBytes, also with an error.
 func (h *Handler) readBody(c *call) (int64, error) {
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -56,7 +56,7 @@
 		attrs = append(attrs, slog.Any("attempt"+strconv.Itoa(i+1), a))
 	}
 	if c.envelope != nil && anyAnswerBroke(c.attempts) {
-		attrs = append(attrs, slog.String("parts", formatSharedParts(c.envelope.Parts)))
+		attrs = append(attrs, slog.String("parts", formatSharedParts(c.envelope.Parts)), slog.String("digest", strconv.FormatUint(c.digest(), 16)))
 	}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", firstLine(err)))
