--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -53,7 +53,7 @@
 	Servers    serversCommand     `cmd:"" help:"List the backend servers."`
 	Entries    entriesCommand     `cmd:"" help:"List the addresses that clients connect to."`
 	Drain      drainCommand       `cmd:"" help:"Ask a member to finish its requests and leave the fleet."`
-	Quarantine quarantineCommands `cmd:"" help:"Show and clear the prompt parts that daemons on the platform suspect of ending servers. Takes control addresses as --daemon."`
+	Quarantine quarantineCommands `cmd:"" help:"Show and clear the prompt parts and requests that daemons on the platform suspect of ending servers. Takes control addresses as --daemon."`
 	Version    versionCommand     `cmd:"" help:"Show the version of this tool."`
 }
 
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -8,26 +8,28 @@
 
 	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/quarantine"
 )
 
-// quarantineCommands show and clear the prompt parts that daemons on the platform suspect of ending servers.
+// quarantineCommands show and clear the prompt parts and requests that daemons on the platform suspect of ending servers.
 type quarantineCommands struct {
-	List quarantineListCommand `cmd:"" help:"List the suspected prompt parts."`
-	Lift quarantineLiftCommand `cmd:"" help:"Clear a suspected prompt part in the whole fleet. Its requests are sent again."`
+	List quarantineListCommand `cmd:"" help:"List the suspected prompt parts and requests."`
+	Lift quarantineLiftCommand `cmd:"" help:"Clear a suspected prompt part or request in the whole fleet. It is sent again."`
 }
 
-// quarantineListCommand lists the suspected prompt parts.
+// quarantineListCommand lists the suspects.
 type quarantineListCommand struct{}
 
-// quarantinedPart is a suspected prompt part in the output.
-type quarantinedPart struct {
-	Part    string    `json:"part"`
+// quarantined is a suspected prompt part or request in the output.
+type quarantined struct {
+	Kind    string    `json:"kind"`
+	ID      string    `json:"id"`
 	Since   time.Time `json:"since"`
 	Until   time.Time `json:"until"`
 	Servers []string  `json:"servers"`
 }
 
-// Run lists the parts with the evidence: the hashes of the servers that ended under them.
+// Run lists the suspects with the evidence: the hashes of the servers that ended under them.
 func (*quarantineListCommand) Run(s *session) error {
 	var list *pb.QuarantineList
 	err := s.tryDaemons(func(address string) (err error) {
@@ -37,47 +39,47 @@
 	if err != nil {
 		return err
 	}
-	parts := make([]quarantinedPart, 0, len(list.Parts))
-	rows := make([][]string, 0, len(list.Parts))
-	for _, p := range list.Parts {
-		view := quarantinedPart{
-			Part: formatHash(p.Part), Since: time.UnixMilli(p.SinceUnixMs).UTC(), Until: time.UnixMilli(p.UntilUnixMs).UTC(),
+	suspects := make([]quarantined, 0, len(list.Suspects))
+	rows := make([][]string, 0, len(list.Suspects))
+	for _, p := range list.Suspects {
+		view := quarantined{
+			Kind: quarantine.Kind(p.Kind).String(), ID: formatHash(p.Id), Since: time.UnixMilli(p.SinceUnixMs).UTC(), Until: time.UnixMilli(p.UntilUnixMs).UTC(),
 		}
 		for _, server := range p.Servers {
 			view.Servers = append(view.Servers, formatHash(server))
 		}
-		parts = append(parts, view)
-		rows = append(rows, []string{view.Part, view.Since.Format(time.RFC3339), view.Until.Format(time.RFC3339), strconv.Itoa(len(view.Servers))})
+		suspects = append(suspects, view)
+		rows = append(rows, []string{view.Kind, view.ID, view.Since.Format(time.RFC3339), view.Until.Format(time.RFC3339), strconv.Itoa(len(view.Servers))})
 	}
-	return s.print(parts, []string{"PART", "SINCE", "NEXT TRIAL", "ENDED SERVERS"}, rows)
+	return s.print(suspects, []string{"KIND", "ID", "SINCE", "NEXT TRIAL", "ENDED SERVERS"}, rows)
 }
 
-// quarantineLiftCommand clears a suspected prompt part.
+// quarantineLiftCommand clears a suspected prompt part or request.
 type quarantineLiftCommand struct {
-	Part string `arg:"" help:"Hash of the part, as listed and logged."`
+	ID string `arg:"" help:"Hash of the part or digest of the request, as listed and logged."`
 }
 
-// Run clears the part. It fails with ExitRejected if the daemon doesn't suspect it.
+// Run clears the suspect. It fails with ExitRejected if the daemon doesn't suspect it.
 func (c *quarantineLiftCommand) Run(s *session) error {
-	part, err := strconv.ParseUint(c.Part, 16, 64)
+	id, err := strconv.ParseUint(c.ID, 16, 64)
 	if err != nil {
-		return withExit(ExitUsage, errors.Wrapf(err, "part %q", c.Part))
+		return withExit(ExitUsage, errors.Wrapf(err, "id %q", c.ID))
 	}
 	held := false
 	err = s.tryDaemons(func(address string) (err error) {
-		held, err = exchange.LiftQuarantine(s.ctx, address, part)
+		held, err = exchange.LiftQuarantine(s.ctx, address, id)
 		return err
 	})
 	if err != nil {
 		return err
 	}
 	if !held {
-		return withExit(ExitRejected, errors.Newf("part %s is not suspected", c.Part))
+		return withExit(ExitRejected, errors.Newf("%s is not suspected", c.ID))
 	}
-	return s.print(map[string]string{"part": c.Part, "state": "lifted"}, []string{"PART", "STATE"}, [][]string{{c.Part, "lifted"}})
+	return s.print(map[string]string{"id": c.ID, "state": "lifted"}, []string{"ID", "STATE"}, [][]string{{c.ID, "lifted"}})
 }
 
-// formatHash formats the hash of a prompt part or server as in the logs.
+// formatHash formats the hash of a prompt part, request or server as in the logs.
 func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
 // tryDaemons calls the daemons in order until one answers.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -75,10 +75,10 @@
 	// CachedParts returns the cached prefix parts of engines that PullCachedParts of a peer
 	// receives.
 	CachedParts func() *pb.Prompts
-	// Quarantine returns the prompt parts that are held back, LiftQuarantine releases one and reports whether it was
-	// held. Both are called for operators.
+	// Quarantine returns the prompt parts and requests that are held back, LiftQuarantine releases one and reports whether
+	// it was held. Both are called for operators.
 	Quarantine     func() *pb.QuarantineList
-	LiftQuarantine func(part uint64) bool
+	LiftQuarantine func(id uint64) bool
 	Logger         *slog.Logger
 }
 
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -18,7 +18,7 @@
 	accounts := make(map[uint64]*pb.AccountUse)
 	withdrawn := make(map[string]*pb.Withdrawal)
 	models := make(map[uint64]*pb.EngineModel)
-	suspects := make(map[uint64]*pb.Suspect)
+	suspects := make(map[suspectKey]*pb.Suspect)
 	limits := make(map[uint64]*pb.ServerLimit)
 	demands := make(map[uint64]*pb.ServiceDemand)
 	for _, v := range views {
@@ -33,7 +33,7 @@
 			getOrInsert(demands, d.Service, &pb.ServiceDemand{Service: d.Service}).PerSecond += d.PerSecond
 		}
 		for _, s := range v.Suspects {
-			mergeSuspect(getOrInsert(suspects, s.Part, &pb.Suspect{Part: s.Part}), s)
+			mergeSuspect(getOrInsert(suspects, suspectKey{s.Kind, s.Id}, &pb.Suspect{Kind: s.Kind, Id: s.Id}), s)
 		}
 		for _, l := range v.Servers {
 			sum := getOrInsert(servers, l.Server, &pb.ServerLoad{Server: l.Server})
@@ -93,9 +93,14 @@
 	return out
 }
 
-// maxMergedSuspects bounds the evidence in a summary, so that it fits into a datagram with 32 ends for each part.
+// maxMergedSuspects bounds the evidence in a summary, so that it fits into a datagram with 32 ends for each.
 const maxMergedSuspects = 64
 
+type suspectKey struct {
+	kind uint32
+	id   uint64
+}
+
 // mergeSuspect adds the evidence of s. Of ages, the latest event counts.
 func mergeSuspect(sum, s *pb.Suspect) {
 	for _, e := range s.Ends {
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -68,10 +68,10 @@
 
 // LiftQuarantine implements pb.DRPCExchangeServer.
 func (s pullServer) LiftQuarantine(_ context.Context, r *pb.LiftRequest) (*pb.LiftResult, error) {
-	return &pb.LiftResult{Held: s.exchange.options.LiftQuarantine(r.Part)}, nil
+	return &pb.LiftResult{Held: s.exchange.options.LiftQuarantine(r.Id)}, nil
 }
 
-// ListQuarantine gets the prompt parts that the daemon at the address holds back.
+// ListQuarantine gets the prompt parts and requests that the daemon at the address holds back.
 func ListQuarantine(ctx context.Context, controlAddress string) (list *pb.QuarantineList, err error) {
 	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
 		list, err = peer.ListQuarantine(ctx, &pb.PullRequest{})
@@ -80,10 +80,10 @@
 	return list, err
 }
 
-// LiftQuarantine releases a prompt part in the fleet of the daemon at the address. It reports whether the part was held.
-func LiftQuarantine(ctx context.Context, controlAddress string, part uint64) (held bool, err error) {
+// LiftQuarantine releases a prompt part or request in the fleet of the daemon at the address. It reports whether it was held.
+func LiftQuarantine(ctx context.Context, controlAddress string, id uint64) (held bool, err error) {
 	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
-		lifted, err := peer.LiftQuarantine(ctx, &pb.LiftRequest{Part: part})
+		lifted, err := peer.LiftQuarantine(ctx, &pb.LiftRequest{Id: id})
 		held = lifted.GetHeld()
 		return err
 	})
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -51,7 +51,7 @@
 
 // schedulerRequest returns the properties of the request that the scheduler decides on.
 func (c *call) schedulerRequest() scheduler.Request {
-	return scheduler.Request{
+	r := scheduler.Request{
 		Request: placement.Request{
 			Service:      c.service.Name,
 			Engine:       c.route.Engine,
@@ -63,15 +63,19 @@
 		Objective: c.route.Objective,
 		Deadline:  c.deadline,
 	}
+	if c.bodyRead {
+		r.Digest = c.digest
+	}
+	return r
 }
 
-// minQuarantineRetryAfter is the Retry-After of requests with a quarantined part while another daemon tries one.
+// minQuarantineRetryAfter is the Retry-After of quarantined requests while another daemon tries one.
 const minQuarantineRetryAfter = time.Second
 
-// quarantineError returns the result of a request that is refused because of a prompt part.
+// quarantineError returns the result of a request that is refused because it, or a prompt part of it, is suspected.
 func quarantineError(held quarantine.Status, now time.Time) error {
-	return result.NewWithoutStack(result.PromptQuarantined, "prompt part %x is held since %s, %d servers ended under it",
-		held.Part, held.Since.Format(time.RFC3339), len(held.Servers)).WithRetryAfter(max(minQuarantineRetryAfter, held.Until.Sub(now)))
+	return result.NewWithoutStack(result.PromptQuarantined, "%v %x is held since %s, %d servers ended under it",
+		held.Kind, held.ID, held.Since.Format(time.RFC3339), len(held.Servers)).WithRetryAfter(max(minQuarantineRetryAfter, held.Until.Sub(now)))
 }
 
 // refusalError returns the result of a request that is refused because of the load, with the input
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -179,7 +179,7 @@
 		}
 	}
 	if record.serverBroke && ctx.Err() == nil && progress != notSent {
-		h.Scheduler.RecordBroken(attempt, record.status/100 == 2, time.Now())
+		h.Scheduler.RecordBroken(c.schedulerRequest(), attempt, record.status/100 == 2, time.Now())
 	}
 	h.Scheduler.End(attempt, outcome, time.Now())
 	record.progress, record.duration = progress, time.Since(started)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -31,9 +31,13 @@
 		if err != nil {
 			return err
 		}
-		if held, ok := h.Scheduler.HeldPart(c.schedulerRequest()); ok && !c.trial {
-			return quarantineError(held, time.Now())
+		c.bodyRead = true
+		now := time.Now()
+		held, isHeld, isTrial := h.Scheduler.CheckRead(c.schedulerRequest(), c.trial, now)
+		if isHeld {
+			return quarantineError(held, now)
 		}
+		c.trial = isTrial
 		if time.Since(c.decidedAt) > maxChoiceAge {
 			c.choice = h.Scheduler.ChooseAgain(c.schedulerRequest(), c.choice, time.Now())
 		}
@@ -41,9 +45,13 @@
 	})
 }
 
-// digest returns the identity of the request for the quarantine. It is valid once the body was read.
+// digest returns the identity of the request for the quarantine. The body was read before.
 func (c *call) digest() uint64 {
-	return quarantine.RequestDigest(c.request.Method, c.request.URL.RequestURI(), c.account, c.body)
+	if c.knownDigest == nil {
+		digest := quarantine.RequestDigest(c.request.Method, c.request.URL.RequestURI(), c.account, c.body)
+		c.knownDigest = &digest
+	}
+	return *c.knownDigest
 }
 
 // readBody reads the whole body into the call, so that it can be sent again in a retry. It returns
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -80,6 +80,7 @@
 	service   *routing.Service
 	account   string
 	body      []byte
+	bodyRead  bool
 	arrivedAt time.Time
 	deadline  time.Time // the earlier of the caller's deadline and the route's timeout
 	config    *routing.Config
@@ -89,6 +90,7 @@
 	trial            bool             // see scheduler.Decision
 	admission        *admissionRecord // nil before the decision, and for plain services
 	attempts         []attemptRecord
+	knownDigest      *uint64       // see digest; nil before its first use
 	serverFailure    *failedAnswer // last answer with a server error; nil for none
 	answerStarted    bool          // the header of the answer was written
 	lastEventID      uint64        // ID of the last event forwarded
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -37,7 +37,7 @@
 	require.NoError(t, handle())
 	now := time.Now()
 	var report quarantine.Report
-	report.Part = 7
+	report.ID = 7
 	for server := range uint64(3) {
 		report.Ends = append(report.Ends, quarantine.ReportedEnd{Server: server, Age: time.Second, Begun: true})
 	}
@@ -45,7 +45,7 @@
 	assert.Equal(t, result.PromptQuarantined, result.CodeOf(handle()))
 	assert.Equal(t, 1, sent)
 
-	report.Part = 9
+	report.ID = 9
 	for i := range report.Ends {
 		report.Ends[i].Server += 10
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -65,9 +65,7 @@
 		return partlyForwarded, errors.Newf("server did not resume the stream, status %d", response.StatusCode)
 	}
 	h.Scheduler.RecordFirstEvent(a, time.Now())
-	if response.StatusCode/100 == 2 {
-		h.Scheduler.RecordComplete(a, time.Now())
-	}
+	h.Scheduler.RecordComplete(c.schedulerRequest(), a, response.StatusCode, time.Now())
 	c.timeToFirstEvent = time.Since(c.arrivedAt)
 	c.writeAnswer(response, body)
 	return fullyForwarded, nil
@@ -143,7 +141,7 @@
 	}
 	switch endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
 	case !endsWithConnection:
-		h.Scheduler.RecordComplete(a, time.Now())
+		h.Scheduler.RecordComplete(c.schedulerRequest(), a, response.StatusCode, time.Now())
 	case !anyEvent:
 		conn.DisableReuse()
 		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends without an event")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,7 @@
 	Store     topology.Store
 	Registry  Registry
 	Engines   Engines
-	// Quarantine may be nil; the evidence against prompt parts is then kept in memory only.
+	// Quarantine may be nil; the evidence against suspects is then kept in memory only.
 	Quarantine QuarantineStore
 }
 
@@ -102,7 +102,7 @@
 		FairWindow:  s.FairWindow,
 		RetryBudget: retry.WindowOptions{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Daemons:     func() int { return g.exchange.FleetSize() },
-		TriesPart:   g.triesPart,
+		MayTry:      g.mayTry,
 	})
 	g.topology = topology.NewState(g.serversChanged)
 	g.reader = topology.NewReader(topology.ReaderOptions{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,6 +22,8 @@
 	// instance because the peer has not received a withdrawal yet. The delay is shorter than
 	// the 3 s within which users require such changes to be known.
 	unchangedPullDelay = time.Second
+	// maxAge bounds ages in messages. It is longer than any state is kept.
+	maxAge = 48 * time.Hour
 )
 
 // member describes this daemon to its peers.
@@ -101,9 +103,9 @@
 	}
 }
 
-// ageMillis converts an age to milliseconds, rounded up and limited to one hour.
+// ageMillis converts an age to milliseconds, rounded up and limited to maxAge.
 func ageMillis(age time.Duration) uint32 {
-	return uint32((min(max(age, 0), time.Hour) + time.Millisecond - 1).Milliseconds())
+	return uint32((min(max(age, 0), maxAge) + time.Millisecond - 1).Milliseconds())
 }
 
 // receiveView applies the view of a peer or of a whole zone, and starts a pull from the source
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -8,10 +9,11 @@
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 )
 
-// encodeSuspect converts the evidence against a prompt part to its protobuf message.
+// encodeSuspect converts the evidence against a subject to its protobuf message.
 func encodeSuspect(r quarantine.Report) *pb.Suspect {
 	message := &pb.Suspect{
-		Part:        r.Part,
+		Kind:        uint32(r.Kind),
+		Id:          r.ID,
 		SoundAgeMs:  encodeAge(r.Sound, r.SoundAge),
 		LiftedAgeMs: encodeAge(r.Lifted, r.LiftedAge),
 		Trials:      uint32(r.Trials),
@@ -25,9 +27,12 @@
 	return message
 }
 
-// decodeSuspect converts a protobuf message to the evidence against a prompt part.
+// decodeSuspect converts a protobuf message to the evidence against a subject.
 func decodeSuspect(message *pb.Suspect) quarantine.Report {
-	r := quarantine.Report{Part: message.Part, Trials: int(message.Trials), TrialAge: time.Duration(message.TrialAgeMs) * time.Millisecond}
+	r := quarantine.Report{
+		Subject: quarantine.Subject{Kind: quarantine.Kind(min(message.Kind, math.MaxUint8)), ID: message.Id},
+		Trials:  int(message.Trials), TrialAge: time.Duration(message.TrialAgeMs) * time.Millisecond,
+	}
 	r.Sound, r.SoundAge = decodeAge(message.SoundAgeMs)
 	r.Lifted, r.LiftedAge = decodeAge(message.LiftedAgeMs)
 	for _, e := range message.Ends {
@@ -51,48 +56,49 @@
 	return millis > 0, time.Duration(millis) * time.Millisecond
 }
 
-// publishQuarantine logs the prompt parts that became suspected, or are no longer,, and updates the gauges.
+// publishQuarantine logs the subjects that became suspected, or are no longer, and updates the gauges.
 func (g *Gateway) publishQuarantine() {
-	changes := g.scheduler.QuarantineChanges()
-	for _, c := range changes {
+	for _, c := range g.scheduler.QuarantineChanges() {
+		kind, id := c.Kind.String(), formatHash(c.ID)
 		if c.Suspected {
-			g.logger.Warn("Prompt part suspected of ending servers.", "part", formatPart(c.Part), "servers", len(c.Servers), "until", c.Until)
+			g.logger.Warn("Suspected of ending servers.", "kind", kind, "id", id, "servers", len(c.Servers), "until", c.Until)
 		} else {
-			g.logger.Info("Prompt part no longer suspected.", "part", formatPart(c.Part), "since", c.Since)
+			g.logger.Info("No longer suspected of ending servers.", "kind", kind, "id", id, "since", c.Since)
 		}
-		g.metrics.SetQuarantined(formatPart(c.Part), c.Suspected)
+		g.metrics.SetQuarantined(kind, id, c.Suspected)
 	}
 }
 
-// triesPart reports whether this daemon makes the trials of a suspected prompt part, by rendezvous hashing (Thaler and
-// Ravishankar 1998). Daemons that have lost each other may both do.
-func (g *Gateway) triesPart(part uint64) bool {
-	own := quarantine.TrialRank(part, g.settings.ID)
+// mayTry reports whether this daemon is one of those, triers in number, that make the trials of a suspect, by rendezvous
+// hashing (Thaler and Ravishankar 1998). Daemons that have lost each other may all be.
+func (g *Gateway) mayTry(suspect uint64, triers int) bool {
+	own := quarantine.TrialRank(suspect, g.settings.ID)
+	higher := 0
 	for _, m := range g.exchange.Members() {
-		if !m.Draining && quarantine.TrialRank(part, m.Id) > own {
-			return false
+		if !m.Draining && quarantine.TrialRank(suspect, m.Id) > own {
+			higher++
 		}
 	}
-	return true
+	return higher < triers
 }
 
-// formatPart formats the hashed ID of a prompt part as in the log of requests.
-func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
+// formatHash formats a hash as in the log of requests.
+func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
-// quarantineMessage returns the prompt parts that are held.
+// quarantineMessage returns the prompt parts and requests that are held.
 func (g *Gateway) quarantineMessage() *pb.QuarantineList {
 	list := &pb.QuarantineList{}
 	for _, s := range g.scheduler.Quarantined(time.Now()) {
-		list.Parts = append(list.Parts, &pb.QuarantinedPart{
-			Part: s.Part, SinceUnixMs: s.Since.UnixMilli(), UntilUnixMs: s.Until.UnixMilli(), Servers: s.Servers,
+		list.Suspects = append(list.Suspects, &pb.Quarantined{
+			Kind: uint32(s.Kind), Id: s.ID, SinceUnixMs: s.Since.UnixMilli(), UntilUnixMs: s.Until.UnixMilli(), Servers: s.Servers,
 		})
 	}
 	return list
 }
 
-// liftQuarantine releases a prompt part in the whole fleet.
-func (g *Gateway) liftQuarantine(part uint64) bool {
-	lifted := g.scheduler.LiftQuarantine(part, time.Now())
+// liftQuarantine releases a prompt part or request in the whole fleet.
+func (g *Gateway) liftQuarantine(id uint64) bool {
+	lifted := g.scheduler.LiftQuarantine(id, time.Now())
 	g.exchange.TriggerSend()
 	return lifted
 }
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -11,16 +11,16 @@
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 )
 
-// QuarantineStore keeps the evidence against suspected prompt parts, for the case that all daemons end at once.
+// QuarantineStore keeps the evidence against suspects, for the case that all daemons end at once.
 type QuarantineStore interface {
-	// SaveSuspect replaces the value that is stored for a part, or removes it if the value is nil.
-	SaveSuspect(ctx context.Context, part string, value []byte) error
-	// SavedSuspects returns the stored values by part.
+	// SaveSuspect replaces the value that is stored for a suspect, or removes it if the value is nil.
+	SaveSuspect(ctx context.Context, suspect string, value []byte) error
+	// SavedSuspects returns the stored values by suspect.
 	SavedSuspects(ctx context.Context) (map[string][]byte, error)
 }
 
 const (
-	// quarantineSaveInterval is the time between two comparisons of the suspected parts with what is stored.
+	// quarantineSaveInterval is the time between two comparisons of the suspects with what is stored.
 	quarantineSaveInterval = 500 * time.Millisecond
 	// maxSavesPerInterval bounds the writes to the store.
 	maxSavesPerInterval = 4
@@ -36,7 +36,7 @@
 	era   uint64                  // of the store when saved was loaded
 }
 
-// savedSuspect tells what of the evidence against a part is stored.
+// savedSuspect tells what of the evidence against a suspect is stored.
 type savedSuspect struct{ ends, trials int }
 
 // runQuarantineKeeper runs the keeper until the context ends.
@@ -46,7 +46,7 @@
 		if g.readsStore() && !g.member().StoreLost {
 			callCtx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 			if err := g.keepQuarantine(callCtx, k); err != nil {
-				g.logger.Warn("Suspected prompt parts were not loaded or saved.", "error", err)
+				g.logger.Warn("Evidence against suspects was not loaded or saved.", "error", err)
 				k.saved = nil // load again
 			}
 			cancel()
@@ -91,56 +91,64 @@
 	}
 	k.saved = make(map[string]savedSuspect, len(values))
 	var reports []quarantine.Report
-	for part, value := range values {
+	for suspect, value := range values {
 		var stored pb.StoredSuspect
 		if err := proto.Unmarshal(value, &stored); err != nil || stored.Suspect == nil {
-			g.logger.Warn("Invalid stored evidence ignored.", "part", part, "error", err)
+			g.logger.Warn("Invalid stored evidence ignored.", "suspect", suspect, "error", err)
 			continue
 		}
 		report := decodeSuspect(stored.Suspect)
 		report.AddAge(max(0, time.Since(time.UnixMilli(stored.SavedUnixMs))))
 		reports = append(reports, report)
-		k.saved[part] = savedSuspect{len(report.Ends), report.Trials}
+		k.saved[suspect] = savedSuspect{len(report.Ends), report.Trials}
 	}
 	if len(reports) > 0 {
 		g.scheduler.MergeQuarantine(reports, time.Now())
-		g.logger.Info("Evidence against prompt parts loaded.", "parts", len(reports))
+		g.logger.Info("Evidence against suspects loaded.", "suspects", len(reports))
 	}
 	return nil
 }
 
-// save writes the evidence that has changed, and removes that of parts that are no longer suspected.
+// suspectKey returns the key of a suspect in the store. That of a prompt part is its hash alone.
+func suspectKey(s quarantine.Subject) string {
+	if s.Kind == quarantine.PromptPart {
+		return formatHash(s.ID)
+	}
+	return s.Kind.String() + "-" + formatHash(s.ID)
+}
+
+// save writes the evidence that has changed, and removes that of subjects that are no longer suspected.
 func (k *quarantineKeeper) save(ctx context.Context, suspects []quarantine.Report, now time.Time) error {
 	writes := 0
-	write := func(part string, value []byte) error {
+	write := func(suspect string, value []byte) error {
 		writes++
-		return errors.Wrapf(k.store.SaveSuspect(ctx, part, value), "part %s", part)
+		return errors.Wrapf(k.store.SaveSuspect(ctx, suspect, value), "suspect %s", suspect)
 	}
 	suspected := make(map[string]bool, len(suspects))
 	for _, report := range suspects {
-		part := formatPart(report.Part)
-		suspected[part] = true
+		suspect := suspectKey(report.Subject)
+		suspected[suspect] = true
 		state := savedSuspect{len(report.Ends), report.Trials}
-		if k.saved[part] == state || writes == maxSavesPerInterval {
+		if k.saved[suspect] == state || writes == maxSavesPerInterval {
 			continue
 		}
 		value, err := proto.Marshal(&pb.StoredSuspect{Suspect: encodeSuspect(report), SavedUnixMs: now.UnixMilli()})
 		if err != nil {
 			return errors.Wrap(err, "encode evidence")
 		}
-		if err := write(part, value); err != nil {
+		if err := write(suspect, value); err != nil {
 			return err
 		}
-		k.saved[part] = state
+		k.saved[suspect] = state
 	}
-	for part := range k.saved {
-		if suspected[part] || writes == maxSavesPerInterval {
+	for suspect := range k.saved {
+		if suspected[suspect] || writes == maxSavesPerInterval {
 			continue
 		}
-		if err := write(part, nil); err != nil {
+		if err := write(suspect, nil); err != nil {
 			return err
 		}
-		delete(k.saved, part)
+		delete(k.saved, suspect)
 	}
 	return nil
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -13,18 +13,18 @@
 func endUnder(r *Registry, begun bool, now time.Time, servers []uint64, parts ...uint64) time.Time {
 	for _, server := range servers {
 		now = now.Add(100 * time.Millisecond)
-		r.RecordEnd(parts, End{Server: server, At: now, Begun: begun}, now)
+		r.RecordEnd(Parts(parts), End{Server: server, At: now, Begun: begun}, now)
 	}
 	return now
 }
 
 // isHeld reports whether a request with the parts is held, unless it is sent as a trial.
 func isHeld(r *Registry, now time.Time, parts ...uint64) bool {
-	_, held := r.Held(parts)
-	return held && !r.StartTrial(parts, now)
+	_, held := r.Held(Parts(parts))
+	return held && !r.StartTrial(Parts(parts), now)
 }
 
-func neverTry(uint64) bool { return false }
+func neverTry(uint64, int) bool { return false }
 
 func TestBegunAnswersAreStrongerEvidence(t *testing.T) {
 	for begun, needed := range map[bool]int{true: 3, false: 5} {
@@ -45,7 +45,7 @@
 	assert.True(t, isHeld(r, now, 7, 8))
 	assert.False(t, isHeld(r, now, 7, 9), "8 explains the evidence against 7")
 	now = now.Add(time.Second)
-	r.RecordSound([]uint64{7, 9}, now)
+	r.RecordSound(Parts([]uint64{7, 9}), now)
 	assert.False(t, isHeld(r, now, 7))
 	assert.True(t, isHeld(r, now, 8, 9), "7 is sound, so 8 is the cause")
 }
@@ -62,7 +62,7 @@
 }
 
 func TestSuspectedPartIsTriedAtGrowingIntervals(t *testing.T) {
-	r := New(func(uint64) bool { return true })
+	r := New(func(uint64, int) bool { return true })
 	now := endUnder(r, true, testStart, []uint64{1, 2, 3}, 7)
 	trials := 0
 	for ; now.Before(testStart.Add(15 * time.Minute)); now = now.Add(100 * time.Millisecond) {
@@ -76,11 +76,11 @@
 
 func TestEndsOfSoundPartsAreNotReported(t *testing.T) {
 	r := New(neverTry)
-	r.RecordSound([]uint64{7}, testStart)
+	r.RecordSound(Parts([]uint64{7}), testStart)
 	now := endUnder(r, true, testStart, []uint64{1, 2, 3}, 7, 8)
 	reports := r.Reports(now)
 	assert.Len(t, reports, 1)
-	assert.EqualValues(t, 8, reports[0].Part)
+	assert.EqualValues(t, 8, reports[0].ID)
 	assert.True(t, isHeld(r, now, 7, 8))
 }
 
@@ -104,17 +104,18 @@
 func TestEvidenceIsBoundedAndExpires(t *testing.T) {
 	r := New(neverTry)
 	now := endUnder(r, true, testStart, []uint64{1, 2, 3}, 7)
+	maxParts := rules[PromptPart].maxSubjects
 	for part := range uint64(2 * maxParts) {
 		endUnder(r, true, now, []uint64{4}, 1000+part)
 	}
-	assert.LessOrEqual(t, len(r.parts), maxParts)
+	assert.LessOrEqual(t, len(r.evidence), maxParts)
 	assert.True(t, isHeld(r, now, 7), "suspected parts are kept longer")
 	servers := make([]uint64, 3*maxEnds)
 	for i := range servers {
 		servers[i] = uint64(100 + i)
 	}
 	now = endUnder(r, true, now, servers, 7)
-	assert.LessOrEqual(t, len(r.parts[7].ends), maxEnds)
+	assert.LessOrEqual(t, len(r.evidence[Subject{PromptPart, 7}].ends), maxEnds)
 	assert.Empty(t, r.List(now.Add(2*evidenceTTL)))
-	assert.Empty(t, r.parts)
+	assert.Empty(t, r.evidence)
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -1,21 +1,26 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// reportDuration is how long a change is reported to peers. It bridges lost datagrams.
 	reportDuration = 2 * time.Second
-	// maxReported bounds the parts in a report, refreshedParts those of them that haven't changed. The latter tell
+	// maxReported bounds the subjects in a report, refreshedSubjects those of them that haven't changed. The latter tell
 	// daemons that have started since.
-	maxReported    = 48
-	refreshedParts = 4
+	maxReported       = 48
+	refreshedSubjects = 4
 )
 
-// Report is the evidence against one part in messages between daemons. Ages are relative to the time of the report.
+// Report is the evidence against one subject in messages between daemons. Ages are relative to the time of the report.
 type Report struct {
-	Part      uint64
+	Subject
 	Ends      []ReportedEnd
-	Sound     bool // an answer on the part has gone on
+	Sound     bool // an answer on the subject has proved it sound
 	SoundAge  time.Duration
 	Lifted    bool
 	LiftedAge time.Duration
@@ -41,54 +46,67 @@
 	Disproved bool
 }
 
-// Reports returns what peers should know: recent changes, and some of the other parts in turn, those that are suspected
-// apart from the others.
+// Reports returns what peers should know: recent changes, those of suspected subjects first, and some of the other
+// subjects in turn, those that are suspected apart from the others.
 func (r *Registry) Reports(now time.Time) []Report {
-	if len(r.parts) == 0 {
+	if len(r.evidence) == 0 {
 		return nil
 	}
 	r.expire(now)
 	var reports []Report
-	var suspected, others []uint64
-	for _, id := range r.sortedIDs() {
-		p := r.parts[id]
-		switch {
-		case now.Sub(p.changedAt) <= reportDuration && len(reports) < maxReported-refreshedParts:
-			reports = append(reports, p.report(id, now))
-		case p.suspected():
-			suspected = append(suspected, id)
+	var changedSuspects, changed, suspects, others []Subject
+	for _, s := range r.sortedSubjects() {
+		v := r.evidence[s]
+		switch recent := now.Sub(v.changedAt) <= reportDuration; {
+		case recent && v.suspected():
+			changedSuspects = append(changedSuspects, s)
+		case recent:
+			changed = append(changed, s)
+		case v.suspected():
+			suspects = append(suspects, s)
 		default:
-			others = append(others, id)
+			others = append(others, s)
 		}
 	}
 	r.refresh++
-	for _, ids := range [][]uint64{suspected, others} {
-		for i := range min(refreshedParts/2, len(ids)) {
-			id := ids[(r.refresh*refreshedParts/2+i)%len(ids)]
-			reports = append(reports, r.parts[id].report(id, now))
+	add := func(subjects []Subject, most int) {
+		for i := range min(most, len(subjects)) {
+			s := subjects[(r.refresh*most+i)%len(subjects)]
+			reports = append(reports, r.evidence[s].report(s, now))
 		}
 	}
+	add(changedSuspects, maxReported-refreshedSubjects)
+	add(changed, maxReported-refreshedSubjects-len(reports))
+	add(suspects, refreshedSubjects/2)
+	add(others, refreshedSubjects/2)
 	return reports
 }
 
-// SuspectReports returns the reports of the suspected parts.
+// SuspectReports returns the reports of the suspected subjects.
 func (r *Registry) SuspectReports(now time.Time) []Report {
 	r.expire(now)
 	reports := make([]Report, 0, len(r.suspects))
-	for id, p := range r.suspects {
-		reports = append(reports, p.report(id, now))
+	for s, v := range r.suspects {
+		reports = append(reports, v.report(s, now))
 	}
 	return reports
 }
 
-func (p *part) report(id uint64, now time.Time) Report {
-	report := Report{Part: id, Trials: p.trials}
-	_, report.TrialAge = ageOf(p.trialAt, now)
-	for _, e := range p.ends {
+// sortedSubjects returns the subjects with evidence in a fixed order.
+func (r *Registry) sortedSubjects() []Subject {
+	return slices.SortedFunc(maps.Keys(r.evidence), func(a, b Subject) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+func (v *evidence) report(s Subject, now time.Time) Report {
+	report := Report{Subject: s, Trials: v.trials}
+	_, report.TrialAge = ageOf(v.trialAt, now)
+	for _, e := range v.ends {
 		report.Ends = append(report.Ends, ReportedEnd{e.Server, now.Sub(e.At), e.Begun, e.Disproved})
 	}
-	report.Sound, report.SoundAge = ageOf(p.soundAt, now)
-	report.Lifted, report.LiftedAge = ageOf(p.liftedAt, now)
+	report.Sound, report.SoundAge = ageOf(v.soundAt, now)
+	report.Lifted, report.LiftedAge = ageOf(v.liftedAt, now)
 	return report
 }
 
@@ -108,20 +126,23 @@
 }
 
 func (r *Registry) mergeReport(report Report, now time.Time) {
-	p := r.part(report.Part, now)
+	if !knownKind(report.Kind) {
+		return // of a newer daemon
+	}
+	v := r.evidenceOf(report.Subject, now)
 	for _, e := range report.Ends {
-		r.addEnd(p, End{e.Server, now.Add(-e.Age), e.Begun, e.Disproved}, now)
+		r.addEnd(v, End{e.Server, now.Add(-e.Age), e.Begun, e.Disproved}, now)
 	}
-	if report.Trials > p.trials {
-		p.trials, p.trialAt, p.changedAt = report.Trials, now.Add(-report.TrialAge), now
+	if report.Trials > v.trials {
+		v.trials, v.trialAt, v.changedAt = report.Trials, now.Add(-report.TrialAge), now
 	}
-	if mergeTime(&p.soundAt, report.Sound, now.Add(-report.SoundAge)) {
-		p.changedAt = now
+	if mergeTime(&v.soundAt, report.Sound, now.Add(-report.SoundAge)) {
+		v.changedAt = now
 	}
-	if mergeTime(&p.liftedAt, report.Lifted, now.Add(-report.LiftedAge)) {
-		p.trials, p.changedAt = 0, now
+	if mergeTime(&v.liftedAt, report.Lifted, now.Add(-report.LiftedAge)) {
+		v.trials, v.changedAt = 0, now
 	}
-	r.update(report.Part, p, now)
+	r.update(report.Subject, v, now)
 }
 
 // mergeTime advances a time that a peer reported. It reports whether peers should know, too: the ages of one moment
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -18,13 +18,14 @@
 	simulatedLength  = 40 * time.Second
 	reportDelay      = 30 * time.Millisecond
 	reportLoss       = 0.05
-	restartTime      = 3 * time.Second
-	// contactTime and maxSent are the users' bound: at most maxSent requests with the part reach servers later than
-	// contactTime after the fifth server ended under it.
+	// contactTime and maxSent are the users' bound: at most maxSent requests with a crashing subject reach servers later
+	// than contactTime after as many servers ended under it as maxEnded says for its kind.
 	contactTime = 3 * time.Second
 	maxSent     = 3
 )
 
+var maxEnded = map[Kind]int{PromptPart: 5, WholeRequest: 3}
+
 type simulatedServer struct {
 	id      uint64
 	running []*simulatedRequest
@@ -41,8 +42,10 @@
 
 type simulatedRequest struct {
 	daemon   int
-	parts    []uint64 // without the last one
-	crashing bool
+	subjects []Subject // without the last prompt part
+	crashing *Subject  // one of the subjects; nil for a sound request
+	recurs   bool      // a sound request that comes again and again
+	retries  int       // that its caller makes
 	repeat   bool
 	server   *simulatedServer
 	sentAt   time.Time
@@ -53,6 +56,7 @@
 
 // fleetSimulation runs requests, servers that end for several reasons, and the registries of daemons in virtual time.
 type fleetSimulation struct {
+	kind       Kind // of crashing subjects
 	rng        *rand.Rand
 	queue      simulatedEvents
 	registries []*Registry
@@ -62,9 +66,10 @@
 	nextServer uint64
 	start      time.Time
 
-	partCrashes  []time.Time            // of servers that crashingPart ended
-	sentCrashing []time.Time            // by daemons that were in touch
-	sound        map[uint64]*soundCount // of sound requests late in the run, by first part
+	restartTime  time.Duration           // of servers
+	crashes      map[Subject][]time.Time // of servers that a crashing subject ended
+	sentCrashing map[Subject][]time.Time // by daemons that were in touch
+	sound        map[Subject]*soundCount // of sound requests late in the run, by their first subject
 }
 
 type soundCount struct{ sent, held int }
@@ -96,13 +101,15 @@
 }
 
 func newRegistryOf(f *fleetSimulation, daemon int) *Registry {
-	return New(func(part uint64) bool { return int(part)%simulatedDaemons == daemon })
+	return New(func(subject uint64, triers int) bool {
+		return (daemon-int(subject%simulatedDaemons)+simulatedDaemons)%simulatedDaemons < triers
+	})
 }
 
-// newFleetSimulation schedules a load and faults that are drawn from the seed. Requests with the crashing part come only
-// if crashing is set.
-func newFleetSimulation(seed uint64, crashing bool) *fleetSimulation {
-	f := &fleetSimulation{rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), sound: map[uint64]*soundCount{},
+// newDaemons returns a simulation of daemons that report to each other, without load and servers.
+func newDaemons(seed uint64, kind Kind) *fleetSimulation {
+	f := &fleetSimulation{kind: kind, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), restartTime: 3 * time.Second,
+		crashes: map[Subject][]time.Time{}, sentCrashing: map[Subject][]time.Time{}, sound: map[Subject]*soundCount{},
 		cutUntil: make([]time.Time, simulatedDaemons), touchedAt: make([]time.Time, simulatedDaemons)}
 	for i := range simulatedDaemons {
 		f.registries = append(f.registries, newRegistryOf(f, i))
@@ -111,13 +118,20 @@
 			f.at(t, func(now time.Time) { f.report(i, now) })
 		}
 	}
+	return f
+}
+
+// newFleetSimulation schedules a load of prompts and faults that are drawn from the seed. Requests with the crashing part
+// come only if crashing is set.
+func newFleetSimulation(seed uint64, crashing bool) *fleetSimulation {
+	f := newDaemons(seed, PromptPart)
 	for range 6 + f.rng.IntN(15) {
 		f.servers = append(f.servers, f.newServer())
 	}
 	rate := 20 + 100*f.rng.Float64()
 	for t := f.start; t.Before(f.start.Add(simulatedLength)); t = t.Add(f.duration(time.Duration(float64(time.Second) / rate))) {
 		f.at(t, func(now time.Time) {
-			f.send(&simulatedRequest{daemon: f.rng.IntN(simulatedDaemons), parts: f.soundParts()}, now)
+			f.send(&simulatedRequest{daemon: f.rng.IntN(simulatedDaemons), subjects: f.soundParts()}, now)
 		})
 	}
 	if crashing {
@@ -126,8 +140,9 @@
 		for t := f.start.Add(from); t.Before(f.start.Add(simulatedLength)); t = t.Add(f.duration(time.Duration(float64(time.Second) / rate))) {
 			f.at(t, func(now time.Time) {
 				parts := f.soundParts()
-				parts[f.rng.IntN(len(parts))] = simulatedBad
-				f.send(&simulatedRequest{daemon: f.rng.IntN(simulatedDaemons), parts: parts, crashing: true}, now)
+				crashing := &parts[f.rng.IntN(len(parts))]
+				crashing.ID = simulatedBad
+				f.send(&simulatedRequest{daemon: f.rng.IntN(simulatedDaemons), subjects: parts, crashing: crashing}, now)
 			})
 		}
 	}
@@ -136,10 +151,10 @@
 }
 
 // soundParts returns a first part and a context, the more frequent ones more often.
-func (f *fleetSimulation) soundParts() []uint64 {
+func (f *fleetSimulation) soundParts() []Subject {
 	first := 1 + uint64(f.rng.IntN(firstParts)*f.rng.IntN(firstParts)/firstParts)
 	context := 100 + uint64(f.rng.IntN(contexts)*f.rng.IntN(contexts)/contexts)
-	return []uint64{first, context}
+	return Parts([]uint64{first, context})
 }
 
 func (f *fleetSimulation) scheduleFaults() {
@@ -197,13 +212,13 @@
 
 // send sends the request, or its repeat, to a server unless it is held back.
 func (f *fleetSimulation) send(r *simulatedRequest, now time.Time) {
-	_, held := f.registries[r.daemon].Held(r.parts)
-	held = held && (r.repeat || !f.registries[r.daemon].StartTrial(r.parts, now))
-	if !r.crashing && f.afterBound(now) {
-		count := f.sound[r.parts[0]]
+	_, held := f.registries[r.daemon].Held(r.subjects)
+	held = held && (r.repeat || !f.registries[r.daemon].StartTrial(r.subjects, now))
+	if r.crashing == nil && f.afterBound(now) {
+		count := f.sound[r.countedAs()]
 		if count == nil {
 			count = &soundCount{}
-			f.sound[r.parts[0]] = count
+			f.sound[r.countedAs()] = count
 		}
 		count.sent++
 		if held {
@@ -218,8 +233,8 @@
 	if !s.up {
 		return
 	}
-	if r.crashing && now.Sub(f.touchedAt[r.daemon]) > contactTime {
-		f.sentCrashing = append(f.sentCrashing, now)
+	if r.crashing != nil && now.Sub(f.touchedAt[r.daemon]) > contactTime {
+		f.sentCrashing[*r.crashing] = append(f.sentCrashing[*r.crashing], now)
 	}
 	r.server, r.sentAt = s, now
 	s.running = append(s.running, r)
@@ -232,9 +247,9 @@
 	if r.done {
 		return
 	}
-	if r.crashing {
+	if r.crashing != nil {
 		r.begun = f.rng.Float64() < 0.7 // whether the head arrives before the end
-		f.partCrashes = append(f.partCrashes, now)
+		f.crashes[*r.crashing] = append(f.crashes[*r.crashing], now)
 		f.end(server, now)
 		return
 	}
@@ -243,6 +258,13 @@
 		f.breakOff(r, now)
 		return
 	}
+	if f.kind == WholeRequest { // an answer in one piece
+		f.registries[r.daemon].RecordAlive(r.server.id, r.sentAt, now)
+		f.registries[r.daemon].RecordSound(r.subjects, now)
+		r.done = true
+		r.server.remove(r)
+		return
+	}
 	r.begun = true
 	gap := time.Duration(r.server.slow * float64(30*time.Millisecond))
 	events := 1 + f.rng.IntN(30)
@@ -254,7 +276,7 @@
 			f.registries[r.daemon].RecordAlive(r.server.id, r.sentAt, now)
 			if event == 2 {
 				r.sound = true
-				f.registries[r.daemon].RecordSound(r.parts, now)
+				f.registries[r.daemon].RecordSound(r.subjects, now)
 			}
 		})
 	}
@@ -263,7 +285,7 @@
 			return
 		}
 		if !r.sound {
-			f.registries[r.daemon].RecordSound(r.parts, now)
+			f.registries[r.daemon].RecordSound(r.subjects, now)
 		}
 		r.done = true
 		r.server.remove(r)
@@ -275,10 +297,14 @@
 	r.done = true
 	r.server.remove(r)
 	if !r.sound {
-		f.registries[r.daemon].RecordEnd(r.parts, End{Server: r.server.id, At: now, Begun: r.begun}, now)
+		f.registries[r.daemon].RecordEnd(r.subjects, End{Server: r.server.id, At: now, Begun: r.begun}, now)
 	}
-	if !r.repeat {
-		f.send(&simulatedRequest{daemon: r.daemon, parts: r.parts, crashing: r.crashing, repeat: true}, now)
+	switch repeat := (&simulatedRequest{daemon: r.daemon, subjects: r.subjects, crashing: r.crashing, recurs: r.recurs, retries: r.retries, repeat: true}); {
+	case !r.repeat:
+		f.send(repeat, now)
+	case r.retries > 0:
+		repeat.daemon, repeat.retries, repeat.repeat = f.rng.IntN(simulatedDaemons), r.retries-1, false
+		f.at(now.Add(f.duration(300*time.Millisecond)), func(now time.Time) { f.send(repeat, now) })
 	}
 }
 
@@ -292,16 +318,17 @@
 	for _, r := range slices.Clone(s.running) {
 		f.breakOff(r, now)
 	}
-	f.at(now.Add(restartTime), func(time.Time) { f.servers[i] = f.newServer() })
+	f.at(now.Add(f.restartTime), func(time.Time) { f.servers[i] = f.newServer() })
 }
 
 // afterBound reports whether the users' bound for sound requests holds.
 func (f *fleetSimulation) afterBound(now time.Time) bool {
-	n := len(f.partCrashes)
-	if n == 0 {
-		return true
+	for subject, crashes := range f.crashes {
+		if now.Sub(crashes[min(len(crashes), maxEnded[subject.Kind])-1]) <= 2*contactTime {
+			return false
+		}
 	}
-	return now.Sub(f.partCrashes[min(n, 5)-1]) > 2*contactTime
+	return true
 }
 
 func (f *fleetSimulation) run() {
@@ -311,15 +338,29 @@
 	}
 }
 
-// sentLate returns the requests with the crashing part that were sent later than contactTime after the fifth crash.
+// sentLate returns the requests with one crashing subject, the one with most, that were sent later than the users' bound
+// allows.
 func (f *fleetSimulation) sentLate() int {
-	late := 0
-	for _, at := range f.sentCrashing {
-		if len(f.partCrashes) >= 5 && at.Sub(f.partCrashes[4]) > contactTime {
-			late++
+	most := 0
+	for subject, sent := range f.sentCrashing {
+		crashes, late := f.crashes[subject], 0
+		for _, at := range sent {
+			if n := maxEnded[subject.Kind]; len(crashes) >= n && at.Sub(crashes[n-1]) > contactTime {
+				late++
+			}
 		}
+		most = max(most, late)
+	}
+	return most
+}
+
+// ended returns the number of servers that crashing subjects ended.
+func (f *fleetSimulation) ended() int {
+	ended := 0
+	for _, crashes := range f.crashes {
+		ended += len(crashes)
 	}
-	return late
+	return ended
 }
 
 // seeds returns the seeds of a property test: QUARANTINE_SEEDS of them, or 60.
@@ -340,12 +381,12 @@
 		f.run()
 		late := f.sentLate()
 		worstLate = max(worstLate, late)
-		crashes += len(f.partCrashes)
-		assert.LessOrEqual(t, late, maxSent, "seed %d, %d servers ended", seed, len(f.partCrashes))
+		crashes += f.ended()
+		assert.LessOrEqual(t, late, maxSent, "seed %d, %d servers ended", seed, f.ended())
 		for part, count := range f.sound {
 			sent += count.sent
 			held += count.held
-			assert.False(t, count.sent >= 20 && 2*count.held > count.sent, "seed %d, first part %d: %d of %d held", seed, part, count.held, count.sent)
+			assert.False(t, count.sent >= 20 && 2*count.held > count.sent, "seed %d, first part %d: %d of %d held", seed, part.ID, count.held, count.sent)
 		}
 	}
 	t.Logf("%d seeds: %.1f servers ended per seed, at most %d requests late, %d of %d sound requests held", seeds(t), float64(crashes)/float64(seeds(t)), worstLate, held, sent)
@@ -360,7 +401,7 @@
 		for part, count := range f.sound {
 			sent += count.sent
 			held += count.held
-			assert.False(t, count.sent >= 20 && 2*count.held > count.sent, "seed %d, first part %d: %d of %d held", seed, part, count.held, count.sent)
+			assert.False(t, count.sent >= 20 && 2*count.held > count.sent, "seed %d, first part %d: %d of %d held", seed, part.ID, count.held, count.sent)
 		}
 		if held > heldBefore {
 			affected++
--- a/internal/quarantine/sound.go
+++ b/internal/quarantine/sound.go
@@ -6,7 +6,8 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// soundParts remembers when an answer on a part last went on. It forgets the least recent ones first.
+// soundParts remembers when an answer on a prompt part last went on. It forgets the least recent ones first. Requests are
+// too many, and most come once only: their last sound answer is kept with the evidence against them.
 type soundParts struct {
 	last *simplelru.LRU[uint64, time.Time]
 }
@@ -17,10 +18,17 @@
 	return &soundParts{last}
 }
 
-func (s *soundParts) put(part uint64, now time.Time) { s.last.Add(part, now) }
+func (s *soundParts) put(subject Subject, now time.Time) {
+	if subject.Kind == PromptPart {
+		s.last.Add(subject.ID, now)
+	}
+}
 
 // at returns the time of the last sound answer, zero if none is known.
-func (s *soundParts) at(part uint64) time.Time {
-	at, _ := s.last.Peek(part)
+func (s *soundParts) at(subject Subject) time.Time {
+	if subject.Kind != PromptPart {
+		return time.Time{}
+	}
+	at, _ := s.last.Peek(subject.ID)
 	return at
 }
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -32,7 +32,7 @@
 	{NoServerJoined, "no_server_joined", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "No backend server of the service is joined."},
 	{AccountOverShare, "account_over_share", http.StatusTooManyRequests, NotRun, RetrySameDaemon, "The account has received its fair share, and the backend servers are busy."},
 	{ServersBusy, "servers_busy", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "No backend server can answer in time."},
-	{PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "A part of the prompt has ended several backend servers and is held back."},
+	{PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, NotRun, RetrySameDaemon, "The request, or a part of its prompt, has ended several backend servers and is held back."},
 
 	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, NotRun, RetryAnotherEntry, "The daemon has no configuration yet."},
 	{CutOff, "cut_off", http.StatusServiceUnavailable, NotRun, RetryAnotherEntry, "The daemon can reach neither the log nor a majority of the members."},
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -1,25 +1,49 @@
 package scheduler
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 )
 
-// heldPart returns the prompt part of the request that is held in quarantine, if there is one. The caller holds the lock.
-func (s *Scheduler) heldPart(r Request) (quarantine.Status, bool) {
-	if !s.quarantine.AnySuspected() {
+// subjects returns what of the request may end servers, as far as it is known. The caller holds the lock.
+func (s *Scheduler) subjects(r Request) []quarantine.Subject {
+	subjects := quarantine.Parts(r.SharedParts())
+	if r.Digest != nil {
+		subjects = append(subjects, quarantine.Subject{Kind: quarantine.WholeRequest, ID: r.Digest()})
+	}
+	return subjects
+}
+
+// held returns the reason for which the request is held in quarantine, if there is one. The caller holds the lock.
+func (s *Scheduler) held(r Request) (quarantine.Status, bool) {
+	if !s.quarantine.AnySuspected(quarantine.WholeRequest) {
+		r.Digest = nil
+	}
+	if r.Digest == nil && !s.quarantine.AnySuspected(quarantine.PromptPart) {
 		return quarantine.Status{}, false
 	}
-	return s.quarantine.Held(r.SharedParts())
+	return s.quarantine.Held(s.subjects(r))
 }
 
-// HeldPart returns the prompt part for which the request must not be sent, if there is one.
-func (s *Scheduler) HeldPart(r Request) (quarantine.Status, bool) {
+// CheckRead decides on a request whose body was read whether it must not be sent because of the quarantine, and for what.
+// If trial is set, Decide has started a trial of the prompt parts. The result tells whether the request is one now.
+func (s *Scheduler) CheckRead(r Request, trial bool, now time.Time) (held quarantine.Status, isHeld, isTrial bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heldPart(r)
+	if trial {
+		r.Parts = nil
+	}
+	held, isHeld = s.held(r)
+	if !isHeld {
+		return held, false, trial
+	}
+	if s.quarantine.StartTrial(s.subjects(r), now) {
+		return held, false, true
+	}
+	return held, true, false
 }
 
 // RecordEvents records that events of a stream have arrived; count is their number in this attempt so far.
@@ -32,39 +56,47 @@
 	}
 	// The server has continued after the first event, which is the begin of the answer.
 	if count > 1 && a.SetSound() {
-		s.quarantine.RecordSound(a.SharedParts(), now)
+		s.quarantine.RecordSound(quarantine.Parts(a.SharedParts()), now)
 	}
 }
 
-// RecordComplete records that a complete successful answer has arrived.
-func (s *Scheduler) RecordComplete(a *placement.Attempt, now time.Time) {
+// RecordComplete records that a complete answer of the server has arrived, with its HTTP status.
+func (s *Scheduler) RecordComplete(r Request, a *placement.Attempt, status int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.SetSound() {
-		s.quarantine.RecordSound(a.SharedParts(), now)
+	if status/100 == 2 && a.SetSound() {
+		s.quarantine.RecordSound(quarantine.Parts(a.SharedParts()), now)
+	}
+	// A server that failed may have done so before it ran the request.
+	if status < http.StatusInternalServerError && s.quarantine.AnyEvidence(quarantine.WholeRequest) {
+		r.Parts = nil
+		s.quarantine.RecordSound(s.subjects(r), now)
 	}
 }
 
 // RecordBroken records that the server closed the connection before the answer was complete. begun tells whether the
 // head of the answer had arrived.
-func (s *Scheduler) RecordBroken(a *placement.Attempt, begun bool, now time.Time) {
+func (s *Scheduler) RecordBroken(r Request, a *placement.Attempt, begun bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server, ok := a.Server()
-	if !ok || a.Sound() || a.Draining() {
+	if !ok || a.Draining() {
 		return
 	}
-	s.quarantine.RecordEnd(a.SharedParts(), quarantine.End{Server: server, At: now, Begun: begun}, now)
+	if a.Sound() {
+		r.Parts = nil // a part ends a server at the begin of the answer
+	}
+	s.quarantine.RecordEnd(s.subjects(r), quarantine.End{Server: server, At: now, Begun: begun}, now)
 }
 
-// Quarantined returns the suspected prompt parts.
+// Quarantined returns the suspected prompt parts and requests.
 func (s *Scheduler) Quarantined(now time.Time) []quarantine.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.quarantine.List(now)
 }
 
-// QuarantineReports returns the evidence against the suspected prompt parts.
+// QuarantineReports returns the evidence against the suspected prompt parts and requests.
 func (s *Scheduler) QuarantineReports(now time.Time) []quarantine.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,14 +110,14 @@
 	s.quarantine.Merge(reports, now)
 }
 
-// LiftQuarantine clears a suspected prompt part. It reports whether the part was suspected.
-func (s *Scheduler) LiftQuarantine(part uint64, now time.Time) bool {
+// LiftQuarantine clears a suspected prompt part or request. It reports whether it was suspected.
+func (s *Scheduler) LiftQuarantine(id uint64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.Lift(part, now)
+	return s.quarantine.Lift(id, now)
 }
 
-// QuarantineChanges returns the prompt parts that became suspected, or are no longer, since the last call.
+// QuarantineChanges returns the prompt parts and requests that became suspected, or are no longer, since the last call.
 func (s *Scheduler) QuarantineChanges() []quarantine.Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,6 +47,8 @@
 	Account   string
 	Objective time.Duration // for the first event
 	Deadline  time.Time     // by which the caller wants its answer
+	// Digest returns the identity of the request, see quarantine.RequestDigest. It is nil before the body was read.
+	Digest func() uint64
 }
 
 // Decision is the decision on the first attempt of a request.
@@ -57,7 +59,8 @@
 	Verdict admission.Verdict
 	Input   admission.Input // of the verdict
 	Cost    float64         // of the request, see RequestCost
-	// Trial tells that the request is sent although a prompt part is held, to find out whether it still ends servers.
+	// Trial tells that the request is sent although it is held for a prompt part, to find out whether that still ends
+	// servers.
 	Trial bool
 	// Quarantined is the prompt part for which the request must not be sent. It is nil for none, and nothing else is
 	// set otherwise.
@@ -71,21 +74,21 @@
 	FairWindow  time.Duration
 	RetryBudget retry.WindowOptions
 	Daemons     func() int // returns the size of the fleet, unreachable daemons included
-	// TriesPart reports whether this daemon makes the trials of a suspected prompt part, see quarantine.New. If it is
-	// nil, it does.
-	TriesPart func(part uint64) bool
+	// MayTry reports whether this daemon is one of those that make the trials of a suspect, see quarantine.New. If it is
+	// nil, it is.
+	MayTry func(suspect uint64, triers int) bool
 }
 
 // New returns a scheduler without servers.
 func New(options Options) *Scheduler {
-	if options.TriesPart == nil {
-		options.TriesPart = func(uint64) bool { return true }
+	if options.MayTry == nil {
+		options.MayTry = func(uint64, int) bool { return true }
 	}
 	s := &Scheduler{
 		balancer:     placement.NewBalancer(options.Zone),
 		shares:       admission.NewShares(options.FairWindow),
 		retryBudgets: make(map[string]*retry.Window),
-		quarantine:   quarantine.New(options.TriesPart),
+		quarantine:   quarantine.New(options.MayTry),
 		limiter:      serverlimit.New(serverlimit.Options{ID: options.ID, Zone: options.Zone, Daemons: options.Daemons}),
 		options:      options,
 	}
@@ -204,8 +207,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	trial := false
-	if held, ok := s.heldPart(r); ok {
-		if trial = s.quarantine.StartTrial(r.SharedParts(), now); !trial {
+	if held, ok := s.held(r); ok {
+		if trial = s.quarantine.StartTrial(s.subjects(r), now); !trial {
 			return Decision{Quarantined: &held}
 		}
 	}
@@ -287,7 +290,7 @@
 func (s *Scheduler) DecideRetry(r Request, tried map[string]bool, free bool, now time.Time) (choice placement.Choice, ok, allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, held := s.heldPart(r); held {
+	if _, held := s.held(r); held {
 		return choice, false, false
 	}
 	choice, ok = s.balancer.Choose(r.Request, tried, now)
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -69,13 +69,13 @@
 	m.state.cutOff.Update(value)
 }
 
-// SetQuarantined sets whether a prompt part is held back. The gauge is 1 or 0.
-func (m *Metrics) SetQuarantined(part string, held bool) {
+// SetQuarantined sets whether a prompt part or request is held back. The gauge is 1 or 0.
+func (m *Metrics) SetQuarantined(kind, id string, held bool) {
 	value := 0.0
 	if held {
 		value = 1
 	}
-	m.state.scope.Tagged(map[string]string{"part": part}).Gauge("quarantined").Update(value)
+	m.state.scope.Tagged(map[string]string{"kind": kind, "id": id}).Gauge("quarantined").Update(value)
 }
 
 // setServiceGauge sets a gauge of a service. It ignores services whose label value is Other,
