Hold back requests that end engines on the own interface

The attempt filter took each broken connection for a failure of the engine, and nothing remembered what had run there.

Change: a controller around the registry of suspects. The attempt filter checks the prompt prefixes and the digest of a request before and after the wait for a slot, and records ends and sound answers. Daemons send what they observe to all members, and the suspects to new ones. The digest is taken of each request, as the body is freed when the answer starts. Evidence is encoded by the exchange package for both interfaces.

--- a/internal/daemon/chain.go
+++ b/internal/daemon/chain.go
@@ -23,6 +23,7 @@
 		Plain:      backend.NewPlainClient(transport),
 		Signer:     resume.NewSigner(d.settings.Secret),
 		Metrics:    d.metrics,
+		Quarantine: d.quarantine,
 		Logger:     logging.For(logging.Backend),
 		WriteLimit: d.settings.WriteLimit,
 		RetryAfter: d.dispatch.RetryAfter,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/controller/members"
 	"github.com/filbertrill/filbertrill/internal/controller/orders"
+	"github.com/filbertrill/filbertrill/internal/controller/quarantine"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/entry"
 	"github.com/filbertrill/filbertrill/internal/logging"
@@ -36,14 +37,15 @@
 	metrics        *telemetry.Metrics
 	metricsHandler http.Handler
 
-	mesh     *peer.Mesh
-	listener net.Listener
-	members  *members.Controller
-	config   *config.Controller
-	dispatch *dispatch.Controller
-	orders   *orders.Controller
-	entry    *entry.Server
-	keys     *idempotencyKeys
+	mesh       *peer.Mesh
+	listener   net.Listener
+	members    *members.Controller
+	config     *config.Controller
+	dispatch   *dispatch.Controller
+	orders     *orders.Controller
+	quarantine *quarantine.Controller
+	entry      *entry.Server
+	keys       *idempotencyKeys
 
 	configChanges  chan struct{} // signals updateOrders; capacity 1
 	drainRequested chan struct{} // closed by Drain
@@ -145,6 +147,13 @@
 		Members: d.members,
 		Logger:  logging.For(logging.Orders),
 	})
+	d.quarantine = quarantine.NewController(quarantine.Options{
+		SelfID:  d.settings.ID,
+		Members: d.members,
+		Sender:  d.mesh,
+		Metrics: d.metrics,
+		Logger:  logging.For(logging.Daemon),
+	})
 	*operatorServer = *operator.NewServer(operator.Options{
 		SelfID:  d.settings.ID,
 		Log:     d.log,
@@ -190,6 +199,8 @@
 		d.config.HandleRecords(envelope.From, body.ConfigRecords)
 	case *pb.Envelope_ConfigRequest:
 		d.config.HandleRequest(envelope.From, body.ConfigRequest)
+	case *pb.Envelope_SuspectReports:
+		d.quarantine.HandleReports(envelope.From, body.SuspectReports)
 	case *pb.Envelope_ConfigReply:
 		d.config.HandleReply(envelope.From, body.ConfigReply)
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -36,7 +36,7 @@
 	d.members.SetClientAddress(advertised)
 	loops := []func(context.Context){
 		d.config.Run, d.members.Run, d.dispatch.Run, d.keys.callerKeys.Run, d.keys.issuedKeys.Run,
-		d.updateGauges, d.updateOrders, d.orders.Run, d.serveWhenConfigured,
+		d.updateGauges, d.updateOrders, d.orders.Run, d.quarantine.Run, d.serveWhenConfigured,
 	}
 	for _, run := range loops {
 		wg.Go(func() { run(ctx) })
--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/filbertrill/filbertrill/internal/cost"
 	core "github.com/filbertrill/filbertrill/internal/dispatch"
 	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/resume"
 )
@@ -38,6 +39,17 @@
 	CountRetry(service string)
 }
 
+// Quarantine holds back requests that end backend servers.
+type Quarantine interface {
+	// Check returns a PromptQuarantined error if a request with the subjects must not be sent. trial reports whether it
+	// is sent nevertheless, as a trial.
+	Check(subjects []quarantine.Subject) (trial bool, err error)
+	// RecordEnd records that the server broke the connection of a request with the subjects.
+	RecordEnd(subjects []quarantine.Subject, server string, begun bool)
+	// RecordSound records an answer of the server that proves the subjects sound.
+	RecordSound(subjects []quarantine.Subject, server string, sentAt time.Time)
+}
+
 // Options configure the handlers.
 type Options struct {
 	Acquirer Acquirer
@@ -45,7 +57,9 @@
 	Plain    *backend.PlainClient
 	Signer   *resume.Signer
 	Metrics  Metrics
-	Logger   *slog.Logger
+	// Quarantine is used by New only.
+	Quarantine Quarantine
+	Logger     *slog.Logger
 	// WriteLimit is how long a write to the caller may block. New uses DefaultWriteLimit if it is 0;
 	// NewResume requires a value.
 	WriteLimit time.Duration
--- a/internal/filter/attempt/chat.go
+++ b/internal/filter/attempt/chat.go
@@ -25,13 +25,15 @@
 		return err
 	}
 	h.serverState.recordRequest(r.Service.ID, time.Now())
+	s := h.newSuspects(r)
 	sent := false
 	for number := 1; ; number++ {
-		lease, err := h.acquireAdmitted(ctx, r)
+		lease, err := s.acquireChecked(ctx, r, h.acquireAdmitted)
 		if err != nil {
 			return reclassifyNotRun(err, sent)
 		}
 		a := h.newAttempt(r, lease, number, body)
+		a.suspects = s
 		retryable, err := h.runAttempt(ctx, r, a, lease)
 		if err == nil || !retryable {
 			return reclassifyNotRun(err, sent)
@@ -68,16 +70,21 @@
 	action := a.run(ctx)
 	if a.rejection != nil {
 		h.serverState.recordSuccess(a.server.ID)
+		a.suspects.recordSound(a.server.ID, a.startedAt)
 		return false, forwardRejection(r.Writer, a.rejection)
 	}
 	switch action.Kind {
 	case answer.Finish:
 		h.serverState.recordSuccess(a.server.ID)
+		a.suspects.recordSound(a.server.ID, a.startedAt)
 		return false, nil
 	case answer.Stop:
 		return false, result.Wrap(context.Canceled, result.CallerGone, "the caller disconnected")
 	}
 	h.recordFailure(a, lease)
+	if a.broken {
+		a.suspects.recordEnd(a.server.ID, a.connected, a.machine.NextOffset() > 1)
+	}
 	err := result.Wrap(a.err, action.Code, "%s", errorMessage(action.Code, a.server.ID))
 	retryable := action.Kind == answer.Retry && h.serverState.takeRetry(r.Service.ID, time.Now())
 	if retryable {
@@ -114,6 +121,7 @@
 		logger:    h.opts.Logger,
 		server:    lease.Server,
 		attemptID: attemptID,
+		startedAt: time.Now(),
 		body:      body,
 		machine:   machine,
 		meter: &meter{
--- a/internal/filter/attempt/chat_attempt.go
+++ b/internal/filter/attempt/chat_attempt.go
@@ -18,7 +18,11 @@
 	logger    *slog.Logger
 	server    ticket.Server
 	attemptID string
-	body      []byte // nil if the attempt resumes an answer that another daemon started
+	startedAt time.Time
+	suspects  *suspects // nil if the attempt resumes an answer that another daemon started
+	connected bool      // the header of the answer was received
+	broken    bool      // the engine broke a connection
+	body      []byte    // nil if the attempt resumes an answer that another daemon started
 	machine   *answer.Machine
 	sink      sink
 	watchdog  *watchdog
@@ -78,6 +82,7 @@
 		return a.endConnection(eventForError(ctx, connCtx, err, starting), err)
 	}
 	a.step(answer.Connected{})
+	a.connected = true
 	for message, err := range stream.Events(a.watchdog) {
 		if err != nil {
 			return a.endConnection(eventForError(ctx, connCtx, err, false), err)
@@ -105,6 +110,7 @@
 // for example a deadline that passed just as the answer started, the connection counts as broken.
 func (a *chatAttempt) endConnection(e answer.Event, err error) answer.Action {
 	a.err = err
+	a.broken = a.broken || isConnectionBroken(err) || (err == nil && e == answer.ConnectionLost{})
 	action := a.step(e)
 	if action.Kind == answer.Ignore {
 		return a.step(answer.ConnectionLost{})
@@ -120,6 +126,9 @@
 	case answer.Forward:
 		a.watchdog.deadline = time.Time{}
 		a.meter.recordEvent(message.Data)
+		if offset == 1 && a.suspects != nil {
+			a.suspects.recordPartsSound(a.server.ID, a.startedAt)
+		}
 		return a.handleSinkError(action, a.sink.forward(offset, message.Data))
 	case answer.Finish:
 		a.watchdog.timer.Reset(trailerTimeout)
--- a/internal/filter/attempt/plain.go
+++ b/internal/filter/attempt/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,8 +23,9 @@
 // runPlain runs a request to a plain service. It retries on another slot only if no byte of the
 // request was sent.
 func (h *handler) runPlain(ctx context.Context, r *filter.Request) error {
+	s := h.newSuspects(r)
 	for attempts := 1; ; attempts++ {
-		err := h.tryPlain(ctx, r)
+		err := h.tryPlain(ctx, r, s)
 		if attempts == maxPlainAttempts || !errors.Is(err, backend.ErrNotSent) {
 			return err
 		}
@@ -31,14 +33,20 @@
 }
 
 // tryPlain waits for a slot and runs the request on its server.
-func (h *handler) tryPlain(ctx context.Context, r *filter.Request) error {
-	lease, err := h.acquire(ctx, r)
+func (h *handler) tryPlain(ctx context.Context, r *filter.Request, s *suspects) error {
+	lease, err := s.acquireChecked(ctx, r, h.acquire)
 	if err != nil {
 		return err
 	}
 	defer func() { lease.Release(r.Cost) }()
 	r.Granted = time.Now()
 	err = h.callPlain(ctx, r, lease)
+	switch {
+	case isConnectionBroken(err) && !errors.Is(err, backend.ErrNotSent):
+		s.recordEnd(lease.Server.ID, false, false)
+	case r.Answer != nil && r.Answer.Status < http.StatusInternalServerError:
+		s.recordSound(lease.Server.ID, r.Granted)
+	}
 	if isServerFailure(ctx, err) {
 		lease.MarkFailed()
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,8 +22,6 @@
 	// instance because the peer has not received a withdrawal yet. The delay is shorter than
 	// the 3 s within which users require such changes to be known.
 	unchangedPullDelay = time.Second
-	// maxAge bounds ages in messages. It is longer than any state is kept.
-	maxAge = 48 * time.Hour
 )
 
 // member describes this daemon to its peers.
@@ -103,10 +101,7 @@
 	}
 }
 
-// ageMillis converts an age to milliseconds, rounded up and limited to maxAge.
-func ageMillis(age time.Duration) uint32 {
-	return uint32((min(max(age, 0), maxAge) + time.Millisecond - 1).Milliseconds())
-}
+func ageMillis(age time.Duration) uint32 { return exchange.AgeMillis(age) }
 
 // receiveView applies the view of a peer or of a whole zone, and starts a pull from the source
 // if that has newer records. It implements exchange.Options.OnView.
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 )
@@ -97,7 +98,7 @@
 			g.logger.Warn("Invalid stored evidence ignored.", "suspect", suspect, "error", err)
 			continue
 		}
-		report := decodeSuspect(stored.Suspect)
+		report := exchange.DecodeSuspect(stored.Suspect)
 		report.AddAge(max(0, time.Since(time.UnixMilli(stored.SavedUnixMs))))
 		reports = append(reports, report)
 		k.saved[suspect] = savedSuspect{len(report.Ends), report.Trials}
@@ -132,7 +133,7 @@
 		if k.saved[suspect] == state || writes == maxSavesPerInterval {
 			continue
 		}
-		value, err := proto.Marshal(&pb.StoredSuspect{Suspect: encodeSuspect(report), SavedUnixMs: now.UnixMilli()})
+		value, err := proto.Marshal(&pb.StoredSuspect{Suspect: exchange.EncodeSuspect(report), SavedUnixMs: now.UnixMilli()})
 		if err != nil {
 			return errors.Wrap(err, "encode evidence")
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/scheduler"
@@ -34,7 +35,7 @@
 		})
 	}
 	for _, r := range v.Quarantine {
-		message.Suspects = append(message.Suspects, encodeSuspect(r))
+		message.Suspects = append(message.Suspects, exchange.EncodeSuspect(r))
 	}
 	encodeLimits(message, v.Limits)
 	return message
@@ -69,7 +70,7 @@
 		v.Usage[usage.Account] = decodeUsage(usage)
 	}
 	for _, m := range message.Suspects {
-		v.Quarantine = append(v.Quarantine, decodeSuspect(m))
+		v.Quarantine = append(v.Quarantine, exchange.DecodeSuspect(m))
 	}
 	for _, p := range message.Placements {
 		v.Placements = append(v.Placements, placement.Placement{Server: p.Server, Part: p.Part, Tokens: int(p.Tokens)})
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -21,6 +21,7 @@
 	trials      int       // requests that were sent although it was suspected
 	trialAt     time.Time // of the last one
 	changedAt   time.Time // when something was added that peers may not know
+	observedAt  time.Time // when this daemon itself last added something
 }
 
 // lastEnd returns the time of the last ended server, zero if there is none.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -77,6 +77,7 @@
 		}
 		v := r.evidenceOf(s, now)
 		r.addEnd(v, e, now)
+		v.observedAt = now
 		r.update(s, v, now)
 	}
 }
@@ -90,7 +91,7 @@
 			continue
 		}
 		if now.Sub(v.soundAt) > soundTTL/4 {
-			v.changedAt = now
+			v.changedAt, v.observedAt = now, now
 		}
 		v.soundAt = now
 		r.update(s, v, now)
@@ -109,7 +110,7 @@
 		for i := range v.ends {
 			e := &v.ends[i]
 			if e.Server == server && !e.Disproved {
-				e.Disproved, v.changedAt = true, now
+				e.Disproved, v.changedAt, v.observedAt = true, now, now
 				r.update(s, v, now)
 			}
 		}
@@ -202,7 +203,7 @@
 	for kind := range rules {
 		s := Subject{Kind(kind), id}
 		if v, ok := r.suspects[s]; ok {
-			v.liftedAt, v.trials, v.changedAt = now, 0, now
+			v.liftedAt, v.trials, v.changedAt, v.observedAt = now, 0, now, now
 			r.update(s, v, now)
 			lifted = true
 		}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -82,6 +82,17 @@
 	return reports
 }
 
+// ObservedReports returns what this daemon has observed recently. It suffices for peers that all get it directly.
+func (r *Registry) ObservedReports(now time.Time) []Report {
+	var reports []Report
+	for s, v := range r.evidence {
+		if now.Sub(v.observedAt) <= reportDuration {
+			reports = append(reports, v.report(s, now))
+		}
+	}
+	return reports
+}
+
 // SuspectReports returns the reports of the suspected subjects.
 func (r *Registry) SuspectReports(now time.Time) []Report {
 	r.expire(now)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -44,7 +44,7 @@
 	}
 	for _, s := range held {
 		v := r.suspects[s]
-		v.trials, v.trialAt, v.changedAt = v.trials+1, now, now
+		v.trials, v.trialAt, v.changedAt, v.observedAt = v.trials+1, now, now, now
 	}
 	return true
 }
--- a/test/integration/answers/crashing_prompt_test.go
+++ b/test/integration/answers/crashing_prompt_test.go
@@ -109,4 +109,9 @@
 	}
 	t.Logf("%d requests reached engines", len(arrived))
 	assert.LessOrEqual(t, late, maxSentAfterWindow)
+
+	sound := `{"model":"drafter","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"sound"}]}`
+	got, err := send(newChatRequest(t, f.Daemons[0].Address, sound))
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, got.status)
 }
