Log the versions of servers and what a request takes up

The logs named neither the software version of the servers of an attempt nor the attempt that a stream began with. Both are decoded and logged now; nothing decides by them yet.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,6 +44,7 @@
 // attemptRecord describes an attempt in the log.
 type attemptRecord struct {
 	server          string
+	version         string // of the server's software
 	predicted       time.Duration
 	uncachedTokens  int
 	runningRequests int
@@ -62,6 +63,7 @@
 // LogValue implements slog.LogValuer.
 func (a attemptRecord) LogValue() slog.Value {
 	return slog.StringValue(a.server +
+		" version=" + a.version +
 		" predicted=" + a.predicted.String() +
 		" uncached=" + strconv.Itoa(a.uncachedTokens) +
 		" running=" + strconv.Itoa(a.runningRequests) +
@@ -160,6 +162,7 @@
 	started := time.Now()
 	record := attemptRecord{
 		server:          choice.Server.ID,
+		version:         choice.Server.Version,
 		predicted:       choice.Predicted,
 		uncachedTokens:  choice.UncachedTokens,
 		runningRequests: choice.Load.Running,
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -20,6 +20,7 @@
 	PromptTokens int
 	OutputTokens int    // estimate
 	LastEventID  string // ID of the event after which a stream is continued; empty for none
+	Resumes      string // ID of the attempt that brought the first event of a stream that is continued; empty for none
 }
 
 // ServerRequest is a request as it is sent to a server. PrefixSourceAddress is the address of
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -46,6 +46,9 @@
 		slog.String("caller", c.request.RemoteAddr), slog.Int("code", int(code)), slog.Duration("took", duration), slog.Duration("first", c.timeToFirstEvent),
 		slog.Int("events", c.eventCount),
 	}
+	if c.envelope != nil && c.envelope.LastEventID != "" {
+		attrs = append(attrs, slog.String("resumes", c.envelope.Resumes), slog.String("after", c.envelope.LastEventID))
+	}
 	if c.config != nil {
 		attrs = append(attrs, slog.Uint64("config", c.config.Version))
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -15,6 +15,7 @@
 	Service     string
 	Address     string // ip:port
 	Zone        string
+	Version     string // of its software; empty if it names none
 	Slots       int // requests that it runs concurrently
 	State       ServerState
 	Incarnation int64 // start time in Unix milliseconds; tells a process from earlier ones at its address
