--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -16,7 +16,7 @@
 	Address     string // ip:port
 	Zone        string
 	Version     string // of its software; empty if it names none
-	Slots       int // requests that it runs concurrently
+	Slots       int    // requests that it runs concurrently
 	State       ServerState
 	Incarnation int64 // start time in Unix milliseconds; tells a process from earlier ones at its address
 	Sequence    int64 // increases with each record of the same incarnation
