Let streams go on only at the version that began them

Cause: nothing read the version of a server, and both ways on, another attempt in one answer and a caller's request with Last-Event-Id, chose by placement alone. The daemon that takes a stream up is another one than the daemon that began it.

Change: a request is bound to the version of its first event. While versions are mixed, a daemon tells three others which version began a stream before its first event is forwarded; a daemon that takes up one that it doesn't know asks six. What nobody knows began before versions were mixed; otherwise the request is refused with 1109.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -79,6 +79,8 @@
 	// it was held. Both are called for operators.
 	Quarantine     func() *pb.QuarantineList
 	LiftQuarantine func(id uint64) bool
+	// OnOrigins is called with each message about the origins of streams. It must not block.
+	OnOrigins func(*pb.Origins)
 	Logger         *slog.Logger
 }
 
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -33,6 +33,9 @@
 		if z := d.Zone; z != nil && z.Delegate != nil && z.View != nil {
 			x.handleZone(z, true, now)
 		}
+		if d.Origins != nil {
+			x.options.OnOrigins(d.Origins)
+		}
 	}
 }
 
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -17,6 +17,9 @@
 // bodies: net/http discards them without buffering.
 func (h *Handler) admit(next chain.Handler[*call]) chain.Handler[*call] {
 	return chain.HandlerFunc[*call](func(ctx context.Context, c *call) error {
+		if err := h.bindVersion(ctx, c); err != nil {
+			return err
+		}
 		if err := h.chooseServer(c); err != nil {
 			return err
 		}
@@ -58,6 +61,7 @@
 			Parts:        c.envelope.Parts,
 			PromptTokens: c.envelope.PromptTokens,
 			OutputTokens: c.envelope.OutputTokens,
+			Version:      c.version,
 		},
 		Account:   c.account,
 		Objective: c.route.Objective,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -181,6 +181,9 @@
 			outcome = placement.Abandoned
 		}
 	}
+	if progress == notSent && errors.Is(err, syscall.ECONNREFUSED) {
+		h.Scheduler.RecordRefused(attempt, time.Now())
+	}
 	if record.serverBroke && ctx.Err() == nil && progress != notSent {
 		h.Scheduler.RecordBroken(c.schedulerRequest(), attempt, record.status/100 == 2, time.Now())
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -28,6 +28,7 @@
 	Config             func() *routing.Config
 	ConfigAge          func(time.Time) time.Duration // time since the configuration was known to be the newest
 	Scheduler          *scheduler.Scheduler
+	Origins            Origins
 	Pool               *upstream.Pool
 	ConnectionPressure func() bool // callers hold so many connections that refusals should close theirs
 	Overloaded         func() bool // the process gets too little processor time
@@ -85,6 +86,7 @@
 	deadline  time.Time // the earlier of the caller's deadline and the route's timeout
 	config    *routing.Config
 
+	version          *string          // the only version that may serve the request; nil for any
 	choice           placement.Choice // the server of the next attempt
 	decidedAt        time.Time        // time of the admission decision
 	trial            bool             // see scheduler.Decision
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -171,6 +171,7 @@
 		c.timeToFirstEvent = time.Since(c.arrivedAt)
 	}
 	if !c.answerStarted {
+		h.recordOrigin(c)
 		h.startAnswer(c, response)
 	}
 	if _, err := c.writer.Write(data[skipped:end]); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/exchange"
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/result"
@@ -64,6 +65,7 @@
 	reader         *topology.Reader
 	exchange       *exchange.Exchange
 	scheduler      *scheduler.Scheduler
+	origins        *streamOrigins
 	pool           *upstream.Pool
 	handler        *forward.Handler
 	metrics        *telemetry.Metrics
@@ -104,6 +106,10 @@
 		Daemons:     func() int { return g.exchange.FleetSize() },
 		MayTry:      g.mayTry,
 	})
+	g.origins = newStreamOrigins(
+		func() []*pb.Member { return g.exchange.Members() },
+		func(o *pb.Origins, controlAddresses ...string) { g.exchange.SendOrigins(o, controlAddresses...) },
+	)
 	g.topology = topology.NewState(g.serversChanged)
 	g.reader = topology.NewReader(topology.ReaderOptions{
 		Store:       p.Store,
@@ -131,6 +137,7 @@
 		Config:             g.topology.Config,
 		ConfigAge:          func(now time.Time) time.Duration { return g.reader.Age(topology.Configs, now) },
 		Scheduler:          g.scheduler,
+		Origins:            g.origins,
 		Pool:               g.pool,
 		ConnectionPressure: g.connLimiter.nearLimit,
 		Overloaded:         g.overload.overloaded.Load,
@@ -146,6 +153,7 @@
 		CachedParts:    g.cachedPartsMessage,
 		Quarantine:     g.quarantineMessage,
 		LiftQuarantine: g.liftQuarantine,
+		OnOrigins:      g.origins.handle,
 		Logger:         logging.For(logging.Peer),
 	})
 	if err != nil {
@@ -279,6 +287,8 @@
 }
 
 func (g *Gateway) serversChanged() {
-	g.scheduler.SetServers(g.topology.Servers(), g.topology.Config())
+	servers := g.topology.Servers()
+	g.scheduler.SetServers(servers, g.topology.Config())
+	g.origins.setServers(servers, time.Now())
 	g.exchange.TriggerSend()
 }
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -37,6 +37,8 @@
 	// placementTTL is how long a placement is reported to peers: it spans several datagrams, as
 	// some are lost.
 	placementTTL = 450 * time.Millisecond
+	// registrationLag is the time after which a server that has started again is known by its new registration.
+	registrationLag = 3 * time.Second
 	// minPlacementTokens is the shortest shared prefix that is reported to peers: the prefill of a
 	// shorter one is cheap.
 	minPlacementTokens = 64
@@ -55,8 +57,13 @@
 	Parts        []Part // in order; the last one belongs to the request or its session alone
 	PromptTokens int    // of the whole prompt
 	OutputTokens int    // expected for the answer
+	// Version is the only software version whose servers may be chosen, nil if any may.
+	Version *string
 }
 
+// allows reports whether the request may be sent to the server because of its version.
+func (r Request) allows(s *server) bool { return r.Version == nil || *r.Version == s.Version }
+
 // Load is the work in flight at one server, of one daemon or of several.
 type Load struct {
 	Running       int // requests
@@ -98,6 +105,13 @@
 	lastFailureRate    float64   // at lastOutcome, see failureRate
 	lastOutcome        time.Time // time of the last success or failure
 	awaitingFirstEvent map[*Attempt]struct{}
+	refusedAt          time.Time // when it last refused a connection
+}
+
+// mayHaveChanged reports whether the server may have another version than the one that the request needs: it was down a
+// short time ago, and its registration may be of the process before.
+func (s *server) mayHaveChanged(r Request, now time.Time) bool {
+	return r.Version != nil && now.Sub(s.refusedAt) < registrationLag
 }
 
 // peerLoads is the last load report of a peer.
@@ -271,7 +285,7 @@
 	src := b.fetchSource(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for s := range b.rotate(r.Service) {
-		if excluded[s.ID] || !b.available(s.identity, now) {
+		if excluded[s.ID] || !r.allows(s) || s.mayHaveChanged(r, now) || !b.available(s.identity, now) {
 			continue
 		}
 		c := b.predict(s, r, coeffs, s == home, src, now)
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -35,6 +35,7 @@
 	AccountOverShare   Code = 1106
 	ServersBusy        Code = 1107
 	PromptQuarantined  Code = 1108
+	VersionUnknown     Code = 1109
 )
 
 // Requests that were not run because of the state of the daemon.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -327,6 +327,13 @@
 	return s.balancer.Start(r.Request, choice, now)
 }
 
+// RecordRefused records that the server refused the connection of the attempt.
+func (s *Scheduler) RecordRefused(a *placement.Attempt, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.RecordRefused(a, now)
+}
+
 // RecordFirstEvent records the arrival of the first event, or of the answer of a plain service.
 func (s *Scheduler) RecordFirstEvent(a *placement.Attempt, now time.Time) {
 	s.mu.Lock()
