Send nothing to servers that say that they leave

Cause: nothing read Server-Leaving.

Change: a registry of what servers say of themselves, by process. A server that leaves is left out of each choice of the daemon that it said it to. Operators see notices, limits included, by filbertrillctl notices and the gauge server_notices.

--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -54,6 +54,7 @@
 	Entries    entriesCommand     `cmd:"" help:"List the addresses that clients connect to."`
 	Drain      drainCommand       `cmd:"" help:"Ask a member to finish its requests and leave the fleet."`
 	Quarantine quarantineCommands `cmd:"" help:"Show and clear the prompt parts and requests that daemons on the platform suspect of ending servers. Takes control addresses as --daemon."`
+	Notices    noticesCommand     `cmd:"" help:"List what backend servers on the platform say of the requests that they take: that they leave, ask for a pause or name a limit. Takes control addresses as --daemon."`
 	Version    versionCommand     `cmd:"" help:"Show the version of this tool."`
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -79,9 +79,11 @@
 	// it was held. Both are called for operators.
 	Quarantine     func() *pb.QuarantineList
 	LiftQuarantine func(id uint64) bool
+	// Notices returns what servers say of the requests that they take. It is called for operators.
+	Notices func() *pb.NoticeList
 	// OnOrigins is called with each message about the origins of streams. It must not block.
 	OnOrigins func(*pb.Origins)
-	Logger         *slog.Logger
+	Logger    *slog.Logger
 }
 
 // Exchange sends the state of this daemon and receives those of its peers. Its methods are safe for
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -66,6 +66,11 @@
 	return s.exchange.options.Quarantine(), nil
 }
 
+// ListNotices implements pb.DRPCExchangeServer.
+func (s pullServer) ListNotices(context.Context, *pb.PullRequest) (*pb.NoticeList, error) {
+	return s.exchange.options.Notices(), nil
+}
+
 // LiftQuarantine implements pb.DRPCExchangeServer.
 func (s pullServer) LiftQuarantine(_ context.Context, r *pb.LiftRequest) (*pb.LiftResult, error) {
 	return &pb.LiftResult{Held: s.exchange.options.LiftQuarantine(r.Id)}, nil
@@ -80,6 +85,15 @@
 	return list, err
 }
 
+// ListNotices gets what servers have said to the daemon at the address of the requests that they take.
+func ListNotices(ctx context.Context, controlAddress string) (list *pb.NoticeList, err error) {
+	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+		list, err = peer.ListNotices(ctx, &pb.PullRequest{})
+		return err
+	})
+	return list, err
+}
+
 // LiftQuarantine releases a prompt part or request in the fleet of the daemon at the address. It reports whether it was held.
 func LiftQuarantine(ctx context.Context, controlAddress string, id uint64) (held bool, err error) {
 	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -252,6 +252,9 @@
 		conn.DisableReuse()
 	}
 	record.status = response.StatusCode
+	if answer.Leaving {
+		h.Scheduler.RecordLeaving(a, time.Now())
+	}
 	switch {
 	case answer.HasRequestLimit:
 		record.requestLimit = answer.RequestLimit
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -39,7 +39,10 @@
 		}
 		c.trial = isTrial
 		if time.Since(c.decidedAt) > maxChoiceAge {
-			c.choice = h.Scheduler.ChooseAgain(c.schedulerRequest(), c.choice, time.Now())
+			var ok bool
+			if c.choice, ok = h.Scheduler.ChooseAgain(c.schedulerRequest(), c.choice, time.Now()); !ok {
+				return result.New(result.NoServerJoined, "no backend server takes requests any more").WithRetryAfter(defaultRetryAfter)
+			}
 		}
 		return next.Handle(ctx, c)
 	})
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -46,6 +46,7 @@
 	// names no limit.
 	RequestLimit    float64
 	HasRequestLimit bool
+	Leaving         bool // the server says that it leaves
 }
 
 // Protocol encodes and decodes the headers of requests and answers.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,7 @@
 		Quarantine:     g.quarantineMessage,
 		LiftQuarantine: g.liftQuarantine,
 		OnOrigins:      g.origins.handle,
+		Notices:        g.noticesMessage,
 		Logger:         logging.For(logging.Peer),
 	})
 	if err != nil {
@@ -268,7 +269,7 @@
 	return !g.draining.Load() && g.topology.Config() != nil && g.reader.ServersListed()
 }
 
-// runPoolPruner closes idle connections that are too old or whose server is gone, until the
+// runPoolPruner closes idle connections that are too old or whose server is gone, and updates gauges, until the
 // context ends.
 func (g *Gateway) runPoolPruner(ctx context.Context) {
 	for {
@@ -278,6 +279,7 @@
 		case now := <-time.After(pruneInterval):
 			_ = now
 		}
+		g.publishNotices()
 		known := make(map[upstream.Endpoint]bool)
 		for _, s := range g.topology.Servers() {
 			known[upstream.Endpoint{Address: s.Address, ID: s.ID, Incarnation: s.Incarnation}] = true
--- /dev/null
+++ b/internal/notice/notice.go
@@ -0,0 +1,79 @@
+// Package notice holds what backend servers say of themselves in their answers to this daemon: that they leave. The package has no clock, socket or lock of its own.
+package notice
+
+import "time"
+
+// retention is how long the notices of a process are kept that is no longer listed. It may be listed again.
+const retention = 10 * time.Minute
+
+// Server identifies a process of a backend server.
+type Server struct {
+	Identity uint64 // hash of the ID and the incarnation
+	// HasIncarnation is false if the next process at the ID has the same identity.
+	HasIncarnation bool
+}
+
+// Notice is what one process of a server has said.
+type Notice struct {
+	LeavingSince time.Time // zero if it doesn't leave
+}
+
+// Registry holds notices by identity of the server, which a new process at its ID doesn't share. It is not safe for concurrent
+// use.
+type Registry struct {
+	notices map[uint64]*entry
+}
+
+type entry struct {
+	Notice
+	listedAt       time.Time // when the server was last listed
+	hasIncarnation bool
+}
+
+// NewRegistry returns a Registry without notices.
+func NewRegistry() *Registry { return &Registry{notices: make(map[uint64]*entry)} }
+
+// SetServers replaces the listed servers and forgets the notices of processes that have ended.
+func (r *Registry) SetServers(listed []Server, now time.Time) {
+	for _, server := range listed {
+		if n, ok := r.notices[server.Identity]; ok {
+			n.listedAt, n.hasIncarnation = now, server.HasIncarnation
+		}
+	}
+	for server, n := range r.notices {
+		if removed := now.Sub(n.listedAt); removed > retention || (removed > 0 && !n.hasIncarnation) {
+			delete(r.notices, server)
+		}
+	}
+}
+
+// RecordLeaving records that the server says that it leaves.
+func (r *Registry) RecordLeaving(server uint64, now time.Time) {
+	if n := r.notice(server, now); n.LeavingSince.IsZero() {
+		n.LeavingSince = now
+	}
+}
+
+func (r *Registry) notice(server uint64, now time.Time) *entry {
+	n, ok := r.notices[server]
+	if !ok {
+		n = &entry{listedAt: now, hasIncarnation: true}
+		r.notices[server] = n
+	}
+	return n
+}
+
+// Available reports whether the server takes requests.
+func (r *Registry) Available(server uint64, now time.Time) bool {
+	n, ok := r.notices[server]
+	return !ok || n.LeavingSince.IsZero()
+}
+
+// Current returns what the server has said and still holds. ok is false if it is nothing.
+func (r *Registry) Current(server uint64, now time.Time) (current Notice, ok bool) {
+	n, ok := r.notices[server]
+	if !ok {
+		return Notice{}, false
+	}
+	return n.Notice, n.Notice != Notice{}
+}
--- /dev/null
+++ b/internal/notice/notice_test.go
@@ -0,0 +1,22 @@
+package notice
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLeavingServerStaysUnavailableUntilItIsGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, hasIncarnation := range []bool{true, false} {
+		r := NewRegistry()
+		r.RecordLeaving(1, now)
+		r.SetServers([]Server{{1, hasIncarnation}}, now.Add(time.Second))
+		assert.False(t, r.Available(1, now.Add(time.Hour)))
+		r.SetServers(nil, now.Add(2*time.Second))
+		assert.Equal(t, !hasIncarnation, r.Available(1, now), "without an incarnation, what registers later is another process")
+		r.SetServers(nil, now.Add(2*retention))
+		assert.Empty(t, r.notices)
+	}
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -297,6 +297,15 @@
 	return best, found
 }
 
+// Servers returns all servers, ordered by ID.
+func (b *Balancer) Servers() []routing.Server {
+	list := make([]routing.Server, 0, len(b.servers))
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		list = append(list, b.servers[id].Server)
+	}
+	return list
+}
+
 // Ready returns the ServerIdentity of each ready server of the service.
 func (b *Balancer) Ready(service string) iter.Seq[uint64] {
 	return func(yield func(uint64) bool) {
--- /dev/null
+++ b/internal/scheduler/notice.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/notice"
+	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// ServerNotice is what a server says of the requests that it takes.
+type ServerNotice struct {
+	Server routing.Server
+	notice.Notice
+	Limit    float64 // requests per second from the whole fleet
+	HasLimit bool
+	LimitAge time.Duration // time since the server last named it
+}
+
+// RecordLeaving records that the server of the attempt says that it leaves.
+func (s *Scheduler) RecordLeaving(a *placement.Attempt, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if server, ok := a.Server(); ok {
+		s.notices.RecordLeaving(server, now)
+	}
+}
+
+// available reports whether another request may be sent to the server now. The caller holds the lock.
+func (s *Scheduler) available(server uint64, now time.Time) bool {
+	return s.notices.Available(server, now) && s.limiter.Allow(server, now)
+}
+
+// Notices returns what servers say of the requests that they take, ordered by ID, without those that say nothing.
+func (s *Scheduler) Notices(now time.Time) []ServerNotice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []ServerNotice
+	for _, server := range s.balancer.Servers() {
+		identity := placement.ServerIdentity(server)
+		current, hasNotice := s.notices.Current(identity, now)
+		limit, age, hasLimit := s.limiter.Named(identity, now)
+		if hasNotice || hasLimit {
+			list = append(list, ServerNotice{server, current, limit, hasLimit, age})
+		}
+	}
+	return list
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/notice"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/retry"
@@ -38,6 +39,7 @@
 	retryBudgets map[string]*retry.Window
 	quarantine   *quarantine.Registry
 	limiter      *serverlimit.Limiter
+	notices      *notice.Registry
 	options      Options
 }
 
@@ -90,9 +92,10 @@
 		retryBudgets: make(map[string]*retry.Window),
 		quarantine:   quarantine.New(options.MayTry),
 		limiter:      serverlimit.New(serverlimit.Options{ID: options.ID, Zone: options.Zone, Daemons: options.Daemons}),
+		notices:      notice.NewRegistry(),
 		options:      options,
 	}
-	s.balancer.SetAvailable(s.limiter.Allow)
+	s.balancer.SetAvailable(s.available)
 	return s
 }
 
@@ -106,10 +109,13 @@
 	defer s.mu.Unlock()
 	s.balancer.SetServers(servers)
 	limited := make([]serverlimit.Server, 0, len(servers))
+	listed := make([]notice.Server, 0, len(servers))
 	for _, server := range servers {
 		limited = append(limited, serverlimit.Server{ID: placement.ServerIdentity(server), Service: placement.Hash(server.Service)})
+		listed = append(listed, notice.Server{Identity: placement.ServerIdentity(server), HasIncarnation: server.Incarnation != 0})
 	}
 	s.limiter.SetServers(limited)
+	s.notices.SetServers(listed, time.Now())
 	if config == nil {
 		return
 	}
@@ -304,17 +310,21 @@
 	return choice, true, true
 }
 
-// ChooseAgain replaces the choice for a request that was not sent yet. It returns the old one if there is no other.
-func (s *Scheduler) ChooseAgain(r Request, old placement.Choice, now time.Time) placement.Choice {
+// ChooseAgain replaces the choice for a request that was not sent yet. It returns the old one if there is no other. ok is
+// false if its server takes no requests any more.
+func (s *Scheduler) ChooseAgain(r Request, old placement.Choice, now time.Time) (choice placement.Choice, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limiter.Return(placement.ServerIdentity(old.Server))
-	choice, ok := s.balancer.Choose(r.Request, nil, now)
+	choice, ok = s.balancer.Choose(r.Request, nil, now)
 	if !ok {
+		if !s.notices.Available(placement.ServerIdentity(old.Server), now) {
+			return old, false
+		}
 		choice = old
 	}
 	s.limiter.Take(placement.ServerIdentity(choice.Server))
-	return choice
+	return choice, true
 }
 
 // Daemons returns the size of the fleet, unreachable daemons included.
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -156,6 +156,15 @@
 	return ok && known.named
 }
 
+// Named returns the limit that the server names, in requests per second, and the time since it last did.
+func (l *Limiter) Named(server uint64, now time.Time) (rate float64, age time.Duration, ok bool) {
+	known, ok := l.limits[server]
+	if !ok || !known.named {
+		return 0, 0, false
+	}
+	return known.rate, now.Sub(known.at), true
+}
+
 // Take consumes the right to send one request to the server.
 func (l *Limiter) Take(server uint64) { l.addCredit(server, -1) }
 
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -78,6 +78,11 @@
 	m.state.scope.Tagged(map[string]string{"kind": kind, "id": id}).Gauge("quarantined").Update(value)
 }
 
+// SetServerNotices sets the number of servers that say something of the given kind of the requests that they take.
+func (m *Metrics) SetServerNotices(kind string, n int) {
+	m.state.scope.Tagged(map[string]string{"kind": kind}).Gauge("server_notices").Update(float64(n))
+}
+
 // setServiceGauge sets a gauge of a service. It ignores services whose label value is Other,
 // since one gauge can't hold the values of several services.
 func (m *Metrics) setServiceGauge(name, service string, n int) {
