Honour the pause that a server asks for

Cause: nothing read a server's Retry-After; a pause was held back only by what failures cost a server in the choice.

Change: the pause is a notice of the server's process. It is left out of each choice until the end, its answer is no failure, and when all pause the caller is told when the first one ends.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -40,6 +40,8 @@
 		c.admission = &admissionRecord{decision.Cost, decision.Input}
 	}
 	switch {
+	case !decision.Found && decision.PauseEnd > 0:
+		return result.New(result.ServersBusy, "all backend servers have asked for a pause").WithRetryAfter(decision.PauseEnd)
 	case !decision.Found && decision.Limited:
 		return result.New(result.ServersBusy, "all backend servers have reached the limits that they name").WithRetryAfter(defaultRetryAfter)
 	case !decision.Found:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -58,6 +58,7 @@
 	reusedConn      bool
 	serverBroke     bool    // the server closed the connection before the answer was complete
 	requestLimit    float64 // see AnswerInfo; negative for none
+	paused          bool    // the server has turned the request away and asked for a pause
 }
 
 // LogValue implements slog.LogValuer.
@@ -74,6 +75,7 @@
 		" reused=" + strconv.FormatBool(a.reusedConn) +
 		" reach=" + strconv.Itoa(int(a.progress)) +
 		" status=" + strconv.Itoa(a.status) +
+		" paused=" + strconv.FormatBool(a.paused) +
 		" limit=" + strconv.FormatFloat(a.requestLimit, 'g', 4, 64) +
 		" took=" + a.duration.String())
 }
@@ -177,7 +179,7 @@
 	outcome := placement.Served
 	if err != nil {
 		outcome = placement.Failed
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || record.paused {
 			outcome = placement.Abandoned
 		}
 	}
@@ -255,6 +257,10 @@
 	if answer.Leaving {
 		h.Scheduler.RecordLeaving(a, time.Now())
 	}
+	if response.StatusCode == http.StatusServiceUnavailable && answer.Pause > 0 {
+		record.paused = true
+		h.Scheduler.RecordPause(a, answer.Pause, time.Now())
+	}
 	switch {
 	case answer.HasRequestLimit:
 		record.requestLimit = answer.RequestLimit
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -46,7 +46,8 @@
 	// names no limit.
 	RequestLimit    float64
 	HasRequestLimit bool
-	Leaving         bool // the server says that it leaves
+	Leaving         bool          // the server says that it leaves
+	Pause           time.Duration // for which the server wants no requests of this daemon; 0 for none
 }
 
 // Protocol encodes and decodes the headers of requests and answers.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -9,6 +9,7 @@
 // Kinds of notices, for operators.
 const (
 	noticeLeaving = "leaving"
+	noticePause   = "pause"
 	noticeLimit   = "limit"
 )
 
@@ -28,6 +29,9 @@
 		if !n.LeavingSince.IsZero() {
 			add(noticeLeaving, n.LeavingSince, time.Time{}, 0)
 		}
+		if !n.PausedUntil.IsZero() {
+			add(noticePause, n.PausedSince, n.PausedUntil, 0)
+		}
 		if n.HasLimit {
 			add(noticeLimit, now.Add(-n.LimitAge), time.Time{}, n.Limit)
 		}
@@ -37,7 +41,7 @@
 
 // publishNotices updates the gauges of notices.
 func (g *Gateway) publishNotices() {
-	counts := map[string]int{noticeLeaving: 0, noticeLimit: 0}
+	counts := map[string]int{noticeLeaving: 0, noticePause: 0, noticeLimit: 0}
 	for _, n := range g.noticesMessage().Notices {
 		counts[n.Kind]++
 	}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,10 +1,15 @@
-// Package notice holds what backend servers say of themselves in their answers to this daemon: that they leave. The package has no clock, socket or lock of its own.
+// Package notice holds what backend servers say of themselves in their answers to this daemon: that they leave, or that they
+// want no requests for a while. The package has no clock, socket or lock of its own.
 package notice
 
 import "time"
 
-// retention is how long the notices of a process are kept that is no longer listed. It may be listed again.
-const retention = 10 * time.Minute
+const (
+	// maxPause bounds the pause that a server can ask for at once.
+	maxPause = 24 * time.Hour
+	// retention is how long the notices of a process are kept that is no longer listed. It may be listed again.
+	retention = 10 * time.Minute
+)
 
 // Server identifies a process of a backend server.
 type Server struct {
@@ -16,6 +21,8 @@
 // Notice is what one process of a server has said.
 type Notice struct {
 	LeavingSince time.Time // zero if it doesn't leave
+	PausedSince  time.Time
+	PausedUntil  time.Time // zero if it has not asked for a pause
 }
 
 // Registry holds notices by identity of the server, which a new process at its ID doesn't share. It is not safe for concurrent
@@ -54,6 +61,17 @@
 	}
 }
 
+// RecordPause records that the server wants no requests of this daemon for so long.
+func (r *Registry) RecordPause(server uint64, pause time.Duration, now time.Time) {
+	n := r.notice(server, now)
+	if !n.paused(now) {
+		n.PausedSince = now
+	}
+	if until := now.Add(min(pause, maxPause)); until.After(n.PausedUntil) {
+		n.PausedUntil = until
+	}
+}
+
 func (r *Registry) notice(server uint64, now time.Time) *entry {
 	n, ok := r.notices[server]
 	if !ok {
@@ -63,10 +81,12 @@
 	return n
 }
 
+func (n *Notice) paused(now time.Time) bool { return now.Before(n.PausedUntil) }
+
 // Available reports whether the server takes requests.
 func (r *Registry) Available(server uint64, now time.Time) bool {
 	n, ok := r.notices[server]
-	return !ok || n.LeavingSince.IsZero()
+	return !ok || (n.LeavingSince.IsZero() && !n.paused(now))
 }
 
 // Current returns what the server has said and still holds. ok is false if it is nothing.
@@ -75,5 +95,9 @@
 	if !ok {
 		return Notice{}, false
 	}
-	return n.Notice, n.Notice != Notice{}
+	current = n.Notice
+	if !n.paused(now) {
+		current.PausedSince, current.PausedUntil = time.Time{}, time.Time{}
+	}
+	return current, current != Notice{}
 }
--- a/internal/scheduler/notice.go
+++ b/internal/scheduler/notice.go
@@ -26,11 +26,38 @@
 	}
 }
 
+// RecordPause records that the server of the attempt wants no requests of this daemon for so long.
+func (s *Scheduler) RecordPause(a *placement.Attempt, pause time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if server, ok := a.Server(); ok {
+		s.notices.RecordPause(server, pause, now)
+	}
+}
+
 // available reports whether another request may be sent to the server now. The caller holds the lock.
 func (s *Scheduler) available(server uint64, now time.Time) bool {
 	return s.notices.Available(server, now) && s.limiter.Allow(server, now)
 }
 
+// firstPauseEnd returns the time until the first of the ready servers of the service ends its pause. ok is false unless
+// all of them that don't leave pause. The caller holds the lock.
+func (s *Scheduler) firstPauseEnd(service string, now time.Time) (wait time.Duration, ok bool) {
+	for server := range s.balancer.Ready(service) {
+		current, hasNotice := s.notices.Current(server, now)
+		switch {
+		case hasNotice && !current.LeavingSince.IsZero():
+		case !hasNotice:
+			return 0, false
+		default:
+			if remaining := current.PausedUntil.Sub(now); !ok || remaining < wait {
+				wait, ok = remaining, true
+			}
+		}
+	}
+	return wait, ok
+}
+
 // Notices returns what servers say of the requests that they take, ordered by ID, without those that say nothing.
 func (s *Scheduler) Notices(now time.Time) []ServerNotice {
 	s.mu.Lock()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -58,9 +58,11 @@
 	Choice  placement.Choice
 	Found   bool // false when no backend server is ready, or none may receive another request
 	Limited bool // if none was found: some are ready, but have reached their limits
-	Verdict admission.Verdict
-	Input   admission.Input // of the verdict
-	Cost    float64         // of the request, see RequestCost
+	// PauseEnd is the time until the first server ends the pause that it has asked for, if none was found because all do.
+	PauseEnd time.Duration
+	Verdict  admission.Verdict
+	Input    admission.Input // of the verdict
+	Cost     float64         // of the request, see RequestCost
 	// Trial tells that the request is sent although it is held for a prompt part, to find out whether that still ends
 	// servers.
 	Trial bool
@@ -227,7 +229,9 @@
 	}
 	choice, ok := s.balancer.Choose(r.Request, nil, now)
 	if !ok {
-		return Decision{Limited: s.anyLimited(r.Service), Trial: trial}
+		d := Decision{Limited: s.anyLimited(r.Service), Trial: trial}
+		d.PauseEnd, _ = s.firstPauseEnd(r.Service, now)
+		return d
 	}
 	d := s.checkAdmission(r, account, choice, now)
 	if d.Verdict.Reason != admission.Admitted {
