Fetch cached prompt parts from servers of the same version only

A fetch named the server with the most of the prompt cached, of whatever software version; nothing says that versions can read each other's memory. Found by reading, no failure was seen.

Change: one source for each version. The new case of TestNothingIsFetched fails on the code before (source s0 of another version).

--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -282,13 +282,13 @@
 func (b *Balancer) choose(r Request, excluded map[string]bool, weight float64, now time.Time) (Choice, bool) {
 	b.expirePeerLoads(now)
 	home, coeffs := b.home(r, now), b.coefficients(r.Service, now)
-	src := b.fetchSource(r, now)
+	sources := b.fetchSources(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for s := range b.rotate(r.Service) {
 		if excluded[s.ID] || !r.allows(s) || s.mayHaveChanged(r, now) || !b.available(s.identity, now) {
 			continue
 		}
-		c := b.predict(s, r, coeffs, s == home, src, now)
+		c := b.predict(s, r, coeffs, s == home, sources.of(s.Version), now)
 		score := b.score(s, c, weight*coeffs.perToken(), now) + fetchWeight*coeffs.perToken()*float64(c.FetchedTokens)
 		if score < bestScore {
 			best, found, bestScore = c, true, score
@@ -328,7 +328,7 @@
 }
 
 // predict returns the choice of the server with its predictions filled in.
-func (b *Balancer) predict(s *server, r Request, coeffs coefficients, home bool, src fetchSource, now time.Time) Choice {
+func (b *Balancer) predict(s *server, r Request, coeffs coefficients, home bool, src *fetchSource, now time.Time) Choice {
 	c := Choice{Server: s.Server, Load: b.load(s), Home: home}
 	if !r.Engine {
 		c.Load.Running = s.ownLoad.Running + b.meanPeerRunning(s)
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -30,28 +30,52 @@
 	b.fetchRate[service] = tokensPerSecond
 }
 
-// fetchSource returns the server of the service with the longest known cached prefix of the
-// prompt, without failing and overdue servers; the zero value if there is none.
-func (b *Balancer) fetchSource(r Request, now time.Time) fetchSource {
-	var best fetchSource
+// fetchSources returns, for each software version of the service, the server with the longest known cached
+// prefix of the prompt, without failing and overdue servers. What two versions keep in memory may not
+// fit together.
+func (b *Balancer) fetchSources(r Request, now time.Time) fetchSources {
+	var sources fetchSources
 	if b.fetchRate[r.Service] <= 0 {
-		return best
+		return sources
 	}
 	for _, s := range b.ready[r.Service] {
 		tokens := s.cache.prefixTokens(r.Parts, now)
-		if tokens > best.tokens && s.failureRate(now) <= maxSourceFailureRate && s.overdue(now) == 0 {
-			best = fetchSource{s, tokens}
+		if tokens == 0 || s.failureRate(now) > maxSourceFailureRate || s.overdue(now) > 0 {
+			continue
+		}
+		best := sources.of(s.Version)
+		switch {
+		case best == nil:
+			sources = append(sources, fetchSource{s, tokens})
+		case tokens > best.tokens:
+			*best = fetchSource{s, tokens}
+		}
+	}
+	return sources
+}
+
+// fetchSources has one source for each software version. There are few versions.
+type fetchSources []fetchSource
+
+// of returns the source for servers of the version, nil if there is none.
+func (f fetchSources) of(version string) *fetchSource {
+	for i := range f {
+		if f[i].Version == version {
+			return &f[i]
 		}
 	}
-	return best
+	return nil
 }
 
 // planFetch sets the source and tokens of the choice's fetch, if the source has at least
 // minFetchTokens more of the prompt cached than the chosen server.
-func (b *Balancer) planFetch(c *Choice, r Request, src fetchSource) {
+func (b *Balancer) planFetch(c *Choice, r Request, src *fetchSource) {
+	if src == nil {
+		return
+	}
 	cached := r.PromptTokens - c.UncachedTokens
 	tokens := min(src.tokens, r.PromptTokens) - cached
-	if src.server == nil || src.ID == c.Server.ID || tokens < minFetchTokens {
+	if src.ID == c.Server.ID || tokens < minFetchTokens {
 		return
 	}
 	c.Source, c.FetchedTokens = src.Server, tokens
--- a/internal/placement/fetch_test.go
+++ b/internal/placement/fetch_test.go
@@ -50,6 +50,13 @@
 		got, _ := b.Choose(prompt(7, 2), nil, epoch)
 		assert.Empty(t, got.Source.ID)
 	})
+	t.Run("from a server of another version", func(t *testing.T) {
+		b, home := newFetchBalancer(t, 900_000)
+		b.servers[home.Server.ID].Version = "v2"
+		got, _ := b.Choose(prompt(7, 2), nil, epoch)
+		assert.NotEqual(t, home.Server.ID, got.Server.ID)
+		assert.Empty(t, got.Source.ID)
+	})
 	t.Run("when the chosen server has the prompt cached", func(t *testing.T) {
 		b, home := newFetchBalancer(t, 900_000)
 		b.SetPeerLoad("peer", nil, epoch)
