Tell requests apart by their prompt parts

Cause: the digest of a request left its prompt out, which the header names. Here crashing and sound requests differ in nothing else.

Change: the IDs of all prompt parts belong to the digest.

--- a/internal/filter/attempt/quarantine.go
+++ b/internal/filter/attempt/quarantine.go
@@ -22,7 +22,7 @@
 
 // newSuspects returns the subjects of a request whose body was read.
 func (h *handler) newSuspects(r *filter.Request) *suspects {
-	digest := quarantine.RequestDigest(r.HTTP.Method, r.HTTP.URL.RequestURI(), r.Account.ID, r.Body)
+	digest := quarantine.RequestDigest(r.HTTP.Method, r.HTTP.URL.RequestURI(), r.Account.ID, nil, r.Body)
 	return &suspects{
 		quarantine: h.opts.Quarantine,
 		parts:      quarantine.Parts(prefix(r)),
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -51,7 +51,11 @@
 // digest returns the identity of the request for the quarantine. The body was read before.
 func (c *call) digest() uint64 {
 	if c.knownDigest == nil {
-		digest := quarantine.RequestDigest(c.request.Method, c.request.URL.RequestURI(), c.account, c.body)
+		parts := make([]uint64, len(c.envelope.Parts))
+		for i, part := range c.envelope.Parts {
+			parts[i] = part.ID
+		}
+		digest := quarantine.RequestDigest(c.request.Method, c.request.URL.RequestURI(), c.account, parts, c.body)
 		c.knownDigest = &digest
 	}
 	return *c.knownDigest
