Tell the origins of streams twice, and refuse when a replica is silent

Callers saw: nothing yet.

Cause: a stream that no daemon knew was taken for one from before versions were mixed, when half of the asked daemons had answered. The silent half could be the ones that knew, and each had been told by one datagram.

Change: origins are told twice, 50 ms apart, and the conclusion needs the answers of all three daemons that would have been told. A query ends with them.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -19,6 +19,8 @@
 const (
 	// originReplicas is how many other daemons know the version of a stream, while versions are mixed.
 	originReplicas = 3
+	// originRepeatDelay is the time after which they are told once more, as datagrams may be lost.
+	originRepeatDelay = 50 * time.Millisecond
 	// originAsked is how many daemons are asked for it. The fleet may have changed since it was recorded.
 	originAsked = 6
 	// originAttemptTimeout is the time until they are asked again, originAttempts how often.
@@ -39,9 +41,19 @@
 
 // originQuery is a question to peers. Several requests may wait for its end.
 type originQuery struct {
-	asked   map[string]bool // control addresses, true when answered
-	ended   chan struct{}   // closed when the origin is known, or all have answered that it is not
-	waiters int
+	replicas map[string]bool // control addresses of those that would have been told, true when answered
+	ended    chan struct{}   // closed when the origin is known, or all of them have answered that it is not
+	waiters  int
+}
+
+// answered reports whether all replicas have.
+func (q *originQuery) answered() bool {
+	for _, answered := range q.replicas {
+		if !answered {
+			return false
+		}
+	}
+	return true
 }
 
 func newStreamOrigins(members func() []*pb.Member, send func(*pb.Origins, ...string)) *streamOrigins {
@@ -67,7 +79,11 @@
 	o.mu.Unlock()
 	if mixed {
 		record := &pb.StreamOrigin{Stream: id, Known: true, Version: version}
-		o.send(&pb.Origins{Records: []*pb.StreamOrigin{record}}, o.rankedMembers(id, originReplicas)...)
+		tell := func() {
+			o.send(&pb.Origins{Records: []*pb.StreamOrigin{record}}, o.rankedMembers(id, originReplicas)...)
+		}
+		tell()
+		time.AfterFunc(originRepeatDelay, tell)
 	}
 }
 
@@ -98,14 +114,14 @@
 	return o.table.Lookup(id, time.Now())
 }
 
-// query asks peers for the origin of a stream. It reports whether the origin is known now, or at least half of them have
-// answered.
+// query asks peers for the origin of a stream. It reports whether the origin is known now, or none of those that would have
+// been told of it knows it.
 func (o *streamOrigins) query(ctx context.Context, id uint64) bool {
 	asked := o.rankedMembers(id, originAsked)
 	if len(asked) == 0 {
 		return true
 	}
-	q := o.startQuery(id, asked)
+	q := o.startQuery(id, asked[:min(originReplicas, len(asked))])
 	defer o.endQuery(id, q)
 	for range originAttempts {
 		o.send(&pb.Origins{Queries: []uint64{id}}, asked...)
@@ -119,17 +135,17 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return 2*q.answers() >= len(q.asked)
+	return q.answered()
 }
 
-func (o *streamOrigins) startQuery(id uint64, asked []string) *originQuery {
+func (o *streamOrigins) startQuery(id uint64, replicas []string) *originQuery {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q, ok := o.waiting[id]
 	if !ok {
-		q = &originQuery{asked: make(map[string]bool, len(asked)), ended: make(chan struct{})}
-		for _, controlAddress := range asked {
-			q.asked[controlAddress] = false
+		q = &originQuery{replicas: make(map[string]bool, len(replicas)), ended: make(chan struct{})}
+		for _, controlAddress := range replicas {
+			q.replicas[controlAddress] = false
 		}
 		o.waiting[id] = q
 	}
@@ -145,17 +161,6 @@
 	}
 }
 
-// answers returns how many peers have answered.
-func (q *originQuery) answers() int {
-	n := 0
-	for _, answered := range q.asked {
-		if answered {
-			n++
-		}
-	}
-	return n
-}
-
 // handle applies a message of a peer and answers its queries.
 func (o *streamOrigins) handle(message *pb.Origins) {
 	now := time.Now()
@@ -183,13 +188,13 @@
 	if !ok {
 		return // an answer to the repeat of a query that has ended
 	}
-	if _, ok := q.asked[from]; ok {
-		q.asked[from] = true
+	if _, ok := q.replicas[from]; ok {
+		q.replicas[from] = true
 	}
 	if a.Known {
 		o.table.Record(a.Stream, a.Version, now)
 	}
-	if a.Known || q.answers() == len(q.asked) {
+	if a.Known || q.answered() {
 		select {
 		case <-q.ended:
 		default:
