Count only replicas that have recorded since before versions were mixed

Callers saw: nothing yet.

Cause: a daemon that has just started answers that it doesn't know a stream, and the answer counted for the conclusion that nobody was told of it.

Change: answers carry for how long their sender has recorded origins, and count only when that is longer than versions are mixed. Origins are kept for five minutes instead of one, as streams of 27 s in the mean are expected at the size to come.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -33,6 +33,8 @@
 	members func() []*pb.Member // other live daemons
 	send    func(o *pb.Origins, controlAddresses ...string)
 
+	startedAt time.Time
+
 	mu       sync.Mutex
 	table    *origin.Table
 	versions *origin.Versions
@@ -41,9 +43,12 @@
 
 // originQuery is a question to peers. Several requests may wait for its end.
 type originQuery struct {
-	replicas map[string]bool // control addresses of those that would have been told, true when answered
-	ended    chan struct{}   // closed when the origin is known, or all of them have answered that it is not
-	waiters  int
+	// replicas are the control addresses of those that would have been told. The value is true when one has answered that
+	// has recorded origins for as long as minRecording: one that has started since knows nothing of earlier streams.
+	replicas     map[string]bool
+	minRecording time.Duration
+	ended        chan struct{} // closed when the origin is known, or all of them have answered that it is not
+	waiters      int
 }
 
 // answered reports whether all replicas have.
@@ -58,7 +63,7 @@
 
 func newStreamOrigins(members func() []*pb.Member, send func(*pb.Origins, ...string)) *streamOrigins {
 	return &streamOrigins{
-		members: members, send: send,
+		members: members, send: send, startedAt: time.Now(),
 		table: origin.NewTable(), versions: origin.NewVersions(), waiting: map[uint64]*originQuery{},
 	}
 }
@@ -94,7 +99,7 @@
 		if version, ok := o.lookup(id); ok {
 			return version, true
 		}
-		conclusive = o.query(ctx, id)
+		conclusive = o.query(ctx, service, id)
 		if version, ok := o.lookup(id); ok {
 			return version, true
 		}
@@ -116,12 +121,12 @@
 
 // query asks peers for the origin of a stream. It reports whether the origin is known now, or none of those that would have
 // been told of it knows it.
-func (o *streamOrigins) query(ctx context.Context, id uint64) bool {
+func (o *streamOrigins) query(ctx context.Context, service string, id uint64) bool {
 	asked := o.rankedMembers(id, originAsked)
 	if len(asked) == 0 {
 		return true
 	}
-	q := o.startQuery(id, asked[:min(originReplicas, len(asked))])
+	q := o.startQuery(service, id, asked[:min(originReplicas, len(asked))])
 	defer o.endQuery(id, q)
 	for range originAttempts {
 		o.send(&pb.Origins{Queries: []uint64{id}}, asked...)
@@ -138,12 +143,16 @@
 	return q.answered()
 }
 
-func (o *streamOrigins) startQuery(id uint64, replicas []string) *originQuery {
+func (o *streamOrigins) startQuery(service string, id uint64, replicas []string) *originQuery {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q, ok := o.waiting[id]
 	if !ok {
-		q = &originQuery{replicas: make(map[string]bool, len(replicas)), ended: make(chan struct{})}
+		q = &originQuery{
+			replicas:     make(map[string]bool, len(replicas)),
+			minRecording: o.versions.MixedFor(service, time.Now()),
+			ended:        make(chan struct{}),
+		}
 		for _, controlAddress := range replicas {
 			q.replicas[controlAddress] = false
 		}
@@ -174,21 +183,21 @@
 		answers = append(answers, &pb.StreamOrigin{Stream: id, Known: ok, Version: version})
 	}
 	for _, a := range message.Answers {
-		o.handleAnswer(message.From, a, now)
+		o.handleAnswer(message.From, time.Duration(message.RecordingMs)*time.Millisecond, a, now)
 	}
 	o.mu.Unlock()
 	if len(answers) > 0 {
-		o.send(&pb.Origins{Answers: answers}, message.From)
+		o.send(&pb.Origins{Answers: answers, RecordingMs: uint64(now.Sub(o.startedAt).Milliseconds())}, message.From)
 	}
 }
 
-// handleAnswer applies an answer of a peer. The caller holds the lock.
-func (o *streamOrigins) handleAnswer(from string, a *pb.StreamOrigin, now time.Time) {
+// handleAnswer applies an answer of a peer that has recorded origins for so long. The caller holds the lock.
+func (o *streamOrigins) handleAnswer(from string, recording time.Duration, a *pb.StreamOrigin, now time.Time) {
 	q, ok := o.waiting[a.Stream]
 	if !ok {
 		return // an answer to the repeat of a query that has ended
 	}
-	if _, ok := q.replicas[from]; ok {
+	if _, ok := q.replicas[from]; ok && recording >= q.minRecording {
 		q.replicas[from] = true
 	}
 	if a.Known {
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -84,8 +85,8 @@
 	return n
 }
 
-// simulateOrigins begins streams at daemons, some before versions are mixed, kills up to three daemons and takes all streams
-// up elsewhere. It returns how many streams would go on at a wrong version, and how many are refused.
+// simulateOrigins begins streams at daemons, some before versions are mixed, kills up to six daemons, of which some start
+// again, and takes all streams up elsewhere. It returns how many streams would go on at a wrong version, and how many are refused.
 func simulateOrigins(t *testing.T, seed uint64) (wrong, refused int) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	f := &originFleet{
@@ -115,16 +116,21 @@
 	}
 	time.Sleep(originRepeatDelay + 2*maxOriginDelay)
 	f.mu.Lock()
-	killed := rng.Perm(originDaemons)[:1+rng.IntN(3)]
+	killed := rng.Perm(originDaemons)[:1+rng.IntN(originDaemons-1)]
 	for _, i := range killed {
 		f.alive[fmt.Sprint("d", i)] = false
 	}
+	if rng.IntN(2) == 0 { // they start again at once, except for the first one
+		for _, i := range killed[1:] {
+			f.start(fmt.Sprint("d", i))
+		}
+	}
 	f.mu.Unlock()
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	for i, s := range streams {
 		taker := fmt.Sprint("d", (killed[0]+1+i)%originDaemons)
-		if !f.alive[taker] {
+		if !f.alive[taker] || slices.Contains(killed, (killed[0]+1+i)%originDaemons) {
 			continue
 		}
 		callers.Go(func() {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -12,8 +12,8 @@
 
 const (
 	// TTL is the time for which the version of a stream, and versions that are no longer in use, are remembered. It is
-	// longer than any stream lasts with all attempts of its caller.
-	TTL = time.Minute
+	// longer than a stream lasts with all attempts of its caller.
+	TTL = 5 * time.Minute
 	// maxStreams bounds the streams that are remembered.
 	maxStreams = 1 << 15
 )
@@ -108,6 +108,15 @@
 	return len(s.lastSeen) > 1
 }
 
+// MixedFor returns for how long the service has been mixed, 0 if it is not.
+func (v *Versions) MixedFor(service string, now time.Time) time.Duration {
+	s, ok := v.services[service]
+	if !ok || s.mixedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.mixedSince)
+}
+
 // Unrecorded returns the version of a stream that no daemon has recorded. Daemons record streams while a service is mixed,
 // so it began before, at the only version. ok is false if that isn't known.
 func (v *Versions) Unrecorded(service string, now time.Time) (version string, ok bool) {
