Send origins without adding their receivers to the targets of states

Callers saw: nothing yet, found by reading. In fleets of more than 12 daemons, each daemon that was asked for the origin of a stream, or told of one, became a target of this daemon's states, whatever its zone: up to all 85 on the grown sites.

Change: addresses are resolved for the message only.

--- a/internal/exchange/origins.go
+++ b/internal/exchange/origins.go
@@ -10,13 +10,15 @@
 // the sender.
 func (x *Exchange) SendOrigins(o *pb.Origins, controlAddresses ...string) {
 	o.From = x.options.ControlAddress
-	var targets []*net.UDPAddr
-	x.mu.Lock()
+	// The addresses are not added to those that states are sent to: most are of other zones.
+	targets := make([]*net.UDPAddr, 0, len(controlAddresses))
 	for _, controlAddress := range controlAddresses {
-		if a := x.addAddress(controlAddress, ""); a != nil {
-			targets = append(targets, a.udp)
+		udp, err := net.ResolveUDPAddr("udp", controlAddress)
+		if err != nil {
+			x.options.Logger.Warn("Could not resolve the control address of a daemon.", "address", controlAddress, "error", err)
+			continue
 		}
+		targets = append(targets, udp)
 	}
-	x.mu.Unlock()
 	x.sendDatagram(&pb.Datagram{Origins: o}, targets)
 }
