Keep notices without a clock in the scheduler

The scheduler runs in virtual time, and SetServers read the real clock for the notices of servers. Their retention is measured from the last notice now.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -8,7 +8,7 @@
 	// maxPause bounds the pause that a server can ask for at once.
 	maxPause = 24 * time.Hour
 	// retention is how long the notices of a process are kept that is no longer listed. It may be listed again.
-	retention = 10 * time.Minute
+	retention = maxPause
 )
 
 // Server identifies a process of a backend server.
@@ -33,22 +33,37 @@
 
 type entry struct {
 	Notice
-	listedAt       time.Time // when the server was last listed
+	recordedAt time.Time // of the last notice
+	listed     bool
+
 	hasIncarnation bool
 }
 
 // NewRegistry returns a Registry without notices.
 func NewRegistry() *Registry { return &Registry{notices: make(map[uint64]*entry)} }
 
-// SetServers replaces the listed servers and forgets the notices of processes that have ended.
-func (r *Registry) SetServers(listed []Server, now time.Time) {
+// SetServers replaces the listed servers. It forgets the notices of servers that are no longer listed and whose next process
+// has the same identity.
+func (r *Registry) SetServers(listed []Server) {
+	for _, n := range r.notices {
+		n.listed = false
+	}
 	for _, server := range listed {
 		if n, ok := r.notices[server.Identity]; ok {
-			n.listedAt, n.hasIncarnation = now, server.HasIncarnation
+			n.listed, n.hasIncarnation = true, server.HasIncarnation
+		}
+	}
+	for server, n := range r.notices {
+		if !n.listed && !n.hasIncarnation {
+			delete(r.notices, server)
 		}
 	}
+}
+
+// expire forgets the notices of processes that have not been listed for long.
+func (r *Registry) expire(now time.Time) {
 	for server, n := range r.notices {
-		if removed := now.Sub(n.listedAt); removed > retention || (removed > 0 && !n.hasIncarnation) {
+		if !n.listed && now.Sub(n.recordedAt) > retention {
 			delete(r.notices, server)
 		}
 	}
@@ -75,9 +90,11 @@
 func (r *Registry) notice(server uint64, now time.Time) *entry {
 	n, ok := r.notices[server]
 	if !ok {
-		n = &entry{listedAt: now, hasIncarnation: true}
+		r.expire(now)
+		n = &entry{listed: true, hasIncarnation: true}
 		r.notices[server] = n
 	}
+	n.recordedAt = now
 	return n
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -117,7 +117,7 @@
 		listed = append(listed, notice.Server{Identity: placement.ServerIdentity(server), HasIncarnation: server.Incarnation != 0})
 	}
 	s.limiter.SetServers(limited)
-	s.notices.SetServers(listed, time.Now())
+	s.notices.SetServers(listed)
 	if config == nil {
 		return
 	}
