--- a/internal/controller/quarantine/quarantine.go
+++ b/internal/controller/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertrill/filbertrill/internal/exchange"
@@ -16,8 +17,6 @@
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	core "github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/result"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
