Count the fleet and list its members only after changes

Cause: Exchange.sendInterval asked isMesh for each address, and each time that counted all addresses into a new map: quadratic, twice for each state, and once more for each datagram received. Members built and sorted all members for each question (roles, directory). Half of the processor time of 195 daemons without traffic. Change: the number of daemons and the sorted members are kept until an address, a member or a zone changes.

--- /dev/null
+++ b/internal/exchange/benchmark_test.go
@@ -0,0 +1,83 @@
+package exchange
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+)
+
+// benchmarkZones is the number of zones of the fleets in benchmarks.
+const benchmarkZones = 5
+
+// newBenchmarkExchange returns the Exchange of the first daemon of a fleet in which every daemon is known, and the members of
+// the fleet.
+func newBenchmarkExchange(b *testing.B, daemons int) (*Exchange, []*pb.Member) {
+	b.Helper()
+	members := make([]*pb.Member, daemons)
+	for i := range members {
+		zone := i % benchmarkZones
+		members[i] = &pb.Member{
+			Id: fmt.Sprintf("d-%d-%04d", zone, i), Zone: fmt.Sprintf("z%d", zone),
+			ControlAddress: fmt.Sprintf("127.0.%d.%d:9", 1+zone, 1+i/benchmarkZones),
+		}
+	}
+	x, err := New(Options{
+		Self:           func() *pb.Member { return members[0] },
+		ControlAddress: "127.0.0.1:0",
+		View:           func() *pb.View { return &pb.View{} },
+		OnView:         func(string, *pb.Member, *pb.View) {},
+		Logger:         slog.New(slog.DiscardHandler),
+	})
+	require.NoError(b, err)
+	b.Cleanup(func() {
+		require.NoError(b, x.conn.Close())
+		require.NoError(b, x.listener.Close())
+	})
+	now := time.Now()
+	zones := make(map[string]*pb.Zone)
+	for _, m := range members[1:] {
+		x.AddAddress(m.ControlAddress, m.Zone)
+		if m.Zone == members[0].Zone {
+			x.handleState(&pb.State{Member: m, Incarnation: 1, View: &pb.View{}}, now)
+			continue
+		}
+		if zones[m.Zone] == nil {
+			zones[m.Zone] = &pb.Zone{Zone: m.Zone, Delegate: m, View: &pb.View{}}
+		}
+		zones[m.Zone].Members = append(zones[m.Zone].Members, m)
+	}
+	for _, z := range zones {
+		x.handleZone(z, true, now)
+	}
+	require.Equal(b, daemons, x.FleetSize())
+	return x, members
+}
+
+// BenchmarkFleet measures what a daemon spends on its peers, apart from coding, in fleets of growing size.
+func BenchmarkFleet(b *testing.B) {
+	for _, daemons := range []int{30, 100, 300} {
+		x, members := newBenchmarkExchange(b, daemons)
+		b.Run(fmt.Sprintf("delay/daemons=%d", daemons), func(b *testing.B) {
+			for range b.N {
+				x.nextSendDelay()
+			}
+		})
+		b.Run(fmt.Sprintf("receive/daemons=%d", daemons), func(b *testing.B) {
+			peer, sequence := members[benchmarkZones], uint64(0) // of the same zone
+			for range b.N {
+				sequence++
+				x.handleState(&pb.State{Member: peer, Incarnation: 2, Sequence: sequence, View: &pb.View{}}, time.Now())
+			}
+		})
+		b.Run(fmt.Sprintf("members/daemons=%d", daemons), func(b *testing.B) {
+			for range b.N {
+				x.Members()
+			}
+		})
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -102,6 +102,7 @@
 	peers          map[string]*peer // by ID
 	zones          map[string]*zone // other zones, by name
 	addresses      map[string]*address
+	fleet          fleetCache
 }
 
 // peer is another daemon that sends its state to this one.
@@ -178,6 +179,7 @@
 	}
 	a := &address{udp: udp, zone: zone, lastSeen: time.Now()}
 	x.addresses[controlAddress] = a
+	x.fleet.sizeChanged()
 	return a
 }
 
@@ -213,75 +215,17 @@
 	}
 }
 
-// Members returns the live daemons of the fleet except this one, sorted by ID.
-func (x *Exchange) Members() []*pb.Member {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.members("")
-}
-
-// FleetSize returns the number of daemons in the fleet, including this one and failed ones that have
-// not expired.
-func (x *Exchange) FleetSize() int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.fleetSize()
-}
-
-// fleetSize implements FleetSize. The caller holds the lock.
-func (x *Exchange) fleetSize() int {
-	controlAddresses := make(map[string]bool, len(x.addresses))
-	for controlAddress := range x.addresses {
-		controlAddresses[controlAddress] = true
-	}
-	for _, z := range x.zones {
-		for _, m := range z.Members {
-			controlAddresses[m.ControlAddress] = true
-		}
-	}
-	return len(controlAddresses) + 1
-}
-
-// members returns the live daemons of the zone, or of all zones if it is empty, except this one,
-// sorted by ID. The caller holds the lock.
-func (x *Exchange) members(zone string) []*pb.Member {
-	var out []*pb.Member
-	seen := make(map[string]bool)
-	for id, p := range x.peers {
-		if p.live && (zone == "" || p.state.Member.Zone == zone) {
-			out = append(out, p.state.Member)
-			seen[id] = true
-		}
-	}
-	for name, z := range x.zones {
-		if zone != "" && zone != name {
-			continue
-		}
-		for _, m := range z.Members {
-			if !seen[m.Id] {
-				out = append(out, m)
-			}
-		}
-	}
-	sortMembers(out)
-	return out
-}
-
-// isMesh reports whether the fleet is a full mesh, in which every daemon sends its state to all
-// others. The caller holds the lock.
-func (x *Exchange) isMesh() bool { return x.fleetSize() <= maxMeshSize }
-
 // sendInterval returns the time between two states that this daemon sends. The caller holds the
 // lock.
 func (x *Exchange) sendInterval() time.Duration {
-	targets := 0
+	targets, mesh := 0, x.isMesh()
 	ownZone := x.options.Self().Zone
 	for _, a := range x.addresses {
-		if a.zone == ownZone || a.zone == "" || x.isMesh() {
+		if mesh || a.zone == ownZone || a.zone == "" {
 			targets++
 		}
 	}
-	return sendIntervalFor(targets, x.isMesh())
+	return sendIntervalFor(targets, mesh)
 }
 
 // sendIntervalFor returns the time between two states that are sent to the number of targets.
@@ -309,13 +253,13 @@
 	state := &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view}
 	if now.Sub(x.lastMemberList) > memberListInterval {
 		x.lastMemberList = now
-		state.Members = x.members("")
+		state.Members = x.members()
 	}
 	stateTargets, zoneTargets := x.targets(self)
 	if len(state.Members) > 0 {
 		stateTargets = append(stateTargets, x.otherZonePeers(self)...)
 	}
-	isDelegate := !x.isMesh() && ZoneRank(self.Id, x.members(self.Zone)) == 0
+	isDelegate := !x.isMesh() && ZoneRank(self, x.members()) == 0
 	var summary *pb.Zone
 	if isDelegate {
 		summary = x.summarizeZone(self, view)
@@ -417,6 +361,7 @@
 		silence := now.Sub(p.lastSeen)
 		if p.live && silence > timeout {
 			p.live = false
+			x.fleet.membersChanged()
 			x.options.Logger.Warn("Peer timed out.", "peer", id, "silent", silence)
 		}
 		if silence > expiryTimeout {
@@ -426,12 +371,15 @@
 	for name, z := range x.zones {
 		if silence := now.Sub(z.lastSeen); silence > 2*timeout {
 			delete(x.zones, name)
+			x.fleet.sizeChanged()
+			x.fleet.membersChanged()
 			x.options.Logger.Warn("Zone timed out.", "zone", name, "silent", silence)
 		}
 	}
 	for controlAddress, a := range x.addresses {
 		if now.Sub(a.lastSeen) > expiryTimeout {
 			delete(x.addresses, controlAddress)
+			x.fleet.sizeChanged()
 		}
 	}
 }
--- /dev/null
+++ b/internal/exchange/members.go
@@ -0,0 +1,89 @@
+package exchange
+
+import (
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+)
+
+// fleetCache holds what is derived from all known daemons. It is asked for with each datagram, and
+// changes seldom. The zero value is empty.
+type fleetCache struct {
+	size    int          // see Exchange.fleetSize, 0 for unknown
+	members []*pb.Member // see Exchange.members, nil for unknown
+}
+
+// sizeChanged discards the number of daemons, after an address or the members of a zone have changed.
+func (c *fleetCache) sizeChanged() { c.size = 0 }
+
+// membersChanged discards the members, after one has changed, failed or become live.
+func (c *fleetCache) membersChanged() { c.members = nil }
+
+// Members returns the live daemons of the fleet except this one, sorted by ID. The caller must not
+// change the slice.
+func (x *Exchange) Members() []*pb.Member {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.members()
+}
+
+// FleetSize returns the number of daemons in the fleet, including this one and failed ones that have
+// not expired.
+func (x *Exchange) FleetSize() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.fleetSize()
+}
+
+// fleetSize implements FleetSize. The caller holds the lock.
+func (x *Exchange) fleetSize() int {
+	if x.fleet.size > 0 {
+		return x.fleet.size
+	}
+	controlAddresses := make(map[string]bool, len(x.addresses))
+	for controlAddress := range x.addresses {
+		controlAddresses[controlAddress] = true
+	}
+	for _, z := range x.zones {
+		for _, m := range z.Members {
+			controlAddresses[m.ControlAddress] = true
+		}
+	}
+	x.fleet.size = len(controlAddresses) + 1
+	return x.fleet.size
+}
+
+// members implements Members. The caller holds the lock.
+func (x *Exchange) members() []*pb.Member {
+	if x.fleet.members != nil {
+		return x.fleet.members
+	}
+	out := make([]*pb.Member, 0, len(x.addresses))
+	seen := make(map[string]bool, len(x.addresses))
+	for id, p := range x.peers {
+		if p.live {
+			out = append(out, p.state.Member)
+			seen[id] = true
+		}
+	}
+	for _, z := range x.zones {
+		for _, m := range z.Members {
+			if !seen[m.Id] {
+				out = append(out, m)
+			}
+		}
+	}
+	sortMembers(out)
+	x.fleet.members = out
+	return out
+}
+
+// isMesh reports whether the fleet is a full mesh, in which every daemon sends its state to all
+// others. The caller holds the lock.
+func (x *Exchange) isMesh() bool { return x.fleetSize() <= maxMeshSize }
+
+// sameMember reports whether the messages have the same content.
+func sameMember(a, b *pb.Member) bool {
+	return a.Id == b.Id && a.Zone == b.Zone && a.Region == b.Region &&
+		a.EntryAddress == b.EntryAddress && a.ControlAddress == b.ControlAddress &&
+		a.Draining == b.Draining && a.Strained == b.Strained && a.Processor == b.Processor &&
+		a.StoreLost == b.StoreLost && a.KnowsPrompts == b.KnowsPrompts
+}
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -151,14 +151,14 @@
 	return initial
 }
 
-// ZoneRank returns the rank of the daemon with the ID among the daemons of its zone, by ID and
-// without draining ones. The daemon with rank 0 is the zone's delegate. Each daemon computes the
+// ZoneRank returns the rank of the daemon self among the daemons of its zone, by ID and without
+// draining ones. peers are the other live daemons. The daemon with rank 0 is the zone's delegate. Each daemon computes the
 // rank from the members that it knows, so that a zone may briefly have two delegates. Receiving
 // summaries from both is harmless.
-func ZoneRank(id string, zonePeers []*pb.Member) int {
+func ZoneRank(self *pb.Member, peers []*pb.Member) int {
 	rank := 0
-	for _, m := range zonePeers {
-		if m.Id < id && !m.Draining {
+	for _, m := range peers {
+		if m.Zone == self.Zone && m.Id < self.Id && !m.Draining {
 			rank++
 		}
 	}
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -85,6 +86,9 @@
 			return false
 		}
 	}
+	if !p.live || !sameMember(p.state.Member, s.Member) {
+		x.fleet.membersChanged()
+	}
 	if !p.live {
 		x.options.Logger.Info("Peer is live.", "peer", s.Member.Id, "incarnation", s.Incarnation)
 	}
@@ -121,6 +125,10 @@
 	if !ok {
 		x.options.Logger.Info("Zone is live.", "zone", z.Zone, "delegate", z.Delegate.Id, "members", len(z.Members))
 	}
+	if !ok || !slices.EqualFunc(old.Members, z.Members, sameMember) {
+		x.fleet.sizeChanged()
+		x.fleet.membersChanged()
+	}
 	x.zones[z.Zone] = &zone{z, now}
 	// The other daemons of that zone don't send datagrams to this one, so the zone summary
 	// keeps their addresses from expiring.
