Keep the digest of the list of servers current

Change: the digest is a sum over servers, so each change subtracts and adds one part. Test: TestDigestDependsOnListOnly.

--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -29,6 +29,7 @@
 
 	mu          sync.Mutex
 	servers     map[string]*KnownServer
+	digest      uint64 // see Digest; kept current, since it is compared with each state of a peer
 	withdrawals map[string]Withdrawal
 	lastListed  map[string]time.Time // by server: time of the latest listing of the store that contained it
 }
@@ -126,6 +127,10 @@
 	if ok && old.Server.Incarnation == server.Incarnation && old.Server.Sequence == server.Sequence {
 		recordedAt = old.recordedAt
 	}
+	if ok {
+		s.digest -= serverDigest(old.Server)
+	}
+	s.digest += serverDigest(server)
 	s.servers[server.ID] = &KnownServer{Server: server, Record: record, recordedAt: recordedAt}
 	if server.State == routing.Draining {
 		s.recordWithdrawal(server, now)
@@ -148,6 +153,7 @@
 	old, ok := s.servers[id]
 	if ok {
 		s.recordWithdrawal(old.Server, now)
+		s.digest -= serverDigest(old.Server)
 		delete(s.servers, id)
 	}
 	s.mu.Unlock()
@@ -171,7 +177,9 @@
 	applies := ok && old.Server.State == routing.Ready && old.Server.Incarnation == w.Incarnation &&
 		old.Server.Sequence <= w.Sequence
 	if applies {
+		s.digest -= serverDigest(old.Server)
 		old.Server.State = routing.Draining
+		s.digest += serverDigest(old.Server)
 	}
 	s.mu.Unlock()
 	if applies {
@@ -241,13 +249,13 @@
 func (s *State) Digest() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var sum uint64
-	for _, known := range s.servers {
-		server := known.Server
-		// Addition is commutative, so the iteration order doesn't matter.
-		sum += xxhash.Sum64String(server.ID + " " + server.Address + " " + strconv.FormatInt(server.Incarnation, 10) + " " + strconv.Itoa(int(server.State)))
-	}
-	return sum
+	return s.digest
+}
+
+// serverDigest returns the part of one server in State.Digest, which is the sum of all parts, so that
+// their order doesn't matter.
+func serverDigest(server routing.Server) uint64 {
+	return xxhash.Sum64String(server.ID + " " + server.Address + " " + strconv.FormatInt(server.Incarnation, 10) + " " + strconv.Itoa(int(server.State)))
 }
 
 // Records returns the store's records of the backend servers, by server ID.
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"testing"
 	"time"
 
@@ -228,3 +229,45 @@
 	assert.GreaterOrEqual(t, time.Duration(freshness.ConfigVersion), finalTime-freshness.ConfigAge)
 	assert.GreaterOrEqual(t, time.Duration(freshness.ServerDigest), finalTime-freshness.ServerAge)
 }
+
+// The digest is kept current by each change. It must equal that of a daemon that has learned the same list in another way.
+func TestDigestDependsOnListOnly(t *testing.T) {
+	server := func(id string, incarnation int64) routing.Server {
+		return routing.Server{ID: id, Service: "llm", Address: id + ":1", Incarnation: incarnation, Sequence: 1}
+	}
+	empty, changed := NewState(func() {}), NewState(func() {})
+	for i := range 20 {
+		changed.SetServer(server(strconv.Itoa(i), 1), nil, now)
+	}
+	for i := range 10 {
+		changed.SetServer(server(strconv.Itoa(i), 2), nil, now) // started again
+	}
+	changed.Withdraw(Withdrawal{ID: "3", Incarnation: 2, Sequence: 1, FirstSeen: now})
+	for i := 10; i < 20; i++ {
+		changed.RemoveServer(strconv.Itoa(i), now)
+	}
+	direct := NewState(func() {})
+	for i := range 10 {
+		s := server(strconv.Itoa(9-i), 2)
+		if s.ID == "3" {
+			s.State = routing.Draining
+		}
+		direct.SetServer(s, nil, now)
+	}
+	assert.Equal(t, direct.Digest(), changed.Digest())
+	assert.NotEqual(t, empty.Digest(), changed.Digest())
+	for i := range 10 {
+		changed.RemoveServer(strconv.Itoa(i), now)
+	}
+	assert.Equal(t, empty.Digest(), changed.Digest())
+}
+
+func BenchmarkDigest(b *testing.B) {
+	state := NewState(func() {})
+	for i := range 104 {
+		state.SetServer(routing.Server{ID: strconv.Itoa(i), Service: "llm", Address: "10.1.2.3:8080"}, nil, now)
+	}
+	for range b.N {
+		state.Digest()
+	}
+}
