Count the bytes between data centres by pair and kind

Change: filbertrill_zone_traffic_bytes_total{from,to,kind} for requests, answers, fetched parts, states and pulls; the log of an attempt names the server's zone and the bytes sent and received.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,6 +23,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
 
 const (
@@ -83,7 +84,10 @@
 	Notices func() *pb.NoticeList
 	// OnOrigins is called with each message about the origins of streams. It must not block.
 	OnOrigins func(*pb.Origins)
-	Logger    *slog.Logger
+	// OnZoneTraffic is called with the bytes that are sent from one zone to another, because of
+	// this daemon. It may be nil.
+	OnZoneTraffic func(from, to string, kind telemetry.TrafficKind, bytes int64)
+	Logger        *slog.Logger
 }
 
 // Exchange sends the state of this daemon and receives those of its peers. Its methods are safe for
@@ -276,22 +280,22 @@
 
 // targets returns the addresses to which the state of this daemon is sent, and those in other zones
 // to which the zone summary is sent if this daemon is the delegate. The caller holds the lock.
-func (x *Exchange) targets(self *pb.Member) (stateTargets, zoneTargets []*net.UDPAddr) {
+func (x *Exchange) targets(self *pb.Member) (stateTargets, zoneTargets []address) {
 	candidates := make(map[string]int)
 	mesh := x.isMesh()
 	for controlAddress, a := range x.addresses {
 		if mesh || a.zone == "" || a.zone == self.Zone {
-			stateTargets = append(stateTargets, a.udp)
+			stateTargets = append(stateTargets, *a)
 			continue
 		}
 		if z, ok := x.zones[a.zone]; ok {
 			if z.Delegate.ControlAddress == controlAddress {
-				zoneTargets = append(zoneTargets, a.udp)
+				zoneTargets = append(zoneTargets, *a)
 			}
 			continue
 		}
 		if candidates[a.zone]++; candidates[a.zone] <= maxDelegateCandidates {
-			zoneTargets = append(zoneTargets, a.udp)
+			zoneTargets = append(zoneTargets, *a)
 		}
 	}
 	return stateTargets, zoneTargets
@@ -300,14 +304,14 @@
 // otherZonePeers returns the addresses of live peers of other zones that send their states to this
 // daemon because they don't know its zone yet. They discover their zone peers from the list of
 // members. The caller holds the lock.
-func (x *Exchange) otherZonePeers(self *pb.Member) []*net.UDPAddr {
+func (x *Exchange) otherZonePeers(self *pb.Member) []address {
 	if x.isMesh() {
 		return nil
 	}
-	var out []*net.UDPAddr
+	var out []address
 	for _, p := range x.peers {
 		if a, ok := x.addresses[p.state.Member.ControlAddress]; ok && p.live && p.state.Member.Zone != self.Zone {
-			out = append(out, a.udp)
+			out = append(out, *a)
 		}
 	}
 	return out
@@ -329,16 +333,18 @@
 }
 
 // sendDatagram sends the datagram to the addresses. It logs errors.
-func (x *Exchange) sendDatagram(d *pb.Datagram, to []*net.UDPAddr) {
+func (x *Exchange) sendDatagram(d *pb.Datagram, to []address) {
 	data, err := proto.Marshal(d)
 	if err != nil || len(data) > maxDatagramBytes {
 		x.options.Logger.Error("Datagram is too large or could not be encoded.", "bytes", len(data), "error", err)
 		return
 	}
 	for _, a := range to {
-		if _, err := x.conn.WriteToUDP(data, a); err != nil {
-			x.options.Logger.Debug("Could not send datagram.", "to", a, "error", err)
+		if _, err := x.conn.WriteToUDP(data, a.udp); err != nil {
+			x.options.Logger.Debug("Could not send datagram.", "to", a.udp, "error", err)
+			continue
 		}
+		x.countSent(a.zone, telemetry.TrafficStates, len(data))
 	}
 }
 
--- a/internal/exchange/members.go
+++ b/internal/exchange/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
 
 // fleetCache holds what is derived from all known daemons. It is asked for with each datagram, and
@@ -87,3 +88,27 @@
 		a.Draining == b.Draining && a.Strained == b.Strained && a.Processor == b.Processor &&
 		a.StoreLost == b.StoreLost && a.KnowsPrompts == b.KnowsPrompts
 }
+
+// zoneOf returns the zone of the daemon with the control address, empty if it is unknown.
+func (x *Exchange) zoneOf(controlAddress string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if a, ok := x.addresses[controlAddress]; ok {
+		return a.zone
+	}
+	return ""
+}
+
+// countSent reports bytes that were sent to a zone to Options.OnZoneTraffic.
+func (x *Exchange) countSent(to string, kind telemetry.TrafficKind, bytes int) {
+	if x.options.OnZoneTraffic != nil {
+		x.options.OnZoneTraffic(x.options.Self().Zone, to, kind, int64(bytes))
+	}
+}
+
+// countReceived reports bytes that were received from a zone to Options.OnZoneTraffic.
+func (x *Exchange) countReceived(from string, kind telemetry.TrafficKind, bytes int) {
+	if x.options.OnZoneTraffic != nil {
+		x.options.OnZoneTraffic(from, x.options.Self().Zone, kind, int64(bytes))
+	}
+}
--- a/internal/exchange/origins.go
+++ b/internal/exchange/origins.go
@@ -11,14 +11,14 @@
 func (x *Exchange) SendOrigins(o *pb.Origins, controlAddresses ...string) {
 	o.From = x.options.ControlAddress
 	// The addresses are not added to those that states are sent to: most are of other zones.
-	targets := make([]*net.UDPAddr, 0, len(controlAddresses))
+	targets := make([]address, 0, len(controlAddresses))
 	for _, controlAddress := range controlAddresses {
 		udp, err := net.ResolveUDPAddr("udp", controlAddress)
 		if err != nil {
 			x.options.Logger.Warn("Could not resolve the control address of a daemon.", "address", controlAddress, "error", err)
 			continue
 		}
-		targets = append(targets, udp)
+		targets = append(targets, address{udp: udp, zone: x.zoneOf(controlAddress)})
 	}
 	x.sendDatagram(&pb.Datagram{Origins: o}, targets)
 }
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcconn"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
 
 // pullTimeout bounds the time for one pull, including the connection setup.
@@ -16,7 +18,7 @@
 
 // PullRecords returns the newest records of the peer at the control address.
 func (x *Exchange) PullRecords(ctx context.Context, controlAddress string) (records *pb.Records, err error) {
-	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+	err = x.pull(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
 		records, err = peer.Pull(ctx, &pb.PullRequest{})
 		return err
 	})
@@ -26,26 +28,59 @@
 // PullCachedParts returns the cached prefix parts of engines that the peer at the control address
 // knows of.
 func (x *Exchange) PullCachedParts(ctx context.Context, controlAddress string) (prompts *pb.Prompts, err error) {
-	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+	err = x.pull(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
 		prompts, err = peer.PullPrompts(ctx, &pb.PullRequest{})
 		return err
 	})
 	return prompts, err
 }
 
+// pull is like callPeer and counts what it sends and receives.
+func (x *Exchange) pull(ctx context.Context, controlAddress string, invoke func(context.Context, pb.DRPCExchangeClient) error) error {
+	traffic, err := callPeer(ctx, controlAddress, invoke)
+	zone := x.zoneOf(controlAddress)
+	x.countSent(zone, telemetry.TrafficPulls, int(traffic.sent.Load()))
+	x.countReceived(zone, telemetry.TrafficPulls, int(traffic.received.Load()))
+	return err
+}
+
+// connTraffic is the number of bytes that were sent and received on a connection.
+type connTraffic struct{ sent, received atomic.Int64 }
+
+// countedConn is a connection that counts its bytes.
+type countedConn struct {
+	net.Conn
+	traffic *connTraffic
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
 // callPeer invokes a call on a new connection to the peer. Pulls are too rare to keep connections
-// open.
-func callPeer(ctx context.Context, controlAddress string, invoke func(context.Context, pb.DRPCExchangeClient) error) error {
+// open. It returns the bytes on that connection also with an error.
+func callPeer(ctx context.Context, controlAddress string, invoke func(context.Context, pb.DRPCExchangeClient) error) (*connTraffic, error) {
+	traffic := &connTraffic{}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	rawConn, err := dialer.DialContext(ctx, "tcp", controlAddress)
 	if err != nil {
-		return errors.Wrap(err, "connect to peer")
+		return traffic, errors.Wrap(err, "connect to peer")
 	}
-	conn := drpcconn.New(rawConn)
+	conn := drpcconn.New(countedConn{rawConn, traffic})
 	defer conn.Close()
-	return errors.Wrap(invoke(ctx, pb.NewDRPCExchangeClient(conn)), "pull from peer")
+	return traffic, errors.Wrap(invoke(ctx, pb.NewDRPCExchangeClient(conn)), "pull from peer")
 }
 
 // pullServer serves the pulls of peers.
@@ -78,7 +113,7 @@
 
 // ListQuarantine gets the prompt parts and requests that the daemon at the address holds back.
 func ListQuarantine(ctx context.Context, controlAddress string) (list *pb.QuarantineList, err error) {
-	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+	_, err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
 		list, err = peer.ListQuarantine(ctx, &pb.PullRequest{})
 		return err
 	})
@@ -87,7 +122,7 @@
 
 // ListNotices gets what servers have said to the daemon at the address of the requests that they take.
 func ListNotices(ctx context.Context, controlAddress string) (list *pb.NoticeList, err error) {
-	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+	_, err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
 		list, err = peer.ListNotices(ctx, &pb.PullRequest{})
 		return err
 	})
@@ -96,7 +131,7 @@
 
 // LiftQuarantine releases a prompt part or request in the fleet of the daemon at the address. It reports whether it was held.
 func LiftQuarantine(ctx context.Context, controlAddress string, id uint64) (held bool, err error) {
-	err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
+	_, err = callPeer(ctx, controlAddress, func(ctx context.Context, peer pb.DRPCExchangeClient) error {
 		lifted, err := peer.LiftQuarantine(ctx, &pb.LiftRequest{Id: id})
 		held = lifted.GetHeld()
 		return err
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,6 +44,9 @@
 // attemptRecord describes an attempt in the log.
 type attemptRecord struct {
 	server          string
+	zone            string // of the server
+	sentBytes       int64  // of the request
+	receivedBytes   int64  // of the answer
 	version         string // of the server's software
 	predicted       time.Duration
 	uncachedTokens  int
@@ -64,6 +67,9 @@
 // LogValue implements slog.LogValuer.
 func (a attemptRecord) LogValue() slog.Value {
 	return slog.StringValue(a.server +
+		" zone=" + a.zone +
+		" sent=" + strconv.FormatInt(a.sentBytes, 10) +
+		" received=" + strconv.FormatInt(a.receivedBytes, 10) +
 		" version=" + a.version +
 		" predicted=" + a.predicted.String() +
 		" uncached=" + strconv.Itoa(a.uncachedTokens) +
@@ -164,6 +170,7 @@
 	started := time.Now()
 	record := attemptRecord{
 		server:          choice.Server.ID,
+		zone:            choice.Server.Zone,
 		version:         choice.Server.Version,
 		predicted:       choice.Predicted,
 		uncachedTokens:  choice.UncachedTokens,
@@ -209,8 +216,12 @@
 		h.Pool.Put(endpoint, conn) // unused, so that another request can use it
 		return notSent, errors.New("the caller closed its connection before the request was sent")
 	}
+	sentBefore, receivedBefore := conn.Traffic()
 	w := newWatchdog(ctx, conn, c)
 	progress, err := h.roundTrip(c, choice, conn, a, w, record)
+	sent, received := conn.Traffic()
+	record.sentBytes, record.receivedBytes = sent-sentBefore, received-receivedBefore
+	h.countZoneTraffic(c, choice, record)
 	closedHere := !w.stop()
 	record.serverBroke = !closedHere && isConnectionBroken(err)
 	if closedHere || err != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -24,6 +24,7 @@
 
 // Options are the dependencies of a Handler.
 type Options struct {
+	Zone               string // of this daemon
 	Protocol           Protocol
 	Config             func() *routing.Config
 	ConfigAge          func(time.Time) time.Duration // time since the configuration was known to be the newest
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 		logger:  logging.For(logging.Entry),
 	}
 	g.handler = forward.NewHandler(forward.Options{
+		Zone:               s.Zone,
 		Protocol:           p.Protocol,
 		Config:             g.topology.Config,
 		ConfigAge:          func(now time.Time) time.Duration { return g.reader.Age(topology.Configs, now) },
@@ -155,6 +156,7 @@
 		LiftQuarantine: g.liftQuarantine,
 		OnOrigins:      g.origins.handle,
 		Notices:        g.noticesMessage,
+		OnZoneTraffic:  metrics.CountZoneTraffic,
 		Logger:         logging.For(logging.Peer),
 	})
 	if err != nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	services     *labelSet
 	results      resultCounters
 	controlBytes map[controlKey]tally.Counter
+	zoneTraffic  zoneTraffic
 	state        stateGauges
 	claims       claimMetrics
 }
@@ -71,6 +72,7 @@
 		services:     newLabelSet(scope, "service", o.MaxServices),
 		results:      resultCounters{scope: scope},
 		controlBytes: newControlCounters(scope),
+		zoneTraffic:  zoneTraffic{scope: scope, counters: make(map[zoneTrafficKey]tally.Counter)},
 		state:        newStateGauges(scope),
 		claims:       newClaimMetrics(scope),
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,6 +41,8 @@
 	limited       *io.LimitedReader // of the connection, limits heads
 	reader        *bufio.Reader     // of limited
 	rawConn       syscall.RawConn
+	sentBytes     int64
+	received      countingReader
 	lastUsed      time.Time     // end of the last request
 	idleTimeout   time.Duration // from the server's Keep-Alive header; 0 if it sent none
 	reused        bool
@@ -64,10 +66,28 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
-	limited := &io.LimitedReader{R: netConn, N: math.MaxInt64}
-	return &Conn{Conn: netConn, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), rawConn: rawConn}, nil
+	c := &Conn{Conn: netConn, received: countingReader{reader: netConn}, rawConn: rawConn}
+	c.limited = &io.LimitedReader{R: &c.received, N: math.MaxInt64}
+	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
+	return c, nil
 }
 
+// countingReader counts the bytes that are read through it.
+type countingReader struct {
+	reader io.Reader
+	bytes  int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.bytes += int64(n)
+	return n, err
+}
+
+// Traffic returns the bytes of all requests and answers on the connection so far.
+func (c *Conn) Traffic() (sent, received int64) { return c.sentBytes, c.received.bytes }
+
 // DisableReuse makes Pool.Put close the connection instead of keeping it.
 func (c *Conn) DisableReuse() { c.reuseDisabled = true }
 
@@ -92,6 +112,7 @@
 		buffers = append(buffers, body)
 	}
 	n, err := buffers.WriteTo(c.Conn)
+	c.sentBytes += n
 	return n > 0, errors.Wrap(err, "send request")
 }
 
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -1,8 +1,12 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -66,3 +70,25 @@
 		pool.Put(Endpoint{Address: address}, conn)
 	}
 }
+
+// The pool's users charge requests and answers to links between zones.
+func TestTrafficCountsBytesOfRequestsAndAnswers(t *testing.T) {
+	client, server := net.Pipe()
+	c := &Conn{Conn: client, received: countingReader{reader: client}}
+	c.limited = &io.LimitedReader{R: &c.received, N: math.MaxInt64}
+	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	go func() {
+		_, _ = io.ReadFull(server, make([]byte, 9))
+		_, _ = server.Write([]byte(answer))
+	}()
+	_, err := c.Send([]byte("head"), []byte("body5"))
+	require.NoError(t, err)
+	response, err := c.Receive(http.MethodPost)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	sent, received := c.Traffic()
+	assert.EqualValues(t, 9, sent)
+	assert.EqualValues(t, len(answer), received)
+}
