Send states to other data centres each 150 ms in small fleets

Change: in a full mesh other data centres get every third state (changes of the lists at once as before); a placement is sent for 2.2 intervals, so that one lost datagram is made up for.

--- a/internal/exchange/benchmark_test.go
+++ b/internal/exchange/benchmark_test.go
@@ -29,7 +29,7 @@
 	x, err := New(Options{
 		Self:           func() *pb.Member { return members[0] },
 		ControlAddress: "127.0.0.1:0",
-		View:           func() *pb.View { return &pb.View{} },
+		View:           func(time.Duration) *pb.View { return &pb.View{} },
 		OnView:         func(string, *pb.Member, *pb.View) {},
 		Logger:         slog.New(slog.DiscardHandler),
 	})
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,6 +39,12 @@
 	// maxSendInterval bounds the send interval in larger fleets, because server loads change
 	// within a few hundred milliseconds.
 	maxSendInterval = 250 * time.Millisecond
+	// crossZoneInterval is the least time between two states that a daemon of a full mesh sends to
+	// other zones: links between zones cost more than other traffic.
+	crossZoneInterval = 150 * time.Millisecond
+	// placementIntervals is the time for which a placement is sent, in send intervals. One datagram
+	// in some may be lost.
+	placementIntervals = 2.2
 	// failureIntervals is the number of send intervals without a datagram after which a peer
 	// counts as failed. minFailureTimeout is the least such time.
 	failureIntervals  = 10
@@ -66,8 +72,9 @@
 	Self func() *pb.Member
 	// ControlAddress is the ip:port on which datagrams (UDP) and pulls (TCP) are received.
 	ControlAddress string
-	// View returns the view of this daemon that is sent to peers.
-	View func() *pb.View
+	// View returns the view of this daemon that is sent to peers, with its placements of the last
+	// placementAge.
+	View func(placementAge time.Duration) *pb.View
 	// OnView is called with each newer view of a peer or of another zone. from is the ID of the
 	// peer, or the name of the zone after ZonePrefix; source is the peer or the zone's delegate.
 	OnView func(from string, source *pb.Member, v *pb.View)
@@ -102,6 +109,7 @@
 	mu             sync.Mutex
 	sequence       uint64
 	lastMemberList time.Time
+	lastCrossZone  time.Time        // last state that was sent to other zones
 	lastExpire     time.Time        // last call of expire
 	peers          map[string]*peer // by ID
 	zones          map[string]*zone // other zones, by name
@@ -199,12 +207,15 @@
 			x.options.Logger.Error("Pull server failed.", "error", err)
 		}
 	}()
+	urgent := true
 	for {
-		x.send(time.Now())
+		x.send(time.Now(), urgent)
+		urgent = false
 		select {
 		case <-ctx.Done():
 			return x.conn.Close()
 		case <-x.sendNow:
+			urgent = true
 		case <-time.After(x.nextSendDelay()):
 		}
 	}
@@ -248,18 +259,28 @@
 	return interval + time.Duration(rand.Int64N(int64(interval/10)))
 }
 
-// send sends the state of this daemon and, if it is the delegate, the summary of its zone.
-func (x *Exchange) send(now time.Time) {
-	self, view := x.options.Self(), x.options.View()
+// send sends the state of this daemon and, if it is the delegate, the summary of its zone. An urgent
+// state is sent to other zones although their crossZoneInterval has not passed.
+func (x *Exchange) send(now time.Time, urgent bool) {
+	self := x.options.Self()
 	x.mu.Lock()
 	x.expire(now)
+	interval := x.sendInterval()
+	crossZone := urgent || now.Sub(x.lastCrossZone) >= crossZoneInterval-interval/2
+	if crossZone {
+		x.lastCrossZone = now
+		interval = max(interval, crossZoneInterval)
+	}
+	x.mu.Unlock()
+	view := x.options.View(time.Duration(placementIntervals * float64(interval)))
+	x.mu.Lock()
 	x.sequence++
 	state := &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view}
-	if now.Sub(x.lastMemberList) > memberListInterval {
+	if crossZone && now.Sub(x.lastMemberList) > memberListInterval {
 		x.lastMemberList = now
 		state.Members = x.members()
 	}
-	stateTargets, zoneTargets := x.targets(self)
+	stateTargets, zoneTargets := x.targets(self, crossZone)
 	if len(state.Members) > 0 {
 		stateTargets = append(stateTargets, x.otherZonePeers(self)...)
 	}
@@ -279,15 +300,19 @@
 }
 
 // targets returns the addresses to which the state of this daemon is sent, and those in other zones
-// to which the zone summary is sent if this daemon is the delegate. The caller holds the lock.
-func (x *Exchange) targets(self *pb.Member) (stateTargets, zoneTargets []address) {
+// to which the zone summary is sent if this daemon is the delegate. In a full mesh other zones are
+// included if crossZone is set. The caller holds the lock.
+func (x *Exchange) targets(self *pb.Member, crossZone bool) (stateTargets, zoneTargets []address) {
 	candidates := make(map[string]int)
 	mesh := x.isMesh()
 	for controlAddress, a := range x.addresses {
-		if mesh || a.zone == "" || a.zone == self.Zone {
+		if a.zone == "" || a.zone == self.Zone || (mesh && crossZone) {
 			stateTargets = append(stateTargets, *a)
 			continue
 		}
+		if mesh {
+			continue
+		}
 		if z, ok := x.zones[a.zone]; ok {
 			if z.Delegate.ControlAddress == controlAddress {
 				zoneTargets = append(zoneTargets, *a)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -46,7 +46,7 @@
 	n := &node{views: map[string]*pb.View{}, member: &pb.Member{Id: id, Zone: zone, ControlAddress: address}}
 	n.Exchange, err = New(Options{
 		Self: func() *pb.Member { return n.member }, ControlAddress: address,
-		View: func() *pb.View {
+		View: func(time.Duration) *pb.View {
 			return &pb.View{Accounts: []*pb.AccountUse{{Account: 1, Asked: 10}}, ConfigVersion: 7}
 		},
 		OnView: func(from string, _ *pb.Member, v *pb.View) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -71,11 +71,11 @@
 	return size
 }
 
-// viewMessage returns the view that is sent to peers.
-func (g *Gateway) viewMessage() *pb.View {
+// viewMessage returns the view that is sent to peers, with the placements of the last placementAge.
+func (g *Gateway) viewMessage(placementAge time.Duration) *pb.View {
 	now := time.Now()
 	g.publishQuarantine()
-	v := encodeView(g.scheduler.View(now))
+	v := encodeView(g.scheduler.View(placementAge, now))
 	for _, w := range g.topology.Withdrawals(now) {
 		v.Withdrawn = append(v.Withdrawn, &pb.Withdrawal{
 			Server: w.ID, Born: w.Incarnation, Sequence: w.Sequence, AgeMs: ageMillis(now.Sub(w.FirstSeen)),
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -47,7 +47,7 @@
 	}
 	a, b := newGateway(), newGateway()
 	a.topology.SetServer(routing.Server{ID: "s", Incarnation: 1, State: routing.Draining}, nil, time.Now().Add(-3*time.Second))
-	view := a.viewMessage()
+	view := a.viewMessage(time.Second)
 	view.ServerDigest = b.topology.Digest() // nothing to pull
 	b.receiveView("a", &pb.Member{Id: "a"}, view)
 	got := b.topology.Withdrawals(time.Now())
--- a/internal/gateway/view_benchmark_test.go
+++ b/internal/gateway/view_benchmark_test.go
@@ -53,7 +53,7 @@
 	})
 	b.Run("send", func(b *testing.B) {
 		for range b.N {
-			_, err := proto.Marshal(&pb.Datagram{State: &pb.State{View: encodeView(sched.View(now))}})
+			_, err := proto.Marshal(&pb.Datagram{State: &pb.State{View: encodeView(sched.View(450*time.Millisecond, now))}})
 			require.NoError(b, err)
 		}
 	})
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,9 +35,8 @@
 	// while no server is known to have it cached, so that daemons without information choose the
 	// same server.
 	homeCachedShare = 0.6
-	// placementTTL is how long a placement is reported to peers: it spans several datagrams, as
-	// some are lost.
-	placementTTL = 450 * time.Millisecond
+	// maxPlacementAge is how long a placement is kept in order to report it to peers.
+	maxPlacementAge = time.Second
 	// registrationLag is the time after which a server that has started again is known by its new registration.
 	registrationLag = 3 * time.Second
 	// minPlacementTokens is the shortest shared prefix that is reported to peers: the prefill of a
@@ -412,17 +412,14 @@
 	return ids
 }
 
-// Placements returns what this daemon sent to servers within placementTTL. The slice is valid
-// until the next call of a method.
-func (b *Balancer) Placements(now time.Time) []Placement {
-	unexpired := b.recentPlacements[:0]
-	for _, p := range b.recentPlacements {
-		if now.Sub(p.sentAt) <= placementTTL {
-			unexpired = append(unexpired, p)
-		}
+// Placements returns what this daemon sent to servers within the last maxAge, of which
+// maxPlacementAge counts at most. The slice is valid until the next call of a method.
+func (b *Balancer) Placements(maxAge time.Duration, now time.Time) []Placement {
+	firstAfter := func(age time.Duration) int { // placements are in the order of their times
+		return sort.Search(len(b.recentPlacements), func(i int) bool { return now.Sub(b.recentPlacements[i].sentAt) <= age })
 	}
-	b.recentPlacements = unexpired
-	return unexpired
+	b.recentPlacements = slices.Delete(b.recentPlacements, 0, firstAfter(maxPlacementAge))
+	return b.recentPlacements[firstAfter(maxAge):]
 }
 
 // AddPeerPlacements marks the prefixes that a peer sent to servers as cached there.
--- a/internal/placement/balancer_test.go
+++ b/internal/placement/balancer_test.go
@@ -70,7 +70,7 @@
 	home, _ := a.Choose(r, nil, epoch)
 	elsewhere, _ := a.Choose(r, map[string]bool{home.Server.ID: true}, epoch)
 	a.Start(r, elsewhere, epoch)
-	b.AddPeerPlacements(a.Placements(epoch), epoch)
+	b.AddPeerPlacements(a.Placements(time.Second, epoch), epoch)
 	got, _ := b.Choose(prompt(7, 2), nil, epoch)
 	assert.Equal(t, elsewhere.Server.ID, got.Server.ID)
 }
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -244,7 +244,7 @@
 		sched.SetServers(serverList, config)
 		for at := simulation.Start; at.Before(simulation.Start.Add(simulationLength)); at = at.Add(100 * time.Millisecond) {
 			s.At(at.Add(time.Duration(i)*time.Millisecond), func(now time.Time) {
-				view := sched.View(now)
+				view := sched.View(450*time.Millisecond, now)
 				s.At(now.Add(viewDelay), func(now time.Time) {
 					for j, other := range s.Schedulers() {
 						if j != i {
@@ -295,6 +295,6 @@
 	s.Poisson("account", 200, 3, simulation.Start, 3*time.Second)
 	s.Run(3 * time.Second)
 	for _, sched := range s.Schedulers() {
-		assert.Empty(t, sched.View(simulation.Start.Add(time.Hour)).Loads)
+		assert.Empty(t, sched.View(450*time.Millisecond, simulation.Start.Add(time.Hour)).Loads)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -160,14 +160,14 @@
 	s.limiter.SetPeer(id, view.Limits, now)
 }
 
-// View returns the view of this daemon.
-func (s *Scheduler) View(now time.Time) View {
+// View returns the view of this daemon, with its placements of the last placementAge.
+func (s *Scheduler) View(placementAge time.Duration, now time.Time) View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return View{
 		Loads:        s.balancer.OwnLoad(),
 		Usage:        s.shares.OwnUsage(now),
-		Placements:   slices.Clone(s.balancer.Placements(now)),
+		Placements:   slices.Clone(s.balancer.Placements(placementAge, now)),
 		TimingModels: s.balancer.TimingModels(),
 		Quarantine:   s.quarantine.Reports(now),
 		Limits:       s.limiter.Report(now),
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -172,7 +172,7 @@
 	for i, sched := range s.schedulers {
 		for t := Start; t.Before(Start.Add(length + callerTimeout)); t = t.Add(s.options.ViewInterval) {
 			s.At(t.Add(time.Duration(i)*time.Millisecond), func(now time.Time) {
-				view := sched.View(now)
+				view := sched.View(450*time.Millisecond, now)
 				s.At(now.Add(s.options.ViewDelay), func(now time.Time) {
 					for j, other := range s.schedulers {
 						if j != i {
