Keep large requests in their data centre while its servers have room

Change: 8 us for each byte of the body in the score of servers elsewhere; a request that would be refused is decided on once more among the servers of other data centres, without that cost, so that no caller pays for it. Chunked bodies are estimated.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -63,6 +63,7 @@
 			Parts:        c.envelope.Parts,
 			PromptTokens: c.envelope.PromptTokens,
 			OutputTokens: c.envelope.OutputTokens,
+			BodyBytes:    c.bodyBytes(),
 			Version:      c.version,
 		},
 		Account:   c.account,
@@ -75,6 +76,20 @@
 	return r
 }
 
+// bytesPerPromptToken is the usual size of a token, with which the size of a chunked body is estimated.
+const bytesPerPromptToken = 4
+
+// bodyBytes returns the size of the body, or an estimate while it is not known.
+func (c *call) bodyBytes() int64 {
+	switch {
+	case c.bodyRead:
+		return int64(len(c.body))
+	case c.request.ContentLength >= 0:
+		return c.request.ContentLength
+	}
+	return bytesPerPromptToken * int64(c.envelope.PromptTokens)
+}
+
 // minQuarantineRetryAfter is the Retry-After of quarantined requests while another daemon tries one.
 const minQuarantineRetryAfter = time.Second
 
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -24,6 +24,11 @@
 	prefillWeight = 12.0
 	// crossZonePenalty is added to the score of a server in another zone: about one round trip.
 	crossZonePenalty = 8 * time.Millisecond
+	// crossZoneByteCost is added to the score of a server in another zone for each byte of the
+	// request's body, in seconds. Links between zones cost more than other traffic. A body of 18 KB
+	// costs more than the fetch of a cached prefix of 6,000 tokens with its penalty, so that a prefix
+	// is fetched once to each zone instead of all its requests being sent to one.
+	crossZoneByteCost = 8e-6
 	// failurePenalty is added to the score of a server all of whose recent requests failed.
 	failurePenalty = 3 * time.Second
 	// peerLoadTTL is how long a peer's load report counts.
@@ -57,6 +62,7 @@
 	Parts        []Part // in order; the last one belongs to the request or its session alone
 	PromptTokens int    // of the whole prompt
 	OutputTokens int    // expected for the answer
+	BodyBytes    int64  // of the request, estimated if it is not known
 	// Version is the only software version whose servers may be chosen, nil if any may.
 	Version *string
 }
@@ -268,28 +274,37 @@
 // Choose returns the server with the lowest score for the request, without the excluded server
 // IDs. The result is false when there is none that is available.
 func (b *Balancer) Choose(r Request, excluded map[string]bool, now time.Time) (Choice, bool) {
-	return b.choose(r, excluded, prefillWeight, now)
+	return b.chooseIf(r, func(s *server) bool { return !excluded[s.ID] }, prefillWeight, now)
 }
 
-// ChooseFastest is like Choose but without the penalty for prefill: it prefers the server with the
-// earliest predicted first event, however much of the prompt is prefilled again there.
+// ChooseElsewhere is like Choose among the servers of other zones, without the cost of bytes between
+// zones.
+func (b *Balancer) ChooseElsewhere(r Request, now time.Time) (Choice, bool) {
+	r.BodyBytes = 0
+	return b.chooseIf(r, func(s *server) bool { return s.Zone != b.zone }, prefillWeight, now)
+}
+
+// ChooseFastest is like Choose but without the penalty for prefill and the cost of bytes between
+// zones: it prefers the server with the earliest predicted first event, however much of the prompt is
+// prefilled again there.
 func (b *Balancer) ChooseFastest(r Request, now time.Time) (Choice, bool) {
-	return b.choose(r, nil, 0, now)
+	r.BodyBytes = 0
+	return b.chooseIf(r, func(*server) bool { return true }, 0, now)
 }
 
-// choose implements Choose. weight is the penalty for a token to prefill, as a multiple of its
-// prefill time.
-func (b *Balancer) choose(r Request, excluded map[string]bool, weight float64, now time.Time) (Choice, bool) {
+// chooseIf returns the server with the lowest score among those for which eligible returns true.
+// weight is the penalty for a token to prefill, as a multiple of its prefill time.
+func (b *Balancer) chooseIf(r Request, eligible func(*server) bool, weight float64, now time.Time) (Choice, bool) {
 	b.expirePeerLoads(now)
 	home, coeffs := b.home(r, now), b.coefficients(r.Service, now)
 	sources := b.fetchSources(r, now)
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for s := range b.rotate(r.Service) {
-		if excluded[s.ID] || !r.allows(s) || s.mayHaveChanged(r, now) || !b.available(s.identity, now) {
+		if !eligible(s) || !r.allows(s) || s.mayHaveChanged(r, now) || !b.available(s.identity, now) {
 			continue
 		}
 		c := b.predict(s, r, coeffs, s == home, sources.of(s.Version), now)
-		score := b.score(s, c, weight*coeffs.perToken(), now) + fetchWeight*coeffs.perToken()*float64(c.FetchedTokens)
+		score := b.score(s, c, r, weight*coeffs.perToken(), now) + fetchWeight*coeffs.perToken()*float64(c.FetchedTokens)
 		if score < bestScore {
 			best, found, bestScore = c, true, score
 		}
@@ -352,11 +367,11 @@
 
 // score returns the cost of the choice in seconds. prefillPenalty is the penalty in seconds for
 // each uncached token.
-func (b *Balancer) score(s *server, c Choice, prefillPenalty float64, now time.Time) float64 {
+func (b *Balancer) score(s *server, c Choice, r Request, prefillPenalty float64, now time.Time) float64 {
 	score := c.Predicted.Seconds()
 	score += prefillPenalty * float64(c.UncachedTokens) * s.slowdown
 	if s.Zone != b.zone {
-		score += crossZonePenalty.Seconds()
+		score += crossZonePenalty.Seconds() + crossZoneByteCost*float64(r.BodyBytes)
 	}
 	if s.plainLatency > 0 {
 		score += s.plainLatency * float64(c.Load.Running) / float64(max(1, s.Slots))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -234,6 +234,12 @@
 		return d
 	}
 	d := s.checkAdmission(r, account, choice, now)
+	if d.Verdict.Reason != admission.Admitted && choice.Server.Zone == s.options.Zone {
+		// Traffic between zones is no reason to refuse a request that another zone has room for.
+		if elsewhere, found := s.balancer.ChooseElsewhere(r.Request, now); found {
+			d = s.checkAdmission(r, account, elsewhere, now)
+		}
+	}
 	if d.Verdict.Reason != admission.Admitted {
 		// The server that has cached the prompt is busy. An idle one may process the prompt
 		// again; on a busy one this would displace other requests.
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -92,6 +92,11 @@
 	// DaemonCapacity returns the requests per second that a daemon has the processor time for.
 	// It refuses further ones unread. 0 stands for any number. It may be nil.
 	DaemonCapacity func(daemon int) float64
+	// Zones is the number of zones over which daemons and engines are spread evenly. 0 stands for one.
+	Zones int
+	// BodyBytesPerToken is the size of a request's body for each token of its prompt. With 0 nothing
+	// is saved by keeping requests in their zone.
+	BodyBytesPerToken int
 	// ViewInterval and ViewDelay replace viewInterval and viewDelay if they are not 0.
 	ViewInterval, ViewDelay time.Duration
 }
@@ -120,6 +125,8 @@
 	// RecomputedTokens is the number of tokens of shared parts that engines processed although a
 	// request with the same prefix had been processed before.
 	RecomputedTokens int
+	// CrossZoneTokens is the number of prompt tokens of requests that were sent to other zones.
+	CrossZoneTokens int
 	prefilled        map[uint64]bool // prefixes that were processed, by part id
 }
 
@@ -144,12 +151,12 @@
 	for i := range o.Engines {
 		id := fmt.Sprintf("e%02d", i)
 		s.engineIDs = append(s.engineIDs, id)
-		s.readyServers = append(s.readyServers, routing.Server{ID: id, Service: service, Address: id, Zone: "z", Slots: o.EngineSpec.Slots})
+		s.readyServers = append(s.readyServers, routing.Server{ID: id, Service: service, Address: id, Zone: s.zone(i), Slots: o.EngineSpec.Slots})
 		s.engines[id] = &engine{EngineSpec: o.EngineSpec, cached: map[uint64]bool{}}
 	}
-	for range o.Daemons {
+	for i := range o.Daemons {
 		sched := scheduler.New(scheduler.Options{
-			Zone: "z", FairWindow: fairWindow, Daemons: func() int { return o.Daemons },
+			Zone: s.zone(i), FairWindow: fairWindow, Daemons: func() int { return o.Daemons },
 			RetryBudget: retry.WindowOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		})
 		sched.SetServers(s.readyServers, s.config)
@@ -159,6 +166,9 @@
 	return s
 }
 
+// zone returns the name of the zone of the daemon or engine with the index.
+func (s *Simulation) zone(index int) string { return fmt.Sprint("z", index%max(1, s.options.Zones)) }
+
 // At schedules run at virtual time t. Functions scheduled for the same time run in the order of
 // the calls.
 func (s *Simulation) At(t time.Time, run func(now time.Time)) {
@@ -203,6 +213,7 @@
 	request := scheduler.Request{
 		Request: placement.Request{
 			Service: service, Engine: true, PromptTokens: 4500 + r.UniqueTokens, OutputTokens: outputTokens,
+			BodyBytes: int64(s.options.BodyBytesPerToken * (4500 + r.UniqueTokens)),
 			Parts: []placement.Part{{ID: 1, Tokens: 500}, {ID: 10 + r.Prefix, Tokens: 4000}, {ID: s.rng.Uint64(), Tokens: r.UniqueTokens}},
 		},
 		Account: r.Account, Objective: objective, Deadline: now.Add(callerTimeout),
@@ -234,6 +245,9 @@
 		return
 	}
 	s.record(request.Account, sentAt, func(results *Results) { results.Tokens += request.PromptTokens })
+	if choice.Server.Zone != s.zone(daemon) {
+		s.CrossZoneTokens += request.PromptTokens
+	}
 	attempt := sched.Start(request, choice, now)
 	server := s.engines[choice.Server.ID]
 	s.inFlight[daemon][choice.Server.ID]++
