Answer a daemon of another data centre once, not its list of members

Cause: above 12 daemons each state with the list of members went to all peers of other data centres that had sent a state, as those may not know their own one yet. Change: a state without a list asks; it gets one answer. Delegates add the list to their summary once a second, so that halves of a data centre that have lost each other still learn of each other through another one. Ruled out: nothing else relied on the answers.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -122,6 +122,10 @@
 	state    *pb.State // newest
 	lastSeen time.Time
 	live     bool
+	// asksForMembers is set when a peer of another zone has sent its state to this daemon, because
+	// it doesn't know the zone yet. It then gets the list of members once. Such lists are no
+	// question themselves: otherwise two daemons would answer each other for good.
+	asksForMembers bool
 }
 
 // zone is the newest summary of another zone.
@@ -281,8 +285,9 @@
 		state.Members = x.members()
 	}
 	stateTargets, zoneTargets := x.targets(self, crossZone)
+	var askers []address
 	if len(state.Members) > 0 {
-		stateTargets = append(stateTargets, x.otherZonePeers(self)...)
+		askers = x.askers()
 	}
 	isDelegate := !x.isMesh() && ZoneRank(self, x.members()) == 0
 	var summary *pb.Zone
@@ -294,9 +299,17 @@
 	}
 	x.mu.Unlock()
 	x.sendDatagram(&pb.Datagram{State: state}, stateTargets)
-	if isDelegate {
-		x.sendDatagram(&pb.Datagram{Zone: summary}, zoneTargets)
+	state.Zones = nil // known to the delegates of other zones
+	x.sendDatagram(&pb.Datagram{State: state}, askers)
+	if !isDelegate {
+		return
+	}
+	d := &pb.Datagram{Zone: summary}
+	if len(state.Members) > 0 {
+		// Daemons of one zone that have lost each other learn of each other from other zones.
+		d.State = state
 	}
+	x.sendDatagram(d, zoneTargets)
 }
 
 // targets returns the addresses to which the state of this daemon is sent, and those in other zones
@@ -326,18 +339,15 @@
 	return stateTargets, zoneTargets
 }
 
-// otherZonePeers returns the addresses of live peers of other zones that send their states to this
-// daemon because they don't know its zone yet. They discover their zone peers from the list of
-// members. The caller holds the lock.
-func (x *Exchange) otherZonePeers(self *pb.Member) []address {
-	if x.isMesh() {
-		return nil
-	}
+// askers returns the addresses of live peers that ask for the list of members. It discards their
+// question. The caller holds the lock.
+func (x *Exchange) askers() []address {
 	var out []address
 	for _, p := range x.peers {
-		if a, ok := x.addresses[p.state.Member.ControlAddress]; ok && p.live && p.state.Member.Zone != self.Zone {
+		if a, ok := x.addresses[p.state.Member.ControlAddress]; ok && p.live && p.asksForMembers {
 			out = append(out, *a)
 		}
+		p.asksForMembers = false
 	}
 	return out
 }
@@ -359,6 +369,9 @@
 
 // sendDatagram sends the datagram to the addresses. It logs errors.
 func (x *Exchange) sendDatagram(d *pb.Datagram, to []address) {
+	if len(to) == 0 {
+		return
+	}
 	data, err := proto.Marshal(d)
 	if err != nil || len(data) > maxDatagramBytes {
 		x.options.Logger.Error("Datagram is too large or could not be encoded.", "bytes", len(data), "error", err)
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -53,6 +53,9 @@
 	// The views of peers of other zones arrive with the summary of their zone.
 	x.mu.Lock()
 	inScope := x.isMesh() || s.Member.Zone == self.Zone
+	if !inScope && len(s.Members) == 0 {
+		x.peers[s.Member.Id].asksForMembers = true
+	}
 	x.mu.Unlock()
 	if inScope {
 		x.options.OnView(s.Member.Id, s.Member, s.View)
