--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -127,7 +127,7 @@
 	RecomputedTokens int
 	// CrossZoneTokens is the number of prompt tokens of requests that were sent to other zones.
 	CrossZoneTokens int
-	prefilled        map[uint64]bool // prefixes that were processed, by part id
+	prefilled       map[uint64]bool // prefixes that were processed, by part id
 }
 
 // New returns a simulation without requests.
@@ -214,7 +214,7 @@
 		Request: placement.Request{
 			Service: service, Engine: true, PromptTokens: 4500 + r.UniqueTokens, OutputTokens: outputTokens,
 			BodyBytes: int64(s.options.BodyBytesPerToken * (4500 + r.UniqueTokens)),
-			Parts: []placement.Part{{ID: 1, Tokens: 500}, {ID: 10 + r.Prefix, Tokens: 4000}, {ID: s.rng.Uint64(), Tokens: r.UniqueTokens}},
+			Parts:     []placement.Part{{ID: 1, Tokens: 500}, {ID: 10 + r.Prefix, Tokens: 4000}, {ID: s.rng.Uint64(), Tokens: r.UniqueTokens}},
 		},
 		Account: r.Account, Objective: objective, Deadline: now.Add(callerTimeout),
 	}
