Ignore servers that only an older list of a peer contains

Cause: a pull applied each record of the peer's list, whatever the age of the list. A daemon that has just started has no withdrawals, and those of peers are sent for 10 s only: a peer that was cut off from the store for longer could bring a server back that had left, until the next listing of the store 5 s later. It happens if a pull for a newer configuration comes from such a peer, or if the daemon lists the store while a pull is on its way. Change: of a list that isn't newer than its own a daemon takes newer records of servers that it knows, and nothing else. Test: TestOlderPeerListBringsNoServerBackAfterRestart, which failed before.

--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -170,13 +170,19 @@
 }
 
 // ApplyServerList applies a full list of servers from a peer that was complete at listedAt. Servers
-// that it lacks are removed if the list is newer than this daemon's.
+// that it lacks are removed if the list is newer than this daemon's. Otherwise servers that this
+// daemon doesn't know have left since, and are ignored: a daemon that has started after that knows
+// nothing of their withdrawal.
 func (r *Reader) ApplyServerList(records []Record, listedAt, now time.Time) {
+	newer := r.Newer(Servers, listedAt)
 	for _, record := range records {
+		if !newer && !r.state.Knows(record.Key) {
+			continue
+		}
 		r.state.ConfirmListed(record.Key, listedAt)
 		r.ApplyServer(record, now)
 	}
-	if r.Newer(Servers, listedAt) {
+	if newer {
 		r.reconcile(records, listedAt, now, time.Time{})
 		r.Confirm(Servers, listedAt)
 		r.serversListed.Store(true)
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -147,6 +147,14 @@
 	return a.Incarnation < b.Incarnation || (a.Incarnation == b.Incarnation && a.Sequence < b.Sequence)
 }
 
+// Knows reports whether the list contains the server.
+func (s *State) Knows(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.servers[id]
+	return ok
+}
+
 // RemoveServer removes and withdraws a backend server. It reports whether the server was known.
 func (s *State) RemoveServer(id string, now time.Time) bool {
 	s.mu.Lock()
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -156,6 +156,22 @@
 	assert.Equal(t, routing.Ready, got)
 }
 
+// A daemon that has started after a server has left knows nothing of its withdrawal. A peer that was cut off from the store
+// must not bring the server back.
+func TestOlderPeerListBringsNoServerBackAfterRestart(t *testing.T) {
+	state := NewState(func() {})
+	r := NewReader(ReaderOptions{Store: sequenceStore{}, State: state, Logger: slog.New(slog.DiscardHandler)})
+	record := func(id string, sequence byte) Record { return Record{Key: id, Value: []byte{sequence}} }
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	r.ApplyServerList([]Record{record("a", 1)}, at(20_000), at(20_010)) // the daemon's first list
+	r.ApplyServerList([]Record{record("a", 2), record("left", 1)}, at(5_000), at(20_100))
+	_, ok := serverState(state, "left")
+	assert.False(t, ok, "a server that has left 15 s ago")
+	r.ApplyServerList([]Record{record("a", 2), record("new", 1)}, at(21_000), at(21_010))
+	_, ok = serverState(state, "new")
+	assert.True(t, ok)
+}
+
 // A server that the store still lists well after its withdrawal was withdrawn by mistake: its
 // lease had expired, or a peer was wrong.
 func TestStoreListingOverridesOldWithdrawal(t *testing.T) {
