Open a connection for each call of a plain service

Cause: repeatable calls of plain services reused connections of net/http. Plain services don't say which request they answer, so a second copy of an answer that arrived once the connection was in use again went to the next caller. Shown first with TestRepeatedAnswerIsNotGivenToNextCaller (expected /GET/1, got /GET/0). Ruled out: the gateway (answers echo the attempt's id, connections with unread bytes aren't reused, TestBytesOfOtherAnswers), streams of engines (event ids begin with the attempt's id). Change: each call has its own connection, as unrepeatable ones had already. Price: a handshake for each call within the data centre. Weighed: reuse where a service echoes the id; none is documented to, and the cases would need two clients.

--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -11,23 +11,19 @@
 
 // PlainClient is an HTTP client for plain services. It is safe for concurrent use.
 type PlainClient struct {
-	repeatable *http.Client
-	singleUse  *http.Client
+	client *http.Client
 }
 
-// NewPlainClient returns a client that sends repeatable requests with the given transport and other
-// requests with a single-use transport. It does not follow redirects.
-func NewPlainClient(transport http.RoundTripper) *PlainClient {
-	return &PlainClient{repeatable: newHTTPClient(transport), singleUse: newHTTPClient(NewSingleUseTransport())}
-}
-
-func newHTTPClient(transport http.RoundTripper) *http.Client {
-	return &http.Client{
-		Transport: transport,
+// NewPlainClient returns a client that opens a connection for each request. Plain services don't say
+// which request an answer belongs to, so that a late second copy of an answer would pass for the
+// answer to the next request on its connection. The client does not follow redirects.
+func NewPlainClient() *PlainClient {
+	return &PlainClient{&http.Client{
+		Transport: NewSingleUseTransport(),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
-	}
+	}}
 }
 
 // PlainRequest is a request to a plain service.
@@ -37,8 +33,6 @@
 	Header    http.Header
 	Body      []byte
 	AttemptID string
-	// Repeatable allows the transport to resend the request if a reused connection breaks.
-	Repeatable bool
 }
 
 // body returns the request body without GetBody, so that the transport cannot resend it.
@@ -73,11 +67,7 @@
 		}
 	}
 	req.Header.Set(HeaderRequestID, r.AttemptID)
-	client := p.singleUse
-	if r.Repeatable {
-		client = p.repeatable
-	}
-	resp, err := client.Do(req)
+	resp, err := p.client.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "call plain service")
 	}
--- a/internal/backend/plain_test.go
+++ b/internal/backend/plain_test.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -45,7 +47,7 @@
 		for _, body := range []string{"", "{}"} {
 			t.Run(method+body, func(t *testing.T) {
 				address, requests := startClosingServer(t)
-				plain := NewPlainClient(NewTransport())
+				plain := NewPlainClient()
 				request := PlainRequest{Method: method, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(body)}
 				_, err := plain.Call(t.Context(), address, request)
 				require.NoError(t, err)
@@ -62,7 +64,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
-	_, err = NewPlainClient(NewTransport()).Call(t.Context(), listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
+	_, err = NewPlainClient().Call(t.Context(), listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
 	require.True(t, errors.Is(err, ErrNotSent))
 }
 
@@ -72,7 +74,7 @@
 	defer func() { _ = listener.Close() }()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = NewPlainClient(NewTransport()).Call(ctx, listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
+	_, err = NewPlainClient().Call(ctx, listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.False(t, errors.Is(err, ErrNotSent))
 }
@@ -84,7 +86,7 @@
 		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
 	}))
 	defer server.Close()
-	resp, err := NewPlainClient(NewTransport()).Call(t.Context(), server.Listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
+	resp, err := NewPlainClient().Call(t.Context(), server.Listener.Addr().String(), PlainRequest{Method: http.MethodPost, Path: "/"})
 	require.NoError(t, err)
 	require.Equal(t, http.StatusTemporaryRedirect, resp.Status)
 	require.EqualValues(t, 1, requests.Load())
@@ -99,9 +101,53 @@
 		}
 	}))
 	defer server.Close()
-	for _, repeatable := range []bool{false, true} {
-		_, err := NewPlainClient(NewTransport()).Call(t.Context(), server.Listener.Addr().String(), PlainRequest{Method: http.MethodGet, Path: "/", Repeatable: repeatable})
-		require.ErrorContains(t, err, "longer than")
-		require.NotErrorIs(t, err, ErrNotSent)
+	_, err := NewPlainClient().Call(t.Context(), server.Listener.Addr().String(), PlainRequest{Method: http.MethodGet, Path: "/"})
+	require.ErrorContains(t, err, "longer than")
+	require.NotErrorIs(t, err, ErrNotSent)
+}
+
+// startRepeatingServer starts a server that, before each further answer on a connection, sends the one before it again. The
+// body of an answer is the path of its request.
+func startRepeatingServer(t *testing.T) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader, last := bufio.NewReader(conn), ""
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, last)
+					last = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+					_, _ = io.WriteString(conn, last)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A second copy of an answer arrives late, when the connection would be in use for the next request. Plain services don't say
+// which request they answer.
+func TestRepeatedAnswerIsNotGivenToNextCaller(t *testing.T) {
+	address := startRepeatingServer(t)
+	plain := NewPlainClient()
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for i := range 5 {
+			path := fmt.Sprintf("/%s/%d", method, i)
+			response, err := plain.Call(t.Context(), address, PlainRequest{Method: method, Path: path})
+			require.NoError(t, err)
+			require.Equal(t, path, string(response.Body))
+		}
 	}
 }
--- a/internal/daemon/chain.go
+++ b/internal/daemon/chain.go
@@ -16,11 +16,10 @@
 
 // attemptOptions returns the options shared by the last handlers of both filter chains.
 func (d *Daemon) attemptOptions() attempt.Options {
-	transport := backend.NewTransport()
 	return attempt.Options{
 		Acquirer:   staleness.NewAcquirer(d.dispatch, d.config),
-		Engine:     backend.NewEngineClient(transport),
-		Plain:      backend.NewPlainClient(transport),
+		Engine:     backend.NewEngineClient(backend.NewTransport()),
+		Plain:      backend.NewPlainClient(),
 		Signer:     resume.NewSigner(d.settings.Secret),
 		Metrics:    d.metrics,
 		Quarantine: d.quarantine,
--- a/internal/filter/attempt/plain.go
+++ b/internal/filter/attempt/plain.go
@@ -61,12 +61,11 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Service.IdleLimit))
 	defer cancel()
 	answer, err := h.opts.Plain.Call(ctx, lease.Server.Address, backend.PlainRequest{
-		Method:     r.HTTP.Method,
-		Path:       r.Path,
-		Header:     r.HTTP.Header,
-		Body:       r.Body,
-		AttemptID:  r.ID,
-		Repeatable: r.Service.Repeatable,
+		Method:    r.HTTP.Method,
+		Path:      r.Path,
+		Header:    r.HTTP.Header,
+		Body:      r.Body,
+		AttemptID: r.ID,
 	})
 	if err != nil {
 		return plainError(ctx, err)
