Judge streams of the gateway by their events, not by bytes

Cause: the time-out for the next event restarted with each byte that arrived, so that a stalled server that sent a byte or a comment now and then held its stream until the deadline, although another one could go on with it. And routes that declare no longest pause got 300 ms: slow but sound streams were cut and sent to a second server. Change: a complete event with data restarts it; 2 s without a declared pause. Tests: TestStalledStreamIsNotKeptAliveBySingleBytes (unexpected EOF at the deadline before), TestSlowStreamIsNotCut (2 servers instead of 1 before).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -347,6 +347,8 @@
 	tokenGapTimeoutFactor   = 3
 	// minSilenceTimeout is the lower bound of both timeouts.
 	minSilenceTimeout = 300 * time.Millisecond
+	// defaultTokenGapTimeout applies to routes without a MaxTokenGap. Callers wait for two seconds.
+	defaultTokenGapTimeout = 2 * time.Second
 )
 
 func newWatchdog(ctx context.Context, conn *upstream.Conn, c *call) *watchdog {
@@ -354,12 +356,16 @@
 	w.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if c.route.Repeatable() && len(c.attempts)+1 < c.route.MaxAttempts {
 		w.timer = time.AfterFunc(max(minSilenceTimeout, firstEventTimeoutFactor*c.route.Objective), func() { _ = conn.Close() })
-		w.tokenGapTimeout = max(minSilenceTimeout, tokenGapTimeoutFactor*c.route.MaxTokenGap)
+		w.tokenGapTimeout = defaultTokenGapTimeout
+		if c.route.MaxTokenGap > 0 {
+			w.tokenGapTimeout = max(minSilenceTimeout, tokenGapTimeoutFactor*c.route.MaxTokenGap)
+		}
 	}
 	return w
 }
 
-// eventReceived restarts the timeout for the next event.
+// eventReceived restarts the timeout for the next event. It is called for complete events with data
+// only: a stalled server may still send a byte now and then.
 func (w *watchdog) eventReceived() {
 	if w.timer != nil {
 		w.timer.Reset(w.tokenGapTimeout)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -103,7 +103,6 @@
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if n > 0 {
-			w.eventReceived()
 			forwarded, forwardErr := h.forwardEvents(c, response, buffer, a, flusher)
 			if forwardErr != nil {
 				conn.DisableReuse()
@@ -111,6 +110,9 @@
 			}
 			if forwarded > 0 {
 				anyEvent = true
+				if hasData(buffer[:forwarded]) {
+					w.eventReceived()
+				}
 				h.Scheduler.RecordEvents(a, c.eventCount-eventsBefore, time.Now())
 			}
 			buffer = append(buffer[:0], buffer[forwarded:]...)
@@ -180,6 +182,12 @@
 	return end, errors.Wrap(flusher.Flush(), "flush events to the caller")
 }
 
+// hasData reports whether any of the complete events has data. Comments, which servers may send to keep
+// a connection open, have none.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+}
+
 // startAnswer writes the header of a stream.
 func (h *Handler) startAnswer(c *call, response *http.Response) {
 	// A caller that stops reading must not keep the server's connection in use.
