Give up engines that send bytes but no events

Cause: on the own interface the idle limit of a stream restarted with each read, and nothing else bounds it after the first event: an engine that sent a byte now and then was never given up. Change: three times the idle limit without an event end the connection too, as if it had been silent; time in which the caller takes no data doesn't count. Tests: TestBytesWithoutEventsAreNoProgress (not ended after 5 s before), TestSlowEventsAreProgress, TestSlowCallerIsNoStall.

--- a/internal/filter/attempt/chat_attempt.go
+++ b/internal/filter/attempt/chat_attempt.go
@@ -125,6 +125,7 @@
 	switch action.Kind {
 	case answer.Forward:
 		a.watchdog.deadline = time.Time{}
+		a.watchdog.recordEvent()
 		a.meter.recordEvent(message.Data)
 		if offset == 1 && a.suspects != nil {
 			a.suspects.recordPartsSound(a.server.ID, a.startedAt)
--- a/internal/filter/attempt/watchdog.go
+++ b/internal/filter/attempt/watchdog.go
@@ -27,14 +27,19 @@
 // Unwrap returns the error of the write.
 func (e callerError) Unwrap() error { return e.error }
 
+// maxStallFactor is the longest time without an event, as a multiple of the idle limit, while data that
+// is no complete event arrives. Engines may send comments to keep a connection open.
+const maxStallFactor = 3
+
 // watchdog implements backend.ReadHooks. It cancels a connection to an engine if the connection
-// receives no data for the idle limit, or no event before the deadline. It flushes the answer to the
-// caller before each read.
+// receives no data for the idle limit, no event for maxStallFactor times that, or no event before the
+// deadline. It flushes the answer to the caller before each read.
 type watchdog struct {
 	idleLimit     time.Duration
 	deadline      time.Time // of the first event; zero if there is none
 	flush         func() error
 	timer         *time.Timer
+	lastEvent     time.Time   // or begin of the connection; time in which the caller was slow does not count
 	deadlineFirst atomic.Bool // the timer is set to the deadline, not to the idle limit
 }
 
@@ -43,6 +48,7 @@
 func (w *watchdog) watch(cancel context.CancelCauseFunc) func() {
 	// The hour is a placeholder: start sets the timeout.
 	w.timer = time.AfterFunc(time.Hour, func() { cancel(w.cause()) })
+	w.lastEvent = time.Now()
 	w.start()
 	return func() { w.timer.Stop() }
 }
@@ -55,9 +61,12 @@
 	return errSilent
 }
 
-// start sets the timer to the idle limit or the deadline, whichever comes first.
+// recordEvent records that an event has arrived.
+func (w *watchdog) recordEvent() { w.lastEvent = time.Now() }
+
+// start sets the timer to the idle limit, the longest stall or the deadline, whichever comes first.
 func (w *watchdog) start() {
-	timeout := w.idleLimit
+	timeout := min(w.idleLimit, time.Until(w.lastEvent.Add(maxStallFactor*w.idleLimit)))
 	deadlineFirst := false
 	if !w.deadline.IsZero() {
 		remaining := time.Until(w.deadline)
@@ -70,9 +79,11 @@
 
 // BeforeRead flushes the answer to the caller and starts the timer. An error is a callerError.
 func (w *watchdog) BeforeRead() error {
+	started := time.Now()
 	if err := w.flush(); err != nil {
 		return callerError{err}
 	}
+	w.lastEvent = w.lastEvent.Add(time.Since(started))
 	w.start()
 	return nil
 }
