Keep a panic with one message from ending the process

Cause: an unexpected error while a daemon handled a datagram or a call of a peer or operator ended the whole process, and as states go to all daemons, possibly all of them at once. Names in control addresses of messages were looked up while all other datagrams waited. Change: such a panic is logged with its stack and ends the message, on both interfaces; control addresses must be IP numbers.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
 
@@ -188,12 +190,12 @@
 	if controlAddress == x.options.ControlAddress || controlAddress == "" {
 		return nil
 	}
-	udp, err := net.ResolveUDPAddr("udp", controlAddress)
+	parsed, err := netip.ParseAddrPort(controlAddress) // names are not looked up: that could block for seconds
 	if err != nil {
-		x.options.Logger.Warn("Could not resolve the control address of a daemon.", "address", controlAddress, "error", err)
+		x.options.Logger.Warn("Invalid control address of a daemon.", "address", controlAddress, "error", err)
 		return nil
 	}
-	a := &address{udp: udp, zone: zone, lastSeen: time.Now()}
+	a := &address{udp: net.UDPAddrFromAddrPort(parsed), zone: zone, lastSeen: time.Now()}
 	x.addresses[controlAddress] = a
 	x.fleet.sizeChanged()
 	return a
@@ -207,7 +209,7 @@
 	}
 	go x.receive(ctx)
 	go func() {
-		if err := drpcserver.New(mux).Serve(ctx, x.listener); err != nil && ctx.Err() == nil {
+		if err := drpcserver.New(recovery.Handler(mux, x.options.Logger)).Serve(ctx, x.listener); err != nil && ctx.Err() == nil {
 			x.options.Logger.Error("Pull server failed.", "error", err)
 		}
 	}()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -75,6 +75,16 @@
 	})
 }
 
+func discardLogger() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// addressOf returns the address of the node for datagrams.
+func (n *node) addressOf(t *testing.T) *net.UDPAddr {
+	t.Helper()
+	udp, err := net.ResolveUDPAddr("udp", n.member.ControlAddress)
+	require.NoError(t, err)
+	return udp
+}
+
 func (n *node) demandFrom(from string) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/exchange/origins.go
+++ b/internal/exchange/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 )
@@ -13,12 +14,12 @@
 	// The addresses are not added to those that states are sent to: most are of other zones.
 	targets := make([]address, 0, len(controlAddresses))
 	for _, controlAddress := range controlAddresses {
-		udp, err := net.ResolveUDPAddr("udp", controlAddress)
+		parsed, err := netip.ParseAddrPort(controlAddress)
 		if err != nil {
-			x.options.Logger.Warn("Could not resolve the control address of a daemon.", "address", controlAddress, "error", err)
+			x.options.Logger.Warn("Invalid control address of a daemon.", "address", controlAddress, "error", err)
 			continue
 		}
-		targets = append(targets, address{udp: udp, zone: x.zoneOf(controlAddress)})
+		targets = append(targets, address{udp: net.UDPAddrFromAddrPort(parsed), zone: x.zoneOf(controlAddress)})
 	}
 	x.sendDatagram(&pb.Datagram{Origins: o}, targets)
 }
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 )
 
 // receive handles incoming datagrams until the context ends.
@@ -22,21 +23,26 @@
 			x.options.Logger.Warn("Could not read datagram.", "error", err)
 			continue
 		}
-		d := &pb.Datagram{}
-		if err := proto.Unmarshal(buffer[:n], d); err != nil {
-			x.options.Logger.Warn("Could not decode datagram.", "bytes", n, "error", err)
-			continue
-		}
-		now := time.Now()
-		if s := d.State; s != nil && s.Member != nil && s.View != nil {
-			x.handleState(s, now)
-		}
-		if z := d.Zone; z != nil && z.Delegate != nil && z.View != nil {
-			x.handleZone(z, true, now)
-		}
-		if d.Origins != nil {
-			x.options.OnOrigins(d.Origins)
-		}
+		x.handleDatagram(buffer[:n], time.Now())
+	}
+}
+
+// handleDatagram handles a datagram that arrived at the given time. No datagram may end the process.
+func (x *Exchange) handleDatagram(data []byte, now time.Time) {
+	defer recovery.Log(x.options.Logger, "datagram")
+	d := &pb.Datagram{}
+	if err := proto.Unmarshal(data, d); err != nil {
+		x.options.Logger.Warn("Could not decode datagram.", "bytes", len(data), "error", err)
+		return
+	}
+	if s := d.State; s != nil && s.Member != nil && s.View != nil {
+		x.handleState(s, now)
+	}
+	if z := d.Zone; z != nil && z.Delegate != nil && z.View != nil {
+		x.handleZone(z, true, now)
+	}
+	if d.Origins != nil {
+		x.options.OnOrigins(d.Origins)
 	}
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 )
 
 // Handler processes a message received from a peer. It must not block.
@@ -112,7 +113,7 @@
 			return err
 		}
 	}
-	return drpcserver.New(mux).Serve(m.ctx, lis)
+	return drpcserver.New(recovery.Handler(mux, m.opts.Logger)).Serve(m.ctx, lis)
 }
 
 // Send queues a message for the peer at the address, or drops it if the queue is full. It sets
