Answer the requests of accepted connections before a daemon exits

Cause: a planned stop ended 250 ms after the last check that found a request in progress. Under load requests go on arriving until the end; those whose connection was accepted, but whose head had not been read, were cut off without an answer. Change: at the end the daemon stops to accept connections, and exits 50 ms after the last request on those that it has accepted, within the grace period.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -48,6 +48,7 @@
 	bufferedBytes    atomic.Int64 // total size of buffered bodies
 	answerMemory     answerMemory
 	activeRequests   atomic.Int64
+	requests         atomic.Int64 // that have arrived
 }
 
 // NewHandler returns a handler for the dependencies.
@@ -70,6 +71,9 @@
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int64 { return h.activeRequests.Load() }
 
+// Requests returns the number of requests that have arrived so far.
+func (h *Handler) Requests() int64 { return h.requests.Load() }
+
 // RefuseRequests makes the handler refuse all further requests with result.Draining.
 func (h *Handler) RefuseRequests() { h.refuseRequests.Store(true) }
 
@@ -113,6 +117,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.requests.Add(1)
 	h.activeRequests.Add(1)
 	defer h.activeRequests.Add(-1)
 	c := &call{request: r, writer: w, arrivedAt: time.Now()}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -16,6 +16,10 @@
 	idleExitDelay = 250 * time.Millisecond
 	// drainPollInterval is the time between two checks for active requests.
 	drainPollInterval = 50 * time.Millisecond
+	// lastRequestDelay is the time without requests, after the daemon has stopped to accept
+	// connections, after which it exits. A request on a connection that was accepted before is
+	// on its way for no longer.
+	lastRequestDelay = 50 * time.Millisecond
 )
 
 // Drain starts a graceful shutdown and returns at once; Run returns when it is complete.
@@ -28,9 +32,10 @@
 
 // drain runs the steps of a graceful shutdown: it leaves the directory, closes connections
 // with their next answer, refuses new requests and waits for active ones to finish. The
-// listener and idle connections stay open until the process exits, so that requests in
-// transit get a refusal. http.Server.Shutdown would close a connection whose request has
-// just been read.
+// listener and idle connections stay open meanwhile, so that requests in transit get a
+// refusal. Callers may keep sending until the end, so the daemon then stops to accept
+// connections and answers the requests of those that it has accepted. http.Server.Shutdown
+// would close a connection whose request has just been read.
 func (g *Gateway) drain() {
 	started := time.Now()
 	g.logger.Info("Stopping.", "grace", g.settings.GracePeriod)
@@ -49,5 +54,25 @@
 			lastActive = time.Now()
 		}
 	}
+	g.answerAccepted(min(exitMargin, timeUntil(1)) - drainPollInterval)
 	g.logger.Info("Stopped.", "took", time.Since(started), "unfinished", g.handler.ActiveRequests())
 }
+
+// answerAccepted stops to accept connections and returns when no request has come for
+// lastRequestDelay on those that were accepted, at the latest after the timeout.
+func (g *Gateway) answerAccepted(timeout time.Duration) {
+	if g.callerListener == nil {
+		return
+	}
+	if err := g.callerListener.Close(); err != nil {
+		g.logger.Warn("Listener for callers not closed.", "error", err)
+	}
+	const pollInterval = lastRequestDelay / 10
+	requests, lastRequest := g.handler.Requests(), time.Now()
+	for end := time.Now().Add(timeout); time.Now().Before(end) && time.Since(lastRequest) < lastRequestDelay; {
+		time.Sleep(pollInterval)
+		if n := g.handler.Requests(); n != requests || g.handler.ActiveRequests() > 0 {
+			requests, lastRequest = n, time.Now()
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	metricsHandler http.Handler
 
 	connLimiter    *connLimiter
+	callerListener net.Listener
 	draining       atomic.Bool
 	stop           chan struct{}
 	pullInProgress atomic.Bool
@@ -200,6 +201,7 @@
 	if err != nil {
 		return err
 	}
+	g.callerListener = callerListener
 	callerServer := g.newHTTPServer(g.handler)
 	callerServer.ConnContext = forward.WithCallerConn
 	callerServer.ConnState = g.connLimiter.connStateChanged
@@ -224,7 +226,7 @@
 
 func (g *Gateway) serve(listener net.Listener, server *http.Server) {
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.logger.Error("HTTP server failed.", "address", listener.Addr(), "error", err)
 		}
 	}()
