Count suspension of the machine towards the leases of orders

Cause: a lease for orders was measured by the monotonic clock alone, which stands still while a machine is suspended. A sender that woke up after its lease had passed to another daemon still believed that it held it, and sent its order after the other's, to servers that don't check fencing tokens. Change: the time of suspension (CLOCK_BOOTTIME less CLOCK_MONOTONIC) since the lease was looked up counts, right before each write. Test: TestSenderThatWasSuspendedSendsNothing (sent before).

--- a/internal/backend/order.go
+++ b/internal/backend/order.go
@@ -34,10 +34,10 @@
 }
 
 // SendOrder sends the order to the server at the address, at most once and on a new connection. It
-// writes nothing at or after leaseEnd, unless that is zero. It returns ErrOrderSuperseded for status
+// writes nothing once leaseExpired returns true; nil stands for no lease. It returns ErrOrderSuperseded for status
 // 409, ErrOrdersUnsupported for 404 and 405, and an error that wraps ErrOrderLeaseExpired if the lease
 // expired.
-func SendOrder(ctx context.Context, address string, o Order, leaseEnd time.Time) error {
+func SendOrder(ctx context.Context, address string, o Order, leaseExpired func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	body, err := json.Marshal(o)
@@ -52,7 +52,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &leasedConn{Conn: conn, leaseEnd: leaseEnd}, nil
+			return &leasedConn{Conn: conn, leaseExpired: leaseExpired}, nil
 		},
 	}
 	defer transport.CloseIdleConnections()
@@ -83,16 +83,16 @@
 	return errors.Newf("send order: server returned status %d", status)
 }
 
-// leasedConn fails writes from leaseEnd on. It checks the time right before the system call, so that it
-// detects an expiry while the process was paused.
+// leasedConn fails writes after the lease has expired. It checks that right before the system call, so
+// that it detects an expiry while the process was paused.
 type leasedConn struct {
 	net.Conn
-	leaseEnd time.Time
+	leaseExpired func() bool // may be nil
 }
 
-// Write implements net.Conn. It returns ErrOrderLeaseExpired from leaseEnd on.
+// Write implements net.Conn. It returns ErrOrderLeaseExpired once the lease has expired.
 func (c *leasedConn) Write(p []byte) (int, error) {
-	if !c.leaseEnd.IsZero() && !time.Now().Before(c.leaseEnd) {
+	if c.leaseExpired != nil && c.leaseExpired() {
 		return 0, ErrOrderLeaseExpired
 	}
 	return c.Conn.Write(p)
--- a/internal/controller/orders/orders.go
+++ b/internal/controller/orders/orders.go
@@ -16,6 +16,7 @@
 	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/logservice"
 	"github.com/filbertrill/filbertrill/internal/member"
+	"github.com/filbertrill/filbertrill/internal/monotonic"
 	"github.com/filbertrill/filbertrill/internal/order"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
@@ -42,8 +43,9 @@
 	Ready(now time.Time) bool
 }
 
-// SendFunc sends an order. It must not send any byte after leaseEnd, unless that is zero.
-type SendFunc func(ctx context.Context, address string, o backend.Order, leaseEnd time.Time) error
+// SendFunc sends an order. It must not send any byte once leaseExpired returns true; nil stands for no
+// lease.
+type SendFunc func(ctx context.Context, address string, o backend.Order, leaseExpired func() bool) error
 
 // Options configure a Controller.
 type Options struct {
@@ -54,7 +56,10 @@
 	Send          SendFunc
 	RetryInterval time.Duration
 	DrainDelay    time.Duration
-	Logger        *slog.Logger
+	// Suspended returns for how long the machine was suspended so far. Leases run on meanwhile. The
+	// default is monotonic.Suspended.
+	Suspended func() time.Duration
+	Logger    *slog.Logger
 	// OnStep is called with the name of each step of an order, for tests. It may be nil.
 	OnStep func(name string)
 }
@@ -96,6 +101,9 @@
 	if opts.Send == nil {
 		opts.Send = backend.SendOrder
 	}
+	if opts.Suspended == nil {
+		opts.Suspended = monotonic.Suspended
+	}
 	if opts.OnStep == nil {
 		opts.OnStep = func(string) {}
 	}
@@ -203,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if s.order.ChecksFence {
-		if err := c.send(ctx, s, time.Time{}); err != nil {
+		if err := c.send(ctx, s, nil); err != nil {
 			return err
 		}
 		c.markSettled(s)
@@ -211,7 +219,7 @@
 	}
 	for ctx.Err() == nil {
 		c.opts.OnStep("read")
-		readAt := time.Now()
+		readAt, suspended := time.Now(), c.opts.Suspended()
 		if err := c.readLog(ctx); err != nil {
 			return err
 		}
@@ -224,7 +232,10 @@
 		if step == order.StepWait {
 			return nil
 		}
-		if err := c.performStep(ctx, s, step, leaseEnd); err != nil {
+		leaseExpired := func() bool {
+			return !time.Now().Add(c.opts.Suspended() - suspended).Before(leaseEnd)
+		}
+		if err := c.performStep(ctx, s, step, leaseExpired); err != nil {
 			return err
 		}
 	}
@@ -232,12 +243,12 @@
 }
 
 // performStep appends a claim, or sends the order and appends the end of its claim.
-func (c *Controller) performStep(ctx context.Context, s *serverOrder, step order.Step, leaseEnd time.Time) error {
+func (c *Controller) performStep(ctx context.Context, s *serverOrder, step order.Step, leaseExpired func() bool) error {
 	if step == order.StepClaim {
 		return c.appendRecord(ctx, s, order.RecordClaim)
 	}
 	if !s.sent {
-		if err := c.send(ctx, s, leaseEnd); err != nil {
+		if err := c.send(ctx, s, leaseExpired); err != nil {
 			return err
 		}
 		s.sent = true
@@ -251,13 +262,13 @@
 	return c.registry.Decide(time.Now(), readAt, c.opts.Self, s.order, &s.progress)
 }
 
-func (c *Controller) send(ctx context.Context, s *serverOrder, leaseEnd time.Time) error {
+func (c *Controller) send(ctx context.Context, s *serverOrder, leaseExpired func() bool) error {
 	c.opts.OnStep("send")
 	o := backend.Order{Fence: s.order.Fence, Kind: string(s.order.Kind)}
 	if s.order.Kind == order.Load {
 		o.Model = s.order.Model
 	}
-	err := c.opts.Send(ctx, s.order.Address, o, leaseEnd)
+	err := c.opts.Send(ctx, s.order.Address, o, leaseExpired)
 	c.opts.OnStep("sent")
 	switch {
 	case errors.Is(err, backend.ErrOrderSuperseded):
--- a/internal/controller/orders/orders_test.go
+++ b/internal/controller/orders/orders_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,6 +127,39 @@
 	}
 }
 
+// The monotonic clock stands still while a machine is suspended, the lease does not: another sender may hold it when the machine
+// wakes up.
+func TestSenderThatWasSuspendedSendsNothing(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	log, err := logservice.NewHTTPLog(env.log.URL, 2*time.Second)
+	require.NoError(t, err)
+	var suspended atomic.Int64
+	var once sync.Once
+	receivedAfter := make(chan string, 1)
+	c := NewController(Options{
+		Self: order.Sender{ID: "a", Incarnation: 1}, Log: log, Members: singleMember("a"),
+		RetryInterval: 20 * time.Millisecond, Logger: logging.For(logging.Orders),
+		Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+		OnStep: func(name string) {
+			switch name {
+			case "send":
+				suspended.CompareAndSwap(0, int64(10*time.Second))
+			case "sent":
+				once.Do(func() { receivedAfter <- env.received() })
+			}
+		},
+	})
+	address := strings.TrimPrefix(env.engines["a"].URL, "http://")
+	c.SetOrders([]DesiredOrder{{Order: order.Order{Server: "e", Address: address, Kind: order.Load, Model: "m", Fence: 3}}}, time.Now())
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Run(t.Context()) })
+	t.Cleanup(wg.Wait)
+	require.Empty(t, <-receivedAfter)
+	require.Eventually(t, c.allSettled, waitTimeout, 20*time.Millisecond)
+	require.Equal(t, "a", env.received(), "sent once, with a lease that it has looked up again")
+}
+
 // A daemon that takes over must find in the log that the order is done.
 func TestDoneOrderIsNotSentAgain(t *testing.T) {
 	t.Parallel()
@@ -140,7 +174,7 @@
 	t.Parallel()
 	env := newTestEnv(t)
 	address := strings.TrimPrefix(env.engines["a"].URL, "http://")
-	err := backend.SendOrder(t.Context(), address, backend.Order{Fence: 1, Kind: "load"}, time.Now())
+	err := backend.SendOrder(t.Context(), address, backend.Order{Fence: 1, Kind: "load"}, func() bool { return true })
 	require.ErrorIs(t, err, backend.ErrOrderLeaseExpired)
 	require.Empty(t, env.received())
 }
--- a/internal/monotonic/monotonic_test.go
+++ b/internal/monotonic/monotonic_test.go
@@ -17,3 +17,10 @@
 	assert.NotContains(t, Time(UnixNano(now)).Round(0).String(), "m=")
 	assert.Contains(t, Time(UnixNano(now)).String(), "m=", "the time needs a monotonic reading")
 }
+
+func TestSuspendedDoesNotChangeWhileTheMachineRuns(t *testing.T) {
+	before := Suspended()
+	time.Sleep(20 * time.Millisecond)
+	assert.InDelta(t, before.Seconds(), Suspended().Seconds(), 0.01)
+	assert.GreaterOrEqual(t, before, time.Duration(0))
+}
