Decode only records that differ from the known ones

Cause: each pull decoded the configuration and all records of servers again, 5% of the processor time of 195 daemons. Change: a record that equals the one that a ready server was decoded from is skipped; servers with a withdrawal are always decoded.

--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -317,7 +317,7 @@
 
 // ApplyConfig decodes a record of topic Configs and applies it if its version is higher.
 func (r *Reader) ApplyConfig(record Record) {
-	if record.Value == nil {
+	if record.Value == nil || r.state.HasConfig(record) {
 		return
 	}
 	config, err := r.store.DecodeConfig(record)
@@ -333,6 +333,9 @@
 
 // ApplyServer decodes the record of a backend server and applies it if it is newer.
 func (r *Reader) ApplyServer(record Record, now time.Time) {
+	if r.state.HasServer(record) {
+		return // decoding all records of each list took most of the time of a pull
+	}
 	server, err := r.store.DecodeServer(record)
 	if err != nil {
 		r.logger.Debug("Invalid server record ignored.", "key", record.Key, "error", err)
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -3,6 +3,7 @@
 package topology
 
 import (
+	"bytes"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -87,6 +88,22 @@
 	return "", nil
 }
 
+// HasConfig reports whether the record is that of the configuration in force.
+func (s *State) HasConfig(record Record) bool {
+	stored := s.config.Load()
+	return stored != nil && stored.record.Key == record.Key && bytes.Equal(stored.record.Value, record.Value)
+}
+
+// HasServer reports whether the record is the one that a ready server was decoded from, so that
+// applying it again would change nothing.
+func (s *State) HasServer(record Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.servers[record.Key]
+	_, withdrawn := s.withdrawals[record.Key]
+	return ok && !withdrawn && known.Server.State == routing.Ready && known.Record != nil && bytes.Equal(known.Record, record.Value)
+}
+
 // SetConfig replaces the configuration if the new one has a higher version. It reports whether
 // it did.
 func (s *State) SetConfig(config *routing.Config, record Record) bool {
