Give accounts beyond their share no second choice among busy servers

Cause: a request refused in its own data centre was decided on again among all servers elsewhere. Change: the second choice is for requests that would be late, and for servers whose load adds less than 12% of the objective.

--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -284,6 +284,12 @@
 	return b.chooseIf(r, func(s *server) bool { return s.Zone != b.zone }, prefillWeight, now)
 }
 
+// ChooseInAnyZone is like Choose but without the cost of bytes between zones.
+func (b *Balancer) ChooseInAnyZone(r Request, now time.Time) (Choice, bool) {
+	r.BodyBytes = 0
+	return b.chooseIf(r, func(*server) bool { return true }, prefillWeight, now)
+}
+
 // ChooseFastest is like Choose but without the penalty for prefill and the cost of bytes between
 // zones: it prefers the server with the earliest predicted first event, however much of the prompt is
 // prefilled again there.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -30,6 +30,10 @@
 // slots is far from idle when a fifth of them are in use.
 const maxIdleDelayShare = 0.006
 
+// maxQuietDelayShare bounds the delay that load adds to the prediction for a server that is not busy, as a
+// share of the objective.
+const maxQuietDelayShare = 0.12
+
 // Scheduler decides on admission, placement and retries of requests. Its methods are safe for
 // concurrent use.
 type Scheduler struct {
@@ -235,8 +239,7 @@
 	}
 	d := s.checkAdmission(r, account, choice, now)
 	if d.Verdict.Reason != admission.Admitted && choice.Server.Zone == s.options.Zone {
-		// Traffic between zones is no reason to refuse a request that another zone has room for.
-		if elsewhere, found := s.balancer.ChooseElsewhere(r.Request, now); found {
+		if elsewhere, found := s.chooseElsewhere(r, d.Verdict.Reason, now); found {
 			d = s.checkAdmission(r, account, elsewhere, now)
 		}
 	}
@@ -258,6 +261,20 @@
 	return d
 }
 
+// chooseElsewhere returns a server of another zone for a request that would be refused in this one:
+// traffic between zones is no reason to refuse. An account beyond its share is not owed a second choice
+// among busy servers, only the one that it would have had without the cost of that traffic. The caller
+// holds the lock.
+func (s *Scheduler) chooseElsewhere(r Request, reason admission.Reason, now time.Time) (placement.Choice, bool) {
+	choice, found := s.balancer.ChooseElsewhere(r.Request, now)
+	loadDelay := choice.Predicted - choice.PredictedIdle
+	if !found || reason == admission.TooLate || loadDelay.Seconds() < maxQuietDelayShare*r.Objective.Seconds() {
+		return choice, found
+	}
+	choice, found = s.balancer.ChooseInAnyZone(r.Request, now)
+	return choice, found && choice.Server.Zone != s.options.Zone
+}
+
 // checkAdmission applies the admission policy to the request at the chosen server. The caller
 // holds the lock.
 func (s *Scheduler) checkAdmission(r Request, account uint64, choice placement.Choice, now time.Time) Decision {
