Send lists of members and states less often in large data centres

Cause: 39 daemons of a data centre each sent their state to all others four times a second and the list of all 195 members once a second: 152 states and 38 lists a second, each list 120 us to decode. Together with garbage collection 90% of the processor time of a daemon, requests 3% (perf, six daemons). Change: the delegate alone repeats the list, others send it after changes and each 10 s; summaries carry their members once a second; states each 400 ms instead of 250 in zones of more than 33 daemons (a failed peer is still noticed after 2.5 s, parts of server limits rise after 1.2 s instead of 1). Weighed: two aggregators that merge states (n messages instead of n*n). It needs sums less one's own part, one more hop and three modes of failure; not built, the longer interval has the same age of 0.2 s in the mean.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,18 +40,19 @@
 	meshIntervalPerPeer = 6 * time.Millisecond
 	zoneIntervalPerPeer = 12 * time.Millisecond
 	// maxSendInterval bounds the send interval in larger fleets, because server loads change
-	// within a few hundred milliseconds.
-	maxSendInterval = 250 * time.Millisecond
+	// within a few hundred milliseconds. Loads and usage of peers count for 1.5 s.
+	maxSendInterval = 400 * time.Millisecond
 	// crossZoneInterval is the least time between two states that a daemon of a full mesh sends to
 	// other zones: links between zones cost more than other traffic.
-	crossZoneInterval = 150 * time.Millisecond
+	crossZoneInterval = 100 * time.Millisecond
 	// placementIntervals is the time for which a placement is sent, in send intervals. One datagram
 	// in some may be lost.
 	placementIntervals = 2.2
 	// failureIntervals is the number of send intervals without a datagram after which a peer
-	// counts as failed. minFailureTimeout is the least such time.
+	// counts as failed. minFailureTimeout and maxFailureTimeout bound that time.
 	failureIntervals  = 10
 	minFailureTimeout = 1200 * time.Millisecond
+	maxFailureTimeout = 2500 * time.Millisecond
 	// expiryTimeout is the time without a datagram after which a peer and its address are
 	// removed.
 	expiryTimeout = 60 * time.Second
@@ -58,6 +60,9 @@
 	maxMeshSize = 12
 	// memberListInterval is the least time between two states that contain the list of members.
 	memberListInterval = time.Second
+	// zoneListInterval is the time between two lists of members that a daemon sends to its zone in a
+	// larger fleet if nothing changes. The delegate sends its list each memberListInterval.
+	zoneListInterval = 10 * time.Second
 	// maxDelegateCandidates is the number of daemons of another zone to which the zone summary
 	// is sent while the delegate of that zone is unknown.
 	maxDelegateCandidates = 3
@@ -111,6 +116,9 @@
 	mu             sync.Mutex
 	sequence       uint64
 	lastMemberList time.Time
+	lastZoneList   time.Time        // see zoneListDue
+	listedSize     int              // number of daemons at lastZoneList
+	summarized     []*pb.Member     // the last members in summaries
 	lastCrossZone  time.Time        // last state that was sent to other zones
 	lastExpire     time.Time        // last call of expire
 	peers          map[string]*peer // by ID
@@ -281,37 +289,58 @@
 	view := x.options.View(time.Duration(placementIntervals * float64(interval)))
 	x.mu.Lock()
 	x.sequence++
+	stateTargets, zoneTargets := x.targets(self, crossZone)
 	state := &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view}
+	isDelegate := !x.isMesh() && ZoneRank(self, x.members()) == 0
+	var listed *pb.State // with the list of members, once per memberListInterval
+	var askers []address
 	if crossZone && now.Sub(x.lastMemberList) > memberListInterval {
 		x.lastMemberList = now
-		state.Members = x.members()
-	}
-	stateTargets, zoneTargets := x.targets(self, crossZone)
-	var askers []address
-	if len(state.Members) > 0 {
+		listed = &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view, Members: x.members()}
 		askers = x.askers()
+		if x.isMesh() || isDelegate || x.zoneListDue(now) {
+			state.Members = listed.Members
+		}
 	}
-	isDelegate := !x.isMesh() && ZoneRank(self, x.members()) == 0
 	var summary *pb.Zone
 	if isDelegate {
-		summary = x.summarizeZone(self, view)
-		for _, z := range x.zones {
-			state.Zones = append(state.Zones, z.Zone)
-		}
+		state.Zones, summary = x.summaries(self, view, listed != nil)
 	}
 	x.mu.Unlock()
 	x.sendDatagram(&pb.Datagram{State: state}, stateTargets)
-	state.Zones = nil // known to the delegates of other zones
-	x.sendDatagram(&pb.Datagram{State: state}, askers)
-	if !isDelegate {
-		return
+	x.sendDatagram(&pb.Datagram{State: listed}, askers)
+	if isDelegate {
+		// Daemons of one zone that have lost each other learn of each other from the lists of others.
+		x.sendDatagram(&pb.Datagram{Zone: summary, State: listed}, zoneTargets)
+	}
+}
+
+// zoneListDue reports whether a daemon that is no delegate sends the list of members to its zone: after
+// changes, which the delegate may not know of, and at times. The caller holds the lock.
+func (x *Exchange) zoneListDue(now time.Time) bool {
+	if x.fleetSize() == x.listedSize && now.Sub(x.lastZoneList) < zoneListInterval {
+		return false
+	}
+	x.listedSize, x.lastZoneList = x.fleetSize(), now
+	return true
+}
+
+// summaries returns the summaries of the other zones, which the delegate forwards to its zone, and that
+// of its own. They contain the members if withMembers is set or these have changed since they last did.
+// The caller holds the lock.
+func (x *Exchange) summaries(self *pb.Member, view *pb.View, withMembers bool) (others []*pb.Zone, own *pb.Zone) {
+	own = x.summarizeZone(self, view)
+	for _, z := range x.zones {
+		others = append(others, z.Zone)
+	}
+	if members := x.members(); withMembers || !slices.Equal(members, x.summarized) {
+		x.summarized = members
+		return others, own
 	}
-	d := &pb.Datagram{Zone: summary}
-	if len(state.Members) > 0 {
-		// Daemons of one zone that have lost each other learn of each other from other zones.
-		d.State = state
+	for i := range others {
+		others[i] = withoutMembers(others[i])
 	}
-	x.sendDatagram(d, zoneTargets)
+	return others, withoutMembers(own)
 }
 
 // targets returns the addresses to which the state of this daemon is sent, and those in other zones
@@ -354,6 +383,12 @@
 	return out
 }
 
+// withoutMembers returns a copy of the summary without the list of members. Receivers keep the list that
+// they have: it changes seldom, and has more bytes than most views.
+func withoutMembers(z *pb.Zone) *pb.Zone {
+	return &pb.Zone{Zone: z.Zone, Delegate: z.Delegate, Incarnation: z.Incarnation, Sequence: z.Sequence, View: z.View}
+}
+
 // summarizeZone returns the summary of this daemon's zone. The caller holds the lock.
 func (x *Exchange) summarizeZone(self *pb.Member, view *pb.View) *pb.Zone {
 	views, members := []*pb.View{view}, []*pb.Member{self}
@@ -392,7 +427,7 @@
 // from them for too long. Time in which this daemon was stalled does not count, because it received
 // no datagrams then. The caller holds the lock.
 func (x *Exchange) expire(now time.Time) {
-	timeout := max(minFailureTimeout, failureIntervals*x.sendInterval())
+	timeout := min(max(minFailureTimeout, failureIntervals*x.sendInterval()), maxFailureTimeout)
 	if stall := now.Sub(x.lastExpire); !x.lastExpire.IsZero() && stall > timeout/2 {
 		x.options.Logger.Warn("Daemon was stalled.", "pause", stall)
 		for _, p := range x.peers {
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -131,6 +131,9 @@
 	if ok && old.Delegate.Id == z.Delegate.Id && !newer(z.Incarnation, z.Sequence, old.Incarnation, old.Sequence) {
 		return false
 	}
+	if ok && len(z.Members) == 0 {
+		z.Members = old.Members
+	}
 	if !ok {
 		x.options.Logger.Info("Zone is live.", "zone", z.Zone, "delegate", z.Delegate.Id, "members", len(z.Members))
 	}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -11,7 +11,7 @@
 	// increaseDelay is the time for which a daemon could have had a part of a limit before it uses it. By then its peers
 	// know the demand that the part was computed from, and have reduced theirs. It exceeds the age of the oldest reports
 	// that are used, three send intervals of the largest fleets.
-	increaseDelay = time.Second
+	increaseDelay = 1200 * time.Millisecond
 	// burstTime is the time in which the bursts of all parts together use up a limit once. Parts of less than one
 	// request in this time would exceed it, so only as many daemons get one as there are requests in it.
 	burstTime = 500 * time.Millisecond
