Send large summaries in datagrams of their own

Cause: the delegate of a data centre put the summaries of all others into its state. Each placement was in the summary once for each request. Change: summaries of more than 16 KB together get a datagram each; placements in a summary are distinct, at most 512.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -66,6 +66,10 @@
 	// maxDelegateCandidates is the number of daemons of another zone to which the zone summary
 	// is sent while the delegate of that zone is unknown.
 	maxDelegateCandidates = 3
+	// maxStateBytes is the size of the summaries of other zones above which each has a datagram of its
+	// own. Four of 16 KB exceeded maxDatagramBytes, and the fragments of large datagrams are lost
+	// together.
+	maxStateBytes = 16 << 10
 	// maxDatagramBytes is the size of the largest datagram that is sent.
 	maxDatagramBytes = 60 << 10
 )
@@ -307,7 +311,11 @@
 		state.Zones, summary = x.summaries(self, view, listed != nil)
 	}
 	x.mu.Unlock()
+	forwarded := splitZones(state)
 	x.sendDatagram(&pb.Datagram{State: state}, stateTargets)
+	for _, z := range forwarded {
+		x.sendDatagram(&pb.Datagram{Forwarded: []*pb.Zone{z}}, stateTargets)
+	}
 	x.sendDatagram(&pb.Datagram{State: listed}, askers)
 	if isDelegate {
 		// Daemons of one zone that have lost each other learn of each other from the lists of others.
@@ -315,6 +323,21 @@
 	}
 }
 
+// splitZones removes the summaries of other zones from the state if they make it larger than
+// maxStateBytes, and returns them.
+func splitZones(state *pb.State) []*pb.Zone {
+	zones := state.Zones
+	size := 0
+	for _, z := range zones {
+		size += proto.Size(z)
+	}
+	if size <= maxStateBytes {
+		return nil
+	}
+	state.Zones = nil
+	return zones
+}
+
 // zoneListDue reports whether a daemon that is no delegate sends the list of members to its zone: after
 // changes, which the delegate may not know of, and at times. The caller holds the lock.
 func (x *Exchange) zoneListDue(now time.Time) bool {
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -21,6 +21,7 @@
 	suspects := make(map[suspectKey]*pb.Suspect)
 	limits := make(map[uint64]*pb.ServerLimit)
 	demands := make(map[uint64]*pb.ServiceDemand)
+	placed := make(map[placementKey]bool)
 	for _, v := range views {
 		out.Daemons += v.Daemons
 		out.StoreEra = max(out.StoreEra, v.StoreEra)
@@ -59,7 +60,12 @@
 		for _, m := range v.Models {
 			mergeModel(getOrInsert(models, m.Service, &pb.EngineModel{Service: m.Service}), m)
 		}
-		out.Placements = append(out.Placements, v.Placements...)
+		for _, p := range v.Placements { // many requests of a zone share a prefix
+			if key := (placementKey{p.Server, p.Part}); !placed[key] && len(out.Placements) < maxMergedPlacements {
+				placed[key] = true
+				out.Placements = append(out.Placements, p)
+			}
+		}
 		if v.ConfigVersion > out.ConfigVersion {
 			out.ConfigVersion, out.ConfigAgeMs = v.ConfigVersion, v.ConfigAgeMs
 		} else if v.ConfigVersion == out.ConfigVersion {
@@ -93,6 +99,11 @@
 	return out
 }
 
+// maxMergedPlacements bounds the placements in a summary to some 12 KB. Those left out are missing in other zones.
+const maxMergedPlacements = 512
+
+type placementKey struct{ server, part uint64 }
+
 // maxMergedSuspects bounds the evidence in a summary, so that it fits into a datagram with 32 ends for each.
 const maxMergedSuspects = 64
 
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -41,6 +41,7 @@
 	if z := d.Zone; z != nil && z.Delegate != nil && z.View != nil {
 		x.handleZone(z, true, now)
 	}
+	x.handleForwarded(d.Forwarded, now)
 	if d.Origins != nil {
 		x.options.OnOrigins(d.Origins)
 	}
@@ -66,7 +67,12 @@
 	if inScope {
 		x.options.OnView(s.Member.Id, s.Member, s.View)
 	}
-	for _, z := range s.Zones {
+	x.handleForwarded(s.Zones, now)
+}
+
+// handleForwarded handles summaries of other zones that the delegate has forwarded.
+func (x *Exchange) handleForwarded(zones []*pb.Zone, now time.Time) {
+	for _, z := range zones {
 		if z.Delegate != nil && z.View != nil {
 			x.handleZone(z, false, now)
 		}
