Query engines later while a daemon doesn't know its data centre

Change: a daemon that knows peers of other data centres only waits 1.5 s, until their list of members has come. Test: TestEnginesAreQueriedLaterWhileTheZoneIsUnknown.

--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -22,6 +22,10 @@
 	// engineQueryDelay is the time after the start before engines are queried. By then live
 	// peers have made themselves known with their first few state messages.
 	engineQueryDelay = 250 * time.Millisecond
+	// lonelyQueryDelay is that time for a daemon that knows peers of other zones only. It learns of
+	// those of its own from their lists of members, which they send once a second. In a fleet of 195,
+	// the daemons of the two zones without a seed queried all 99 engines each.
+	lonelyQueryDelay = 1500 * time.Millisecond
 	// warmUpTimeout is the time after the start at which the warm-up is given up. By then the
 	// daemon has learned as much from its own requests and the states of its peers.
 	warmUpTimeout = 5 * time.Second
@@ -54,6 +58,14 @@
 	return warmPeers[placement.Hash(self.Id)%uint64(len(warmPeers))], false
 }
 
+// queryDelay returns the time after the start before this daemon queries engines.
+func queryDelay(self *pb.Member, peers []*pb.Member) time.Duration {
+	if len(peers) == 0 || zoneSize(self.Zone, peers) > 1 {
+		return engineQueryDelay
+	}
+	return lonelyQueryDelay
+}
+
 // warmUp loads the cached prefix parts of each engine. Without them, the daemon would send
 // prompts to engines that have not cached them and have to process them again; after a power
 // failure all daemons would do so at the same time.
@@ -72,13 +84,14 @@
 		if !g.reader.ServersListed() || g.topology.Config() == nil {
 			continue
 		}
-		peer, queryEngines := warmUpSource(g.member(), g.exchange.Members())
+		self, peers := g.member(), g.exchange.Members()
+		peer, queryEngines := warmUpSource(self, peers)
 		switch {
 		case peer != nil:
 			if g.loadCachedPartsFromPeer(ctx, peer) {
 				return
 			}
-		case queryEngines && time.Since(started) >= engineQueryDelay:
+		case queryEngines && time.Since(started) >= queryDelay(self, peers):
 			g.loadCachedPartsFromEngines(ctx)
 			return
 		}
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// A daemon whose seeds are all in other zones doesn't know its own zone at once. It must not query all engines as if it were
+// the only one there.
+func TestEnginesAreQueriedLaterWhileTheZoneIsUnknown(t *testing.T) {
+	self := &pb.Member{Id: "b", Zone: "z1"}
+	assert.Equal(t, engineQueryDelay, queryDelay(self, nil), "alone in the fleet, as far as it knows")
+	assert.Equal(t, lonelyQueryDelay, queryDelay(self, []*pb.Member{{Id: "a", Zone: "z2"}}))
+	assert.Equal(t, engineQueryDelay, queryDelay(self, []*pb.Member{{Id: "a", Zone: "z2"}, {Id: "c", Zone: "z1"}}))
+}
+
 func TestCachedPartsRoundTrip(t *testing.T) {
 	parts := []placement.CachedPart{
 		{Part: placement.Part{ID: 1 << 60, Tokens: 500}, Age: 1500 * time.Millisecond},
