Allow for the interval of states before a daemon reads the store itself

Cause: a daemon calls the store when what peers know is 0.9 s old. Change: twice what the interval exceeds 250 ms is added, 1.2 s in zones of more than 33 daemons. Smaller zones are as before. Test: TestTakeoverAgeAllowsForIntervalOfStates.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -261,6 +261,13 @@
 	return sendIntervalFor(targets, mesh)
 }
 
+// SendInterval returns the time between two states that daemons like this one send.
+func (x *Exchange) SendInterval() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.sendInterval()
+}
+
 // sendIntervalFor returns the time between two states that are sent to the number of targets.
 func sendIntervalFor(targets int, mesh bool) time.Duration {
 	if mesh {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,11 +118,12 @@
 	)
 	g.topology = topology.NewState(g.serversChanged)
 	g.reader = topology.NewReader(topology.ReaderOptions{
-		Store:       p.Store,
-		State:       g.topology,
-		ReadsStore:  g.readsStore,
-		ReaderCount: func() int { return zoneSize(g.settings.Zone, g.exchange.Members()) },
-		Logger:      logging.For(logging.Config),
+		Store:         p.Store,
+		State:         g.topology,
+		ReadsStore:    g.readsStore,
+		ReaderCount:   func() int { return zoneSize(g.settings.Zone, g.exchange.Members()) },
+		StateInterval: func() time.Duration { return g.exchange.SendInterval() },
+		Logger:        logging.For(logging.Config),
 	})
 	metrics, metricsHandler, _ := telemetry.New(telemetry.Options{})
 	g.metrics, g.metricsHandler = metrics, metricsHandler
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -54,7 +54,7 @@
 	callTimeout = 500 * time.Millisecond
 	// configReadWait is how long a read of the configuration waits for a change. A read that
 	// returns nothing confirms that the configuration is current, which peers need to know
-	// before takeoverAge.
+	// before minTakeoverAge.
 	configReadWait = 500 * time.Millisecond
 	// serverReadInterval is the time between two reads of server records. Servers write all the
 	// time, so that long polls would return immediately.
@@ -67,9 +67,11 @@
 	minBackoff     = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
 	backoffReaders = 4
-	// takeoverAge is the age of the state received from peers at which a daemon starts to read
-	// the store itself. A change has to be received within 2 s even if one call is lost.
-	takeoverAge = 900 * time.Millisecond
+	// minTakeoverAge is the least age of the state received from peers at which a daemon starts to
+	// read the store itself. A change has to be received within 2 s even if one call is lost.
+	minTakeoverAge = 900 * time.Millisecond
+	// usualStateInterval is the interval of the states of peers that minTakeoverAge allows for.
+	usualStateInterval = 250 * time.Millisecond
 	// unreachableAfter is the time without a successful call after which the store counts as
 	// unreachable for this daemon, so that another daemon of its zone reads it instead.
 	unreachableAfter = 1500 * time.Millisecond
@@ -91,7 +93,9 @@
 	// ReaderCount returns the number of daemons, this one included, that may call the store at
 	// the same time and send each other the results.
 	ReaderCount func() int
-	Logger      *slog.Logger
+	// StateInterval returns the time between two states that peers send.
+	StateInterval func() time.Duration
+	Logger        *slog.Logger
 }
 
 // Reader keeps a State synchronized with the store.
@@ -100,6 +104,7 @@
 	state          *State
 	readsStore     func() bool
 	readerCount    func() int
+	stateInterval  func() time.Duration
 	logger         *slog.Logger
 	asOf           [2]atomic.Int64 // by topic: time as of which the state was complete, as monotonic.UnixNano
 	serversListed  atomic.Bool
@@ -109,7 +114,14 @@
 
 // NewReader returns a reader. Run starts it.
 func NewReader(o ReaderOptions) *Reader {
-	return &Reader{store: o.Store, state: o.State, readsStore: o.ReadsStore, readerCount: o.ReaderCount, logger: o.Logger}
+	return &Reader{store: o.Store, state: o.State, readsStore: o.ReadsStore, readerCount: o.ReaderCount, stateInterval: o.StateInterval, logger: o.Logger}
+}
+
+// takeoverAge returns the age of the state received from peers at which a daemon reads the store itself.
+// Where peers send less often, state is older without a fault; one lost datagram makes it older by
+// another interval.
+func takeoverAge(stateInterval time.Duration) time.Duration {
+	return minTakeoverAge + 2*max(0, stateInterval-usualStateInterval)
 }
 
 // ServersListed reports whether a full list of the servers was received, from the store or from
@@ -203,7 +215,7 @@
 	var era uint64 // at the last listing
 	for ctx.Err() == nil {
 		started := time.Now()
-		if !r.readsStore() && r.Age(t, started) < takeoverAge {
+		if !r.readsStore() && r.Age(t, started) < takeoverAge(r.stateInterval()) {
 			next = -1
 			r.sleep(ctx, roleCheckInterval)
 			continue
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -287,3 +287,14 @@
 		state.Digest()
 	}
 }
+
+// Where peers send their states each 400 ms, what they know is 0.9 s old without a fault: all 195 daemons called the store.
+func TestTakeoverAgeAllowsForIntervalOfStates(t *testing.T) {
+	assert.Equal(t, minTakeoverAge, takeoverAge(50*time.Millisecond))
+	assert.Equal(t, minTakeoverAge, takeoverAge(250*time.Millisecond))
+	const readAge = 500 * time.Millisecond // see configReadWait and serverReadInterval
+	for _, interval := range []time.Duration{300 * time.Millisecond, 400 * time.Millisecond} {
+		assert.GreaterOrEqual(t, takeoverAge(interval), readAge+interval+200*time.Millisecond)
+		assert.Less(t, takeoverAge(interval), 1500*time.Millisecond, "a change is known within 2 s if a reader fails")
+	}
+}
