--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROGRAMS := $(addprefix ./,$(wildcard cmd/* test/standin))
 
 .PHONY: all build test race fmt fmt-check vet lint generate generate-check run \
-	measure measure-config measure-effects measure-members measure-path measure-policy measure-simulation measure-slopes \
+	measure measure-config measure-control measure-effects measure-members measure-path measure-policy measure-simulation measure-slopes \
 	soak fuzz clean
 
 all: build
@@ -61,6 +61,9 @@
 measure-config: # time until tickets are in force
 	$(GO) run ./test/measure/config
 
+measure-control: # time that a daemon spends on its peers, in growing fleets
+	$(GO) test -run '^$$' -bench BenchmarkFleet ./internal/exchange
+
 measure-members: build # control traffic of idle fleets, and the time to detect failures
 	$(GO) run ./test/measure/members
 
