--- /dev/null
+++ b/internal/exchange/send.go
@@ -0,0 +1,217 @@
+package exchange
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
+)
+
+// sendInterval returns the time between two states that this daemon sends. The caller holds the
+// lock.
+func (x *Exchange) sendInterval() time.Duration {
+	targets, mesh := 0, x.isMesh()
+	ownZone := x.options.Self().Zone
+	for _, a := range x.addresses {
+		if mesh || a.zone == ownZone || a.zone == "" {
+			targets++
+		}
+	}
+	return sendIntervalFor(targets, mesh)
+}
+
+// SendInterval returns the time between two states that daemons like this one send.
+func (x *Exchange) SendInterval() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.sendInterval()
+}
+
+// sendIntervalFor returns the time between two states that are sent to the number of targets.
+func sendIntervalFor(targets int, mesh bool) time.Duration {
+	if mesh {
+		return max(minSendInterval, time.Duration(targets)*meshIntervalPerPeer)
+	}
+	return min(max(minSendInterval, time.Duration(targets)*zoneIntervalPerPeer), maxSendInterval)
+}
+
+// nextSendDelay returns the send interval with up to 10% of random jitter.
+func (x *Exchange) nextSendDelay() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	interval := x.sendInterval()
+	return interval + time.Duration(rand.Int64N(int64(interval/10)))
+}
+
+// send sends the state of this daemon and, if it is the delegate, the summary of its zone. An urgent
+// state is sent to other zones although their crossZoneInterval has not passed.
+func (x *Exchange) send(now time.Time, urgent bool) {
+	self := x.options.Self()
+	x.mu.Lock()
+	x.expire(now)
+	interval := x.sendInterval()
+	crossZone := urgent || now.Sub(x.lastCrossZone) >= crossZoneInterval-interval/2
+	if crossZone {
+		x.lastCrossZone = now
+		interval = max(interval, crossZoneInterval)
+	}
+	x.mu.Unlock()
+	view := x.options.View(time.Duration(placementIntervals * float64(interval)))
+	x.mu.Lock()
+	x.sequence++
+	stateTargets, zoneTargets := x.targets(self, crossZone)
+	state := &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view}
+	isDelegate := !x.isMesh() && ZoneRank(self, x.members()) == 0
+	var listed *pb.State // with the list of members, once per memberListInterval
+	var askers []address
+	if crossZone && now.Sub(x.lastMemberList) > memberListInterval {
+		x.lastMemberList = now
+		listed = &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view, Members: x.members()}
+		askers = x.askers()
+		if x.isMesh() || isDelegate || x.zoneListDue(now) {
+			state.Members = listed.Members
+		}
+	}
+	var summary *pb.Zone
+	if isDelegate {
+		state.Zones, summary = x.summaries(self, view, listed != nil)
+	}
+	x.mu.Unlock()
+	forwarded := splitZones(state)
+	x.sendDatagram(&pb.Datagram{State: state}, stateTargets)
+	for _, z := range forwarded {
+		x.sendDatagram(&pb.Datagram{Forwarded: []*pb.Zone{z}}, stateTargets)
+	}
+	x.sendDatagram(&pb.Datagram{State: listed}, askers)
+	if isDelegate {
+		// Daemons of one zone that have lost each other learn of each other from the lists of others.
+		x.sendDatagram(&pb.Datagram{Zone: summary, State: listed}, zoneTargets)
+	}
+}
+
+// splitZones removes the summaries of other zones from the state if they make it larger than
+// maxStateBytes, and returns them.
+func splitZones(state *pb.State) []*pb.Zone {
+	zones := state.Zones
+	size := 0
+	for _, z := range zones {
+		size += proto.Size(z)
+	}
+	if size <= maxStateBytes {
+		return nil
+	}
+	state.Zones = nil
+	return zones
+}
+
+// zoneListDue reports whether a daemon that is no delegate sends the list of members to its zone: after
+// changes, which the delegate may not know of, and at times. The caller holds the lock.
+func (x *Exchange) zoneListDue(now time.Time) bool {
+	if x.fleetSize() == x.listedSize && now.Sub(x.lastZoneList) < zoneListInterval {
+		return false
+	}
+	x.listedSize, x.lastZoneList = x.fleetSize(), now
+	return true
+}
+
+// summaries returns the summaries of the other zones, which the delegate forwards to its zone, and that
+// of its own. They contain the members if withMembers is set or these have changed since they last did.
+// The caller holds the lock.
+func (x *Exchange) summaries(self *pb.Member, view *pb.View, withMembers bool) (others []*pb.Zone, own *pb.Zone) {
+	own = x.summarizeZone(self, view)
+	for _, z := range x.zones {
+		others = append(others, z.Zone)
+	}
+	if members := x.members(); withMembers || !slices.Equal(members, x.summarized) {
+		x.summarized = members
+		return others, own
+	}
+	for i := range others {
+		others[i] = withoutMembers(others[i])
+	}
+	return others, withoutMembers(own)
+}
+
+// targets returns the addresses to which the state of this daemon is sent, and those in other zones
+// to which the zone summary is sent if this daemon is the delegate. In a full mesh other zones are
+// included if crossZone is set. The caller holds the lock.
+func (x *Exchange) targets(self *pb.Member, crossZone bool) (stateTargets, zoneTargets []address) {
+	candidates := make(map[string]int)
+	mesh := x.isMesh()
+	for controlAddress, a := range x.addresses {
+		if a.zone == "" || a.zone == self.Zone || (mesh && crossZone) {
+			stateTargets = append(stateTargets, *a)
+			continue
+		}
+		if mesh {
+			continue
+		}
+		if z, ok := x.zones[a.zone]; ok {
+			if z.Delegate.ControlAddress == controlAddress {
+				zoneTargets = append(zoneTargets, *a)
+			}
+			continue
+		}
+		if candidates[a.zone]++; candidates[a.zone] <= maxDelegateCandidates {
+			zoneTargets = append(zoneTargets, *a)
+		}
+	}
+	return stateTargets, zoneTargets
+}
+
+// askers returns the addresses of live peers that ask for the list of members. It discards their
+// question. The caller holds the lock.
+func (x *Exchange) askers() []address {
+	var out []address
+	for _, p := range x.peers {
+		if a, ok := x.addresses[p.state.Member.ControlAddress]; ok && p.live && p.asksForMembers {
+			out = append(out, *a)
+		}
+		p.asksForMembers = false
+	}
+	return out
+}
+
+// withoutMembers returns a copy of the summary without the list of members. Receivers keep the list that
+// they have: it changes seldom, and has more bytes than most views.
+func withoutMembers(z *pb.Zone) *pb.Zone {
+	return &pb.Zone{Zone: z.Zone, Delegate: z.Delegate, Incarnation: z.Incarnation, Sequence: z.Sequence, View: z.View}
+}
+
+// summarizeZone returns the summary of this daemon's zone. The caller holds the lock.
+func (x *Exchange) summarizeZone(self *pb.Member, view *pb.View) *pb.Zone {
+	views, members := []*pb.View{view}, []*pb.Member{self}
+	for _, p := range x.peers {
+		if p.live && p.state.Member.Zone == self.Zone {
+			views = append(views, p.state.View)
+			members = append(members, p.state.Member)
+		}
+	}
+	return &pb.Zone{
+		Zone: self.Zone, Delegate: self, Incarnation: x.incarnation, Sequence: x.sequence,
+		View: MergeViews(views), Members: members,
+	}
+}
+
+// sendDatagram sends the datagram to the addresses. It logs errors.
+func (x *Exchange) sendDatagram(d *pb.Datagram, to []address) {
+	if len(to) == 0 {
+		return
+	}
+	data, err := proto.Marshal(d)
+	if err != nil || len(data) > maxDatagramBytes {
+		x.options.Logger.Error("Datagram is too large or could not be encoded.", "bytes", len(data), "error", err)
+		return
+	}
+	for _, a := range to {
+		if _, err := x.conn.WriteToUDP(data, a.udp); err != nil {
+			x.options.Logger.Debug("Could not send datagram.", "to", a.udp, "error", err)
+			continue
+		}
+		x.countSent(a.zone, telemetry.TrafficStates, len(data))
+	}
+}
