Give the deliveries of the test of origins their own random numbers

Cause: make race failed in 2 of 27 runs of internal/gateway: repeats of a message come from timers and drew from the generator that the test itself was using. The product is not involved; the race is in the test, and not new. Change: deliveries have a generator of their own, under the lock of the fleet. Bounds and seeds are the same; the drawn cases differ.

--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -29,7 +29,7 @@
 // originFleet runs the stream origins of daemons that lose datagrams and are killed.
 type originFleet struct {
 	mu      sync.Mutex
-	rng     *rand.Rand
+	rng     *rand.Rand // of deliver, under mu: repeats come from timers
 	loss    float64
 	servers []routing.Server
 	daemons map[string]*streamOrigins // by control address
@@ -90,7 +90,7 @@
 func simulateOrigins(t *testing.T, seed uint64) (wrong, refused int) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	f := &originFleet{
-		rng: rng, loss: 0.2 * rng.Float64(), servers: []routing.Server{{ID: "a", Service: "s", Version: "v1"}},
+		rng: rand.New(rand.NewPCG(seed, 2)), loss: 0.2 * rng.Float64(), servers: []routing.Server{{ID: "a", Service: "s", Version: "v1"}},
 		daemons: map[string]*streamOrigins{}, alive: map[string]bool{},
 	}
 	for i := range originDaemons {
