Pass changes of servers on one after the other

Cause: the configuration and the servers are read by different goroutines, peers' lists by a third. Each fetched the servers and passed them on to the scheduler without a common lock, so that an older list could replace a newer one: a server that had left stayed in use, or one that had come was unknown, until the next change. Change: a lock around both.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,7 @@
 	logger   *slog.Logger
 
 	topology       *topology.State
+	changeMu       sync.Mutex // held while the servers are passed on, see serversChanged
 	reader         *topology.Reader
 	exchange       *exchange.Exchange
 	scheduler      *scheduler.Scheduler
@@ -298,7 +300,12 @@
 	}
 }
 
+// serversChanged passes the servers and the configuration on after each change. Changes come from
+// several goroutines: without the lock, one that was interrupted after it had got the servers could
+// replace a newer list by its own, and a server that has left would stay in use until the next change.
 func (g *Gateway) serversChanged() {
+	g.changeMu.Lock()
+	defer g.changeMu.Unlock()
 	servers := g.topology.Servers()
 	g.scheduler.SetServers(servers, g.topology.Config())
 	g.origins.setServers(servers, time.Now())
