Keep lists of members apart from large states and summaries

At the size to come (390 daemons) the list of members has 31 KB. Beside a summary or a state with evidence under load, up to 55 KB, it exceeds the largest datagram, and both were lost. Change: the list goes to other data centres in a datagram of its own, without suspects and placements; also to the own zone if the state has more than 30 KB with it. Test: TestSummaryAndListOfLargeFleetArrive (neither arrived before), TestViewWithoutEvidenceKeepsTheRest.

--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -70,7 +70,7 @@
 	var askers []address
 	if crossZone && now.Sub(x.lastMemberList) > memberListInterval {
 		x.lastMemberList = now
-		listed = &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: view, Members: x.members()}
+		listed = &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: withoutEvidence(view), Members: x.members()}
 		askers = x.askers()
 		if x.isMesh() || isDelegate || x.zoneListDue(now) {
 			state.Members = listed.Members
@@ -82,14 +82,33 @@
 	}
 	x.mu.Unlock()
 	forwarded := splitZones(state)
+	listApart := len(state.Members) > 0 && proto.Size(state) > maxDatagramBytes/2
+	if listApart {
+		state.Members = nil
+	}
 	x.sendDatagram(&pb.Datagram{State: state}, stateTargets)
+	if listApart { // after the state: receivers take no view twice, but each list
+		x.sendDatagram(&pb.Datagram{State: listed}, stateTargets)
+	}
 	for _, z := range forwarded {
 		x.sendDatagram(&pb.Datagram{Forwarded: []*pb.Zone{z}}, stateTargets)
 	}
 	x.sendDatagram(&pb.Datagram{State: listed}, askers)
 	if isDelegate {
+		x.sendDatagram(&pb.Datagram{Zone: summary}, zoneTargets)
+	}
+	if isDelegate && listed != nil {
 		// Daemons of one zone that have lost each other learn of each other from the lists of others.
-		x.sendDatagram(&pb.Datagram{Zone: summary, State: listed}, zoneTargets)
+		x.sendDatagram(&pb.Datagram{State: listed}, zoneTargets)
+	}
+}
+
+// withoutEvidence returns a copy of the view without suspects and placements, which may be too large to
+// send beside the list of members.
+func withoutEvidence(v *pb.View) *pb.View {
+	return &pb.View{
+		Servers: v.Servers, Accounts: v.Accounts, Withdrawn: v.Withdrawn, Models: v.Models, Limits: v.Limits, Demands: v.Demands, Daemons: v.Daemons,
+		ConfigVersion: v.ConfigVersion, ConfigAgeMs: v.ConfigAgeMs, ServerDigest: v.ServerDigest, ServerAgeMs: v.ServerAgeMs, StoreEra: v.StoreEra,
 	}
 }
 
--- a/internal/exchange/size_test.go
+++ b/internal/exchange/size_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 )
@@ -56,6 +57,69 @@
 	require.NoError(t, a.listener.Close())
 }
 
+// In a fleet of 390 daemons the list of members and a summary under load don't fit into one datagram.
+func TestSummaryAndListOfLargeFleetArrive(t *testing.T) {
+	a, b, c := newNode(t, "a", "z1"), newNode(t, "b", "z2"), newNode(t, "c", "z1")
+	view := largeView()
+	for i := range maxMergedSuspects {
+		suspect := &pb.Suspect{Id: uint64(i) << 40}
+		for j := range 20 {
+			suspect.Ends = append(suspect.Ends, &pb.ServerEnd{Server: uint64(j) << 40, AgeMs: 1 << 20})
+		}
+		view.Suspects = append(view.Suspects, suspect)
+	}
+	a.options.View = func(time.Duration) *pb.View { return view }
+	z := &pb.Zone{Zone: "z2", Delegate: b.member, View: &pb.View{}, Members: []*pb.Member{b.member}}
+	for i := range 388 {
+		z.Members = append(z.Members, &pb.Member{
+			Id: fmt.Sprintf("frontend-region-a-%d", i), Zone: "z2", Region: "region", EntryAddress: fmt.Sprintf("10.9.%d.%d:8783", i/200, i%200),
+			ControlAddress: fmt.Sprintf("10.9.%d.%d:8785", i/200, i%200), Processor: 0.4,
+		})
+	}
+	a.AddAddress(b.member.ControlAddress, "z2")
+	a.AddAddress(c.member.ControlAddress, "z1")
+	a.handleZone(z, true, time.Now())
+	b.start(t)
+	c.start(t)
+	a.send(time.Now(), true)
+	require.Eventually(t, func() bool { return b.FleetSize() >= 389 && b.summaryOf("z1") != nil }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return c.FleetSize() >= 389 && c.viewFrom("a") != nil }, 5*time.Second, 5*time.Millisecond)
+	assert.Len(t, c.viewFrom("a").Suspects, maxMergedSuspects)
+	require.NoError(t, a.conn.Close())
+	require.NoError(t, a.listener.Close())
+}
+
+// viewFrom returns the last view that the node has received from a peer.
+func (n *node) viewFrom(peer string) *pb.View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.views[peer]
+}
+
+// summaryOf returns the summary of the zone that the node has.
+func (n *node) summaryOf(name string) *zone {
+	n.Exchange.mu.Lock()
+	defer n.Exchange.mu.Unlock()
+	return n.zones[name]
+}
+
+func TestViewWithoutEvidenceKeepsTheRest(t *testing.T) {
+	full, fields := &pb.View{}, (&pb.View{}).ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		switch f := fields.Get(i); {
+		case f.IsList():
+			full.ProtoReflect().Mutable(f).List().AppendMutable()
+		case f.Kind() == protoreflect.Uint32Kind:
+			full.ProtoReflect().Set(f, protoreflect.ValueOfUint32(7))
+		default:
+			full.ProtoReflect().Set(f, protoreflect.ValueOfUint64(7))
+		}
+	}
+	got := withoutEvidence(full)
+	full.Suspects, full.Placements = nil, nil
+	assert.True(t, proto.Equal(full, got), "got %v", got)
+}
+
 // Summaries of small zones are part of the delegate's state, as daemons of earlier versions expect.
 func TestSmallSummariesArePartOfTheState(t *testing.T) {
 	state := &pb.State{Zones: []*pb.Zone{{Zone: "z2", View: &pb.View{}}}}
