--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 	$(GO) run ./test/measure/config
 
 measure-control: # time that a daemon spends on its peers, in growing fleets
-	$(GO) test -run '^$$' -bench BenchmarkFleet ./internal/exchange
+	$(GO) test -run '^$$' -bench "Fleet|DecodeMembers" ./internal/exchange
 
 measure-members: build # control traffic of idle fleets, and the time to detect failures
 	$(GO) run ./test/measure/members
--- a/internal/exchange/benchmark_test.go
+++ b/internal/exchange/benchmark_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 )
@@ -81,3 +82,24 @@
 		})
 	}
 }
+
+// BenchmarkDecodeMembers measures the decoding of a list of members in fleets of growing size.
+func BenchmarkDecodeMembers(b *testing.B) {
+	for _, daemons := range []int{30, 100, 195, 390} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			state := &pb.State{}
+			for i := range daemons {
+				state.Members = append(state.Members, &pb.Member{
+					Id: fmt.Sprintf("frontend-region-a-%d", i), Zone: "region-a", Region: "region", EntryAddress: fmt.Sprintf("10.9.%d.%d:8783", i/200, i%200),
+					ControlAddress: fmt.Sprintf("10.9.%d.%d:8785", i/200, i%200), Processor: 0.4,
+				})
+			}
+			data, err := proto.Marshal(&pb.Datagram{State: state})
+			require.NoError(b, err)
+			b.ReportMetric(float64(len(data)), "B/datagram")
+			for range b.N {
+				require.NoError(b, proto.Unmarshal(data, &pb.Datagram{}))
+			}
+		})
+	}
+}
