--- a/review/harness/case_order.go
+++ b/review/harness/case_order.go
@@ -88,11 +88,11 @@
 
 // playOrder: runners spoil an event in some of their streams, which may be resumed.
 func playOrder(f *fleet) (string, error) {
-	runners, err := f.startRunners(modelService, 6, 64)
+	runners, err := f.startRunners(modelService, 12, 64)
 	if err != nil {
 		return "", err
 	}
-	const spoiledRunners = 2 // of six: a third
+	const spoiledRunners = 5 // of twelve: 0.417
 	spoilShare := make([]float64, len(runners))
 	set := func(share float64) {
 		for i, r := range runners[:spoiledRunners] {
@@ -110,7 +110,7 @@
 	if err := f.startDaemons(); err != nil {
 		return "", err
 	}
-	f.disrupt("garble at two of six runners, 0.0289 of their answers for 5.42 s", 7, 5420*time.Millisecond,
+	f.disrupt("garble at five of twelve runners, 0.0289 of their answers for 5.42 s", 7, 5420*time.Millisecond,
 		func() { set(0.0289) }, func() { set(0) })
 	outcomes := f.sendSteadily(54*time.Second, 50, 77, draftCall)
 	broken := 0
