--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -27,6 +27,9 @@
 	exited  chan struct{}
 }
 
+// maxSeeds is the number of SeedNodes that the platform gives.
+const maxSeeds = 3
+
 // freePorts returns ports on the loopback address that no process uses now.
 func freePorts(n int) ([]int, error) {
 	var ports []int
@@ -41,7 +44,7 @@
 	return ports, nil
 }
 
-// newDaemons writes the settings of a small deployment: one daemon in each zone.
+// newDaemons writes the settings of a small deployment: a daemon for each entry of zones.
 func newDaemons(root, dir string, s *store, rec *record, zones []string, memoryMB int) ([]*daemonProcess, error) {
 	ports, err := freePorts(5 * len(zones))
 	if err != nil {
@@ -49,14 +52,18 @@
 	}
 	var daemons []*daemonProcess
 	var seeds []string
+	inZone := map[string]int{}
 	for i, zone := range zones {
 		p := ports[5*i:]
+		inZone[zone]++
 		d := &daemonProcess{
-			id: fmt.Sprintf("frontend-%s-1", zone), zone: zone, memoryMB: memoryMB, root: root, dir: dir, rec: rec,
+			id: fmt.Sprintf("frontend-%s-%d", zone, inZone[zone]), zone: zone, memoryMB: memoryMB, root: root, dir: dir, rec: rec,
 			entry: local(p[0]), readiness: local(p[1]), control: local(p[2]), directory: local(p[3]),
 		}
 		daemons = append(daemons, d)
-		seeds = append(seeds, d.control)
+		if len(seeds) < maxSeeds {
+			seeds = append(seeds, d.control)
+		}
 	}
 	for i, d := range daemons {
 		metrics := ports[5*i+4]
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,7 +14,7 @@
 // caseTimeout ends a case that hangs.
 const caseTimeout = 115 * time.Second
 
-// zones have a daemon each.
+// zones are those of the deployment.
 var zones = []string{"z-a", "z-b", "z-c"}
 
 const stampDeadline = 1500 * time.Millisecond
@@ -30,11 +30,13 @@
 // cases maps the name of a case to its function, which returns how the rule was broken, empty if it held.
 var cases = map[string]struct {
 	memoryMB int
+	daemons  []string // the zone of each
 	play     func(f *fleet) (broken string, err error)
 }{
-	"order":   {284, playOrder},
-	"interim": {284, playInterim},
-	"bodies":  {134, playBodies},
+	"bodies":  {134, zones, playBodies},
+	"interim": {284, zones, playInterim},
+	"order":   {284, zones, playOrder},
+	"sigterm": {284, []string{"z-a", "z-a", "z-a", "z-b", "z-b", "z-c", "z-c"}, playSigterm},
 }
 
 func main() {
@@ -70,7 +72,7 @@
 	f := &fleet{rec: rec, store: s, trouble: os.Getenv("TROUBLE") != "0"}
 	rec.printf("case %s, trouble=%t", name, f.trouble)
 	putConfig(s, 7)
-	f.daemons, err = newDaemons(root, dir, s, rec, zones, played.memoryMB)
+	f.daemons, err = newDaemons(root, dir, s, rec, played.daemons, played.memoryMB)
 	if err != nil {
 		return fail(err)
 	}
