--- a/review/harness/case_sigterm.go
+++ b/review/harness/case_sigterm.go
@@ -15,7 +15,7 @@
 	// stopGap is the time between the stops of two machines.
 	stopGap = 1300 * time.Millisecond
 	// maxStopDelay bounds the time from the start of a process to its SIGTERM.
-	maxStopDelay = 30 * time.Millisecond
+	maxStopDelay = 20 * time.Millisecond
 	// excusedSends is the time after a SIGTERM in which requests may still be cut at the end of the grace period.
 	excusedSends = 3 * time.Second
 )
