--- a/review/harness/case_sigterm.go
+++ b/review/harness/case_sigterm.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -58,8 +60,35 @@
 	ended  time.Time
 }
 
-// sendToReady sends streams to daemons that are ready, from n clients, until the end.
-func (f *fleet) sendToReady(n int, length time.Duration) []sentRequest {
+// resolve asks the directories of up to three daemons where a client of the zone connects, as clients do, and returns one of the
+// addresses at random. ok is false if none of them names any.
+func (f *fleet) resolve(zone string) (d *daemonProcess, ok bool) {
+	const tries = 3
+	client := http.Client{Timeout: time.Second}
+	for _, i := range rand.Perm(len(f.daemons))[:tries] {
+		response, err := client.Get("http://" + f.daemons[i].directory + "/api/resolution?Name=ficu95.example&Region=r1&Zone=" + zone)
+		if err != nil {
+			continue
+		}
+		var found struct{ Addresses []string }
+		err = json.NewDecoder(response.Body).Decode(&found)
+		response.Body.Close()
+		if err != nil || len(found.Addresses) == 0 {
+			continue
+		}
+		address := found.Addresses[rand.IntN(len(found.Addresses))]
+		for _, d := range f.daemons {
+			if d.entry == address {
+				return d, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// sendByDirectory sends streams to daemons that the directory names, from n clients, until the end. A client asks anew for each
+// request, so that it follows the directory at once.
+func (f *fleet) sendByDirectory(n int, length time.Duration) []sentRequest {
 	var mu sync.Mutex
 	var sent []sentRequest
 	var wait sync.WaitGroup
@@ -70,13 +99,13 @@
 			defer wait.Done()
 			for time.Now().Before(end) {
 				time.Sleep(rand.N(400 * time.Millisecond))
-				d := f.daemons[rand.IntN(len(f.daemons))]
-				if !d.ready() {
+				d, ok := f.resolve(zones[i%len(zones)])
+				if !ok {
 					continue
 				}
 				c := &client{address: d.entry, rec: f.rec}
 				r := draftCall()
-				f.rec.printf("client %d sends %s %s to %s, which is ready", i, r.id, r.path, d.id)
+				f.rec.printf("client %d sends %s %s to %s, which the directory names", i, r.id, r.path, d.id)
 				o := c.do(r)
 				f.rec.printf("client %d: %s gets %v", i, r.id, o)
 				c.close()
@@ -113,7 +142,7 @@
 				f.startAndStop(d, times)
 			}()
 		}
-		sent := f.sendToReady(60, time.Duration(len(f.daemons)-1)*stopGap+gracePeriod+time.Second)
+		sent := f.sendByDirectory(60, time.Duration(len(f.daemons)-1)*stopGap+gracePeriod+time.Second)
 		cycles.Wait()
 		ignored += len(times.kill)
 		for _, s := range sent {
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	retired bool // the case is over: start fails
 }
 
 // maxSeeds is the number of SeedNodes that the platform gives.
@@ -103,11 +105,16 @@
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "FILBERTRILL_SETTINGS=" + d.settingsFile}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	exited := make(chan struct{})
+	d.mu.Lock()
+	if d.retired {
+		d.mu.Unlock()
+		return errors.New("the case is over")
+	}
 	if err := command.Start(); err != nil {
+		d.mu.Unlock()
 		return err
 	}
-	exited := make(chan struct{})
-	d.mu.Lock()
 	d.command, d.exited = command, exited
 	d.mu.Unlock()
 	d.rec.printf("daemon %s starts, process %d, memory limit %d MB", d.id, command.Process.Pid, d.memoryMB)
@@ -142,6 +149,14 @@
 	}
 }
 
+// retire ends the process for good.
+func (d *daemonProcess) retire() {
+	d.mu.Lock()
+	d.retired = true
+	d.mu.Unlock()
+	d.stop()
+}
+
 // stop kills the process and waits for its end.
 func (d *daemonProcess) stop() {
 	d.mu.Lock()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -88,7 +88,7 @@
 		rec.printf("the case took too long")
 	}
 	for _, d := range f.daemons {
-		d.stop()
+		d.retire()
 		if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 			_ = os.Rename(filepath.Join(dir, d.id+".log"), filepath.Join(keep, d.id+".log"))
 		}
