Forward all intact events that precede a faulty one

Cause: checkSequence raised the position for each event of a read before any was written. A faulty event later in the same read discarded the read, and the next server was asked to continue after the raised position. In the same function, events without an ID were forwarded unchecked (spoiled bytes reached callers, and a spoiled last event ended a stream as complete), and repeated events were skipped or not depending on their place in a read. Ruled out: loss below the check, as the same events in reads of their own were forwarded. Change: internal/eventstream owns the position and advances only over events that it hands out for writing. Events need one numeric ID and data, and must follow each other; the answer of a server ends at the first that does not. No stand-in wrote several events at once, so no test had seen it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -133,7 +133,7 @@
 	case maybeRun:
 		return c.route.Repeatable()
 	case partlyForwarded:
-		return c.route.Kind == routing.Stream && c.route.Resumable && c.eventCount > 0
+		return c.route.Kind == routing.Stream && c.route.Resumable && c.events.Delivered() > 0
 	case fullyForwarded:
 		return false
 	}
@@ -239,8 +239,8 @@
 // roundTrip sends the request over the connection and forwards the answer.
 func (h *Handler) roundTrip(c *call, choice placement.Choice, conn *upstream.Conn, a *placement.Attempt, w *watchdog, record *attemptRecord) (attemptProgress, error) {
 	lastEventID := c.envelope.LastEventID
-	if c.eventCount > 0 {
-		lastEventID = strconv.FormatUint(c.lastEventID, 10)
+	if c.events.Delivered() > 0 {
+		lastEventID = c.events.LastEventID()
 	}
 	header := h.Protocol.EncodeRequestHeader(ServerRequest{
 		Request:             c.request,
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/chain"
+	"github.com/filbertrill/filbertrill/internal/eventstream"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -97,12 +98,11 @@
 	trial            bool             // see scheduler.Decision
 	admission        *admissionRecord // nil before the decision, and for plain services
 	attempts         []attemptRecord
-	knownDigest      *uint64       // see digest; nil before its first use
-	serverFailure    *failedAnswer // last answer with a server error; nil for none
-	answerStarted    bool          // the header of the answer was written
-	lastEventID      uint64        // ID of the last event forwarded
-	eventCount       int           // events forwarded that have an ID
-	timeToFirstEvent time.Duration // from arrivedAt to the first event or the buffered answer
+	knownDigest      *uint64             // see digest; nil before its first use
+	serverFailure    *failedAnswer       // last answer with a server error; nil for none
+	answerStarted    bool                // the header of the answer was written
+	events           eventstream.Tracker // of a stream
+	timeToFirstEvent time.Duration       // from arrivedAt to the first event or the buffered answer
 }
 
 // refuseWhenStopping is the filter that refuses requests after RefuseRequests was called.
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -41,12 +41,14 @@
 // first event is never delayed.
 func TestEventsAreBatchedWhenOverloaded(t *testing.T) {
 	h := newBusyHandler(t)
-	c := &call{route: &routing.Route{MaxTokenGap: 200 * time.Millisecond}, eventCount: 1}
+	c := &call{route: &routing.Route{MaxTokenGap: 200 * time.Millisecond}}
+	_, err := c.events.Accept([]byte("id: 1\ndata: x\n\n"))
+	require.NoError(t, err)
 	assert.Zero(t, h.batchDelay(c))
 	h.Overloaded = func() bool { return true }
 	assert.Equal(t, 50*time.Millisecond, h.batchDelay(c))
 	assert.Zero(t, h.batchDelay(&call{route: c.route}), "first event")
-	assert.Equal(t, maxBatchDelay, h.batchDelay(&call{route: &routing.Route{}, eventCount: 1}))
+	assert.Equal(t, maxBatchDelay, h.batchDelay(&call{route: &routing.Route{}, events: c.events}))
 }
 
 // The Retry-After must grow with an outage: when all daemons restarted while the store was down,
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,7 +34,7 @@
 
 // batchDelay returns the time for which events are collected before they are forwarded.
 func (h *Handler) batchDelay(c *call) time.Duration {
-	if c.eventCount == 0 || !h.Overloaded() {
+	if c.events.Delivered() == 0 || !h.Overloaded() {
 		return 0
 	}
 	if c.route.MaxTokenGap > 0 {
@@ -90,8 +89,8 @@
 func (h *Handler) relayEvents(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt, w *watchdog) (attemptProgress, error) {
 	buffer := make([]byte, 0, answerBufferBytes)
 	defer func() { h.answerMemory.releaseBuffer(buffer) }()
-	eventsBefore, anyEvent := c.eventCount, false
 	flusher := http.NewResponseController(c.writer)
+	c.events.StartAnswer()
 	for {
 		if len(buffer) == cap(buffer) {
 			var err error
@@ -103,26 +102,26 @@
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if n > 0 {
-			forwarded, forwardErr := h.forwardEvents(c, response, buffer, a, flusher)
-			if forwardErr != nil {
-				conn.DisableReuse()
-				return c.brokenStreamProgress(), forwardErr
+			batch, streamErr := c.events.Accept(buffer)
+			if forwardErr := h.forwardEvents(c, response, batch.Forward, flusher); forwardErr != nil {
+				streamErr = forwardErr
+			}
+			if batch.Events > 0 {
+				w.eventReceived()
+				h.Scheduler.RecordEvents(a, c.events.DeliveredOfAnswer(), time.Now())
 			}
-			if forwarded > 0 {
-				anyEvent = true
-				if hasData(buffer[:forwarded]) {
-					w.eventReceived()
-				}
-				h.Scheduler.RecordEvents(a, c.eventCount-eventsBefore, time.Now())
+			if streamErr != nil {
+				conn.DisableReuse()
+				return c.brokenStreamProgress(), streamErr
 			}
-			buffer = append(buffer[:0], buffer[forwarded:]...)
+			buffer = append(buffer[:0], buffer[batch.Consumed:]...)
 			if err == nil {
 				time.Sleep(h.batchDelay(c))
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return h.finishEvents(c, conn, response, buffer, a, anyEvent)
+			return h.finishEvents(c, conn, response, buffer, a)
 		case err != nil:
 			conn.DisableReuse()
 			return c.brokenStreamProgress(), errors.Wrap(err, "read stream")
@@ -133,18 +132,17 @@
 	}
 }
 
-// finishEvents handles the end of a stream; anyEvent tells whether an event has arrived in this attempt. If rest, the data
-// after the last complete event, holds more than white space, or if a stream that ends with its connection has no
-// events, it broke and finishEvents returns an error.
-func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt, anyEvent bool) (attemptProgress, error) {
-	if len(bytes.TrimSpace(rest)) > 0 {
+// finishEvents handles the end of a stream. If rest, the data after the last complete event, holds a part of an event, or if
+// a stream that ends with its connection has no events, it broke and finishEvents returns an error.
+func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt) (attemptProgress, error) {
+	if err := c.events.EndAnswer(rest); err != nil {
 		conn.DisableReuse()
-		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends within an event")
+		return c.brokenStreamProgress(), errors.Mark(err, io.ErrUnexpectedEOF)
 	}
 	switch endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
 	case !endsWithConnection:
 		h.Scheduler.RecordComplete(c.schedulerRequest(), a, response.StatusCode, time.Now())
-	case !anyEvent:
+	case c.events.DeliveredOfAnswer() == 0:
 		conn.DisableReuse()
 		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends without an event")
 	}
@@ -154,20 +152,10 @@
 	return fullyForwarded, nil
 }
 
-// forwardEvents writes the complete events at the start of data, without those that were forwarded
-// before, and returns the number of bytes that it has consumed.
-func (h *Handler) forwardEvents(c *call, response *http.Response, data []byte, a *placement.Attempt, flusher *http.ResponseController) (int, error) {
-	end := bytes.LastIndex(data, []byte("\n\n"))
-	if end < 0 {
-		return 0, nil
-	}
-	end += 2
-	skipped, err := c.checkSequence(data[:end])
-	if err != nil {
-		return 0, err
-	}
-	if skipped == end {
-		return end, nil
+// forwardEvents writes events to the caller, after the header of the answer if they are the first ones.
+func (h *Handler) forwardEvents(c *call, response *http.Response, events []byte, flusher *http.ResponseController) error {
+	if len(events) == 0 {
+		return nil
 	}
 	if c.timeToFirstEvent == 0 {
 		c.timeToFirstEvent = time.Since(c.arrivedAt)
@@ -176,16 +164,10 @@
 		h.recordOrigin(c)
 		h.startAnswer(c, response)
 	}
-	if _, err := c.writer.Write(data[skipped:end]); err != nil {
-		return 0, result.Wrap(err, result.CallerGone, "write events to the caller")
+	if _, err := c.writer.Write(events); err != nil {
+		return result.Wrap(err, result.CallerGone, "write events to the caller")
 	}
-	return end, errors.Wrap(flusher.Flush(), "flush events to the caller")
-}
-
-// hasData reports whether any of the complete events has data. Comments, which servers may send to keep
-// a connection open, have none.
-func hasData(events []byte) bool {
-	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+	return errors.Wrap(flusher.Flush(), "flush events to the caller")
 }
 
 // startAnswer writes the header of a stream.
@@ -197,47 +179,6 @@
 	c.writer.WriteHeader(response.StatusCode)
 }
 
-// checkSequence checks that the IDs of the events continue those forwarded before without gaps. It
-// returns the size in bytes of the events at the start of data that were already forwarded, as
-// happens when a server resumes the stream of another one.
-func (c *call) checkSequence(data []byte) (skipped int, err error) {
-	offset := 0
-	for offset < len(data) {
-		size := bytes.Index(data[offset:], []byte("\n\n")) + 2
-		id, ok := eventID(data[offset : offset+size])
-		offset += size
-		if !ok {
-			continue
-		}
-		switch {
-		case c.eventCount > 0 && id <= c.lastEventID:
-			if c.eventCount > 0 && skipped != offset-size {
-				return 0, errors.Newf("event %d is repeated", id)
-			}
-			skipped = offset
-			continue
-		case c.eventCount > 0 && id != c.lastEventID+1:
-			return 0, errors.Newf("event %d follows event %d", id, c.lastEventID)
-		}
-		c.lastEventID = id
-		c.eventCount++
-	}
-	return skipped, nil
-}
-
-// eventID returns the ID of a server-sent event. It returns false if there is no numeric ID.
-func eventID(event []byte) (uint64, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
-
 // brokenStreamProgress returns the progress of an attempt whose stream broke: partlyForwarded once
 // the answer has started, maybeRun before.
 func (c *call) brokenStreamProgress() attemptProgress {
--- /dev/null
+++ b/internal/forward/stream_test.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/retry"
+	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/scheduler"
+)
+
+// lastEvent is the ID of the last event of the streams in these tests.
+const lastEvent = 6
+
+// events returns the events with the IDs from first to last.
+func events(first, last int) (text string) {
+	for id := first; id <= last; id++ {
+		text += fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
+	}
+	return text
+}
+
+// spoiled returns other bytes in the place of the event.
+func spoiled(id int) string { return strings.Repeat("#", len(events(id, id))-2) + "\n\n" }
+
+// chunkedHead is the head of a signed answer in chunks.
+const chunkedHead = "HTTP/1.1 200 OK\r\nId: id\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// streamAnswer returns what a server writes for a complete answer, each text of the body in a write of its own.
+func streamAnswer(body ...string) []string {
+	writes := []string{chunkedHead}
+	for _, text := range body {
+		writes = append(writes, fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+	}
+	return append(writes, "0\r\n\r\n")
+}
+
+// brokenAnswer returns what a server writes that breaks off after the body.
+func brokenAnswer(body ...string) []string {
+	writes := streamAnswer(body...)
+	return writes[:len(writes)-1]
+}
+
+// idServerProtocol passes the ID of the last event on to servers and takes it from callers.
+type idServerProtocol struct{ idProtocol }
+
+func (idServerProtocol) DecodeRequest(r *http.Request) (*Envelope, error) {
+	return &Envelope{ID: "id", Deadline: 10 * time.Second, PromptTokens: 100, OutputTokens: 30, LastEventID: r.Header.Get("Last-Event-Id"), Resumes: "id"}, nil
+}
+
+func (idServerProtocol) EncodeRequestHeader(r ServerRequest) []byte {
+	return []byte("GET / HTTP/1.1\r\nHost: h\r\nLast-Event-Id: " + r.LastEventID + "\r\n\r\n")
+}
+
+func (idServerProtocol) DecodeAnswer(h http.Header) AnswerInfo {
+	return AnswerInfo{ID: h.Get("Id"), Signed: h.Get("Id") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// oneOrigin knows the version of all streams.
+type oneOrigin struct{}
+
+func (oneOrigin) Record(string, string, string)                       {}
+func (oneOrigin) Find(context.Context, string, string) (string, bool) { return "v", true }
+
+// scriptedServers answer the requests that they get with the scripts in turn. A script is a list of writes. Requests without
+// one get the rest of the stream.
+type scriptedServers struct {
+	mu      sync.Mutex
+	scripts [][]string
+	after   []string // Last-Event-Id of the requests
+}
+
+// writeGap parts the writes of a script, so that each one is read by itself.
+const writeGap = 10 * time.Millisecond
+
+func (s *scriptedServers) serve(conn net.Conn) {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	after := request.Header.Get("Last-Event-Id")
+	s.mu.Lock()
+	var writes []string
+	if len(s.after) < len(s.scripts) {
+		writes = s.scripts[len(s.after)]
+	}
+	s.after = append(s.after, after)
+	s.mu.Unlock()
+	if writes == nil {
+		id, _ := strconv.Atoi(after) // empty for a new stream
+		writes = streamAnswer(events(id+1, lastEvent))
+	}
+	for _, text := range writes {
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		time.Sleep(writeGap)
+	}
+}
+
+// streamOutcome is what a caller gets.
+type streamOutcome struct {
+	status   int
+	body     string
+	complete bool
+	after    []string // Last-Event-Id of the requests that servers got
+}
+
+// readStream sends a request to a gateway before a fleet of two servers that answer with the scripts, in this order.
+func readStream(t *testing.T, lastEventID string, resumable bool, scripts ...[]string) streamOutcome {
+	t.Helper()
+	h := newBusyHandler(t)
+	h.Protocol, h.Origins = idServerProtocol{}, oneOrigin{}
+	config, err := routing.Build(routing.Config{
+		Version: 1, Limits: routing.Limits{TokensPerSecond: 2_000_000},
+		Services: []routing.Service{{Name: "llm", EngineSlots: 12, MemoryTokens: 372_402}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Engine: true, Public: true, Resumable: resumable,
+			Objective: 2 * time.Second, MaxAttempts: 2, Targets: []routing.Target{{Service: "llm", Weight: 1}},
+		}},
+	})
+	require.NoError(t, err)
+	h.Config = func() *routing.Config { return config }
+	h.Scheduler = scheduler.New(scheduler.Options{
+		Zone: "a", FairWindow: 4 * time.Second, Daemons: func() int { return 1 },
+		RetryBudget: retry.WindowOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+	})
+	s := &scriptedServers{scripts: scripts}
+	var servers []routing.Server
+	for i := range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go s.serve(conn)
+			}
+		}()
+		servers = append(servers, routing.Server{
+			ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listener.Addr().String(),
+		})
+	}
+	h.Scheduler.SetServers(servers, config)
+	gateway := httptest.NewServer(h)
+	defer gateway.Close()
+	request, err := http.NewRequest(http.MethodGet, gateway.URL, nil)
+	require.NoError(t, err)
+	request.Host = "h"
+	if lastEventID != "" {
+		request.Header.Set("Last-Event-Id", lastEventID)
+	}
+	response, err := gateway.Client().Do(request)
+	if err != nil {
+		return streamOutcome{after: s.after}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return streamOutcome{response.StatusCode, string(body), err == nil, s.after}
+}
+
+// streamCase is an answer with a fault, and what the caller must have when it ends.
+type streamCase struct {
+	name  string
+	first []string // the answer of the first server
+}
+
+// assertWholeOrBroken asserts that a caller has a stream that is complete from the event on, or knows that it is not.
+func assertWholeOrBroken(t *testing.T, outcome streamOutcome, first int) {
+	t.Helper()
+	whole := events(first, lastEvent)
+	if outcome.status == http.StatusOK && outcome.complete {
+		assert.Equal(t, whole, outcome.body)
+	} else if outcome.status == http.StatusOK {
+		assert.True(t, strings.HasPrefix(whole, outcome.body), "events before the break: %q", outcome.body)
+	}
+}
+
+// Guards against streams that end as complete without intact events, or with bytes that are none, after a faulty event.
+func TestStreamWithFaultyEventIsContinuedBehindItsLastIntactOne(t *testing.T) {
+	faulty := []streamCase{
+		{"spoiled, within a read", streamAnswer(events(1, 2) + spoiled(3) + events(4, 6))},
+		{"spoiled, first of a read", streamAnswer(events(1, 2), spoiled(3)+events(4, 6))},
+		{"spoiled, last of a read", streamAnswer(events(1, 2)+spoiled(3), events(4, 6))},
+		{"spoiled, in a read of its own", streamAnswer(events(1, 2), spoiled(3), events(4, 6))},
+		{"spoiled, in two reads", streamAnswer(events(1, 2)+spoiled(3)[:5], spoiled(3)[5:]+events(4, 6))},
+		{"spoiled, the first event", streamAnswer(spoiled(1) + events(2, 6))},
+		{"spoiled, the first event in a read of its own", streamAnswer(spoiled(1), events(2, 6))},
+		{"spoiled, the last event", streamAnswer(events(1, 5) + spoiled(6))},
+		{"spoiled, the last event in a read of its own", streamAnswer(events(1, 5), spoiled(6))},
+		{"spoiled, after the last event", streamAnswer(events(1, 6) + spoiled(7))},
+		{"end of an event is spoiled", streamAnswer(events(1, 2) + "id: 3\ndata: token 3\n#" + events(4, 6))},
+		{"end of an event is missing", streamAnswer(events(1, 2) + "id: 3\ndata: tok\n" + events(4, 6))},
+		{"data is spoiled", streamAnswer(events(1, 2) + "id: 3\n#############\n\n" + events(4, 6))},
+		{"repeated, within a read", streamAnswer(events(1, 3) + events(2, 6))},
+		{"repeated, first of a read", streamAnswer(events(1, 3), events(3, 6))},
+		{"repeated, in the place of the last", streamAnswer(events(1, 5), events(5, 5))},
+		{"missing, within a read", streamAnswer(events(1, 2) + events(4, 6))},
+		{"missing, between reads", streamAnswer(events(1, 2), events(4, 6))},
+		{"out of order", streamAnswer(events(1, 2) + events(4, 4) + events(3, 3) + events(5, 6))},
+	}
+	for _, test := range faulty {
+		t.Run(test.name, func(t *testing.T) {
+			outcome := readStream(t, "", true, test.first)
+			assertWholeOrBroken(t, outcome, 1)
+			assert.True(t, outcome.complete && outcome.status == http.StatusOK, "continued by the second server: %+v", outcome)
+			outcome = readStream(t, "", false, test.first)
+			assertWholeOrBroken(t, outcome, 1)
+		})
+	}
+}
