Skip informational responses of servers

Cause: upstream.Conn.Receive returned the first head on the connection as the answer. A head with status 100 has no ID and is no success, so it passed for a failure of this request; WriteHeader(100) sends an interim response and net/http adds its default status 200. Related: all of 1xx, one or several, buffered answers and streams; 101; a status below 100 made WriteHeader panic past Pool.Put. The own interface uses net/http's client, which skips them. Change: Receive reads on to the final head, under the same limit of bytes; 101 and a status below 100 are errors.

--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -115,6 +115,7 @@
 // streamOutcome is what a caller gets.
 type streamOutcome struct {
 	status   int
+	id       string // of the header Id
 	body     string
 	complete bool
 	after    []string // Last-Event-Id of the requests that servers got
@@ -175,7 +176,7 @@
 	body, err := io.ReadAll(response.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return streamOutcome{response.StatusCode, string(body), err == nil, s.after}
+	return streamOutcome{response.StatusCode, response.Header.Get("Id"), string(body), err == nil, s.after}
 }
 
 // streamCase is an answer with a fault, and what the caller must have when it ends.
@@ -228,3 +229,19 @@
 		})
 	}
 }
+
+// Guards against a success without body and signature that the caller gets in the place of the answer.
+func TestInformationalResponseIsNotTheAnswer(t *testing.T) {
+	for _, interim := range []string{
+		"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 3), "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "HTTP/1.1 099 Other\r\n\r\n",
+	} {
+		answer := append([]string{interim}, streamAnswer(events(1, lastEvent))...)
+		first := readStream(t, "", true, answer)
+		assert.Equal(t, events(1, lastEvent), first.body, interim)
+		assert.True(t, first.complete, interim)
+		assert.Equal(t, "id", first.id, "%s: headers of the answer", interim)
+		second := readStream(t, "", true, brokenAnswer(events(1, 3)), answer)
+		assertWholeOrBroken(t, second, 1)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -116,12 +116,13 @@
 	return n > 0, errors.Wrap(err, "send request")
 }
 
-// Receive reads the head of the answer to a request with the given method. The caller reads
-// the body from the returned answer. It returns ErrHeadTooLong for a head without end. After an error, or if the server closes the connection
-// after this answer, the connection is not reused.
+// Receive reads the head of the final answer to a request with the given method. It skips informational responses (RFC 9110,
+// section 15.2). The caller reads the body from the returned answer. It returns ErrHeadTooLong if all heads together have no
+// end, and an error for a status that is no final one. After an error, or if the server closes the connection after this answer,
+// the connection is not reused.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	c.limited.N = maxHeadBytes
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := c.receiveFinal(method)
 	tooLong := c.limited.N <= 0
 	c.limited.N = math.MaxInt64
 	if err != nil {
@@ -138,6 +139,23 @@
 	return response, nil
 }
 
+// receiveFinal reads heads up to the first one that is not an informational response. No request asks for another protocol, so
+// 101 (Switching Protocols) is an error.
+func (c *Conn) receiveFinal(method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		switch status := response.StatusCode; {
+		case status < 100 || status == http.StatusSwitchingProtocols:
+			return nil, errors.Newf("server answers with status %d", status)
+		case status >= 200:
+			return response, nil
+		}
+	}
+}
+
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive header, 0 if there is none.
 func keepAliveTimeout(header string) time.Duration {
 	for field := range strings.SplitSeq(header, ",") {
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -54,8 +54,9 @@
 
 func TestHeadWithoutEndIsGivenUp(t *testing.T) {
 	for name, write := range map[string]func(conn net.Conn){
-		"line":    endlessly("", strings.Repeat("x", 4096)),
-		"headers": endlessly("HTTP/1.1 200 OK\r\n", strings.Repeat("X-Field: value\r\n", 200)),
+		"line":              endlessly("", strings.Repeat("x", 4096)),
+		"headers":           endlessly("HTTP/1.1 200 OK\r\n", strings.Repeat("X-Field: value\r\n", 200)),
+		"interim responses": endlessly("", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)),
 	} {
 		address := serveRaw(t, write)
 		pool := NewPool()
@@ -92,3 +93,37 @@
 	assert.EqualValues(t, 9, sent)
 	assert.EqualValues(t, len(answer), received)
 }
+
+// Guards against informational responses that are taken for the answer.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright"
+	for name, test := range map[string]struct {
+		interim string
+		fails   bool
+	}{
+		"100":                      {interim: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"102 with headers":         {interim: "HTTP/1.1 102 Processing\r\nX-Field: value\r\n\r\n"},
+		"103 with length":          {interim: "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"},
+		"of no known status":       {interim: "HTTP/1.1 199 Other\r\n\r\n"},
+		"several":                  {interim: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 20)},
+		"switch of the protocol":   {interim: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", fails: true},
+		"status that is too small": {interim: "HTTP/1.1 099 Other\r\n\r\n", fails: true},
+		"zero":                     {interim: "HTTP/1.1 000 Other\r\n\r\n", fails: true},
+	} {
+		address := serveRaw(t, func(conn net.Conn) { _, _ = io.WriteString(conn, test.interim+final) })
+		conn, err := NewPool().Get(context.Background(), Endpoint{Address: address}, 0)
+		require.NoError(t, err)
+		response, err := conn.Receive(http.MethodPost)
+		if test.fails {
+			assert.Error(t, err, name)
+			_ = conn.Close()
+			continue
+		}
+		require.NoError(t, err, name)
+		assert.Equal(t, http.StatusOK, response.StatusCode, name)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err, name)
+		assert.Equal(t, "right", string(body), name)
+		_ = conn.Close()
+	}
+}
