Compare resumed streams with the caller's position

What callers saw (ORDER, measured by the users with scripted servers): a stream taken up with Last-Event-Id began with events that the caller had, or left the next one out, and ended as complete. Cause: the position began with the first event of the server, whatever it was; the caller's own was only passed on. New streams could begin anywhere for the same reason. Evidence: six of nine answers in TestCallerThatResumesGetsTheEventsBehindItsLastOne failed before the change on resumable and other routes, and "missing, the first event" in the test of faulty events. Change: the tracker begins with the caller's position. Events up to it are skipped at the beginning of an answer, the next one must follow. A new stream begins with event 0 or 1.

--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -45,15 +46,30 @@
 		case "data":
 			hasData = true
 		case "id":
-			id, err := strconv.ParseUint(string(bytes.TrimPrefix(value, []byte(" "))), 10, 64)
-			if err != nil || hasID {
-				return event{}, errors.Newf("ID of the event is malformed or repeated: %.40q", line)
+			id, err := parseID(string(bytes.TrimPrefix(value, []byte(" "))))
+			if err != nil {
+				return event{}, err
+			}
+			if hasID {
+				return event{}, errors.Newf("event has a second ID: %.40q", line)
 			}
 			e.id, hasID = id, true
 		}
 	}
 }
 
+// parseID parses the ID of an event. It must be less than the largest number of 64 bits, so that a next one exists.
+func parseID(text string) (uint64, error) {
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, errors.Newf("event ID is not a number of 64 bits: %.40q", text)
+	}
+	if id == math.MaxUint64 {
+		return 0, errors.Newf("event ID is too large: %d", id)
+	}
+	return id, nil
+}
+
 // isFieldName reports whether the name of a field consists of letters, digits, hyphens and underscores.
 func isFieldName(name []byte) bool {
 	for _, c := range name {
--- a/internal/eventstream/tracker.go
+++ b/internal/eventstream/tracker.go
@@ -9,6 +9,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxFirstID is the largest ID of the first event of a stream. Servers number the events of a stream from 0 or 1, without
+// gaps.
+const maxFirstID = 1
+
 // Tracker holds the caller's position in a stream, over the answers of all servers that send a part of it. The zero value is
 // a stream of which the caller has no event.
 type Tracker struct {
@@ -32,6 +36,19 @@
 	Events   int    // complete events among them, also such that the caller has already
 }
 
+// NewTracker returns a tracker for a caller that has the events up to the one with the ID, none if the text is empty. It returns
+// an error if the text is not the ID of an event.
+func NewTracker(lastEventID string) (Tracker, error) {
+	if lastEventID == "" {
+		return Tracker{}, nil
+	}
+	id, err := parseID(lastEventID)
+	if err != nil {
+		return Tracker{}, err
+	}
+	return Tracker{lastID: id, hasEvents: true}, nil
+}
+
 // LastEventID returns the ID of the last event that the caller has, and an empty text if it has none.
 func (t *Tracker) LastEventID() string {
 	if !t.hasEvents {
@@ -78,6 +95,8 @@
 		return errors.Newf("event %d follows event %d", id, t.answer.lastID)
 	case t.hasEvents && id > t.lastID+1:
 		return errors.Newf("answer continues with event %d, the caller's last one is %d", id, t.lastID)
+	case !t.hasEvents && id > maxFirstID:
+		return errors.Newf("stream begins with event %d", id)
 	}
 	t.answer.lastID, t.answer.hasEvents = id, true
 	if t.hasEvents && id <= t.lastID {
--- a/internal/eventstream/tracker_test.go
+++ b/internal/eventstream/tracker_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // textOf returns the event with the ID.
@@ -94,9 +95,72 @@
 	}
 }
 
+// Guards against callers that resume and get events that they have, or miss some, as nothing compares the first event of the
+// answer with theirs.
+func TestResumedStreamGoesOnBehindTheCallersLastEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer, forwarded string
+		fails             bool
+	}{
+		"goes on":                     {answer: textOf(4) + textOf(5), forwarded: textOf(4) + textOf(5)},
+		"repeats the last":            {answer: textOf(3) + textOf(4), forwarded: textOf(4)},
+		"begins anew":                 {answer: textOf(1) + textOf(2) + textOf(3) + textOf(4), forwarded: textOf(4)},
+		"leaves one out":              {answer: textOf(5) + textOf(6), fails: true},
+		"leaves one out after repeat": {answer: textOf(2) + textOf(4), fails: true},
+		"goes on and repeats":         {answer: textOf(4) + textOf(3), forwarded: textOf(4), fails: true},
+		"repeats one twice":           {answer: textOf(3) + textOf(3) + textOf(4), fails: true},
+	} {
+		splits(test.answer, func(reads ...string) {
+			tracker, err := NewTracker("3")
+			require.NoError(t, err)
+			forwarded, err := read(&tracker, reads...)
+			require.Equal(t, test.fails, err != nil, "%s: %v", name, err)
+			require.Equal(t, test.forwarded, forwarded, name)
+		})
+	}
+}
+
+func TestLastEventIDOfCallerMustBeNumber(t *testing.T) {
+	for _, text := range []string{"x", "-1", "+1", "1.5", "1 ", "18446744073709551615", "18446744073709551616", "0x1"} {
+		_, err := NewTracker(text)
+		assert.Error(t, err, text)
+	}
+	for _, text := range []string{"", "0", "12", "18446744073709551614"} {
+		tracker, err := NewTracker(text)
+		require.NoError(t, err, text)
+		assert.Equal(t, text, tracker.LastEventID())
+	}
+}
+
 func TestCommentsBeforeFirstEventAreNotForwarded(t *testing.T) {
 	var tracker Tracker
 	forwarded, err := read(&tracker, ": a\n\n", ": b\n\n"+textOf(1))
 	require.NoError(t, err)
 	assert.Equal(t, textOf(1), forwarded)
 }
+
+// A stream that several servers send, some of them faulty, is forwarded without gaps and repeats.
+func TestForwardedEventsFollowEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tracker Tracker
+		forwarded := ""
+		for range rapid.IntRange(1, 5).Draw(t, "answers") {
+			text := ""
+			for _, id := range rapid.SliceOfN(rapid.IntRange(0, 6), 0, 8).Draw(t, "ids") {
+				text += textOf(id)
+			}
+			cut := rapid.IntRange(0, len(text)).Draw(t, "cut")
+			part, _ := read(&tracker, text[:cut], text[cut:])
+			forwarded += part
+		}
+		want := ""
+		for i := range tracker.Delivered() {
+			id := i
+			if !strings.HasPrefix(forwarded, "id: 0\n") {
+				id++
+			}
+			want += textOf(id)
+		}
+		require.Equal(t, want, forwarded)
+	})
+}
--- a/internal/forward/resolve.go
+++ b/internal/forward/resolve.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/chain"
+	"github.com/filbertrill/filbertrill/internal/eventstream"
 	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/routing"
 )
 
 const (
@@ -67,6 +69,11 @@
 	if t := c.arrivedAt.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
 		c.deadline = t
 	}
+	if c.route.Kind == routing.Stream {
+		if c.events, err = eventstream.NewTracker(envelope.LastEventID); err != nil {
+			return result.Wrap(err, result.BodyMalformed, "position in the stream is malformed")
+		}
+	}
 	if limit := c.config.Limits.MaxBodyBytes; limit > 0 && c.request.ContentLength > limit {
 		return result.New(result.BodyTooLarge, "request body is longer than %d bytes", limit)
 	}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -216,6 +216,7 @@
 		{"repeated, first of a read", streamAnswer(events(1, 3), events(3, 6))},
 		{"repeated, in the place of the last", streamAnswer(events(1, 5), events(5, 5))},
 		{"missing, within a read", streamAnswer(events(1, 2) + events(4, 6))},
+		{"missing, the first event", streamAnswer(events(2, 6))},
 		{"missing, between reads", streamAnswer(events(1, 2), events(4, 6))},
 		{"out of order", streamAnswer(events(1, 2) + events(4, 4) + events(3, 3) + events(5, 6))},
 	}
@@ -245,3 +246,28 @@
 		assertWholeOrBroken(t, second, 1)
 	}
 }
+
+// Guards against callers that resume a stream and get events twice, or lack some, in an answer that ends as complete.
+func TestCallerThatResumesGetsTheEventsBehindItsLastOne(t *testing.T) {
+	const position = 3
+	for _, test := range []streamCase{
+		{"sound", streamAnswer(events(4, 6))},
+		{"begins anew", streamAnswer(events(1, 6))},
+		{"begins anew, in several reads", streamAnswer(events(1, 1), events(2, 4), events(5, 6))},
+		{"repeats the last event", streamAnswer(events(3, 6))},
+		{"leaves an event out", streamAnswer(events(5, 6))},
+		{"leaves an event out after a repeat", streamAnswer(events(2, 2) + events(4, 6))},
+		{"first event is spoiled", streamAnswer(spoiled(4) + events(5, 6))},
+		{"goes on and repeats", streamAnswer(events(4, 4) + events(3, 3) + events(5, 6))},
+		{"breaks before the first new event", brokenAnswer(events(1, 2))},
+	} {
+		for _, resumable := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, resumable %t", test.name, resumable), func(t *testing.T) {
+				outcome := readStream(t, fmt.Sprint(position), resumable, test.first)
+				assertWholeOrBroken(t, outcome, position+1)
+				assert.True(t, !resumable || outcome.complete && outcome.status == http.StatusOK, "continued by the second server: %+v", outcome)
+			})
+		}
+	}
+	assert.Equal(t, http.StatusBadRequest, readStream(t, "none", true).status)
+}
