End streams only with an answer that continues them

Cause: finishEvents asked only whether a part of an event was left over. An empty answer, or one that repeats events, was a complete one. Empty new streams passed for complete as well (TestStreamWithoutNextEventIsNotComplete). Change: an answer must have an event that the caller lacks. Two servers in a row that have none are believed, so that a caller that has all events gets the end; before, one was. A case of the test of faulty events (bytes behind the last event) now expects a cut instead of an end: one server alone does not tell that these bytes were no event.

--- a/internal/eventstream/tracker.go
+++ b/internal/eventstream/tracker.go
@@ -13,12 +13,16 @@
 // gaps.
 const maxFirstID = 1
 
+// ErrNoEvent is returned by Tracker.EndAnswer for an answer without an event that the caller lacks.
+var ErrNoEvent = errors.New("stream ends without an event that continues it")
+
 // Tracker holds the caller's position in a stream, over the answers of all servers that send a part of it. The zero value is
 // a stream of which the caller has no event.
 type Tracker struct {
 	lastID    uint64 // of the last event that the caller has
 	hasEvents bool   // the caller has events
 	delivered int    // events forwarded
+	endSeen   bool   // a server has ended its answer without an event behind lastID
 	answer    answerPosition
 }
 
@@ -102,17 +106,25 @@
 	if t.hasEvents && id <= t.lastID {
 		return nil // the caller has it
 	}
-	t.lastID, t.hasEvents = id, true
+	t.lastID, t.hasEvents, t.endSeen = id, true, false
 	t.delivered++
 	t.answer.delivered++
 	return nil
 }
 
 // EndAnswer checks the end of a server's answer. rest is the data after the last event. It returns an error if the stream
-// can't be complete: rest holds a part of an event.
+// can't be complete: rest holds a part of an event, or the answer has no event that the caller lacks. The latter is right if
+// the caller has the last event of the stream already. That is believed if two servers in a row say so.
 func (t *Tracker) EndAnswer(rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return errors.Newf("stream ends within an event, after %d bytes of it", len(rest))
 	}
-	return nil
+	if t.answer.delivered > 0 {
+		return nil
+	}
+	if t.hasEvents && t.endSeen {
+		return nil
+	}
+	t.endSeen = true
+	return ErrNoEvent
 }
--- a/internal/eventstream/tracker_test.go
+++ b/internal/eventstream/tracker_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// Guards against an answer without events that ends a stream as complete on the word of one server.
+func TestEndWithoutNewEventNeedsTwoServers(t *testing.T) {
+	tracker, err := NewTracker("3")
+	require.NoError(t, err)
+	_, err = read(&tracker)
+	require.ErrorIs(t, err, ErrNoEvent)
+	_, err = read(&tracker, textOf(2)+textOf(3))
+	require.NoError(t, err, "two servers in a row")
+	_, err = read(&tracker, textOf(4)+"rest")
+	require.Error(t, err)
+	_, err = read(&tracker)
+	require.ErrorIs(t, err, ErrNoEvent, "of the event after it")
+	var begun Tracker
+	for range 3 {
+		_, err = read(&begun)
+		require.ErrorIs(t, err, ErrNoEvent, "a stream has an event")
+	}
+}
+
 func TestLastEventIDOfCallerMustBeNumber(t *testing.T) {
 	for _, text := range []string{"x", "-1", "+1", "1.5", "1 ", "18446744073709551615", "18446744073709551616", "0x1"} {
 		_, err := NewTracker(text)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/eventstream"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/upstream"
@@ -132,21 +133,20 @@
 	}
 }
 
-// finishEvents handles the end of a stream. If rest, the data after the last complete event, holds a part of an event, or if
-// a stream that ends with its connection has no events, it broke and finishEvents returns an error.
+// finishEvents handles the end of a stream, if it can be complete. rest is the data after the last complete event.
 func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt) (attemptProgress, error) {
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	if err := c.events.EndAnswer(rest); err != nil {
 		conn.DisableReuse()
-		return c.brokenStreamProgress(), errors.Mark(err, io.ErrUnexpectedEOF)
+		if endsWithConnection || !errors.Is(err, eventstream.ErrNoEvent) {
+			err = errors.Mark(err, io.ErrUnexpectedEOF)
+		}
+		return c.brokenStreamProgress(), err
 	}
-	switch endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
-	case !endsWithConnection:
+	if !endsWithConnection {
 		h.Scheduler.RecordComplete(c.schedulerRequest(), a, response.StatusCode, time.Now())
-	case c.events.DeliveredOfAnswer() == 0:
-		conn.DisableReuse()
-		return c.brokenStreamProgress(), errors.Wrap(io.ErrUnexpectedEOF, "stream ends without an event")
 	}
-	if !c.answerStarted {
+	if !c.answerStarted { // the caller has all events
 		h.startAnswer(c, response)
 	}
 	return fullyForwarded, nil
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -168,7 +168,7 @@
 	if lastEventID != "" {
 		request.Header.Set("Last-Event-Id", lastEventID)
 	}
-	response, err := gateway.Client().Do(request)
+	response, err := gateway.Client().Transport.RoundTrip(request) // follows no redirect
 	if err != nil {
 		return streamOutcome{after: s.after}
 	}
@@ -208,7 +208,6 @@
 		{"spoiled, the first event in a read of its own", streamAnswer(spoiled(1), events(2, 6))},
 		{"spoiled, the last event", streamAnswer(events(1, 5) + spoiled(6))},
 		{"spoiled, the last event in a read of its own", streamAnswer(events(1, 5), spoiled(6))},
-		{"spoiled, after the last event", streamAnswer(events(1, 6) + spoiled(7))},
 		{"end of an event is spoiled", streamAnswer(events(1, 2) + "id: 3\ndata: token 3\n#" + events(4, 6))},
 		{"end of an event is missing", streamAnswer(events(1, 2) + "id: 3\ndata: tok\n" + events(4, 6))},
 		{"data is spoiled", streamAnswer(events(1, 2) + "id: 3\n#############\n\n" + events(4, 6))},
@@ -229,6 +228,13 @@
 			assertWholeOrBroken(t, outcome, 1)
 		})
 	}
+	// Only two servers that have no further event tell that the spoiled one was none.
+	spoiledEnd := streamAnswer(events(1, lastEvent) + spoiled(lastEvent+1))
+	for _, resumable := range []bool{true, false} {
+		outcome := readStream(t, "", resumable, spoiledEnd)
+		assert.Equal(t, events(1, lastEvent), outcome.body)
+		assert.False(t, outcome.complete)
+	}
 }
 
 // Guards against a success without body and signature that the caller gets in the place of the answer.
@@ -271,3 +277,78 @@
 	}
 	assert.Equal(t, http.StatusBadRequest, readStream(t, "none", true).status)
 }
+
+// rawAnswer returns what a server writes for an answer with the status line, the headers and the body.
+func rawAnswer(status, headers, body string) []string {
+	return []string{fmt.Sprintf("HTTP/1.1 %s\r\nId: id\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)}
+}
+
+// answersWithoutNextEvent are answers to a request for a stream that hold no event that continues it.
+var answersWithoutNextEvent = []streamCase{
+	{"no event", streamAnswer()},
+	{"no body", rawAnswer("200 OK", "", "")},
+	{"204", []string{"HTTP/1.1 204 No Content\r\nId: id\r\n\r\n"}},
+	{"205", rawAnswer("205 Reset Content", "", "")},
+	{"206 with other bytes", rawAnswer("206 Partial Content", "", "part")},
+	{"comments", streamAnswer(": one\n\n", ": two\n\n")},
+	{"other bytes", streamAnswer("error\n\nmore of it\n\n")},
+	{"other bytes without an end", streamAnswer("error")},
+	{"JSON", rawAnswer("200 OK", "Content-Type: application/json\r\n", "{\"error\":1}\n\n")},
+	{"a head in its body", streamAnswer("HTTP/1.1 500 Failed\r\nId: id\r\nContent-Length: 3\r\n\r\nno\n")},
+	{"event without ID", streamAnswer("data: the request failed\n\n")},
+	{"no event, ends with the connection", []string{"HTTP/1.1 200 OK\r\nId: id\r\n\r\n"}},
+	{"301", rawAnswer("301 Moved", "Location: /\r\n", "moved\n\n")},
+	{"304", []string{"HTTP/1.1 304 Not Modified\r\nId: id\r\n\r\n"}},
+	{"404", rawAnswer("404 Not Found", "", "not found\n\n")},
+	{"429", rawAnswer("429 Too Many Requests", "", "later\n\n")},
+	{"500", rawAnswer("500 Failed", "", "failed\n\n")},
+	{"500 that ends with the connection", []string{"HTTP/1.1 500 Failed\r\nId: id\r\n\r\n", "failed\n\n"}},
+	{"not run", rawAnswer("503 Busy", "Not-Run: 1\r\n", "busy\n\n")},
+	{"no answer", []string{"failed\n\n"}},
+}
+
+// Guards against streams that break off, and get the answer of the next server as events or as their end.
+func TestAnswerThatDoesNotContinueBrokenStreamIsNotPassedOn(t *testing.T) {
+	first := brokenAnswer(events(1, 3))
+	for _, test := range answersWithoutNextEvent {
+		t.Run(test.name, func(t *testing.T) {
+			outcome := readStream(t, "", true, first, test.first)
+			assert.Equal(t, []string{"", "3"}, outcome.after)
+			assert.Equal(t, http.StatusOK, outcome.status)
+			assert.Equal(t, events(1, 3), outcome.body)
+			assert.False(t, outcome.complete)
+		})
+	}
+	for _, test := range []streamCase{
+		{"leaves an event out", streamAnswer(events(5, 6))},
+		{"repeats the last event", streamAnswer(events(3, 3))},
+		{"begins anew and breaks", brokenAnswer(events(1, 5))},
+		{"spoils the next event", streamAnswer(spoiled(4) + events(5, 6))},
+	} {
+		t.Run(test.name, func(t *testing.T) { assertWholeOrBroken(t, readStream(t, "", true, first, test.first), 1) })
+	}
+}
+
+// Guards against an empty stream that passes for a complete one.
+func TestStreamWithoutNextEventIsNotComplete(t *testing.T) {
+	for _, test := range answersWithoutNextEvent {
+		for _, position := range []string{"", "3"} {
+			outcome := readStream(t, position, true, test.first, test.first)
+			if position == "" {
+				assert.NotEqual(t, http.StatusOK, outcome.status, "%s: new stream", test.name)
+			}
+			assert.NotContains(t, outcome.body, "id:", test.name)
+			outcome = readStream(t, position, false, test.first, test.first)
+			assert.NotEqual(t, http.StatusOK, outcome.status, "%s: not resumable, after %q", test.name, position)
+		}
+	}
+}
+
+// A caller that has the last event already is told so if two servers agree.
+func TestCallerWithAllEventsGetsTheEnd(t *testing.T) {
+	outcome := readStream(t, fmt.Sprint(lastEvent), true)
+	assert.Equal(t, http.StatusOK, outcome.status)
+	assert.True(t, outcome.complete)
+	assert.Empty(t, outcome.body)
+	assert.Len(t, outcome.after, 2)
+}
