Accept the end of resumed answers only behind their last event

Cause: handleStreamEnded took the end marker of every answer that started elsewhere, as that daemon may have forwarded the finish reason. Change: the marker is accepted behind the finish reason or the usage event that follows it, or with no event before it. After an event with a malformed ID the machine resumes. Result: TestResumedAnswerEndsBehindItsLastEvent failed before and passes; packages answer, backend, filter and test/integration pass.

--- a/internal/answer/event.go
+++ b/internal/answer/event.go
@@ -22,7 +22,7 @@
 type Received struct {
 	AttemptID string // attempt in the event's id; empty if the id is malformed
 	Offset    int    // position in the answer, starting at 0; NoOffset if the event has no id
-	Final     bool   // the event has a finish reason
+	Final     bool   // the event has a finish reason or follows the one that has it
 }
 
 // StreamEnded means that the engine's stream delivered the end marker.
--- a/internal/answer/machine.go
+++ b/internal/answer/machine.go
@@ -31,7 +31,8 @@
 	nextOffset       int
 	connectionLosses int
 	idleTimeouts     int
-	finalForwarded   bool // the event with the finish reason was forwarded
+	finalForwarded   bool // the event with the finish reason, or one behind it, was forwarded
+	eventLost        bool // an event with a malformed ID has come since the last one forwarded
 	done             bool
 }
 
@@ -93,12 +94,14 @@
 		return m.retryOrFail(now, result.ServerFailed, result.ServerError, true)
 	}
 	if e.AttemptID != m.opts.AttemptID || e.Offset < m.nextOffset {
+		m.eventLost = m.eventLost || e.AttemptID == ""
 		return Action{Kind: Ignore}
 	}
 	if e.Offset > m.nextOffset {
 		return m.handleConnectionLost(now)
 	}
 	m.nextOffset++
+	m.eventLost = false
 	m.finalForwarded = m.finalForwarded || e.Final
 	m.connectionLosses = 0
 	m.idleTimeouts = 0
@@ -106,11 +109,13 @@
 }
 
 // handleStreamEnded accepts the end marker only after the event with the finish reason. If another daemon
-// started the answer, that daemon may have forwarded this event.
+// started the answer, that daemon may have forwarded this event, and then no event but those behind it may follow.
 func (m *Machine) handleStreamEnded(now time.Time) Action {
-	if m.finalForwarded || m.opts.StartedElsewhere {
+	finalElsewhere := m.opts.StartedElsewhere && m.nextOffset == m.opts.NextOffset
+	if !m.eventLost && (m.finalForwarded || finalElsewhere) {
 		return Action{Kind: Finish}
 	}
+	m.eventLost = false // the engine sends the event again
 	return m.handleConnectionLost(now)
 }
 
--- a/internal/answer/machine_test.go
+++ b/internal/answer/machine_test.go
@@ -117,3 +117,27 @@
 	require.Equal(t, Resume, m.Step(start, IdleTimeout{}).Kind)
 	require.Equal(t, Retry, m.Step(start, IdleTimeout{}).Kind)
 }
+
+// Guards against an answer that is taken up at another daemon and ends as complete without its last event.
+func TestResumedAnswerEndsBehindItsLastEvent(t *testing.T) {
+	resumed := func() *Machine {
+		return newMachine(func(o *Options) { o.NextOffset, o.StartedElsewhere, o.Repeatable = 3, true, false })
+	}
+	m := resumed()
+	require.Equal(t, Finish, m.Step(start, StreamEnded{}).Kind, "the caller has the last event")
+
+	m = resumed()
+	require.Equal(t, Ignore, m.Step(start, Received{}).Kind, "event with a malformed ID")
+	require.Equal(t, Resume, m.Step(start, StreamEnded{}).Kind)
+	require.Equal(t, Forward, m.Step(start, Received{AttemptID: "a", Offset: 3, Final: true}).Kind)
+	require.Equal(t, Finish, m.Step(start, StreamEnded{}).Kind)
+
+	m = resumed()
+	require.Equal(t, Forward, m.Step(start, Received{AttemptID: "a", Offset: 3}).Kind)
+	require.Equal(t, Resume, m.Step(start, StreamEnded{}).Kind, "without the event with the finish reason")
+
+	m = resumed()
+	require.Equal(t, Forward, m.Step(start, Received{AttemptID: "a", Offset: 3, Final: true}).Kind)
+	require.Equal(t, Ignore, m.Step(start, Received{}).Kind, "event with a malformed ID")
+	require.Equal(t, Resume, m.Step(start, StreamEnded{}).Kind)
+}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -84,7 +84,8 @@
 		message.Event = answer.EngineError{}
 	default:
 		event := parseEventID(raw.LastEventID)
-		event.Final = hasNonNullField(raw.Data, "finish_reason")
+		_, usageOnly, _ := ParseUsage(raw.Data)
+		event.Final = usageOnly || hasNonNullField(raw.Data, "finish_reason")
 		message.Event = event
 	}
 	return message
--- a/internal/backend/stream_test.go
+++ b/internal/backend/stream_test.go
@@ -23,17 +23,18 @@
 
 func TestParseMessage(t *testing.T) {
 	cases := map[string]answer.Event{
-		"id: a:3\ndata: {\"x\":1}\n\n":                                      answer.Received{AttemptID: "a", Offset: 3},
-		"id: a:b:3\ndata: {}\n\n":                                           answer.Received{AttemptID: "a:b", Offset: 3},
-		"id: a:0\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n":   answer.Received{AttemptID: "a", Final: true},
-		"id: a:0\ndata: {\"choices\":[{\"finish_reason\" : null}]}\n\n":     answer.Received{AttemptID: "a"},
-		"id: a:0\ndata: {\"c\":\"\\\"finish_reason\\\":\\\"stop\\\"\"}\n\n": answer.Received{AttemptID: "a"},
-		"id: a:-1\ndata: {}\n\n":                                            answer.Received{},
-		"id: 7\ndata: {}\n\n":                                               answer.Received{},
-		"data: {}\n\n":                                                      answer.Received{Offset: answer.NoOffset},
-		"data: [DONE]\n\n":                                                  answer.StreamEnded{},
-		"event: error\ndata: {}\n\n":                                        answer.EngineError{},
-		"data: {\"error\":{\"code\":500}}\n\n":                              answer.EngineError{},
+		"id: a:3\ndata: {\"x\":1}\n\n":                                        answer.Received{AttemptID: "a", Offset: 3},
+		"id: a:b:3\ndata: {}\n\n":                                             answer.Received{AttemptID: "a:b", Offset: 3},
+		"id: a:0\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n":     answer.Received{AttemptID: "a", Final: true},
+		"id: a:0\ndata: {\"choices\":[{\"finish_reason\" : null}]}\n\n":       answer.Received{AttemptID: "a"},
+		"id: a:0\ndata: {\"c\":\"\\\"finish_reason\\\":\\\"stop\\\"\"}\n\n":   answer.Received{AttemptID: "a"},
+		"id: a:4\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":1}}\n\n": answer.Received{AttemptID: "a", Offset: 4, Final: true},
+		"id: a:-1\ndata: {}\n\n":                                              answer.Received{},
+		"id: 7\ndata: {}\n\n":                                                 answer.Received{},
+		"data: {}\n\n":                                                        answer.Received{Offset: answer.NoOffset},
+		"data: [DONE]\n\n":                                                    answer.StreamEnded{},
+		"event: error\ndata: {}\n\n":                                          answer.EngineError{},
+		"data: {\"error\":{\"code\":500}}\n\n":                                answer.EngineError{},
 	}
 	for raw, want := range cases {
 		stream := &Stream{body: io.NopCloser(strings.NewReader(raw))}
