Never end a stream by an answer without a new event

What callers would see: a resumed stream that ends as complete without its rest, if two servers in a row send an empty answer. Change: such an answer is never the end. A caller that resumes behind the last event gets a failure instead of an empty stream.

--- a/internal/eventstream/tracker.go
+++ b/internal/eventstream/tracker.go
@@ -22,7 +22,6 @@
 	lastID    uint64 // of the last event that the caller has
 	hasEvents bool   // the caller has events
 	delivered int    // events forwarded
-	endSeen   bool   // a server has ended its answer without an event behind lastID
 	answer    answerPosition
 }
 
@@ -106,25 +105,21 @@
 	if t.hasEvents && id <= t.lastID {
 		return nil // the caller has it
 	}
-	t.lastID, t.hasEvents, t.endSeen = id, true, false
+	t.lastID, t.hasEvents = id, true
 	t.delivered++
 	t.answer.delivered++
 	return nil
 }
 
 // EndAnswer checks the end of a server's answer. rest is the data after the last event. It returns an error if the stream
-// can't be complete: rest holds a part of an event, or the answer has no event that the caller lacks. The latter is right if
-// the caller has the last event of the stream already. That is believed if two servers in a row say so.
+// can't be complete: rest holds a part of an event, or the answer has no event that the caller lacks. A caller that has all
+// events already can't be told from a server that fails.
 func (t *Tracker) EndAnswer(rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return errors.Newf("stream ends within an event, after %d bytes of it", len(rest))
 	}
-	if t.answer.delivered > 0 {
-		return nil
+	if t.answer.delivered == 0 {
+		return ErrNoEvent
 	}
-	if t.hasEvents && t.endSeen {
-		return nil
-	}
-	t.endSeen = true
-	return ErrNoEvent
+	return nil
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -146,9 +146,6 @@
 	if !endsWithConnection {
 		h.Scheduler.RecordComplete(c.schedulerRequest(), a, response.StatusCode, time.Now())
 	}
-	if !c.answerStarted { // the caller has all events
-		h.startAnswer(c, response)
-	}
 	return fullyForwarded, nil
 }
 
