Know the only version of a service from complete lists only

What callers saw (ORDER, on real processes; the users' matter without a case): streams that were resumed after a daemon was killed or stopped went on at another software version than they had begun. Cause: servers are passed on one by one. A daemon that reads its first list knows one version for some milliseconds, took it for the only one, and assumed it for all streams that no living daemon had recorded. Change: a single version counts as the only one once the list of servers was complete. TestStartedDaemonDoesNotGuessTheVersionOfStreams and TestSingleVersionOfIncompleteListIsNotTheOnlyOne failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,9 @@
 	})
 	g.origins = newStreamOrigins(
 		func() []*pb.Member { return g.exchange.Members() },
+		func() bool { return g.reader.ServersListed() },
 		func(o *pb.Origins, controlAddresses ...string) { g.exchange.SendOrigins(o, controlAddresses...) },
+		logging.For(logging.Daemon),
 	)
 	g.topology = topology.NewState(g.serversChanged)
 	g.reader = topology.NewReader(topology.ReaderOptions{
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"slices"
 	"strconv"
 	"sync"
@@ -31,7 +32,9 @@
 // streamOrigins tells which software version began a stream, whichever daemon that was. It implements forward.Origins.
 type streamOrigins struct {
 	members func() []*pb.Member // other live daemons
+	listed  func() bool         // the list of servers was complete once
 	send    func(o *pb.Origins, controlAddresses ...string)
+	logger  *slog.Logger
 
 	startedAt time.Time
 
@@ -61,17 +64,21 @@
 	return true
 }
 
-func newStreamOrigins(members func() []*pb.Member, send func(*pb.Origins, ...string)) *streamOrigins {
+func newStreamOrigins(members func() []*pb.Member, listed func() bool, send func(*pb.Origins, ...string), logger *slog.Logger) *streamOrigins {
 	return &streamOrigins{
-		members: members, send: send, startedAt: time.Now(),
+		members: members, listed: listed, send: send, logger: logger, startedAt: time.Now(),
 		table: origin.NewTable(), versions: origin.NewVersions(), waiting: map[uint64]*originQuery{},
 	}
 }
 
 // setServers records the versions of the servers.
 func (o *streamOrigins) setServers(servers []routing.Server, now time.Time) {
+	listed := o.listed()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if listed { // before this change
+		o.versions.SetComplete(now)
+	}
 	o.versions.Update(servers, now)
 }
 
@@ -104,13 +111,22 @@
 			return version, true
 		}
 	}
-	now := time.Now()
+	listed, now := o.listed(), time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !conclusive && o.versions.Mixed(service, now) {
+	if listed {
+		o.versions.SetComplete(now)
+	}
+	mixed := o.versions.Mixed(service, now)
+	if !conclusive && mixed {
 		return "", false
 	}
-	return o.versions.Unrecorded(service, now)
+	version, ok = o.versions.Unrecorded(service, now)
+	if ok && mixed {
+		o.logger.Info("Stream counts as begun before versions were mixed.", "service", service, "attempt", attempt, "version", version,
+			"mixed_for", o.versions.MixedFor(service, now))
+	}
+	return version, ok
 }
 
 func (o *streamOrigins) lookup(id uint64) (version string, ok bool) {
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -37,7 +38,7 @@
 }
 
 func (f *originFleet) start(address string) *streamOrigins {
-	o := newStreamOrigins(func() []*pb.Member { return f.membersWithout(address) }, func(m *pb.Origins, to ...string) { f.deliver(address, m, to) })
+	o := newStreamOrigins(func() []*pb.Member { return f.membersWithout(address) }, func() bool { return true }, func(m *pb.Origins, to ...string) { f.deliver(address, m, to) }, slog.New(slog.DiscardHandler))
 	o.setServers(f.servers, time.Now())
 	f.daemons[address], f.alive[address] = o, true
 	return o
@@ -159,3 +160,31 @@
 	}
 	t.Logf("%d seeds of %d streams: at most %d at a wrong version, %d refused in all", originSeeds(t), originStreams, worst, refusedSum)
 }
+
+// Guards against a daemon that has just started and takes the version of the first server that it learns of for that of all
+// streams: servers are passed on one by one.
+func TestStartedDaemonDoesNotGuessTheVersionOfStreams(t *testing.T) {
+	one := routing.Server{ID: "a", Service: "s", Version: "v1"}
+	both := []routing.Server{one, {ID: "b", Service: "s", Version: "v2"}}
+	listed := false
+	started := func() *streamOrigins {
+		listed = false
+		return newStreamOrigins(func() []*pb.Member { return nil }, func() bool { return listed }, func(*pb.Origins, ...string) {}, slog.New(slog.DiscardHandler))
+	}
+	o := started()
+	o.setServers(both[:1], time.Now())
+	_, ok := o.Find(t.Context(), "s", "attempt")
+	assert.False(t, ok, "not all servers are known")
+	o.setServers(both, time.Now())
+	listed = true
+	_, ok = o.Find(t.Context(), "s", "attempt")
+	assert.False(t, ok, "versions are mixed")
+
+	o = started()
+	o.setServers(both[:1], time.Now())
+	listed = true
+	o.setServers(both, time.Now())
+	version, ok := o.Find(t.Context(), "s", "attempt")
+	assert.True(t, ok, "the list was complete with one version")
+	assert.Equal(t, "v1", version)
+}
--- a/internal/gateway/servers_test.go
+++ b/internal/gateway/servers_test.go
@@ -24,7 +24,7 @@
 	require.NoError(t, err)
 	g := newOfflineGateway()
 	g.exchange = x
-	g.origins = newStreamOrigins(func() []*pb.Member { return nil }, func(*pb.Origins, ...string) {})
+	g.origins = newStreamOrigins(func() []*pb.Member { return nil }, func() bool { return true }, func(*pb.Origins, ...string) {}, logger)
 	g.topology = topology.NewState(g.serversChanged)
 	now := time.Now()
 	for i := range 300 { // that take time to pass on
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -53,11 +53,12 @@
 // Versions tracks the software versions of the servers of each service.
 type Versions struct {
 	services map[string]*serviceVersions
+	complete bool // see SetComplete
 }
 
 type serviceVersions struct {
 	lastSeen map[string]time.Time // by version
-	// former is the version that was the only one before mixedSince. formerKnown is false if there was none.
+	// former is the version that was the only one of a complete list before mixedSince. formerKnown is false if there was none.
 	former      string
 	formerKnown bool
 	mixedSince  time.Time // zero if there is one version
@@ -66,6 +67,15 @@
 // NewVersions returns Versions without services.
 func NewVersions() *Versions { return &Versions{services: map[string]*serviceVersions{}} }
 
+// SetComplete states that the servers of the last update, and of all later ones, are all that exist. Before, a single version does
+// not count as the only one.
+func (v *Versions) SetComplete(now time.Time) {
+	v.complete = true
+	for _, s := range v.services {
+		v.updateService(s, now)
+	}
+}
+
 // Update records the servers that are known now.
 func (v *Versions) Update(servers []routing.Server, now time.Time) {
 	for _, server := range servers {
@@ -77,11 +87,11 @@
 		s.lastSeen[server.Version] = now
 	}
 	for _, s := range v.services {
-		s.update(now)
+		v.updateService(s, now)
 	}
 }
 
-func (s *serviceVersions) update(now time.Time) {
+func (v *Versions) updateService(s *serviceVersions, now time.Time) {
 	for version, seen := range s.lastSeen {
 		if now.Sub(seen) > TTL {
 			delete(s.lastSeen, version)
@@ -91,7 +101,7 @@
 	case len(s.lastSeen) > 1 && s.mixedSince.IsZero():
 		s.mixedSince = now
 	case len(s.lastSeen) == 1:
-		s.mixedSince, s.formerKnown = time.Time{}, true
+		s.mixedSince, s.formerKnown = time.Time{}, v.complete
 		for version := range s.lastSeen {
 			s.former = version
 		}
@@ -104,7 +114,7 @@
 	if !ok {
 		return false
 	}
-	s.update(now)
+	v.updateService(s, now)
 	return len(s.lastSeen) > 1
 }
 
@@ -124,7 +134,7 @@
 	if !known {
 		return "", false
 	}
-	s.update(now)
+	v.updateService(s, now)
 	if !s.mixedSince.IsZero() && now.Sub(s.mixedSince) > TTL {
 		return "", false
 	}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -35,6 +35,7 @@
 	_, ok := v.Unrecorded("s", start)
 	assert.False(t, ok, "no server is known")
 	v.Update(servers("v1"), start)
+	v.SetComplete(start)
 	version, ok := v.Unrecorded("s", start)
 	assert.True(t, ok)
 	assert.Equal(t, "v1", version)
@@ -61,6 +62,19 @@
 func TestDaemonThatStartsWhileVersionsAreMixedDoesNotGuess(t *testing.T) {
 	v := NewVersions()
 	v.Update(servers("v1", "v2"), start)
+	v.SetComplete(start)
 	_, ok := v.Unrecorded("s", start)
 	assert.False(t, ok)
 }
+
+// Guards against a daemon that has just started and takes the first server that it learns of for the only version.
+func TestSingleVersionOfIncompleteListIsNotTheOnlyOne(t *testing.T) {
+	v := NewVersions()
+	v.Update(servers("v1"), start)
+	_, ok := v.Unrecorded("s", start)
+	assert.False(t, ok, "the list is not complete")
+	v.Update(servers("v1", "v2"), start)
+	v.SetComplete(start)
+	_, ok = v.Unrecorded("s", start)
+	assert.False(t, ok, "versions have been mixed from the beginning")
+}
