Let answers without an ID settle only the first request of a connection

Cause: servers leave the ID out in refusals, so a failure without an ID counted as the answer to the current request. On a kept connection it may be the copy of an earlier answer that comes after the request was sent. Change: such an answer counts only if it is the first on its connection; else the request may have run.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -280,6 +280,9 @@
 		h.Scheduler.RecordNoLimit(a, time.Now())
 	}
 	switch {
+	case answer.ID == "" && conn.Reused():
+		conn.DisableReuse()
+		return maybeRun, errors.Newf("answer with status %d names no request and may belong to an earlier one", response.StatusCode)
 	case answer.NotRun, answer.WrongServer:
 		discardBody(conn, response)
 		return notRun, errors.Newf("server reports that it did not run the request, status %d", response.StatusCode)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -121,18 +121,16 @@
 	after    []string // Last-Event-Id of the requests that servers got
 }
 
-// readStream sends a request to a gateway before a fleet of two servers that answer with the scripts, in this order.
-func readStream(t *testing.T, lastEventID string, resumable bool, scripts ...[]string) streamOutcome {
+// startGateway starts a gateway with the route before two servers that pass their connections to serve.
+func startGateway(t *testing.T, route routing.Route, serve func(server string, conn net.Conn)) *httptest.Server {
 	t.Helper()
 	h := newBusyHandler(t)
 	h.Protocol, h.Origins = idServerProtocol{}, oneOrigin{}
+	route.Name, route.Host, route.Prefix, route.Public, route.Engine = "r", "h", "/", true, true
+	route.Objective, route.MaxAttempts, route.Targets = 2*time.Second, 2, []routing.Target{{Service: "llm", Weight: 1}}
 	config, err := routing.Build(routing.Config{
 		Version: 1, Limits: routing.Limits{TokensPerSecond: 2_000_000},
-		Services: []routing.Service{{Name: "llm", EngineSlots: 12, MemoryTokens: 372_402}},
-		Routes: []routing.Route{{
-			Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Engine: true, Public: true, Resumable: resumable,
-			Objective: 2 * time.Second, MaxAttempts: 2, Targets: []routing.Target{{Service: "llm", Weight: 1}},
-		}},
+		Services: []routing.Service{{Name: "llm", EngineSlots: 12, MemoryTokens: 372_402}}, Routes: []routing.Route{route},
 	})
 	require.NoError(t, err)
 	h.Config = func() *routing.Config { return config }
@@ -140,28 +138,36 @@
 		Zone: "a", FairWindow: 4 * time.Second, Daemons: func() int { return 1 },
 		RetryBudget: retry.WindowOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 	})
-	s := &scriptedServers{scripts: scripts}
 	var servers []routing.Server
 	for i := range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
+		id := fmt.Sprint("e", i)
 		go func() {
 			for {
 				conn, err := listener.Accept()
 				if err != nil {
 					return
 				}
-				go s.serve(conn)
+				go serve(id, conn)
 			}
 		}()
 		servers = append(servers, routing.Server{
-			ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listener.Addr().String(),
+			ID: id, Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listener.Addr().String(),
 		})
 	}
 	h.Scheduler.SetServers(servers, config)
 	gateway := httptest.NewServer(h)
-	defer gateway.Close()
+	t.Cleanup(gateway.Close)
+	return gateway
+}
+
+// readStream sends a request to a gateway before a fleet of two servers that answer with the scripts, in this order.
+func readStream(t *testing.T, lastEventID string, resumable bool, scripts ...[]string) streamOutcome {
+	t.Helper()
+	s := &scriptedServers{scripts: scripts}
+	gateway := startGateway(t, routing.Route{Kind: routing.Stream, Resumable: resumable}, func(_ string, conn net.Conn) { s.serve(conn) })
 	request, err := http.NewRequest(http.MethodGet, gateway.URL, nil)
 	require.NoError(t, err)
 	request.Host = "h"
