Send requests that a wrong server got to another one

What callers saw: 421 of a server that has taken over the address of another, although other servers could run the request. Cause: nothing ever set AnswerInfo.WrongServer. Found while reading the handling of refusals. The field is gone. Result: TestMisdirectedRequestGoesToAnotherServer got 421 before and 200 now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -283,7 +283,7 @@
 	case answer.ID == "" && conn.Reused():
 		conn.DisableReuse()
 		return maybeRun, errors.Newf("answer with status %d names no request and may belong to an earlier one", response.StatusCode)
-	case answer.NotRun, answer.WrongServer:
+	case answer.NotRun, response.StatusCode == http.StatusMisdirectedRequest:
 		discardBody(conn, response)
 		return notRun, errors.Newf("server reports that it did not run the request, status %d", response.StatusCode)
 	case response.Header.Get("Content-Encoding") != "":
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -38,10 +38,9 @@
 
 // AnswerInfo is the metadata in the header of a server's answer.
 type AnswerInfo struct {
-	ID          string // ID of the request that it answers; empty if missing
-	NotRun      bool   // the server did not run the request and never will
-	Signed      bool
-	WrongServer bool // the server is not the one that the request was meant for
+	ID     string // ID of the request that it answers; empty if missing
+	NotRun bool   // the server did not run the request and never will
+	Signed bool
 	// RequestLimit is how many requests per second the server takes from the whole fleet. HasRequestLimit is false if it
 	// names no limit.
 	RequestLimit    float64
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -108,3 +108,19 @@
 	assert.Equal(t, http.StatusServiceUnavailable, status)
 	assert.NotEmpty(t, retryAfter)
 }
+
+// Guards against a 421 that the caller gets although another server could run the request.
+func TestMisdirectedRequestGoesToAnotherServer(t *testing.T) {
+	var first sync.Once
+	gateway := startGateway(t, routing.Route{Kind: routing.Unrepeatable}, func(_ string, conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		answer := soundAnswer
+		first.Do(func() { answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" })
+		_, _ = io.WriteString(conn, answer)
+	})
+	status, _ := statusOf(t, gateway.URL)
+	assert.Equal(t, http.StatusOK, status)
+}
