Skip odd entries of other writers in every list

What callers would see: daemons that find no peers after a start, as another writer left a record in the topic of their addresses. Cause: Store.Registered and decodeCachedParts returned the first error of an entry instead of what could be read. Evidence: TestOddEntriesOfOtherWritersAreIgnored (28 odd values in four topics; running, started, listed anew, a newcomer) failed for the newcomer only, which found no peer in 20 s. No daemon ended.

--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -14,7 +14,8 @@
 type Registry interface {
 	// Register replaces the control addresses stored for the zone.
 	Register(ctx context.Context, zone string, addresses []string) error
-	// Registered returns the control addresses stored for all zones.
+	// Registered returns the control addresses stored for all zones. It may return addresses and an error, if some of the
+	// records can't be read.
 	Registered(ctx context.Context) ([]string, error)
 	// Era returns the highest era of the store in its answers so far. It rises when the store was restored from a copy,
 	// which may lack what was registered last.
@@ -131,7 +132,9 @@
 	r.readAt, r.readCount = now, r.readCount+1
 	addresses, err := r.registry.Registered(ctx)
 	if err != nil {
-		r.logger.Warn("Registered addresses could not be read.", "error", err)
+		r.logger.Warn("Registered addresses could not be read.", "read", len(addresses), "error", err)
+	}
+	if len(addresses) == 0 {
 		return
 	}
 	r.logger.Info("Registered addresses read, no peers known.", "control", addresses)
