List the servers again at the end of a recovery

Cause: removals that are read in the 2.5 s after an outage were dropped, as leases may have run out in it, and only the next regular listing, 5 s after the last, found them. Servers missing in the first listing itself stayed as long. Evidence: TestServersThatLeaveAfterAnOutageAreRemoved failed before the change for both. Change: one more listing as soon as the 2.5 s are over.

--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -211,6 +211,7 @@
 func (r *Reader) follow(ctx context.Context, t Topic) {
 	backoff, storeDown := minBackoff, false
 	var listedAt, recoveredAt time.Time
+	relist := false // at the end of the grace period after recoveredAt
 	next := int64(-1)
 	var era uint64 // at the last listing
 	for ctx.Err() == nil {
@@ -220,7 +221,8 @@
 			r.sleep(ctx, roleCheckInterval)
 			continue
 		}
-		full := next < 0 || (t == Servers && started.Sub(listedAt) > relistInterval)
+		graceEnd := recoveredAt.Add(recoveryGracePeriod)
+		full := next < 0 || (t == Servers && (started.Sub(listedAt) > relistInterval || relist && !started.Before(graceEnd)))
 		records, end, err := r.call(ctx, t, next, full)
 		if errors.Is(err, ErrTruncated) {
 			r.logger.Info("Requested records are no longer in the store, listing the newest records.", "topic", t, "from", next)
@@ -255,6 +257,9 @@
 			r.logger.Info("Store is reachable again.", "topic", t, "end", end)
 			storeDown, recoveredAt = false, now
 		}
+		if now.Sub(recoveredAt) < recoveryGracePeriod {
+			relist = true // servers that leave now are kept
+		}
 		backoff = minBackoff
 		r.lastCallFailed.Store(false)
 		r.lastSuccess.Store(monotonic.UnixNano(now))
@@ -267,6 +272,7 @@
 		if full && t == Servers {
 			r.reconcile(records, started, now, recoveredAt)
 			listedAt = now
+			relist = relist && started.Before(recoveredAt.Add(recoveryGracePeriod))
 			r.serversListed.Store(true)
 		}
 		next = max(end, next)
@@ -275,7 +281,11 @@
 		}
 		r.Confirm(t, currentAsOf(t, started, len(records), full))
 		if t == Servers {
-			r.sleep(ctx, serverReadInterval-time.Since(started))
+			pause := serverReadInterval - time.Since(started)
+			if relist {
+				pause = min(pause, time.Until(recoveredAt.Add(recoveryGracePeriod)))
+			}
+			r.sleep(ctx, pause)
 		}
 	}
 }
@@ -311,7 +321,7 @@
 }
 
 // apply applies records to the state. While the store recovers from an outage, deletions are left
-// to the next full listing: the leases of running servers may have expired.
+// to the full listing at the end of the recovery: the leases of running servers may have expired.
 func (r *Reader) apply(t Topic, records []Record, now time.Time, recovering bool) {
 	for _, record := range records {
 		switch {
--- /dev/null
+++ b/internal/topology/reader_test.go
@@ -0,0 +1,125 @@
+package topology
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// recoveringStore is a store with a log of server records that can be down.
+type recoveringStore struct {
+	mu      sync.Mutex
+	down    bool
+	records []Record
+}
+
+func (s *recoveringStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// write appends a record of the server. Sequence 0 removes it.
+func (s *recoveringStore) write(id string, sequence int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var value []byte
+	if sequence > 0 {
+		value = strconv.AppendInt(nil, int64(sequence), 10)
+	}
+	s.records = append(s.records, Record{id, value})
+}
+
+func (s *recoveringStore) Newest(_ context.Context, t Topic) ([]Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errors.New("store is down")
+	}
+	newest := map[string][]byte{}
+	for _, r := range s.records {
+		newest[r.Key] = r.Value
+	}
+	var list []Record
+	for key, value := range newest {
+		if value != nil && t == Servers {
+			list = append(list, Record{key, value})
+		}
+	}
+	return list, int64(len(s.records)), nil
+}
+
+func (s *recoveringStore) Read(_ context.Context, t Topic, from int64, _ time.Duration) ([]Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errors.New("store is down")
+	}
+	if t == Configs {
+		return nil, from, nil
+	}
+	return append([]Record(nil), s.records[from:]...), int64(len(s.records)), nil
+}
+
+func (s *recoveringStore) Era() uint64                                  { return 0 }
+func (s *recoveringStore) DecodeConfig(Record) (*routing.Config, error) { return nil, nil }
+
+func (s *recoveringStore) DecodeServer(r Record) (routing.Server, error) {
+	sequence, err := strconv.ParseInt(string(r.Value), 10, 64)
+	return routing.Server{ID: r.Key, Sequence: sequence, State: routing.Ready}, err
+}
+
+// Guards against servers that leave soon after an outage of the store and stay in use until the next regular listing.
+func TestServersThatLeaveAfterAnOutageAreRemoved(t *testing.T) {
+	const (
+		// maxDetection is the time from the return of the store to the first successful call of a daemon: the longest
+		// call and the longest backoff.
+		maxDetection = callTimeout + maxBackoff
+		// contactWindow and drainTimeout are ContactWindowMs and DrainTimeoutMs of the platform: a server that leaves later than
+		// the first after the return of the store must be out of use within the second.
+		contactWindow = 3050 * time.Millisecond
+		drainTimeout  = 2 * time.Second
+	)
+	store := &recoveringStore{}
+	for _, id := range []string{"stays", "lapses", "left in the outage", "leaves"} {
+		store.write(id, 1)
+	}
+	state := NewState(func() {})
+	reader := NewReader(ReaderOptions{
+		Store: store, State: state, ReadsStore: func() bool { return true }, ReaderCount: func() int { return 1 },
+		StateInterval: func() time.Duration { return usualStateInterval }, Logger: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { reader.follow(ctx, Servers) })
+	defer running.Wait()
+	defer cancel()
+	require.Eventually(t, func() bool { return len(state.Servers()) == 4 }, 5*time.Second, time.Millisecond)
+	store.setDown(true)
+	require.Eventually(t, reader.lastCallFailed.Load, 5*time.Second, time.Millisecond)
+	store.write("left in the outage", 0)
+	store.setDown(false)
+	require.Eventually(t, func() bool { return !reader.lastCallFailed.Load() }, 5*time.Second, time.Millisecond)
+	recovered := time.Now()
+	store.write("lapses", 0)
+	time.Sleep(contactWindow - maxDetection)
+	store.write("leaves", 0)
+	assert.True(t, state.Knows("lapses"), "its lease may have expired in the outage")
+	store.write("lapses", 2)
+	for time.Since(recovered) < contactWindow+drainTimeout-maxDetection {
+		assert.True(t, state.Knows("lapses"))
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.False(t, state.Knows("leaves"))
+	assert.False(t, state.Knows("left in the outage"))
+	assert.True(t, state.Knows("stays"))
+}
