--- a/cmd/filbertrilld/gateway.go
+++ b/cmd/filbertrilld/gateway.go
@@ -5,12 +5,12 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/gateway"
 	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/signals"
 	"github.com/filbertrill/filbertrill/platform"
 )
 
@@ -48,12 +48,10 @@
 // handleSignals drains the gateway on SIGTERM or an interrupt, and applies changes of the
 // settings file at path, which it reads on SIGHUP and at every settingsPollInterval.
 func handleSignals(g *gateway.Gateway, path string) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	lastData, _ := os.ReadFile(path) // runGateway has just read it; a failure appears again at the next poll
 	for {
 		select {
-		case s := <-signals:
+		case s := <-signals.Received():
 			slog.Info("daemon: Received a signal.", "signal", s.String())
 			if s != syscall.SIGHUP {
 				g.Drain()
--- a/cmd/filbertrilld/main.go
+++ b/cmd/filbertrilld/main.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
@@ -15,6 +13,7 @@
 	"github.com/filbertrill/filbertrill/internal/daemon"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/signals"
 	"github.com/filbertrill/filbertrill/platform"
 )
 
@@ -54,12 +53,10 @@
 	})
 }
 
-// drainOnSignal drains the daemon on SIGTERM or an interrupt. Further signals have no effect, so
+// drainOnSignal drains the daemon on SIGTERM, SIGHUP or an interrupt. Further signals have no effect, so
 // that repeating a signal does not cut off requests in progress.
 func drainOnSignal(d *daemon.Daemon) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	for range signals {
+	for range signals.Received() {
 		slog.Info("daemon: Received a signal, draining.")
 		d.Drain()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,6 +181,10 @@
 // Run serves until a graceful shutdown, started by Drain, is complete. It returns an error if
 // an address can't be bound.
 func (g *Gateway) Run(ctx context.Context) error {
+	if g.draining.Load() {
+		g.logger.Info("Stopped during the start.")
+		return nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go g.reader.Run(ctx)
