Reserve the memory of request bodies before they are read

Cause: a body counted towards the limit only after it was read, and the limit did not depend on the memory of the daemon. A caller has until its deadline to send the body; a stalled one was held for good (TestBodyThatStallsIsGivenUpAtItsDeadline).

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -13,22 +13,18 @@
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
-const (
-	// maxBufferedBytes is the total size of buffered bodies beyond which requests are refused.
-	maxBufferedBytes = 48 << 20
-	// maxChoiceAge is the age of the admission decision, after the body was read, beyond which
-	// the server is chosen again. It is less than half the time between two load reports of a
-	// peer.
-	maxChoiceAge = 20 * time.Millisecond
-)
+// maxChoiceAge is the age of the admission decision, after the body was read, beyond which
+// the server is chosen again. It is less than half the time between two load reports of a
+// peer.
+const maxChoiceAge = 20 * time.Millisecond
 
 // bufferBody is the filter that reads the body and keeps it in memory while the request is in
 // flight.
 func (h *Handler) bufferBody(next chain.Handler[*call]) chain.Handler[*call] {
 	return chain.HandlerFunc[*call](func(ctx context.Context, c *call) error {
-		buffered, err := h.readBody(c)
-		defer h.bufferedBytes.Add(-buffered)
-		if err != nil {
+		reservation := &bodyReservation{memory: &h.bodyMemory}
+		defer reservation.release()
+		if err := h.readBody(c, reservation); err != nil {
 			return err
 		}
 		c.bodyRead = true
@@ -61,31 +57,35 @@
 	return *c.knownDigest
 }
 
-// readBody reads the whole body into the call, so that it can be sent again in a retry. It returns
-// the bytes that it has added to bufferedBytes, also with an error.
-func (h *Handler) readBody(c *call) (int64, error) {
+// readBody reads the whole body into the call, so that it can be sent again in a retry. A caller has time until the request's
+// deadline to send it.
+func (h *Handler) readBody(c *call, reservation *bodyReservation) error {
 	limit := c.config.Limits.MaxBodyBytes
 	if c.request.ContentLength == 0 || c.request.Body == nil {
-		return 0, nil
-	}
-	if h.bufferedBytes.Load() > maxBufferedBytes {
-		return 0, result.New(result.DaemonFull, "buffered request bodies have reached their limit").WithRetryAfter(defaultRetryAfter)
+		return nil
 	}
+	connection := http.NewResponseController(c.writer)
+	_ = connection.SetReadDeadline(c.deadline) // fails only without a connection, in tests
 	var err error
 	if n := c.request.ContentLength; n > 0 {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(c.request.Body, c.body)
+		if err = reservation.grow(n); err == nil {
+			c.body = make([]byte, n)
+			_, err = io.ReadFull(c.request.Body, c.body)
+		}
 	} else {
-		c.body, err = io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, max(limit, 1<<20)))
+		c.body, err = reservation.readAll(http.MaxBytesReader(c.writer, c.request.Body, max(limit, 1<<20)))
+	}
+	if err == nil { // otherwise net/http would wait for the rest of the body when it closes the connection
+		_ = connection.SetReadDeadline(time.Time{})
 	}
-	buffered := int64(len(c.body))
-	h.bufferedBytes.Add(buffered)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyMemory):
+		return result.Wrap(err, result.DaemonFull, "request body can't be read").WithRetryAfter(defaultRetryAfter)
 	case errors.As(err, &tooLarge):
-		return buffered, result.Wrap(err, result.BodyTooLarge, "request body is longer than %d bytes", limit)
+		return result.Wrap(err, result.BodyTooLarge, "request body is longer than %d bytes", limit)
 	case err != nil:
-		return buffered, result.Wrap(err, result.CallerGone, "read request body")
+		return result.Wrap(err, result.CallerGone, "read request body")
 	}
-	return buffered, nil
+	return nil
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -34,6 +35,7 @@
 	Pool               *upstream.Pool
 	ConnectionPressure func() bool // callers hold so many connections that refusals should close theirs
 	Overloaded         func() bool // the process gets too little processor time
+	BodyMemory         int64       // bytes for the bodies of requests in progress; 0 for a default
 	Metrics            *telemetry.Metrics
 	Logger             *slog.Logger
 }
@@ -44,9 +46,9 @@
 	Options
 	chain            chain.Handler[*call]
 	started          time.Time
-	closeConnections atomic.Bool  // see SetCloseConnections
-	refuseRequests   atomic.Bool  // see RefuseRequests
-	bufferedBytes    atomic.Int64 // total size of buffered bodies
+	closeConnections atomic.Bool // see SetCloseConnections
+	refuseRequests   atomic.Bool // see RefuseRequests
+	bodyMemory       bodyMemory
 	answerMemory     answerMemory
 	activeRequests   atomic.Int64
 	requests         atomic.Int64 // that have arrived
@@ -55,6 +57,7 @@
 // NewHandler returns a handler for the dependencies.
 func NewHandler(o Options) *Handler {
 	h := &Handler{Options: o, started: time.Now()}
+	h.bodyMemory.limit = cmp.Or(o.BodyMemory, defaultBodyMemory)
 	h.chain = chain.Link[*call](chain.HandlerFunc[*call](h.sendWithRetries),
 		h.record,
 		h.refuseWhenStopping,
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -33,7 +33,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	assert.NotEmpty(t, response.Header.Get("Retry-After"))
-	assert.Zero(t, handler.bufferedBytes.Load())
+	assert.Zero(t, handler.bodyMemory.used)
 	require.NoError(t, conn.Close())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,11 @@
 	// heap is small, and messages of peers become garbage at once: with the default of 100 the
 	// collector took a quarter of the processor time of 195 daemons.
 	gcPercent = 300
+	// bodyMemoryShare is the fraction of the memory limit for the bodies of requests in progress. It is small, as the heap may
+	// grow by garbage up to gcMemoryShare.
+	bodyMemoryShare = 0.16
+	// maxBodyMemory bounds it.
+	maxBodyMemory = 48 << 20
 	// headerTimeout bounds the time to read a request's head.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is longer than any caller keeps an idle connection open, so that the callers
@@ -153,6 +158,7 @@
 		Pool:               g.pool,
 		ConnectionPressure: g.connLimiter.nearLimit,
 		Overloaded:         g.overload.overloaded.Load,
+		BodyMemory:         min(int64(bodyMemoryShare*float64(s.MemoryLimitBytes)), maxBodyMemory),
 		Metrics:            metrics,
 		Logger:             logging.For(logging.Entry),
 	})
