--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -8,6 +8,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// knownFields are the fields of the standard (HTML, section "Server-sent events"). Servers may add others.
+var knownFields = map[string]bool{"data": true, "event": true, "id": true, "retry": true}
+
 // event is what a Tracker needs to know of a server-sent event.
 type event struct {
 	size    int // in bytes, with the empty line that ends it
@@ -38,8 +41,8 @@
 			continue
 		}
 		e.comment = false
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		if !isFieldName(name) || bytes.IndexByte(line, '\r') >= 0 {
+		name, value, hasValue := bytes.Cut(line, []byte(":"))
+		if !isFieldName(name) || !hasValue && !knownFields[string(name)] || bytes.IndexByte(line, '\r') >= 0 {
 			return event{}, errors.Newf("line is not a field of an event: %.40q", line)
 		}
 		switch string(name) {
--- a/internal/eventstream/tracker.go
+++ b/internal/eventstream/tracker.go
@@ -78,12 +78,14 @@
 		e, err := nextEvent(data[batch.Consumed:])
 		if err == nil && e.size > 0 && !e.comment {
 			err = t.advance(e.id)
-			batch.Events++
 		}
 		if err != nil || e.size == 0 {
 			batch.Forward = data[begin:batch.Consumed]
 			return batch, err
 		}
+		if !e.comment {
+			batch.Events++
+		}
 		batch.Consumed += e.size
 		if t.answer.delivered == 0 { // the event is a comment or was skipped
 			begin = batch.Consumed
--- a/internal/eventstream/tracker_test.go
+++ b/internal/eventstream/tracker_test.go
@@ -63,6 +63,7 @@
 		"no data":            func(id int) string { return fmt.Sprintf("id: %d\n\n", id) },
 		"ID of no number":    func(int) string { return "id: x\ndata: x\n\n" },
 		"two IDs":            func(id int) string { return fmt.Sprintf("id: %d\nid: %d\ndata: x\n\n", id, id) },
+		"line of no field":   func(id int) string { return fmt.Sprintf("id: %d\ndata: x\nxxxx\n\n", id) },
 		"carriage return":    func(id int) string { return fmt.Sprintf("id: %d\ndata: x\rid: 9\n\n", id) },
 		"missing":            func(int) string { return "" },
 		"repeated":           func(id int) string { return textOf(id) + textOf(id) },
--- a/internal/forward/body_memory.go
+++ b/internal/forward/body_memory.go
@@ -12,7 +12,7 @@
 	defaultBodyMemory = 48 << 20
 	// smallBodyBytes is the size up to which a body may use all of the memory.
 	smallBodyBytes = 256 << 10
-	// largeBodyShare is the share of the memory that larger bodies may use together. A few of them must not keep out all usual
+	// largeBodyShare is the share of the memory that several larger bodies may use together. They must not keep out all usual
 	// requests.
 	largeBodyShare = 0.75
 )
@@ -49,7 +49,8 @@
 	if bytes > smallBodyBytes {
 		large += bytes - r.largeBytes()
 	}
-	if used > m.limit || large > int64(largeBodyShare*float64(m.limit)) {
+	onlyLarge := m.large == r.largeBytes()
+	if used > m.limit || !onlyLarge && large > int64(largeBodyShare*float64(m.limit)) {
 		return errBodyMemory
 	}
 	m.used, m.large, r.bytes = used, large, bytes
