Confirm that a server still listens before its answer without a length counts

What callers would see (ORDER, MIXED; found by us, nobody was seen to meet it): a stream or body cut short that looks complete, if a server that answers without a length is killed midway. Cause: the connections of a killed process end like those of a complete answer, unless unread bytes are left. Change: before such an answer counts, another connection is opened, which the next request uses; if that fails, the answer is broken.

--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -30,7 +30,7 @@
 	answer   func(requestOfConn int) string // empty for none
 }
 
-func (s *strayServer) serve(_ string, conn net.Conn) {
+func (s *strayServer) serve(_ net.Listener, conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for n := 1; ; n++ {
@@ -112,7 +112,7 @@
 // Guards against a 421 that the caller gets although another server could run the request.
 func TestMisdirectedRequestGoesToAnotherServer(t *testing.T) {
 	var first sync.Once
-	gateway := startGateway(t, routing.Route{Kind: routing.Unrepeatable}, func(_ string, conn net.Conn) {
+	gateway := startGateway(t, routing.Route{Kind: routing.Unrepeatable}, func(_ net.Listener, conn net.Conn) {
 		defer conn.Close()
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -52,6 +53,9 @@
 func (h *Handler) relayBuffered(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt) (attemptProgress, error) {
 	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
 	defer h.answerMemory.releaseBuffer(body)
+	if err == nil {
+		err = h.confirmEnd(c, conn, response)
+	}
 	if err != nil {
 		conn.DisableReuse()
 		return maybeRun, errors.Wrap(err, "read answer")
@@ -135,20 +139,40 @@
 
 // finishEvents handles the end of a stream, if it can be complete. rest is the data after the last complete event.
 func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt) (attemptProgress, error) {
-	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if err := c.events.EndAnswer(rest); err != nil {
+	err := c.events.EndAnswer(rest)
+	if err != nil && (endsWithConnection(response) || !errors.Is(err, eventstream.ErrNoEvent)) {
+		err = errors.Mark(err, io.ErrUnexpectedEOF)
+	}
+	if err == nil {
+		err = h.confirmEnd(c, conn, response)
+	}
+	if err != nil {
 		conn.DisableReuse()
-		if endsWithConnection || !errors.Is(err, eventstream.ErrNoEvent) {
-			err = errors.Mark(err, io.ErrUnexpectedEOF)
-		}
 		return c.brokenStreamProgress(), err
 	}
-	if !endsWithConnection {
+	if !endsWithConnection(response) {
 		h.Scheduler.RecordComplete(c.schedulerRequest(), a, response.StatusCode, time.Now())
 	}
 	return fullyForwarded, nil
 }
 
+// endsWithConnection reports whether the end of the answer is that of its connection: it has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
+
+// confirmEnd returns an error if the answer ends with its connection and the server doesn't accept another one. When a process is
+// killed, its connections end like those of a complete answer.
+func (h *Handler) confirmEnd(c *call, conn *upstream.Conn, response *http.Response) error {
+	if !endsWithConnection(response) {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	defer cancel()
+	err := h.Pool.Check(ctx, conn.Endpoint())
+	return errors.Mark(errors.Wrap(err, "server has ended with its answer"), io.ErrUnexpectedEOF)
+}
+
 // forwardEvents writes events to the caller, after the header of the answer if they are the first ones.
 func (h *Handler) forwardEvents(c *call, response *http.Response, events []byte, flusher *http.ResponseController) error {
 	if len(events) == 0 {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -122,7 +122,7 @@
 }
 
 // startGateway starts a gateway with the route before two servers that pass their connections to serve.
-func startGateway(t *testing.T, route routing.Route, serve func(server string, conn net.Conn)) *httptest.Server {
+func startGateway(t *testing.T, route routing.Route, serve func(listener net.Listener, conn net.Conn)) *httptest.Server {
 	t.Helper()
 	h := newBusyHandler(t)
 	h.Protocol, h.Origins = idServerProtocol{}, oneOrigin{}
@@ -143,18 +143,17 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
-		id := fmt.Sprint("e", i)
 		go func() {
 			for {
 				conn, err := listener.Accept()
 				if err != nil {
 					return
 				}
-				go serve(id, conn)
+				go serve(listener, conn)
 			}
 		}()
 		servers = append(servers, routing.Server{
-			ID: id, Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listener.Addr().String(),
+			ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listener.Addr().String(),
 		})
 	}
 	h.Scheduler.SetServers(servers, config)
@@ -167,7 +166,7 @@
 func readStream(t *testing.T, lastEventID string, resumable bool, scripts ...[]string) streamOutcome {
 	t.Helper()
 	s := &scriptedServers{scripts: scripts}
-	gateway := startGateway(t, routing.Route{Kind: routing.Stream, Resumable: resumable}, func(_ string, conn net.Conn) { s.serve(conn) })
+	gateway := startGateway(t, routing.Route{Kind: routing.Stream, Resumable: resumable}, func(_ net.Listener, conn net.Conn) { s.serve(conn) })
 	request, err := http.NewRequest(http.MethodGet, gateway.URL, nil)
 	require.NoError(t, err)
 	request.Host = "h"
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,6 +38,7 @@
 // Conn is a connection to one backend server. It serves one request at a time.
 type Conn struct {
 	net.Conn
+	endpoint      Endpoint
 	limited       *io.LimitedReader // of the connection, limits heads
 	reader        *bufio.Reader     // of limited
 	rawConn       syscall.RawConn
@@ -88,6 +89,9 @@
 // Traffic returns the bytes of all requests and answers on the connection so far.
 func (c *Conn) Traffic() (sent, received int64) { return c.sentBytes, c.received.bytes }
 
+// Endpoint returns the server that the connection leads to.
+func (c *Conn) Endpoint() Endpoint { return c.endpoint }
+
 // DisableReuse makes Pool.Put close the connection instead of keeping it.
 func (c *Conn) DisableReuse() { c.reuseDisabled = true }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -93,10 +93,16 @@
 	}
 	conns.open++
 	p.mu.Unlock()
+	return p.dial(ctx, e)
+}
+
+// dial opens a connection that is counted already, and stops counting it if that fails.
+func (p *Pool) dial(ctx context.Context, e Endpoint) (*Conn, error) {
 	netConn, err := p.dialer.DialContext(ctx, "tcp", e.Address)
 	if err == nil {
 		var c *Conn
 		if c, err = newConn(netConn); err == nil {
+			c.endpoint = e
 			return c, nil
 		}
 		_ = netConn.Close()
@@ -105,6 +111,20 @@
 	return nil, errors.Wrap(err, "connect")
 }
 
+// Check opens a connection to the endpoint, which is kept for the next request, and returns an error if that fails. An answer
+// without a length that ends with its connection is complete only if its server has not ended.
+func (p *Pool) Check(ctx context.Context, e Endpoint) error {
+	p.mu.Lock()
+	p.connsOf(e).open++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, e)
+	if err != nil {
+		return err
+	}
+	p.Put(e, c)
+	return nil
+}
+
 // Put returns a connection to the pool after a request. It closes the connection if reuse
 // is disabled, if it has unread bytes or if the endpoint has enough idle connections.
 func (p *Pool) Put(e Endpoint, c *Conn) {
@@ -112,7 +132,7 @@
 		p.closeConn(e, c)
 		return
 	}
-	c.lastUsed, c.reused = time.Now(), true
+	c.lastUsed, c.reused = time.Now(), c.sentBytes > 0
 	p.mu.Lock()
 	conns, known := p.endpoints[e]
 	discard := !known || len(conns.idle) >= maxIdlePerEndpoint
