--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -31,8 +31,8 @@
 	return AnswerInfo{ID: h.Get("Id"), Signed: true}
 }
 
-// serveRaw accepts connections, reads the start of a request from each and calls write. It returns the address.
-func serveRaw(t *testing.T, write func(w io.Writer)) string {
+// listen accepts connections at an address of its own until the test ends, and calls serve with each.
+func listen(t *testing.T, serve func(listener net.Listener, conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -43,16 +43,22 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				_, _ = conn.Read(make([]byte, 4096)) // the request
-				write(conn)
-			}()
+			go serve(listener, conn)
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// serveRaw accepts connections, reads the start of a request from each and calls write. It returns the address.
+func serveRaw(t *testing.T, write func(w io.Writer)) string {
+	t.Helper()
+	return listen(t, func(_ net.Listener, conn net.Conn) {
+		defer conn.Close()
+		_, _ = conn.Read(make([]byte, 4096)) // the request
+		write(conn)
+	})
+}
+
 func TestLongAnswerToAnotherRequestIsNotCut(t *testing.T) {
 	inside := "HTTP/1.1 200 OK\r\nId: id\r\nContent-Length: 5\r\n\r\nwrong"
 	body := strings.Repeat("x", maxBufferedAnswerBytes) + inside
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -140,20 +140,8 @@
 	})
 	var servers []routing.Server
 	for i := range 2 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go serve(listener, conn)
-			}
-		}()
 		servers = append(servers, routing.Server{
-			ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listener.Addr().String(),
+			ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Slots: 12, State: routing.Ready, Version: "v", Address: listen(t, serve),
 		})
 	}
 	h.Scheduler.SetServers(servers, config)
