--- a/test/integration/answers/session_test.go
+++ b/test/integration/answers/session_test.go
@@ -60,6 +60,9 @@
 	text         string
 	finishReason string
 	complete     bool // the end marker or a complete JSON answer was received
+
+	response *http.Response // that lines reads
+	lines    *bufio.Scanner
 }
 
 type chunk struct {
@@ -110,16 +113,18 @@
 		a.complete = a.status == http.StatusOK
 		return a.addChunk(string(data))
 	}
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if err := a.addLine(lines.Text()); err != nil {
+	if a.response != resp { // a further read goes on with what the scanner has read ahead
+		a.response, a.lines = resp, bufio.NewScanner(resp.Body)
+	}
+	for a.lines.Scan() {
+		if err := a.addLine(a.lines.Text()); err != nil {
 			return err
 		}
-		if untilID >= 0 && a.lastEventID >= untilID && lines.Text() == "" {
+		if untilID >= 0 && a.lastEventID >= untilID && a.lines.Text() == "" {
 			return nil
 		}
 	}
-	return lines.Err()
+	return a.lines.Err()
 }
 
 // addLine adds a line of an event stream. It returns an error if an event id is not the successor of the
