Log which check admitted a request, and how old the states behind a decision are

The age of the oldest report was that of the last datagram, not of the states that a summary adds up. Change: summaries have the age of their oldest state (age_ms), also when they are forwarded. Lines of requests and a counter by account have the result of the check against the limit. Decisions are the same: CheckLimit replaces beyondLimit.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -89,6 +89,18 @@
 	RetryAfter time.Duration // zero when Reason is Admitted
 }
 
+// LimitCheck is how a request compares with Levels.Limit.
+type LimitCheck string
+
+// The results of the check. All but the last two allow the request to be admitted.
+const (
+	NoLimit     LimitCheck = "none"      // no account is underserved, or all demand of this one fits its guaranteed level
+	WithinPart  LimitCheck = "part"      // of this daemon
+	DrawnUnused LimitCheck = "unused"    // the part is used up, and the request was drawn to use what other parts leave unused
+	PartUsed    LimitCheck = "part_used" // and the request was not drawn
+	LimitUsed   LimitCheck = "limit_used"
+)
+
 // Decide refuses a request that the servers can't answer within the objective, and, under less
 // load, one whose account has already received its share of the window.
 func Decide(in Input) Verdict {
@@ -119,10 +131,11 @@
 // it is negative, which excludes idle servers, too: what an account receives there counts like the
 // rest.
 func (in Input) loadDelayAllowance() float64 {
+	check := in.CheckLimit()
 	switch {
 	case in.withinGuaranteedDemand():
 		return 1
-	case in.beyondLimit():
+	case check == PartUsed || check == LimitUsed:
 		return -1
 	case in.Usage.Admitted <= in.Levels.Guaranteed:
 		return 1
@@ -142,8 +155,8 @@
 	return in.Usage.Demand <= in.Levels.Guaranteed && in.OwnDemand <= in.DemandShare*in.Levels.Guaranteed
 }
 
-// beyondLimit reports whether the account has received more than Levels.Limit over the fleet, or more
-// than this daemon's part of it. The usage over the fleet is known with a delay, in which all daemons
+// CheckLimit compares what the account has received with Levels.Limit over the fleet, and with this
+// daemon's part of it. The usage over the fleet is known with a delay, in which all daemons
 // together could exceed the limit several times. Parts follow the demand (distributed rate limiting,
 // Raghavan et al. 2007).
 //
@@ -151,18 +164,19 @@
 // requests as fill it (core-stateless fair queueing, Stoica et al. 1998). A daemon that gets one request of the account a
 // second can't use a part that is smaller than the request: all accounts together would stay far below what idle servers
 // could do.
-func (in Input) beyondLimit() bool {
+func (in Input) CheckLimit() LimitCheck {
 	rate := in.Usage.rate()
 	switch {
+	case math.IsInf(in.Levels.Limit, 1) || in.withinGuaranteedDemand():
+		return NoLimit
 	case rate > in.Levels.Limit:
-		return true
+		return LimitUsed
 	case in.Credit > 0:
-		return false
-	case in.Usage.underserved(in.Levels.Guaranteed):
-		unused := in.Levels.Limit - rate
-		return in.Draw*(in.Usage.Demand-rate) >= unusedGain*unused
+		return WithinPart
+	case in.Usage.underserved(in.Levels.Guaranteed) && in.Draw*(in.Usage.Demand-rate) < unusedGain*(in.Levels.Limit-rate):
+		return DrawnUnused
 	}
-	return true
+	return PartUsed
 }
 
 // allowanceBase returns the time of which loadDelayAllowance is a share. Prompts that wait at a server hold up the streams that
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -126,7 +126,7 @@
 	levelsOf := func(usage map[uint64]Usage) Levels {
 		s := NewShares(4 * time.Second)
 		s.SetCapacity(1000)
-		s.SetPeerUsage("peer", usage, now)
+		s.SetPeerUsage("peer", usage, now, now)
 		return s.Levels(now)
 	}
 	quarters := func(tokens ...float64) (q [quarterCount]float64) {
@@ -159,7 +159,7 @@
 func TestNoLimitWithoutGuaranteedLevel(t *testing.T) {
 	s := NewShares(4 * time.Second)
 	now := time.Unix(1000, 0)
-	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 9000, UnmetBuckets: unmetFor(4)}}, now)
+	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 9000, UnmetBuckets: unmetFor(4)}}, now, now)
 	assert.Equal(t, math.Inf(1), s.Levels(now).Limit)
 	now = now.Add(time.Second)
 	for range 80 {
@@ -176,7 +176,7 @@
 	s.SetCapacity(1000)
 	s.SetPeerUsage("peer", map[uint64]Usage{
 		1: {Demand: 30_000, Admitted: 9000, UnmetBuckets: unmetFor(4)}, 2: {Demand: 9000, Admitted: 3000, UnmetBuckets: unmetFor(4)},
-	}, now)
+	}, now, now)
 	s.RecordDemand(1, 500, now)
 	assert.InDelta(t, maxLeadRatio*(3000+requestTolerance*500), s.Levels(now).Limit, 1e-9)
 	now = now.Add(3 * 4 * time.Second)
@@ -234,7 +234,7 @@
 	_, ok := s.DemandShare(1, now)
 	assert.False(t, ok)
 	s.RecordDemand(1, 100, now)
-	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 300}}, now.Add(time.Second))
+	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 300}}, now.Add(time.Second), now.Add(time.Second))
 	share, ok := s.DemandShare(1, now.Add(time.Second))
 	assert.True(t, ok)
 	assert.InDelta(t, 0.25, share, 1e-9)
@@ -281,7 +281,7 @@
 	now := time.Unix(1000, 0)
 	s.RecordDemand(1, 100, now)
 	s.RecordAdmitted(1, 60, now)
-	s.SetPeerUsage("b", map[uint64]Usage{1: {Demand: 50, Admitted: 10}}, now)
+	s.SetPeerUsage("b", map[uint64]Usage{1: {Demand: 50, Admitted: 10}}, now, now)
 	assert.Equal(t, Usage{Demand: 150, Admitted: 70, Quarters: [quarterCount]float64{60}, UnmetBuckets: 1}, s.Usage(1, now))
 
 	now = now.Add(2 * time.Second) // the peer's report has expired
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -33,6 +33,7 @@
 // peerUsage is the last usage report of a peer, by account.
 type peerUsage struct {
 	usage      map[uint64]Usage
+	takenAt    time.Time // by the daemon, or by the one of several that did so first
 	receivedAt time.Time
 }
 
@@ -89,10 +90,10 @@
 	}
 }
 
-// SetPeerUsage replaces the usage by account that the peer reported. The map must not be changed
-// afterwards.
-func (s *Shares) SetPeerUsage(peer string, usage map[uint64]Usage, now time.Time) {
-	s.peers[peer] = peerUsage{usage, now}
+// SetPeerUsage replaces the usage by account that the peer reported, as of takenAt. The map must not be
+// changed afterwards.
+func (s *Shares) SetPeerUsage(peer string, usage map[uint64]Usage, takenAt, now time.Time) {
+	s.peers[peer] = peerUsage{usage, takenAt, now}
 }
 
 // OwnUsage returns the usage by account of this daemon alone over the window.
@@ -126,12 +127,12 @@
 	return usage
 }
 
-// ReportAge returns the time since the oldest peer report that counts was received.
+// ReportAge returns the time since the oldest peer report that counts was taken.
 func (s *Shares) ReportAge(now time.Time) time.Duration {
 	var oldest time.Duration
 	for _, p := range s.peers {
-		if age := now.Sub(p.receivedAt); age <= peerUsageTTL {
-			oldest = max(oldest, age)
+		if now.Sub(p.receivedAt) <= peerUsageTTL {
+			oldest = max(oldest, now.Sub(p.takenAt))
 		}
 	}
 	return oldest
--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -165,7 +165,7 @@
 	if members := x.members(); !slices.Equal(members, x.summarizedOwn) {
 		x.summarizedOwn, withMembers = members, true
 	}
-	summary = x.summarizeZone(self, view)
+	summary = x.summarizeZone(self, view, now)
 	if !withMembers {
 		summary = withoutMembers(summary)
 	}
@@ -234,7 +234,7 @@
 	}
 	x.mu.Unlock()
 	if !aggregator {
-		x.options.OnOwnZone(z.Delegate, view, z.Included)
+		x.options.OnOwnZone(z.Delegate, view, z.Included, viewAge(z))
 	}
 }
 
--- a/internal/exchange/benchmark_test.go
+++ b/internal/exchange/benchmark_test.go
@@ -31,7 +31,7 @@
 		Self:           func() *pb.Member { return members[0] },
 		ControlAddress: "127.0.0.1:0",
 		View:           func(time.Duration) *pb.View { return &pb.View{} },
-		OnView:         func(string, *pb.Member, *pb.View) {},
+		OnView:         func(string, *pb.Member, *pb.View, time.Duration) {},
 		Logger:         slog.New(slog.DiscardHandler),
 	})
 	require.NoError(b, err)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -87,11 +87,12 @@
 	// placementAge.
 	View func(placementAge time.Duration) *pb.View
 	// OnView is called with each newer view of a peer or of another zone. from is the ID of the
-	// peer, or the name of the zone after ZonePrefix; source is the peer or the zone's delegate.
-	OnView func(from string, source *pb.Member, v *pb.View)
+	// peer, or the name of the zone after ZonePrefix; source is the peer or the zone's delegate. age is that of the oldest
+	// state in the view, without the time that the last datagram took.
+	OnView func(from string, source *pb.Member, v *pb.View, age time.Duration)
 	// OnOwnZone is called with the views of all other daemons of this one's zone, merged, in zones that are too large for
-	// OnView. included are the daemons, with their demands in some summaries.
-	OnOwnZone func(source *pb.Member, v *pb.View, included []*pb.Included)
+	// OnView. included are the daemons, with their demands in some summaries. age is as in OnView.
+	OnOwnZone func(source *pb.Member, v *pb.View, included []*pb.Included, age time.Duration)
 	// Records returns the records that PullRecords of a peer receives.
 	Records func(*pb.PullRequest) *pb.Records
 	// CachedParts returns the cached prefix parts of engines that PullCachedParts of a peer
@@ -160,6 +161,17 @@
 	lastSeen time.Time
 }
 
+// forwarded returns a copy of the summary to be sent on, with the age of its view now.
+func (z *zone) forwarded(now time.Time) *pb.Zone {
+	return &pb.Zone{
+		Zone: z.Zone.Zone, Delegate: z.Delegate, Incarnation: z.Incarnation, Sequence: z.Sequence, View: z.View, Members: z.Members,
+		AgeMs: z.AgeMs + AgeMillis(now.Sub(z.lastSeen)),
+	}
+}
+
+// viewAge returns the age of the oldest state in the view of the summary when it was sent.
+func viewAge(z *pb.Zone) time.Duration { return time.Duration(z.AgeMs) * time.Millisecond }
+
 // address is the control address of another daemon.
 type address struct {
 	udp      *net.UDPAddr
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -53,12 +53,12 @@
 		View: func(time.Duration) *pb.View {
 			return &pb.View{Accounts: []*pb.AccountUse{{Account: 1, Asked: 10}}, ConfigVersion: 7}
 		},
-		OnView: func(from string, _ *pb.Member, v *pb.View) {
+		OnView: func(from string, _ *pb.Member, v *pb.View, _ time.Duration) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.views[from] = v
 		},
-		OnOwnZone: func(_ *pb.Member, v *pb.View, _ []*pb.Included) {
+		OnOwnZone: func(_ *pb.Member, v *pb.View, _ []*pb.Included, _ time.Duration) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.views[ownZone] = v
--- a/internal/exchange/malformed_test.go
+++ b/internal/exchange/malformed_test.go
@@ -16,12 +16,12 @@
 func TestPanicWithOneMessageDoesNotEndTheProcess(t *testing.T) {
 	a, b := newNode(t, "a", "z1"), newNode(t, "b", "z1")
 	onView, panicked := a.options.OnView, make(chan struct{}, 1)
-	a.options.OnView = func(from string, source *pb.Member, v *pb.View) {
+	a.options.OnView = func(from string, source *pb.Member, v *pb.View, age time.Duration) {
 		if v.ConfigVersion == 666 {
 			panicked <- struct{}{}
 			panic("unexpected view")
 		}
-		onView(from, source, v)
+		onView(from, source, v, age)
 	}
 	a.options.Records = func(*pb.PullRequest) *pb.Records { panic("unexpected call") }
 	data, err := proto.Marshal(&pb.Datagram{State: &pb.State{
@@ -71,13 +71,13 @@
 		x := &Exchange{
 			options: Options{
 				Self: func() *pb.Member { return &pb.Member{Id: "a", Zone: "z1"} }, Logger: discardLogger(),
-				View: func(time.Duration) *pb.View { return &pb.View{} }, OnView: func(string, *pb.Member, *pb.View) {},
+				View: func(time.Duration) *pb.View { return &pb.View{} }, OnView: func(string, *pb.Member, *pb.View, time.Duration) {},
 			},
 			peers: map[string]*peer{}, zones: map[string]*zone{}, addresses: map[string]*address{},
 		}
 		x.handleState(d.State, time.Now())
 		x.Members()
-		x.summarizeZone(x.options.Self(), &pb.View{})
+		x.summarizeZone(x.options.Self(), &pb.View{}, time.Now())
 		x.expire(time.Now())
 	})
 }
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -71,7 +71,7 @@
 	}
 	x.mu.Unlock()
 	if inScope {
-		x.options.OnView(s.Member.Id, s.Member, s.View)
+		x.options.OnView(s.Member.Id, s.Member, s.View, 0)
 	}
 	x.handleForwarded(s.Zones, now)
 }
@@ -128,7 +128,7 @@
 	if !x.acceptZone(z, fromDelegate, now) {
 		return
 	}
-	x.options.OnView(ZonePrefix+z.Zone, z.Delegate, z.View)
+	x.options.OnView(ZonePrefix+z.Zone, z.Delegate, z.View, viewAge(z))
 }
 
 // acceptZone stores the summary of another zone. It returns false if its view is not needed: the
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -86,7 +86,7 @@
 	}
 	var summary *pb.Zone
 	if isDelegate {
-		state.Zones, summary = x.summaries(self, view, listed != nil)
+		state.Zones, summary = x.summaries(self, view, listed != nil, now)
 	}
 	x.mu.Unlock()
 	forwarded := splitZones(state)
@@ -126,7 +126,7 @@
 	if withMembers || len(askers) > 0 {
 		listed = &pb.State{Member: self, Incarnation: x.incarnation, Sequence: x.sequence, View: withoutEvidence(state.View), Members: x.members()}
 	}
-	others, toOthers := x.summaries(self, state.View, withMembers)
+	others, toOthers := x.summaries(self, state.View, withMembers, now)
 	if ZoneRank(self, x.members()) != 0 {
 		toOthers = nil
 	}
@@ -197,11 +197,11 @@
 // summaries returns the summaries of the other zones, which the delegate forwards to its zone, and that
 // of its own. They contain the members if withMembers is set or these have changed since they last did.
 // The caller holds the lock.
-func (x *Exchange) summaries(self *pb.Member, view *pb.View, withMembers bool) (others []*pb.Zone, own *pb.Zone) {
-	own = x.summarizeZone(self, view)
+func (x *Exchange) summaries(self *pb.Member, view *pb.View, withMembers bool, now time.Time) (others []*pb.Zone, own *pb.Zone) {
+	own = x.summarizeZone(self, view, now)
 	for name, z := range x.zones {
 		if name != self.Zone {
-			others = append(others, z.Zone)
+			others = append(others, z.forwarded(now))
 		}
 	}
 	if members := x.members(); withMembers || !slices.Equal(members, x.summarized) {
@@ -263,21 +263,23 @@
 // withoutMembers returns a copy of the summary without the list of members. Receivers keep the list that
 // they have: it changes seldom, and has more bytes than most views.
 func withoutMembers(z *pb.Zone) *pb.Zone {
-	return &pb.Zone{Zone: z.Zone, Delegate: z.Delegate, Incarnation: z.Incarnation, Sequence: z.Sequence, View: z.View}
+	return &pb.Zone{Zone: z.Zone, Delegate: z.Delegate, Incarnation: z.Incarnation, Sequence: z.Sequence, View: z.View, AgeMs: z.AgeMs}
 }
 
 // summarizeZone returns the summary of this daemon's zone. The caller holds the lock.
-func (x *Exchange) summarizeZone(self *pb.Member, view *pb.View) *pb.Zone {
+func (x *Exchange) summarizeZone(self *pb.Member, view *pb.View, now time.Time) *pb.Zone {
 	views, members := []*pb.View{view}, []*pb.Member{self}
+	var age time.Duration
 	for _, p := range x.peers {
 		if p.live && p.state.Member.Zone == self.Zone {
 			views = append(views, p.state.View)
 			members = append(members, p.state.Member)
+			age = max(age, now.Sub(p.lastSeen))
 		}
 	}
 	return &pb.Zone{
 		Zone: self.Zone, Delegate: self, Incarnation: x.incarnation, Sequence: x.sequence,
-		View: MergeViews(views), Members: members,
+		View: MergeViews(views), Members: members, AgeMs: AgeMillis(age),
 	}
 }
 
--- a/internal/forward/admission_record.go
+++ b/internal/forward/admission_record.go
@@ -20,8 +20,8 @@
 // LogValue implements slog.LogValuer.
 func (a *admissionRecord) LogValue() slog.Value {
 	in := &a.input
-	return slog.StringValue(fmt.Sprintf("cost=%.0f demand=%.0f usage=%.0f quarters=%s unmet=%08b share=%.3f credit=%.0f guaranteed=%.0f attained=%.0f limit=%.0f delay=%v allowed=%v reportage=%v",
-		a.cost, in.Usage.Demand, in.Usage.Admitted, formatQuarters(in.Usage), in.Usage.UnmetBuckets, in.DemandShare, in.Credit,
+	return slog.StringValue(fmt.Sprintf("cost=%.0f demand=%.0f usage=%.0f quarters=%s unmet=%08b share=%.3f credit=%.0f check=%s guaranteed=%.0f attained=%.0f limit=%.0f delay=%v allowed=%v reportage=%v",
+		a.cost, in.Usage.Demand, in.Usage.Admitted, formatQuarters(in.Usage), in.Usage.UnmetBuckets, in.DemandShare, in.Credit, in.CheckLimit(),
 		in.Levels.Guaranteed, in.Levels.Attained, in.Levels.Limit,
 		in.LoadDelay().Round(time.Microsecond), in.AllowedLoadDelay().Round(time.Microsecond), in.ReportAge))
 }
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -38,6 +38,8 @@
 	}
 	if decision.Found && c.route.Engine {
 		c.admission = &admissionRecord{decision.Cost, decision.Input}
+		h.Metrics.CountAdmission(c.account, string(decision.Input.CheckLimit()), decision.Verdict.Reason == admission.Admitted, decision.Cost)
+		h.Metrics.SetReportAge(decision.Input.ReportAge)
 	}
 	switch {
 	case !decision.Found && decision.PauseEnd > 0:
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -107,11 +107,11 @@
 			require.NoError(t, err)
 			v = &pb.View{}
 			require.NoError(t, proto.Unmarshal(data, v))
-			g.receiveView("p"+strconv.Itoa(i), &pb.Member{Id: "p"}, v)
+			g.receiveView("p"+strconv.Itoa(i), &pb.Member{Id: "p"}, v, 0)
 			views = append(views, v)
 		}
 		merged := exchange.MergeViews(views)
-		g.receiveView(exchange.ZonePrefix+"z2", &pb.Member{Id: "q"}, merged)
+		g.receiveView(exchange.ZonePrefix+"z2", &pb.Member{Id: "q"}, merged, 0)
 		now := time.Now()
 		for i := range 4 {
 			r := scheduler.Request{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -137,19 +137,21 @@
 func ageMillis(age time.Duration) uint32 { return exchange.AgeMillis(age) }
 
 // receiveView applies the view of a peer or of a whole other zone. It implements exchange.Options.OnView.
-func (g *Gateway) receiveView(from string, source *pb.Member, v *pb.View) {
+func (g *Gateway) receiveView(from string, source *pb.Member, v *pb.View, age time.Duration) {
 	now := time.Now()
 	zone, isZone := strings.CutPrefix(from, exchange.ZonePrefix)
 	if !isZone {
 		zone = ""
 	}
-	g.scheduler.SetPeer(from, decodeView(v, zone), now)
+	view := decodeView(v, zone)
+	view.Age = age
+	g.scheduler.SetPeer(from, view, now)
 	g.receiveKnowledge(from, source, v, now)
 }
 
 // receiveOwnZone applies the sum of the views of the other daemons of this one's zone. It implements
 // exchange.Options.OnOwnZone.
-func (g *Gateway) receiveOwnZone(source *pb.Member, v *pb.View, included []*pb.Included) {
+func (g *Gateway) receiveOwnZone(source *pb.Member, v *pb.View, included []*pb.Included, age time.Duration) {
 	now := time.Now()
 	demands := make(map[uint64]map[uint64]float64)
 	self := placement.Hash(g.settings.ID)
@@ -163,7 +165,9 @@
 		}
 		demands[daemon.Member] = byService
 	}
-	g.scheduler.SetOwnZone(exchange.ZonePrefix+g.settings.Zone, decodeView(v, ""), demands, now)
+	view := decodeView(v, "")
+	view.Age = age
+	g.scheduler.SetOwnZone(exchange.ZonePrefix+g.settings.Zone, view, demands, now)
 	g.receiveKnowledge(source.Id, source, v, now)
 }
 
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -49,7 +49,7 @@
 	a.topology.SetServer(routing.Server{ID: "s", Incarnation: 1, State: routing.Draining}, nil, time.Now().Add(-3*time.Second))
 	view := a.viewMessage(time.Second)
 	view.ServerDigest = b.topology.Digest() // nothing to pull
-	b.receiveView("a", &pb.Member{Id: "a"}, view)
+	b.receiveView("a", &pb.Member{Id: "a"}, view, 0)
 	got := b.topology.Withdrawals(time.Now())
 	require.Len(t, got, 1)
 	assert.InDelta(t, 3, time.Since(got[0].FirstSeen).Seconds(), 1)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,6 +153,7 @@
 	TimingModels map[uint64]placement.TimingModel // by hash of the service's name
 	Quarantine   []quarantine.Report
 	Limits       serverlimit.Report
+	Age          time.Duration // of the oldest state in the view when it was sent, 0 for that of a single daemon
 }
 
 // SetPeer replaces the view of a peer.
@@ -162,7 +163,7 @@
 	s.balancer.SetPeerLoad(id, view.Loads, now)
 	s.balancer.AddPeerPlacements(view.Placements, now)
 	s.balancer.SetPeerTimingModels(id, view.TimingModels, now)
-	s.shares.SetPeerUsage(id, view.Usage, now)
+	s.shares.SetPeerUsage(id, view.Usage, now.Add(-view.Age), now)
 	s.quarantine.Merge(view.Quarantine, now)
 	s.limiter.SetPeer(id, view.Limits, now)
 }
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// CountAdmission counts the tokens that a request to an engine asks for, by the check against the limit of its account.
+func (m *Metrics) CountAdmission(account, check string, admitted bool, tokens float64) {
+	m.accounts.seriesFor(account).admission().get(admissionKey{check, admitted}).Inc(int64(tokens))
+}
+
 // ObserveResumePause records the time from the interruption of an answer's stream to the next
 // new event.
 func (m *Metrics) ObserveResumePause(service string, d time.Duration) {
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -34,6 +34,30 @@
 	servedTokens func() tally.Counter
 	resumePause  func() tally.Histogram
 	retries      func() tally.Counter
+	admission    func() admissionCounters
+}
+
+// admissionCounters count the tokens that an account asked for, by the check against its limit and by result.
+type admissionCounters struct {
+	scope    tally.Scope
+	counters *sync.Map // admissionKey to tally.Counter
+}
+
+type admissionKey struct {
+	check    string
+	admitted bool
+}
+
+func (c admissionCounters) get(key admissionKey) tally.Counter {
+	if counter, ok := c.counters.Load(key); ok {
+		return counter.(tally.Counter)
+	}
+	result := "refused"
+	if key.admitted {
+		result = "admitted"
+	}
+	counter, _ := c.counters.LoadOrStore(key, c.scope.Tagged(map[string]string{"check": key.check, "result": result}).Counter("asked_tokens_total"))
+	return counter.(tally.Counter)
 }
 
 // newSeries returns the series of a label value. The label name is also the infix of the metric
@@ -61,6 +85,7 @@
 		servedTokens: sync.OnceValue(func() tally.Counter {
 			return scope().Counter("served_tokens_total")
 		}),
+		admission: sync.OnceValue(func() admissionCounters { return admissionCounters{scope(), &sync.Map{}} }),
 	}
 }
 
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -15,6 +15,7 @@
 	logAge        tally.Gauge
 	configAge     tally.Gauge
 	cutOff        tally.Gauge
+	reportAge     tally.Gauge
 }
 
 func newStateGauges(scope tally.Scope) stateGauges {
@@ -25,9 +26,13 @@
 		logAge:        scope.Gauge("log_age_seconds"),
 		configAge:     scope.Gauge("config_known_age_seconds"),
 		cutOff:        scope.Gauge("cut_off"),
+		reportAge:     scope.Gauge("report_age_seconds"),
 	}
 }
 
+// SetReportAge sets the age of the oldest usage of other daemons that the last admission decision was based on.
+func (m *Metrics) SetReportAge(d time.Duration) { m.state.reportAge.Update(d.Seconds()) }
+
 // SetRunning sets the number of running requests of a service that this daemon forwards.
 func (m *Metrics) SetRunning(service string, n int) {
 	m.setServiceGauge("running_requests", service, n)
