--- a/internal/admission/rank.go
+++ b/internal/admission/rank.go
@@ -29,7 +29,7 @@
 	index := s.bucketIndex(now)
 	var all Usage
 	for _, r := range s.ranks {
-		all = all.plus(r.sum(index))
+		all = all.Plus(r.sum(index))
 	}
 	if own := s.ranks[rank].sum(index); own.Admitted*all.Demand < minRankShare*all.Admitted*own.Demand {
 		return 0
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -122,7 +122,7 @@
 			delete(s.peers, peer)
 			continue
 		}
-		usage = usage.plus(p.usage[account])
+		usage = usage.Plus(p.usage[account])
 	}
 	return usage
 }
@@ -208,7 +208,7 @@
 			continue
 		}
 		for account, usage := range p.usage {
-			total[account] = total[account].plus(usage)
+			total[account] = total[account].Plus(usage)
 		}
 	}
 	demands := make([]float64, 0, len(total))
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -17,7 +17,8 @@
 	UnmetBuckets uint8
 }
 
-func (u Usage) plus(other Usage) Usage {
+// Plus returns the sum of the usage of an account at different daemons.
+func (u Usage) Plus(other Usage) Usage {
 	u.Demand += other.Demand
 	u.Admitted += other.Admitted
 	for i := range u.Quarters {
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -62,7 +62,7 @@
 			b.recentPlacements = append(b.recentPlacements, Placement{Server: s.hash, Part: part, Tokens: tokens, sentAt: now})
 		}
 	}
-	s.ownLoad = s.ownLoad.plus(a.load)
+	s.ownLoad = s.ownLoad.Plus(a.load)
 	b.loaded[s] = true
 	s.awaitingFirstEvent[a] = struct{}{}
 	return a
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -86,7 +86,8 @@
 	MemoryTokens  int // prompt and output tokens of all requests
 }
 
-func (l Load) plus(o Load) Load {
+// Plus returns the sum of the work of different daemons.
+func (l Load) Plus(o Load) Load {
 	return Load{l.Running + o.Running, l.PendingTokens + o.PendingTokens, l.MemoryTokens + o.MemoryTokens}
 }
 
@@ -259,7 +260,7 @@
 func (b *Balancer) SetPeerLoad(peer string, loads map[uint64]Load, now time.Time) {
 	b.removePeerLoads(peer)
 	for hash, l := range loads {
-		b.peerLoadSum[hash] = b.peerLoadSum[hash].plus(l)
+		b.peerLoadSum[hash] = b.peerLoadSum[hash].Plus(l)
 	}
 	b.loadsByPeer[peer] = peerLoads{loads, now}
 }
@@ -404,6 +405,6 @@
 }
 
 // load returns the load of all daemons at the server.
-func (b *Balancer) load(s *server) Load { return s.ownLoad.plus(b.peerLoadSum[s.hash]) }
+func (b *Balancer) load(s *server) Load { return s.ownLoad.Plus(b.peerLoadSum[s.hash]) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -107,6 +107,8 @@
 	TokensPerSecond float64
 	// ViewInterval and ViewDelay replace viewInterval and viewDelay if they are not 0.
 	ViewInterval, ViewDelay time.Duration
+	// Summaries replace the views that daemons send each other. It may be nil.
+	Summaries *SummaryOptions
 }
 
 // Simulation runs scheduled requests and faults on a model of a fleet. It is not safe for
@@ -189,8 +191,21 @@
 // Run runs the simulation until no events are left. Daemons exchange views for the given length
 // plus callerTimeout.
 func (s *Simulation) Run(length time.Duration) {
+	if s.options.Summaries != nil {
+		s.scheduleSummaries(length + callerTimeout)
+	} else {
+		s.scheduleViews(length + callerTimeout)
+	}
+	for s.queue.Len() > 0 {
+		e := heap.Pop(&s.queue).(event)
+		e.run(e.at)
+	}
+}
+
+// scheduleViews schedules the views that each daemon sends to all others for the given length.
+func (s *Simulation) scheduleViews(length time.Duration) {
 	for i, sched := range s.schedulers {
-		for t := Start; t.Before(Start.Add(length + callerTimeout)); t = t.Add(s.options.ViewInterval) {
+		for t := Start; t.Before(Start.Add(length)); t = t.Add(s.options.ViewInterval) {
 			s.At(t.Add(time.Duration(i)*time.Millisecond), func(now time.Time) {
 				view := sched.View(450*time.Millisecond, now)
 				s.At(now.Add(s.options.ViewDelay), func(now time.Time) {
@@ -203,10 +218,6 @@
 			})
 		}
 	}
-	for s.queue.Len() > 0 {
-		e := heap.Pop(&s.queue).(event)
-		e.run(e.at)
-	}
 }
 
 // Request is a request of a caller.
