Compare demands as of the same time for a daemon's part of a limit

Cause: a daemon compared its own demand of now with that of others up to 1.5 s before. While demand grows, each takes too large a part for its own. Change: daemons keep the usages that they have reported and received for 3 s, and compare them as of the time of the oldest report. The test of the newest bucket is replaced: parts add up to 1.05 at most while demand grows a hundredfold, with reports of different ages; it fails on the code before.

--- /dev/null
+++ b/internal/admission/history.go
@@ -0,0 +1,45 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// historyLength is the time for which usages are kept. Summaries of other zones are up to 1.5 s old, and count for peerUsageTTL.
+const historyLength = 3 * time.Second
+
+// datedUsage is the usage by account as of a time.
+type datedUsage struct {
+	usage   map[uint64]Usage
+	takenAt time.Time
+}
+
+// usageHistory holds the usages of the last historyLength, the oldest first.
+type usageHistory []datedUsage
+
+// add returns the history with a newer usage.
+func (h usageHistory) add(u datedUsage) usageHistory {
+	expired := 0
+	for expired < len(h) && u.takenAt.Sub(h[expired].takenAt) > historyLength {
+		expired++
+	}
+	return append(slices.Delete(h, 0, expired), u)
+}
+
+// demandAt returns the demand of the account as of t, interpolated between the usages before and after it.
+func (h usageHistory) demandAt(account uint64, t time.Time) float64 {
+	var after *datedUsage
+	for _, u := range slices.Backward(h) {
+		if u.takenAt.After(t) {
+			after = &u
+			continue
+		}
+		demand := u.usage[account].Demand
+		if after != nil {
+			elapsed := t.Sub(u.takenAt).Seconds() / after.takenAt.Sub(u.takenAt).Seconds()
+			demand += elapsed * (after.usage[account].Demand - demand)
+		}
+		return demand
+	}
+	return 0
+}
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -226,21 +228,58 @@
 	assert.Equal(t, [quarterCount]float64{120, 160, 120, 0}, usage.Quarters)
 }
 
-// Summed over all daemons, the parts of the demand are 1 although each daemon knows its own demand
-// earlier than that of its peers.
-func TestDemandShareLeavesOutUnreportedDemand(t *testing.T) {
-	s := NewShares(4 * time.Second)
-	now := time.Unix(1000, 0)
-	_, ok := s.DemandShare(1, now)
+// Guards against parts of the demand that add up to more than 1 over all daemons while the demand grows, as each daemon knows its
+// own demand earlier than that of the others.
+func TestDemandSharesAddUpToOneWhileDemandGrows(t *testing.T) {
+	const daemons, step = 10, 50 * time.Millisecond
+	start := time.Unix(1000, 0)
+	var fleet []*Shares
+	var reports [daemons]usageHistory
+	for range daemons {
+		fleet = append(fleet, NewShares(4*time.Second))
+	}
+	_, ok := fleet[0].DemandShare(1, start)
 	assert.False(t, ok)
-	s.RecordDemand(1, 100, now)
-	s.SetPeerUsage("peer", map[uint64]Usage{1: {Demand: 300}}, now.Add(time.Second), now.Add(time.Second))
-	share, ok := s.DemandShare(1, now.Add(time.Second))
-	assert.True(t, ok)
-	assert.InDelta(t, 0.25, share, 1e-9)
-	s.RecordDemand(1, 5000, now.Add(time.Second))
-	share, _ = s.DemandShare(1, now.Add(time.Second))
-	assert.InDelta(t, 0.25, share, 1e-9)
+	for i := range 120 {
+		now := start.Add(time.Duration(i) * step)
+		perStep := 10.0
+		if i >= 60 {
+			perStep = 1000
+		}
+		sum := 0.0
+		for d, shares := range fleet {
+			shares.RecordDemand(1, perStep*float64(d+1), now)
+			reports[d] = reports[d].add(datedUsage{shares.Report(now), now})
+			for p := range daemons { // the report of each peer is 0.2 to 1.1 s old and is replaced each 0.35 s
+				if takenAt := now.Add(-time.Duration(200+50*p) * time.Millisecond); p != d && (i+p)%7 == 0 && !takenAt.Before(start) {
+					if report := reports[p].newestAt(takenAt); report != nil {
+						shares.SetPeerUsage(fmt.Sprint(p), report, takenAt, now)
+					}
+				}
+			}
+			share, ok := shares.DemandShare(1, now)
+			sum += share
+			if i > 30 {
+				assert.True(t, ok)
+			}
+			if steady := (i > 30 && i < 60) || i > 90; steady {
+				assert.InEpsilon(t, float64(d+1)/55, share, 0.02, "daemon %d, step %d", d, i)
+			}
+		}
+		if i > 30 { // all have reported
+			assert.LessOrEqual(t, sum, 1.05, "step %d", i)
+		}
+	}
+}
+
+// newestAt returns the newest usage as of t or earlier, nil if there is none.
+func (h usageHistory) newestAt(t time.Time) map[uint64]Usage {
+	for _, u := range slices.Backward(h) {
+		if !u.takenAt.After(t) {
+			return u.usage
+		}
+	}
+	return nil
 }
 
 func TestCreditBoundsRateAndCarriesDebt(t *testing.T) {
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -20,6 +20,7 @@
 	accounts map[uint64]*usageRing // usage of this daemon
 	pacers   map[uint64]*pacer     // of this daemon, see Credit
 	peers    map[string]peerUsage
+	reported usageHistory // usage of this daemon
 
 	levels           Levels
 	levelsComputedAt time.Time
@@ -35,6 +36,7 @@
 	usage      map[uint64]Usage
 	takenAt    time.Time // by the daemon, or by the one of several that did so first
 	receivedAt time.Time
+	history    usageHistory
 }
 
 const (
@@ -93,7 +95,7 @@
 // SetPeerUsage replaces the usage by account that the peer reported, as of takenAt. The map must not be
 // changed afterwards.
 func (s *Shares) SetPeerUsage(peer string, usage map[uint64]Usage, takenAt, now time.Time) {
-	s.peers[peer] = peerUsage{usage, takenAt, now}
+	s.peers[peer] = peerUsage{usage, takenAt, now, s.peers[peer].history.add(datedUsage{usage, takenAt})}
 }
 
 // OwnUsage returns the usage by account of this daemon alone over the window.
@@ -111,6 +113,13 @@
 	return usage
 }
 
+// Report returns OwnUsage for peers, and keeps it for DemandShare. The map must not be changed.
+func (s *Shares) Report(now time.Time) map[uint64]Usage {
+	usage := s.OwnUsage(now)
+	s.reported = s.reported.add(datedUsage{usage, now})
+	return usage
+}
+
 // Usage returns the usage of the account over the fleet.
 func (s *Shares) Usage(account uint64, now time.Time) Usage {
 	var usage Usage
@@ -139,18 +148,15 @@
 }
 
 // DemandShare returns the part of the demand of the account over the fleet that arrives at this
-// daemon. The newest bucket is left out, since the reports of peers don't contain it yet: otherwise
-// each daemon would take a flood that has just begun for its own alone. ok is false if no demand is
-// known.
+// daemon. Demands are compared as of the time of the oldest report: if that of this daemon were
+// newer, the parts of all daemons would add up to a multiple of the demand while it grows. ok is
+// false if no demand of that time is known.
 func (s *Shares) DemandShare(account uint64, now time.Time) (share float64, ok bool) {
-	own, peers := 0.0, 0.0
-	if r, ok := s.accounts[account]; ok {
-		index := s.bucketIndex(now)
-		own = r.sum(index).Demand - r.bucketAt(index).demand
-	}
+	asOf := now.Add(-s.ReportAge(now))
+	own, peers := s.reported.demandAt(account, asOf), 0.0
 	for _, p := range s.peers {
 		if now.Sub(p.receivedAt) <= peerUsageTTL {
-			peers += p.usage[account].Demand
+			peers += p.history.demandAt(account, asOf)
 		}
 	}
 	if own == 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -186,7 +186,7 @@
 	defer s.mu.Unlock()
 	return View{
 		Loads:        s.balancer.OwnLoad(),
-		Usage:        s.shares.OwnUsage(now),
+		Usage:        s.shares.Report(now),
 		Placements:   slices.Clone(s.balancer.Placements(placementAge, now)),
 		TimingModels: s.balancer.TimingModels(),
 		Quarantine:   s.quarantine.Reports(now),
