Give out unused parts of a limit by the demand of now

Cause: what parts of a limit leave unused is given to requests at random, with a probability of twice the unused tokens over the unmet demand of the last window. When demand jumps, the window is behind for seconds, and each daemon gives out a multiple of what is unused. Change: the demand is scaled by how much that of the last second at this daemon exceeds the one which daemons have reported.

--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -74,6 +74,7 @@
 	Usage          Usage         // of the account over the fleet, without this request
 	OwnDemand      float64       // part of Usage.Demand at this daemon
 	DemandShare    float64       // see Shares.DemandShare
+	DemandGrowth   float64       // see Shares.DemandGrowth
 	Credit         float64       // tokens that the account may receive here, see Shares.Credit
 	CreditRate     float64       // tokens per second: this daemon's part of Levels.Limit
 	Levels         Levels        // over the fleet
@@ -173,12 +174,19 @@
 		return LimitUsed
 	case in.Credit > 0:
 		return WithinPart
-	case in.Usage.underserved(in.Levels.Guaranteed) && in.Draw*(in.Usage.Demand-rate) < unusedGain*(in.Levels.Limit-rate):
+	case in.Usage.underserved(in.Levels.Guaranteed) && in.Draw*in.unmetDemand() < unusedGain*(in.Levels.Limit-rate):
 		return DrawnUnused
 	}
 	return PartUsed
 }
 
+// unmetDemand returns the tokens per window that the account asks for and doesn't receive. The demand over the fleet is that of a
+// window that has passed: if requests were drawn by it alone, an account whose demand has grown to the sixfold would receive
+// six times what is unused, until the window has caught up.
+func (in Input) unmetDemand() float64 {
+	return max(1, in.DemandGrowth) * (in.Usage.Demand - in.Usage.rate())
+}
+
 // allowanceBase returns the time of which loadDelayAllowance is a share. Prompts that wait at a server hold up the streams that
 // run there, which allow for less than the time to a first event.
 func (in Input) allowanceBase() time.Duration {
--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -228,6 +228,43 @@
 	assert.Equal(t, [quarterCount]float64{120, 160, 120, 0}, usage.Quarters)
 }
 
+// Guards against an account that receives a multiple of its limit when its demand grows, as unused parts are given out by the demand
+// of a window that has passed.
+func TestUnusedPartsAreGivenOutByTheDemandOfNow(t *testing.T) {
+	const perSecond, growth, unused = 100_000.0, 6.0, 50_000.0
+	s := NewShares(4 * time.Second)
+	now := time.Unix(1000, 0)
+	grows, end := now.Add(5*time.Second), now.Add(6*time.Second)
+	in := Input{
+		Objective: time.Second, Window: 4 * time.Second, Credit: -1, DemandShare: 1,
+		Levels: Levels{Guaranteed: 10_000, Attained: 100_000, Limit: 100_000},
+		Usage:  Usage{Demand: 4 * perSecond, Admitted: 100_000 - unused, UnmetBuckets: unmetFor(4)}, // reported before the growth
+	}
+	s.SetPeerUsage("peer", nil, grows, grows)
+	received := 0.0
+	for cost := perSecond / 100; now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if now.Equal(grows) {
+			s.Report(now)
+		}
+		requests := 1
+		if !now.Before(grows) {
+			requests = growth
+		}
+		for range requests {
+			s.RecordDemand(1, cost, now)
+			in.OwnDemand, in.DemandGrowth = s.OwnDemand(1, now), s.DemandGrowth(1, cost, now)
+			in.Draw = math.Mod(in.Draw+math.Phi, 1)
+			if in.CheckLimit() == DrawnUnused && !now.Before(grows) {
+				received += cost
+			}
+		}
+	}
+	// The demand of the last second follows the growth linearly, so that a request is drawn growth/(1+(growth-1)*t) times too often.
+	excess := growth / (growth - 1) * math.Log(growth)
+	assert.LessOrEqual(t, received, 1.1*excess*unusedGain*unused/4)
+	assert.GreaterOrEqual(t, received, unusedGain*unused/4)
+}
+
 // Guards against parts of the demand that add up to more than 1 over all daemons while the demand grows, as each daemon knows its
 // own demand earlier than that of the others.
 func TestDemandSharesAddUpToOneWhileDemandGrows(t *testing.T) {
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -173,6 +173,20 @@
 	return 0
 }
 
+// DemandGrowth returns the demand of the account that has arrived at this daemon of late, without a request of the given cost that
+// was just recorded, relative to the one as of the time of the oldest report. It is at least 1.
+func (s *Shares) DemandGrowth(account uint64, cost float64, now time.Time) float64 {
+	r, ok := s.accounts[account]
+	reported := s.reported.demandAt(account, now.Add(-s.ReportAge(now)))
+	if !ok || reported <= 0 {
+		return 1
+	}
+	index, bucket := s.bucketIndex(now), s.window/bucketCount
+	length := bucket + time.Duration(monotonic.UnixNano(now)%bucket.Nanoseconds()) // of the newest bucket so far, and the one before
+	recent := r.bucketAt(index).demand + r.bucketBefore(index).demand - cost
+	return max(1, recent/reported*s.window.Seconds()/length.Seconds())
+}
+
 // Credit returns the tokens that the account may still receive from this daemon at the rate, in
 // tokens per second. It is infinite if the rate is.
 func (s *Shares) Credit(account uint64, rate float64, now time.Time) float64 {
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -83,6 +83,11 @@
 	return &r.buckets[r.index%bucketCount]
 }
 
+// bucketBefore returns the bucket before the newest one, which has the index.
+func (r *usageRing) bucketBefore(index int64) *usageBucket {
+	return &r.buckets[(index-1+bucketCount)%bucketCount]
+}
+
 // sum advances the ring to the index and returns the usage over the window.
 func (r *usageRing) sum(index int64) Usage {
 	var usage Usage
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -254,10 +254,10 @@
 		return d
 	}
 	draw := rand.Float64()
-	d := s.checkAdmission(r, account, choice, draw, now)
+	d := s.checkAdmission(r, account, cost, choice, draw, now)
 	if d.Verdict.Reason != admission.Admitted && choice.Server.Zone == s.options.Zone {
 		if elsewhere, found := s.chooseElsewhere(r, d.Verdict.Reason, now); found {
-			d = s.checkAdmission(r, account, elsewhere, draw, now)
+			d = s.checkAdmission(r, account, cost, elsewhere, draw, now)
 		}
 	}
 	if d.Verdict.Reason != admission.Admitted {
@@ -265,7 +265,7 @@
 		// again; on a busy one this would displace other requests.
 		fastest, found := s.balancer.ChooseFastest(r.Request, now)
 		if found && (fastest.Predicted-fastest.PredictedIdle).Seconds() < maxIdleDelayShare*r.Objective.Seconds() {
-			d = s.checkAdmission(r, account, fastest, draw, now)
+			d = s.checkAdmission(r, account, cost, fastest, draw, now)
 		}
 	}
 	s.shares.RecordRank(r.Rank, cost, d.Verdict.Reason == admission.Admitted, now)
@@ -295,7 +295,7 @@
 
 // checkAdmission applies the admission policy to the request at the chosen server. The caller
 // holds the lock.
-func (s *Scheduler) checkAdmission(r Request, account uint64, choice placement.Choice, draw float64, now time.Time) Decision {
+func (s *Scheduler) checkAdmission(r Request, account uint64, cost float64, choice placement.Choice, draw float64, now time.Time) Decision {
 	input := admission.Input{
 		Predicted:      choice.Predicted,
 		Prefill:        choice.Prefill,
@@ -308,6 +308,7 @@
 		Usage:          s.shares.Usage(account, now),
 		OwnDemand:      s.shares.OwnDemand(account, now),
 		DemandShare:    s.demandShare(account, now),
+		DemandGrowth:   s.shares.DemandGrowth(account, cost, now),
 		Levels:         s.shares.Levels(now),
 		Window:         s.options.FairWindow,
 		ReportAge:      s.shares.ReportAge(now),
