Derive the lead over an underserved account from the age of reports

Cause: the ratio of the limit, 1.5, follows from half a window of lag and leaves out that reports are 0.25 s old with direct views and up to 1.5 s with summaries. Change: 2 / (1 + (window/2 + age of the oldest report) / 1.5 windows): 1.5 without age, 1.45 at 0.25 s, 1.30 at 1.25 s.

--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -12,6 +12,9 @@
 
 const ms = time.Millisecond
 
+// freshLeadRatio is the ratio when reports have no age.
+var freshLeadRatio = maxLeadRatio(4*time.Second, 0)
+
 // idleInput returns the input for a request that idle servers answer in time.
 func idleInput() Input {
 	return Input{
@@ -101,7 +104,7 @@
 func TestUnderservedAccountTakesPrecedence(t *testing.T) {
 	in := idleInput()
 	in.Predicted = in.PredictedIdle + 100*ms
-	in.Levels.Limit, in.Levels.HighestRate = maxLeadRatio*30_000, 45_000
+	in.Levels.Limit, in.Levels.HighestRate = freshLeadRatio*30_000, 45_000
 	in.Usage = Usage{Demand: 90_000, Admitted: 30_000, UnmetBuckets: unmetFor(4)}
 	assert.Equal(t, Admitted, Decide(in).Reason)
 	in.Usage.Admitted = 40_000
@@ -138,18 +141,18 @@
 	largest := Usage{Demand: 30_000, Admitted: 6000, Quarters: quarters(1500, 1500, 1500, 1500), UnmetBuckets: unmetFor(4)}
 	behind := Usage{Demand: 9000, Admitted: 2500, Quarters: quarters(700, 600, 600, 600), UnmetBuckets: unmetFor(4)}
 	small := Usage{Demand: 300, Admitted: 100, UnmetBuckets: unmetFor(4)}
-	assert.InDelta(t, maxLeadRatio*2500, levelsOf(map[uint64]Usage{1: largest, 2: behind, 3: small}).Limit, 1e-9,
+	assert.InDelta(t, freshLeadRatio*2500, levelsOf(map[uint64]Usage{1: largest, 2: behind, 3: small}).Limit, 1e-9,
 		"an account with little demand sets no limit")
 
 	satisfied := Usage{Demand: 5000, Admitted: 4000, UnmetBuckets: unmetFor(4)}
-	assert.Equal(t, maxLeadRatio*6000, levelsOf(map[uint64]Usage{1: largest, 2: satisfied}).Limit,
+	assert.Equal(t, freshLeadRatio*6000, levelsOf(map[uint64]Usage{1: largest, 2: satisfied}).Limit,
 		"an account that gets most of its demand sets no limit")
 
 	begun := Usage{Demand: 9000, Admitted: 1000, Quarters: quarters(1000), UnmetBuckets: unmetFor(1)}
-	assert.Equal(t, maxLeadRatio*6000, levelsOf(map[uint64]Usage{1: largest, 2: begun}).Limit,
+	assert.Equal(t, freshLeadRatio*6000, levelsOf(map[uint64]Usage{1: largest, 2: begun}).Limit,
 		"an account that has just begun sets no limit")
 	begun = Usage{Demand: 9000, Admitted: 1500, Quarters: quarters(500, 1000), UnmetBuckets: unmetFor(2)}
-	assert.InDelta(t, maxLeadRatio*3000, levelsOf(map[uint64]Usage{1: largest, 2: begun}).Limit, 1e-9,
+	assert.InDelta(t, freshLeadRatio*3000, levelsOf(map[uint64]Usage{1: largest, 2: begun}).Limit, 1e-9,
 		"what others received before it began does not count")
 
 	starved := Usage{Demand: 9000, Admitted: 100, Quarters: quarters(25, 25, 25, 25), UnmetBuckets: unmetFor(4)}
@@ -171,6 +174,25 @@
 	assert.InDelta(t, 4000, s.Levels(now).Limit, 1e-9, "half of what was admitted")
 }
 
+// Guards against a limit that takes old reports for new ones: a lead that lasts until the limit follows must not exceed the required
+// ratio over the time for which it is required.
+func TestLeadAllowsForTheAgeOfReports(t *testing.T) {
+	const window = 4 * time.Second
+	for _, age := range []time.Duration{0, 250 * ms, time.Second, 1500 * ms} {
+		lag := (window/2 + age).Seconds()
+		// What the least served account received in the lag before the interval counts for the limit in it as well.
+		interval := fairnessWindows * window.Seconds()
+		assert.InDelta(t, maxShareRatio*interval, maxLeadRatio(window, age)*(interval+lag), 1e-9)
+		s, now := NewShares(window), time.Unix(1000, 0)
+		s.SetCapacity(1000)
+		s.SetPeerUsage("peer", map[uint64]Usage{
+			1: {Demand: 30_000, Admitted: 9000, UnmetBuckets: unmetFor(4)}, 2: {Demand: 9000, Admitted: 3000, UnmetBuckets: unmetFor(4)},
+		}, now.Add(-age), now)
+		assert.InDelta(t, maxLeadRatio(window, age)*3000, s.Levels(now).Limit, 1e-9)
+	}
+	assert.InDelta(t, 1.5, freshLeadRatio, 1e-9)
+}
+
 // Rates are uneven by the size of requests: two of the largest ones don't count against what others may receive.
 func TestLimitAllowsForLargeRequests(t *testing.T) {
 	s := NewShares(4 * time.Second)
@@ -180,7 +202,7 @@
 		1: {Demand: 30_000, Admitted: 9000, UnmetBuckets: unmetFor(4)}, 2: {Demand: 9000, Admitted: 3000, UnmetBuckets: unmetFor(4)},
 	}, now, now)
 	s.RecordDemand(1, 500, now)
-	assert.InDelta(t, maxLeadRatio*(3000+requestTolerance*500), s.Levels(now).Limit, 1e-9)
+	assert.InDelta(t, freshLeadRatio*(3000+requestTolerance*500), s.Levels(now).Limit, 1e-9)
 	now = now.Add(3 * 4 * time.Second)
 	s.RecordDemand(1, 10, now)
 	assert.InDelta(t, 10, s.largest, 1e-9, "it is forgotten")
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -42,10 +42,10 @@
 const (
 	// peerUsageTTL is how long a peer's usage report counts.
 	peerUsageTTL = 1500 * time.Millisecond
-	// maxLeadRatio bounds the rate of an account relative to that of the least served account with
-	// unmet demand. The requirement is a ratio of at most 2 over 1.5 windows. Rates are means over
-	// a window, so that a limit follows a change late by half a window: 2 / (1 + 0.5/1.5).
-	maxLeadRatio = 1.5
+	// maxShareRatio is the required bound of what an account receives over fairnessWindows, relative to the least served
+	// account with unmet demand.
+	maxShareRatio   = 2.0
+	fairnessWindows = 1.5
 	// requestTolerance is the number of the largest requests that are added to what the least served account receives in a
 	// window. Users leave out three of them in one and a half windows. Rates are uneven by as much, and the lowest of many
 	// accounts would else keep all of them from using idle servers.
@@ -250,12 +250,19 @@
 	}
 	if s.levels.Guaranteed > 0 {
 		lowest := leastServed(total, s.levels.Guaranteed) + requestTolerance*s.largest
-		s.levels.Limit = max(s.levels.Guaranteed, maxLeadRatio*lowest)
+		s.levels.Limit = max(s.levels.Guaranteed, maxLeadRatio(s.window, s.ReportAge(now))*lowest)
 	}
 	s.levelsComputedAt = now
 	return s.levels
 }
 
+// maxLeadRatio bounds the rate of an account relative to that of the least served account with unmet demand. Rates are means over a
+// window and known when they are reported, so that a limit follows a change late by half a window and the age of the reports.
+func maxLeadRatio(window, reportAge time.Duration) float64 {
+	lag := window/2 + reportAge
+	return maxShareRatio / (1 + lag.Seconds()/(fairnessWindows*window.Seconds()))
+}
+
 // leastServed returns the lowest rate of the underserved accounts, or infinity if there is none.
 func leastServed(usage map[uint64]Usage, guaranteed float64) float64 {
 	lowest := math.Inf(1)
