Keep summaries of large zones small and fresh, and pass each placement on once

Cause: a summary repeated the placements of the last state of each daemon, up to 512 of 20 bytes, and its size made it wait up to 0.7 s. States list placements of 0.55 s, so that those between two summaries, and those beyond 512, were in none. Limits and loads of large zones were up to 1.45 s old. Change: aggregators queue placements and pass each on once, to their zone and to others; forwards of a summary that has not changed are left out. A summary is sent each 0.25 s when it has less than 12 KB, and each 0.4 s at the latest.

--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -21,17 +21,18 @@
 	aggregators = 2
 	// maxAggregatorTargets bounds the daemons that are sent states while the aggregators are not known to answer.
 	maxAggregatorTargets = 8
-	// aggregateInterval is the time between two states of a daemon of a large zone, and the least time between two
+	// AggregateInterval is the time between two states of a daemon of a large zone, and the least time between two
 	// summaries that an aggregator sends.
-	aggregateInterval = 250 * time.Millisecond
-	// maxSummaryInterval bounds the time between two summaries. What they say counts for 1.5 s, and one may be lost.
-	maxSummaryInterval = 700 * time.Millisecond
+	AggregateInterval = 250 * time.Millisecond
+	// MaxSummaryInterval bounds the time between two summaries. Shares and loads are no fresher: with 700 ms, floods passed their
+	// limits before daemons knew.
+	MaxSummaryInterval = 400 * time.Millisecond
 	// summaryBytesPerSecond is the rate in bytes at which a daemon is sent summaries of its zone, as far as
-	// maxSummaryInterval allows.
+	// MaxSummaryInterval allows.
 	summaryBytesPerSecond = 48_000
-	// forwardInterval is the least time between two forwards of the summaries of other zones to the daemons of a large zone.
+	// ForwardInterval is the least time between two forwards of the summaries of other zones to the daemons of a large zone.
 	// Requests stay in their zone while it has room.
-	forwardInterval = 2 * aggregateInterval
+	ForwardInterval = 2 * AggregateInterval
 	// maxAggregatorSilence is the time without a datagram of an aggregator that was asked for a summary after which another
 	// one is asked as well.
 	maxAggregatorSilence = 900 * time.Millisecond
@@ -150,7 +151,7 @@
 // ownZoneSummary returns the summary of this daemon's zone for the daemons of the zone, and the addresses of those that want
 // it. It returns nil if it isn't due. withMembers is set once per memberListInterval. The caller holds the lock.
 func (x *Exchange) ownZoneSummary(self *pb.Member, view *pb.View, now time.Time, withMembers bool) (summary *pb.Zone, to []address) {
-	if !x.isAggregator(now) || now.Sub(x.lastSummary) < x.summaryInterval-aggregateInterval/2 {
+	if !x.isAggregator(now) || now.Sub(x.lastSummary) < x.summaryInterval-AggregateInterval/2 {
 		return nil, nil
 	}
 	for _, p := range x.peers {
@@ -166,6 +167,7 @@
 		x.summarizedOwn, withMembers = members, true
 	}
 	summary = x.summarizeZone(self, view, now)
+	summary.View.Placements = x.ownPlacements.take()
 	if !withMembers {
 		summary = withoutMembers(summary)
 	}
@@ -187,7 +189,7 @@
 		summary.View = withoutEvidence(summary.View)
 	}
 	bytesPerSummary := time.Duration(proto.Size(summary))
-	x.summaryInterval = min(max(aggregateInterval, bytesPerSummary*time.Second/summaryBytesPerSecond), maxSummaryInterval)
+	x.summaryInterval = min(max(AggregateInterval, bytesPerSummary*time.Second/summaryBytesPerSecond), MaxSummaryInterval)
 	return summary, to
 }
 
@@ -219,7 +221,7 @@
 		x.fleet.sizeChanged()
 		x.fleet.membersChanged()
 	}
-	x.zones[z.Zone] = &zone{z, now}
+	x.zones[z.Zone] = &zone{Zone: z, lastSeen: now}
 	aggregator := x.isAggregator(now)
 	view := z.View
 	for _, included := range z.Included {
--- a/internal/exchange/benchmark_test.go
+++ b/internal/exchange/benchmark_test.go
@@ -126,7 +126,7 @@
 			summary.View = MergeViews(views)
 			data, err := proto.Marshal(&pb.Datagram{OwnZone: summary})
 			require.NoError(b, err)
-			interval := min(max(aggregateInterval, time.Duration(len(data))*time.Second/summaryBytesPerSecond), maxSummaryInterval)
+			interval := min(max(AggregateInterval, time.Duration(len(data))*time.Second/summaryBytesPerSecond), MaxSummaryInterval)
 			b.ReportMetric(float64(len(data)), "B/summary")
 			b.ReportMetric(float64(len(data))/interval.Seconds(), "B/s")
 			for range b.N {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -142,6 +142,8 @@
 	summaryInterval   time.Duration // between these
 	summarizedOwn     []*pb.Member  // the last members in summaries of the own zone
 	lastForward       time.Time     // of summaries of other zones, to the daemons of a large zone
+	// Placements in views that this daemon has received as an aggregator, for the daemons of its zone and for other zones.
+	ownPlacements, remotePlacements placementQueue
 }
 
 // peer is another daemon that sends its state to this one.
@@ -158,7 +160,9 @@
 // zone is the newest summary of another zone, or of the own one if that is large.
 type zone struct {
 	*pb.Zone
-	lastSeen time.Time
+	lastSeen   time.Time
+	placements *placementQueue // to be forwarded to a large zone
+	wasSent    bool            // to the daemons of a large zone
 }
 
 // forwarded returns a copy of the summary to be sent on, with the age of its view now.
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -105,8 +105,6 @@
 // maxMergedPlacements bounds the placements in a summary to some 12 KB. Those left out are missing in other zones.
 const maxMergedPlacements = 512
 
-type placementKey struct{ server, part uint64 }
-
 // maxMergedSuspects bounds the evidence in a summary, so that it fits into a datagram with 32 ends for each.
 const maxMergedSuspects = 64
 
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -98,7 +98,8 @@
 	if a := x.addAddress(s.Member.ControlAddress, s.Member.Zone); a != nil {
 		a.lastSeen, a.heardAt, a.member = now, now, s.Member
 	}
-	if s.ToAggregator && s.Member.Zone == x.options.Self().Zone {
+	isToAggregator := s.ToAggregator && s.Member.Zone == x.options.Self().Zone
+	if isToAggregator {
 		x.askedAsAggregator = now
 	}
 	p, ok := x.peers[s.Member.Id]
@@ -119,6 +120,10 @@
 		x.options.Logger.Info("Peer is live.", "peer", s.Member.Id, "incarnation", s.Incarnation)
 	}
 	p.state, p.lastSeen, p.live = s, now, true
+	if isToAggregator {
+		x.ownPlacements.add(s.View.Placements, now)
+		x.remotePlacements.add(s.View.Placements, now)
+	}
 	return true
 }
 
@@ -158,7 +163,14 @@
 		x.fleet.sizeChanged()
 		x.fleet.membersChanged()
 	}
-	x.zones[z.Zone] = &zone{z, now}
+	received := &zone{Zone: z, lastSeen: now, placements: &placementQueue{}}
+	if ok && old.placements != nil {
+		received.placements = old.placements
+	}
+	if x.isAggregator(now) {
+		received.placements.add(z.View.Placements, now)
+	}
+	x.zones[z.Zone] = received
 	// The other daemons of that zone don't send datagrams to this one, so the zone summary
 	// keeps their addresses from expiring.
 	for _, m := range z.Members {
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -17,7 +17,7 @@
 	targets, mesh := 0, x.isMesh()
 	self := x.options.Self()
 	if x.aggregated(self) {
-		return aggregateInterval
+		return AggregateInterval
 	}
 	ownZone := self.Zone
 	for _, a := range x.addresses {
@@ -115,6 +115,10 @@
 // delegate. discovery are addresses of unknown zones. The caller holds the lock, which sendAggregated releases.
 func (x *Exchange) sendAggregated(self *pb.Member, state *pb.State, discovery, zoneTargets []address, now time.Time) {
 	x.recordOwnView(x.sequence, state.View)
+	if x.isAggregator(now) {
+		x.ownPlacements.add(state.View.Placements, now)
+		x.remotePlacements.add(state.View.Placements, now)
+	}
 	targets := x.aggregatorTargets(self, now)
 	withMembers := now.Sub(x.lastMemberList) > memberListInterval
 	if withMembers {
@@ -129,11 +133,14 @@
 	others, toOthers := x.summaries(self, state.View, withMembers, now)
 	if ZoneRank(self, x.members()) != 0 {
 		toOthers = nil
+	} else {
+		toOthers.View.Placements = x.remotePlacements.take()
 	}
-	if summary == nil || now.Sub(x.lastForward) < forwardInterval-aggregateInterval/2 {
+	if summary == nil || now.Sub(x.lastForward) < ForwardInterval-AggregateInterval/2 {
 		others = nil
 	} else {
 		x.lastForward = now
+		others = x.unsentZones(others)
 	}
 	x.mu.Unlock()
 	for _, t := range targets {
@@ -159,6 +166,21 @@
 	}
 }
 
+// unsentZones returns the summaries that were not sent to the daemons of this zone yet, with the placements that have come since they
+// last were. The caller holds the lock.
+func (x *Exchange) unsentZones(summaries []*pb.Zone) (unsent []*pb.Zone) {
+	for _, s := range summaries {
+		z := x.zones[s.Zone]
+		if z.wasSent || z.placements == nil {
+			continue
+		}
+		z.wasSent = true
+		s.View = withPlacements(s.View, z.placements.take())
+		unsent = append(unsent, s)
+	}
+	return unsent
+}
+
 // withoutEvidence returns a copy of the view without suspects and placements, which may be too large to
 // send beside the list of members.
 func withoutEvidence(v *pb.View) *pb.View {
--- a/internal/scheduler/fairness_test.go
+++ b/internal/scheduler/fairness_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/test/simulation"
 )
 
@@ -19,7 +20,7 @@
 
 // fairnessFleets returns fleets with direct views and with summaries of zones. Intervals are the longest that the exchange allows.
 func fairnessFleets() []fairnessFleet {
-	summaries := simulation.SummaryOptions{StateInterval: 250 * time.Millisecond, SummaryInterval: 700 * time.Millisecond, ForwardInterval: 700 * time.Millisecond}
+	summaries := simulation.SummaryOptions{StateInterval: exchange.AggregateInterval, SummaryInterval: exchange.MaxSummaryInterval, ForwardInterval: exchange.ForwardInterval}
 	lost := summaries
 	lost.SilentFrom, lost.SilentTo = 10*time.Second, 11*time.Second
 	return []fairnessFleet{
