Allow for the interval of summaries before a daemon reads the store itself

Cause: a daemon reads the store once what it has is 0.9 s old, plus twice by what the interval of its peers exceeds 0.25 s. In large zones that interval was taken to be that of states, 0.25 s, while news comes with summaries. Change: the interval of summaries counts, 0.4 s: 1.2 s in large zones. TestDaemonsOfLargeZoneExpectNewsAsOftenAsSummariesCome.

--- a/internal/exchange/aggregate_test.go
+++ b/internal/exchange/aggregate_test.go
@@ -104,6 +104,17 @@
 	requireSums(t, append(zone, late), 60*time.Second)
 }
 
+// Guards against daemons of a large zone that read the store themselves, as they expect news more often than summaries come.
+func TestDaemonsOfLargeZoneExpectNewsAsOftenAsSummariesCome(t *testing.T) {
+	n := newNode(t, "a00", "a")
+	for i := range maxDirectZone {
+		n.AddAddress(fmt.Sprintf("127.0.1.%d:9", i+1), "a")
+	}
+	assert.Equal(t, n.sendInterval(), n.ReceiveInterval())
+	n.AddAddress("127.0.1.200:9", "a")
+	assert.Equal(t, MaxSummaryInterval, n.ReceiveInterval())
+}
+
 // The part of a daemon is taken out of a summary, whatever that says.
 func TestSubtractView(t *testing.T) {
 	own := &pb.View{
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -28,10 +28,13 @@
 	return sendIntervalFor(targets, mesh)
 }
 
-// SendInterval returns the time between two states that daemons like this one send.
-func (x *Exchange) SendInterval() time.Duration {
+// ReceiveInterval returns the longest time between two datagrams in which a daemon like this one learns the state of its zone.
+func (x *Exchange) ReceiveInterval() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.aggregated(x.options.Self()) {
+		return MaxSummaryInterval
+	}
 	return x.sendInterval()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,7 @@
 		State:         g.topology,
 		ReadsStore:    g.readsStore,
 		ReaderCount:   func() int { return zoneSize(g.settings.Zone, g.exchange.Members()) },
-		StateInterval: func() time.Duration { return g.exchange.SendInterval() },
+		StateInterval: func() time.Duration { return g.exchange.ReceiveInterval() },
 		Logger:        logging.For(logging.Config),
 	})
 	metrics, metricsHandler, _ := telemetry.New(telemetry.Options{})
