--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -25,8 +25,7 @@
 	// AggregateInterval is the time between two states of a daemon of a large zone, and the least time between two
 	// summaries that an aggregator sends.
 	AggregateInterval = 250 * time.Millisecond
-	// MaxSummaryInterval bounds the time between two summaries. Shares and loads are no fresher: with 700 ms, floods passed their
-	// limits before daemons knew.
+	// MaxSummaryInterval bounds the time between two summaries, and with it the age of the shares and loads that daemons know.
 	MaxSummaryInterval = 400 * time.Millisecond
 	// summaryBytesPerSecond is the rate in bytes at which a daemon is sent summaries of its zone, as far as
 	// MaxSummaryInterval allows.
