Log and count what the version of a taken up stream is known from

The line of a request that takes up a stream has origin=recorded, answered, concluded or unknown, and stream_take_ups_total counts them by basis. No decision changes.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -13,11 +13,23 @@
 	// Record stores the version. It returns before the first event is forwarded, so that the caller can take up no stream
 	// that peers have not been told of.
 	Record(service, attempt, version string)
-	// Find returns the version. ok is false if it can't be determined; the stream must not go on then. It may wait for
-	// answers of peers.
-	Find(ctx context.Context, service, attempt string) (version string, ok bool)
+	// Find returns the version, and what it is known from. The stream must not go on if that is OriginUnknown. It may wait
+	// for answers of peers.
+	Find(ctx context.Context, service, attempt string) (version string, basis OriginBasis)
 }
 
+// OriginBasis is what a daemon knows the version of a stream from. It is the "origin" of requests that take up streams in the
+// log, and the label "basis" of their metric.
+type OriginBasis string
+
+// The bases of versions.
+const (
+	OriginRecorded  OriginBasis = "recorded"  // a record of this daemon: it began the stream, took it up before, or was told
+	OriginAnswered  OriginBasis = "answered"  // the answer of a peer that has a record
+	OriginConcluded OriginBasis = "concluded" // no record; from the versions in use
+	OriginUnknown   OriginBasis = "unknown"
+)
+
 // takesUp reports whether the request continues a stream that another request began.
 func (c *call) takesUp() bool { return c.route.Kind == routing.Stream && c.envelope.LastEventID != "" }
 
@@ -28,8 +40,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	version, ok := h.Origins.Find(ctx, c.service.Name, c.envelope.Resumes)
-	if !ok {
+	var version string
+	version, c.originBasis = h.Origins.Find(ctx, c.service.Name, c.envelope.Resumes)
+	h.Metrics.CountTakeUp(string(c.originBasis))
+	if c.originBasis == OriginUnknown {
 		return result.New(result.VersionUnknown, "version that began the stream %q is not known", c.envelope.Resumes).WithRetryAfter(defaultRetryAfter)
 	}
 	c.version = &version
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -47,7 +47,7 @@
 		slog.Int("events", c.events.Delivered()), slog.Duration("gap", c.longestGap),
 	}
 	if c.envelope != nil && c.envelope.LastEventID != "" {
-		attrs = append(attrs, slog.String("resumes", c.envelope.Resumes), slog.String("after", c.envelope.LastEventID))
+		attrs = append(attrs, slog.String("resumes", c.envelope.Resumes), slog.String("after", c.envelope.LastEventID), slog.String("origin", string(c.originBasis)))
 	}
 	if c.config != nil {
 		attrs = append(attrs, slog.Uint64("config", c.config.Version))
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -72,8 +72,10 @@
 // oneOrigin knows the version of all streams.
 type oneOrigin struct{}
 
-func (oneOrigin) Record(string, string, string)                       {}
-func (oneOrigin) Find(context.Context, string, string) (string, bool) { return "v", true }
+func (oneOrigin) Record(string, string, string) {}
+func (oneOrigin) Find(context.Context, string, string) (string, OriginBasis) {
+	return "v", OriginRecorded
+}
 
 // scriptedServers answer the requests that they get with the scripts in turn. A script is a list of writes. Requests without
 // one get the rest of the stream.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -100,15 +100,15 @@
 }
 
 // Find implements forward.Origins.
-func (o *streamOrigins) Find(ctx context.Context, service, attempt string) (version string, ok bool) {
+func (o *streamOrigins) Find(ctx context.Context, service, attempt string) (version string, basis forward.OriginBasis) {
 	id, conclusive := placement.Hash(attempt), true
 	if attempt != "" {
 		if version, ok := o.lookup(id); ok {
-			return version, true
+			return version, forward.OriginRecorded
 		}
 		conclusive = o.query(ctx, service, id)
 		if version, ok := o.lookup(id); ok {
-			return version, true
+			return version, forward.OriginAnswered
 		}
 	}
 	listed, now := o.listed(), time.Now()
@@ -119,14 +119,17 @@
 	}
 	mixed := o.versions.Mixed(service, now)
 	if !conclusive && mixed {
-		return "", false
+		return "", forward.OriginUnknown
 	}
-	version, ok = o.versions.Unrecorded(service, now)
-	if ok && mixed {
+	version, ok := o.versions.Unrecorded(service, now)
+	if !ok {
+		return "", forward.OriginUnknown
+	}
+	if mixed {
 		o.logger.Info("Stream counts as begun before versions were mixed.", "service", service, "attempt", attempt, "version", version,
 			"mixed_for", o.versions.MixedFor(service, now))
 	}
-	return version, ok
+	return version, forward.OriginConcluded
 }
 
 func (o *streamOrigins) lookup(id uint64) (version string, ok bool) {
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/routing"
 )
 
@@ -135,11 +136,11 @@
 			continue
 		}
 		callers.Go(func() {
-			version, ok := f.daemons[taker].Find(t.Context(), "s", s.attempt)
+			version, basis := f.daemons[taker].Find(t.Context(), "s", s.attempt)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
-			case !ok:
+			case basis == forward.OriginUnknown:
 				refused++
 			case version != s.version:
 				wrong++
@@ -173,18 +174,18 @@
 	}
 	o := started()
 	o.setServers(both[:1], time.Now())
-	_, ok := o.Find(t.Context(), "s", "attempt")
-	assert.False(t, ok, "not all servers are known")
+	_, basis := o.Find(t.Context(), "s", "attempt")
+	assert.Equal(t, forward.OriginUnknown, basis, "not all servers are known")
 	o.setServers(both, time.Now())
 	listed = true
-	_, ok = o.Find(t.Context(), "s", "attempt")
-	assert.False(t, ok, "versions are mixed")
+	_, basis = o.Find(t.Context(), "s", "attempt")
+	assert.Equal(t, forward.OriginUnknown, basis, "versions are mixed")
 
 	o = started()
 	o.setServers(both[:1], time.Now())
 	listed = true
 	o.setServers(both, time.Now())
-	version, ok := o.Find(t.Context(), "s", "attempt")
-	assert.True(t, ok, "the list was complete with one version")
+	version, basis := o.Find(t.Context(), "s", "attempt")
+	assert.Equal(t, forward.OriginConcluded, basis, "the list was complete with one version")
 	assert.Equal(t, "v1", version)
 }
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -91,3 +91,8 @@
 	found, _ := r.counters.LoadOrStore(key, counter)
 	return found.(tally.Counter)
 }
+
+// CountTakeUp counts a request that takes up a stream by what the version that began the stream is known from.
+func (m *Metrics) CountTakeUp(basis string) {
+	m.scope.Tagged(map[string]string{"basis": basis}).Counter("stream_take_ups_total").Inc(1)
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -40,6 +40,7 @@
 
 // Metrics records the events of a daemon. Its methods are safe for concurrent use.
 type Metrics struct {
+	scope        tally.Scope
 	accounts     *labelSet
 	services     *labelSet
 	results      resultCounters
@@ -68,6 +69,7 @@
 		OmitCardinalityMetrics: true,
 	}, o.Interval)
 	m := &Metrics{
+		scope:        scope,
 		accounts:     newLabelSet(scope, "account", o.MaxAccounts),
 		services:     newLabelSet(scope, "service", o.MaxServices),
 		results:      resultCounters{scope: scope},
