--- a/internal/forward/caller.go
+++ b/internal/forward/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +15,8 @@
 type callerConnKey struct{}
 
 // WithCallerConn returns a context that carries the caller's connection, so that a Handler notices
-// early when the caller closes it. It is meant for http.Server.ConnContext.
+// early when the caller closes it, and can reset it. It is meant for http.Server.ConnContext. Without it, no streams are
+// forwarded to callers that speak HTTP/1.0.
 func WithCallerConn(ctx context.Context, conn net.Conn) context.Context {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
@@ -45,3 +47,32 @@
 	state, err := socket.Peek(rawConn)
 	return err != nil || state == socket.Closed
 }
+
+// endMark marks the end of an answer that has neither a length nor chunks, because its caller speaks HTTP/1.0. The end of the
+// connection is then that of the answer. From begin to complete, the connection is reset when it is closed, whoever closes it:
+// the handler, net/http after a panic, or the kernel when the process ends. The zero value marks nothing.
+type endMark struct {
+	conn syscall.RawConn // nil if the answer shows its end by itself
+}
+
+// begin is called before the head of an answer without a length is written. It returns an error if the end of the answer can't
+// be marked.
+func (m *endMark) begin(r *http.Request) error {
+	if r.ProtoAtLeast(1, 1) {
+		return nil // net/http writes chunks
+	}
+	conn, ok := r.Context().Value(callerConnKey{}).(syscall.RawConn)
+	if !ok {
+		return errors.New("the end of an answer without a length can't be marked on this connection")
+	}
+	m.conn = conn
+	return socket.SetResetOnClose(conn, true)
+}
+
+// complete is called when the whole answer has been passed to the kernel.
+func (m *endMark) complete() error {
+	if m.conn == nil {
+		return nil
+	}
+	return socket.SetResetOnClose(m.conn, false)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -104,9 +104,10 @@
 	trial            bool             // see scheduler.Decision
 	admission        *admissionRecord // nil before the decision, and for plain services
 	attempts         []attemptRecord
-	knownDigest      *uint64             // see digest; nil before its first use
-	serverFailure    *failedAnswer       // last answer with a server error; nil for none
-	answerStarted    bool                // the header of the answer was written
+	knownDigest      *uint64       // see digest; nil before its first use
+	serverFailure    *failedAnswer // last answer with a server error; nil for none
+	answerStarted    bool          // the header of the answer was written
+	endMark          endMark
 	events           eventstream.Tracker // of a stream
 	timeToFirstEvent time.Duration       // from arrivedAt to the first event or the buffered answer
 	lastEventAt      time.Time           // when events were last forwarded
@@ -143,6 +144,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := h.chain.Handle(r.Context(), c)
+	if err == nil {
+		err = c.endMark.complete()
+	}
 	if err == nil {
 		return
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -187,7 +187,9 @@
 	c.lastEventAt = now
 	if !c.answerStarted {
 		h.recordOrigin(c)
-		h.startAnswer(c, response)
+		if err := h.startAnswer(c, response); err != nil {
+			return errors.Wrap(err, "start the answer to the caller")
+		}
 	}
 	if _, err := c.writer.Write(events); err != nil {
 		return result.Wrap(err, result.CallerGone, "write events to the caller")
@@ -196,12 +198,16 @@
 }
 
 // startAnswer writes the header of a stream.
-func (h *Handler) startAnswer(c *call, response *http.Response) {
+func (h *Handler) startAnswer(c *call, response *http.Response) error {
+	if err := c.endMark.begin(c.request); err != nil {
+		return err
+	}
 	// A caller that stops reading must not keep the server's connection in use.
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(writeGracePeriod))
 	copyHeader(c.writer.Header(), response.Header)
 	c.answerStarted = true
 	c.writer.WriteHeader(response.StatusCode)
+	return nil
 }
 
 // brokenStreamProgress returns the progress of an attempt whose stream broke: partlyForwarded once
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -148,7 +148,9 @@
 		})
 	}
 	h.Scheduler.SetServers(servers, config)
-	gateway := httptest.NewServer(h)
+	gateway := httptest.NewUnstartedServer(h)
+	gateway.Config.ConnContext = WithCallerConn
+	gateway.Start()
 	t.Cleanup(gateway.Close)
 	return gateway
 }
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -82,3 +84,21 @@
 		})
 	}
 }
+
+// Guards against streams that end by a panic and look complete to callers whose answers have no chunks.
+func TestPanicInStreamLooksIncompleteWithoutChunks(t *testing.T) {
+	s := &scriptedServers{scripts: [][]string{streamAnswer(events(1, 1), events(2, 2), events(3, lastEvent))}}
+	gateway := startGateway(t, routing.Route{Kind: routing.Stream}, func(_ net.Listener, conn net.Conn) { s.serve(conn) })
+	gateway.Config.ErrorLog = log.New(io.Discard, "", 0)
+	gateway.Config.Handler.(*Handler).Overloaded = func() bool { panic("after the first events") }
+	conn, err := net.Dial("tcp", gateway.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.Equal(t, events(1, 1), string(body))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,4 @@
-// Package socket inspects TCP sockets without reading from them.
+// Package socket inspects TCP sockets without reading from them, and sets how they end.
 package socket
 
 import (
@@ -38,3 +38,17 @@
 		return Readable, nil
 	}
 }
+
+// SetResetOnClose sets whether the connection is reset when it is closed, also when the kernel closes it because the process has
+// ended. Bytes that were not sent yet are then lost. It returns an error when the file descriptor is closed.
+func SetResetOnClose(raw syscall.RawConn, on bool) error {
+	linger := syscall.Linger{}
+	if on {
+		linger.Onoff = 1 // and zero seconds
+	}
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &linger)
+	})
+	return errors.Wrap(errors.CombineErrors(err, setErr), "set linger option")
+}
