--- a/internal/filter/attempt/errors.go
+++ b/internal/filter/attempt/errors.go
@@ -29,11 +29,7 @@
 		w.Header().Set("Content-Type", contentType)
 	}
 	w.Header().Set(result.HeaderShouldRetry, "false")
-	w.WriteHeader(e.Status)
-	if _, err := w.Write(e.Body); err != nil {
-		return result.Wrap(err, result.CallerGone, "the caller disconnected")
-	}
-	return nil
+	return w.WriteComplete(e.Status, e.Body)
 }
 
 // reclassifyNotRun replaces an error of class NotRun by AnswerLost if an earlier attempt was sent to a
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/chain"
-	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -51,11 +50,7 @@
 	for name, value := range a.Header {
 		w.Header().Set(name, value)
 	}
-	w.WriteHeader(a.Status)
-	if _, err := w.Write(a.Body); err != nil {
-		return result.Wrap(err, result.CallerGone, "the caller disconnected")
-	}
-	return nil
+	return w.WriteComplete(a.Status, a.Body)
 }
 
 // Chat holds the fields of a chat completion request that the filters use.
--- a/internal/filter/writer.go
+++ b/internal/filter/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/filbertrill/filbertrill/internal/result"
@@ -40,6 +41,18 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// WriteComplete sends the header with the length of the body, and the body. A failed write is a CallerGone error.
+func (w *Writer) WriteComplete(status int, body []byte) error {
+	if len(body) > 0 { // an empty body may be that of an answer to HEAD
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		return result.Wrap(err, result.CallerGone, "the caller disconnected")
+	}
+	return nil
+}
+
 // Flush sends buffered data to the caller.
 func (w *Writer) Flush() error { return http.NewResponseController(w.ResponseWriter).Flush() }
 
