--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest/httpx"
 	"github.com/zeromicro/go-zero/rest/router"
 
+	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/filter"
 	"github.com/filbertrill/filbertrill/internal/filter/decode"
 	"github.com/filbertrill/filbertrill/internal/filter/idempotency"
@@ -125,6 +126,7 @@
 		defer func() { failed <- recover() }()
 		s.rest.StartWithOpts(func(server *http.Server) {
 			server.ReadHeaderTimeout = 10 * time.Second
+			server.ConnContext = callerconn.With
 			server.BaseContext = func(lis net.Listener) context.Context {
 				s.server = server
 				s.boundAddress <- lis.Addr()
@@ -152,7 +154,8 @@
 func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) { s.serve(s.opts.Resume, w, r) }
 
 func (s *Server) serve(chain filter.Handler, w http.ResponseWriter, req *http.Request) {
-	writer := filter.NewWriter(w)
+	writer := filter.NewWriter(w, req)
+	defer writer.Close()
 	config := s.opts.Config()
 	if config == nil {
 		writer.WriteError(idempotency.MapRefusal(req, result.New(result.NoConfiguration, "no configuration yet")))
--- a/internal/filter/answer_test.go
+++ b/internal/filter/answer_test.go
@@ -16,8 +16,8 @@
 // Guards against answers of plain services that are broken off and look complete to callers whose answers have no chunks.
 func TestBrokenPlainAnswerLooksIncompleteWithoutChunks(t *testing.T) {
 	body := strings.Repeat("x", 32<<20) // more than sockets hold
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = (&Answer{Status: http.StatusOK, Body: []byte(body)}).Write(NewWriter(w)) // fails when the connection is closed
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = (&Answer{Status: http.StatusOK, Body: []byte(body)}).Write(NewWriter(w, r)) // fails when the connection is closed
 	}))
 	defer server.Close()
 	for _, breaks := range []bool{false, true} {
--- a/internal/filter/attempt/sink.go
+++ b/internal/filter/attempt/sink.go
@@ -44,7 +44,9 @@
 }
 
 func (s *eventSink) forward(offset int, data string) error {
-	s.start()
+	if err := s.start(); err != nil {
+		return err
+	}
 	if _, only, found := backend.ParseUsage(data); found && only && !s.includeUsage {
 		return nil
 	}
@@ -56,14 +58,17 @@
 	return s.write(s.buffer)
 }
 
-func (s *eventSink) start() {
+func (s *eventSink) start() error {
 	if s.w.Started() {
-		return
+		return nil
 	}
 	s.w.Header().Set(HeaderResumeToken, s.resumeToken)
-	s.w.StartEventStream()
+	if err := s.w.StartEventStream(); err != nil {
+		return callerError{err}
+	}
 	s.unflushed = true
 	s.onStart()
+	return nil
 }
 
 func (s *eventSink) write(data []byte) error {
@@ -94,11 +99,14 @@
 }
 
 func (s *eventSink) finish() error {
-	s.start()
+	if err := s.start(); err != nil {
+		return err
+	}
 	if err := s.write([]byte("data: [DONE]\n\n")); err != nil {
 		return err
 	}
-	if err := s.flush(); err != nil {
+	s.unflushed = false
+	if err := s.w.EndEventStream(); err != nil {
 		return callerError{err}
 	}
 	s.w.SetWriteDeadline(time.Time{})
--- a/internal/filter/idempotency/idempotency_test.go
+++ b/internal/filter/idempotency/idempotency_test.go
@@ -41,7 +41,7 @@
 	}
 	w := httptest.NewRecorder()
 	return &filter.Request{
-		ID: uuid.NewString(), HTTP: h, Writer: filter.NewWriter(w), Received: time.Now(), Path: "/stamps",
+		ID: uuid.NewString(), HTTP: h, Writer: filter.NewWriter(w, h), Received: time.Now(), Path: "/stamps",
 		Service: ticket.Service{ID: "registry", Kind: ticket.ServicePlain, Deadline: ticket.Duration(time.Minute)},
 		Account: ticket.Account{ID: "small"},
 	}, w
--- a/internal/filter/writer.go
+++ b/internal/filter/writer.go
@@ -5,30 +5,52 @@
 	"strconv"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
 // Writer is an http.ResponseWriter that tracks whether the answer has started.
 type Writer struct {
 	http.ResponseWriter
+	request     *http.Request
 	started     bool
 	eventStream bool // the answer is a stream of server-sent events
+	endMark     callerconn.EndMark
 }
 
-// NewWriter returns a Writer that writes to w.
-func NewWriter(w http.ResponseWriter) *Writer { return &Writer{ResponseWriter: w} }
+// NewWriter returns a Writer of the answer to r that writes to w.
+func NewWriter(w http.ResponseWriter, r *http.Request) *Writer {
+	return &Writer{ResponseWriter: w, request: r}
+}
 
 // Started reports whether any part of the answer may have been sent.
 func (w *Writer) Started() bool { return w.started }
 
-// StartEventStream sends the header of a stream of server-sent events with status 200.
-func (w *Writer) StartEventStream() {
+// StartEventStream sends the header of a stream of server-sent events with status 200. It returns an error, and sends nothing, if
+// the caller could not tell the end of the stream from that of a broken one.
+func (w *Writer) StartEventStream() error {
+	if err := w.endMark.Begin(w.request); err != nil {
+		return err
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	w.eventStream = true
 	w.WriteHeader(http.StatusOK)
+	return nil
 }
 
+// EndEventStream sends what is buffered of a stream and marks the stream as complete.
+func (w *Writer) EndEventStream() error {
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	return w.endMark.Complete()
+}
+
+// Close resets the connection if a stream on it has begun and has no end, unless chunks show that. It must be called when the
+// request has ended, also by a panic.
+func (w *Writer) Close() { w.endMark.Close() }
+
 // WriteHeader sends the status and the header.
 func (w *Writer) WriteHeader(status int) {
 	w.started = true
@@ -75,8 +97,9 @@
 		return
 	}
 	if w.eventStream {
-		_, _ = w.Write(result.SSE(err))
-		_ = w.Flush()
+		if _, err := w.Write(result.SSE(err)); err == nil {
+			_ = w.EndEventStream() // the stream stays without an end
+		}
 		return
 	}
 	w.Abort()
--- a/internal/forward/caller_test.go
+++ b/internal/forward/caller_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/callerconn"
 )
 
 func TestCallerDisconnectedDetectsClosedSocket(t *testing.T) {
@@ -19,7 +21,7 @@
 	conn, err := listener.Accept()
 	require.NoError(t, err)
 	defer func() { require.NoError(t, conn.Close()) }()
-	ctx := WithCallerConn(context.Background(), conn)
+	ctx := callerconn.With(context.Background(), conn)
 	assert.False(t, callerDisconnected(ctx))
 	require.NoError(t, caller.Close())
 	require.Eventually(t, func() bool { return callerDisconnected(ctx) }, 5*time.Second, time.Millisecond)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/chain"
 	"github.com/filbertrill/filbertrill/internal/eventstream"
 	"github.com/filbertrill/filbertrill/internal/placement"
@@ -41,7 +42,8 @@
 }
 
 // Handler is the http.Handler for callers. It passes each request through a chain of filters and
-// forwards it to a backend server.
+// forwards it to a backend server. The server's ConnContext must be callerconn.With: without it, streams
+// are not forwarded to callers that speak HTTP/1.0, and callers that leave are noticed late.
 type Handler struct {
 	Options
 	chain            chain.Handler[*call]
@@ -107,7 +109,7 @@
 	knownDigest      *uint64       // see digest; nil before its first use
 	serverFailure    *failedAnswer // last answer with a server error; nil for none
 	answerStarted    bool          // the header of the answer was written
-	endMark          endMark
+	endMark          callerconn.EndMark
 	events           eventstream.Tracker // of a stream
 	timeToFirstEvent time.Duration       // from arrivedAt to the first event or the buffered answer
 	lastEventAt      time.Time           // when events were last forwarded
@@ -145,7 +147,7 @@
 	}
 	err := h.chain.Handle(r.Context(), c)
 	if err == nil {
-		err = c.endMark.complete()
+		err = c.endMark.Complete()
 	}
 	if err == nil {
 		return
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -199,7 +199,7 @@
 
 // startAnswer writes the header of a stream.
 func (h *Handler) startAnswer(c *call, response *http.Response) error {
-	if err := c.endMark.begin(c.request); err != nil {
+	if err := c.endMark.Begin(c.request); err != nil {
 		return err
 	}
 	// A caller that stops reading must not keep the server's connection in use.
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/routing"
 	"github.com/filbertrill/filbertrill/internal/scheduler"
@@ -149,7 +150,7 @@
 	}
 	h.Scheduler.SetServers(servers, config)
 	gateway := httptest.NewUnstartedServer(h)
-	gateway.Config.ConnContext = WithCallerConn
+	gateway.Config.ConnContext = callerconn.With
 	gateway.Start()
 	t.Cleanup(gateway.Close)
 	return gateway
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/forward"
@@ -236,7 +237,7 @@
 	}
 	g.callerListener = callerListener
 	callerServer := g.newHTTPServer(g.handler)
-	callerServer.ConnContext = forward.WithCallerConn
+	callerServer.ConnContext = callerconn.With
 	callerServer.ConnState = g.connLimiter.connStateChanged
 	g.serve(callerListener, callerServer)
 	otherHandlers := map[string]http.Handler{
