Take answers without a length of servers at their limit for complete

Before an answer that ends with its connection counts as complete, the daemon opens another connection to the server. A server at its connection limit accepts that one and resets it at once; opening it then failed with ECONNRESET, and a complete answer was broken off or replaced by 502, just when servers were busy.

A connection that was accepted and reset does not show that the process has ended, but a listener that closes resets connections too. So the daemon opens one more: a closed listener refuses it, a server at its limit accepts and resets it again.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -114,10 +115,13 @@
 // Check opens a connection to the endpoint, which is kept for the next request, and returns an error if that fails. An answer
 // without a length that ends with its connection is complete only if its server has not ended.
 func (p *Pool) Check(ctx context.Context, e Endpoint) error {
-	p.mu.Lock()
-	p.connsOf(e).open++
-	p.mu.Unlock()
-	c, err := p.dial(ctx, e)
+	c, err := p.dialBeyondLimit(ctx, e)
+	if errors.Is(err, syscall.ECONNRESET) {
+		// The server resets connections beyond its limit, or its listener was closed and refuses the next connection.
+		if c, err = p.dialBeyondLimit(ctx, e); errors.Is(err, syscall.ECONNRESET) {
+			return nil
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -125,6 +129,14 @@
 	return nil
 }
 
+// dialBeyondLimit opens a connection, whatever the limit of the endpoint is.
+func (p *Pool) dialBeyondLimit(ctx context.Context, e Endpoint) (*Conn, error) {
+	p.mu.Lock()
+	p.connsOf(e).open++
+	p.mu.Unlock()
+	return p.dial(ctx, e)
+}
+
 // Put returns a connection to the pool after a request. It closes the connection if reuse
 // is disabled, if it has unread bytes or if the endpoint has enough idle connections.
 func (p *Pool) Put(e Endpoint, c *Conn) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"net"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestConnectionLimit(t *testing.T) {
@@ -17,3 +19,18 @@
 	assert.Equal(t, 1, ConnectionLimit(640, 390, 544))
 	assert.Equal(t, 133, ConnectionLimit(640, 390, 12))
 }
+
+// Guards against answers without a length that count as broken, as their server is at its limit and resets other connections.
+func TestCheckPassesServerAtItsLimit(t *testing.T) {
+	resetting := serveRaw(t, func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetLinger(0) // fails on closed connections only
+		_ = conn.Close()
+	})
+	for range 20 {
+		require.NoError(t, NewPool().Check(t.Context(), Endpoint{Address: resetting}))
+	}
+	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, ended.Close())
+	require.Error(t, NewPool().Check(t.Context(), Endpoint{Address: ended.Addr().String()}))
+}
