--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -108,6 +109,18 @@
 	return err == nil && state == socket.Idle
 }
 
+// closedUntil waits until the server closes the unused connection, and returns false if it has not at the given time.
+func (c *Conn) closedUntil(end time.Time) bool {
+	if err := c.SetReadDeadline(end); err != nil {
+		return true
+	}
+	_, err := c.reader.Peek(1)
+	if resetErr := c.SetReadDeadline(time.Time{}); resetErr != nil {
+		return true
+	}
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Send writes the head and the body of a request. It reports whether at least one byte
 // was written, also when it returns an error.
 func (c *Conn) Send(head, body []byte) (sent bool, err error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -112,12 +112,25 @@
 	return nil, errors.Wrap(err, "connect")
 }
 
-// Check opens a connection to the endpoint, which is kept for the next request, and returns an error if that fails. An answer
-// without a length that ends with its connection is complete only if its server has not ended.
+// processEndTime is the time within which the kernel closes the sockets of a killed process. It closes the newest connections
+// first, and a listener, which accepts connections until then, last: up to 10 ms later with 500 connections.
+const processEndTime = 20 * time.Millisecond
+
+// Check returns an error if the process at the endpoint has ended or ends, as far as connections to it show that. An answer
+// without a length that ends with its connection is complete only if its server has not ended. Check takes processEndTime, or
+// until the context ends. It keeps a connection for the next request.
 func (p *Pool) Check(ctx context.Context, e Endpoint) error {
+	end := time.Now().Add(processEndTime)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(end) {
+		end = deadline
+	}
 	c, err := p.dialBeyondLimit(ctx, e)
+	if err == nil && c.closedUntil(end) {
+		p.closeConn(e, c)
+		err = syscall.ECONNRESET
+	}
 	if errors.Is(err, syscall.ECONNRESET) {
-		// The server resets connections beyond its limit, or its listener was closed and refuses the next connection.
+		// The listener was closed and refuses the next connection, or the server resets connections beyond its limit.
 		if c, err = p.dialBeyondLimit(ctx, e); errors.Is(err, syscall.ECONNRESET) {
 			return nil
 		}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -34,3 +35,17 @@
 	require.NoError(t, ended.Close())
 	require.Error(t, NewPool().Check(t.Context(), Endpoint{Address: ended.Addr().String()}))
 }
+
+// Guards against listeners of ending processes that pass for servers: they accept connections until they are closed.
+func TestCheckFindsEndingProcess(t *testing.T) {
+	ending, err := net.Listen("tcp", "127.0.0.1:0") // nothing accepts
+	require.NoError(t, err)
+	address := ending.Addr().String()
+	time.AfterFunc(processEndTime/4, func() { _ = ending.Close() })
+	require.Error(t, NewPool().Check(t.Context(), Endpoint{Address: address}))
+
+	sound := serveRaw(t, func(net.Conn) {})
+	started := time.Now()
+	require.NoError(t, NewPool().Check(t.Context(), Endpoint{Address: sound}))
+	assert.GreaterOrEqual(t, time.Since(started), processEndTime)
+}
