--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxCachedParts bounds the prompt parts tracked for one server.
-	maxCachedParts = 4096
+	// MaxCachedParts bounds the prompt parts tracked for one server. Of more, the most recently used ones are kept.
+	MaxCachedParts = 4096
 	// cachedPartTTL is how long an unused part counts as cached: requests of other daemons, which
 	// this daemon doesn't see, evict it from the engine.
 	cachedPartTTL = 15 * time.Second
@@ -33,7 +33,7 @@
 func newPromptCache() *promptCache {
 	c := &promptCache{}
 	// NewLRU fails only for a size below 1.
-	c.parts, _ = simplelru.NewLRU(maxCachedParts, func(_ uint64, p cacheEntry) { c.tokens -= int64(p.tokens) })
+	c.parts, _ = simplelru.NewLRU(MaxCachedParts, func(_ uint64, p cacheEntry) { c.tokens -= int64(p.tokens) })
 	return c
 }
 
