--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -27,6 +27,10 @@
 	maxSavesPerInterval = 4
 	// quarantineCallTimeout bounds the calls to the store in one interval.
 	quarantineCallTimeout = time.Second
+	// maxSuspectBytes limits the stored evidence against one suspect. With 32 ended servers it has some 700 bytes.
+	maxSuspectBytes = 2 << 10
+	// maxLoadedSuspects limits the suspects that are loaded.
+	maxLoadedSuspects = 512
 )
 
 // quarantineKeeper loads the stored evidence at the start of a daemon that reads the store, and keeps the store up to date
@@ -93,6 +97,10 @@
 	k.saved = make(map[string]savedSuspect, len(values))
 	var reports []quarantine.Report
 	for suspect, value := range values {
+		if len(value) > maxSuspectBytes || len(reports) == maxLoadedSuspects {
+			g.logger.Warn("Stored evidence is too long.", "suspect", suspect, "bytes", len(value), "loaded", len(reports))
+			continue
+		}
 		var stored pb.StoredSuspect
 		if err := proto.Unmarshal(value, &stored); err != nil || stored.Suspect == nil {
 			g.logger.Warn("Invalid stored evidence ignored.", "suspect", suspect, "error", err)
