--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -81,9 +81,9 @@
 	if err != nil {
 		return traffic, errors.Wrap(err, "connect to peer")
 	}
-	conn := drpcconn.New(countedConn{rawConn, traffic})
+	conn := drpcconn.NewWithOptions(countedConn{rawConn, traffic}, drpcconn.Options{Manager: readerOptions(maxReplyBytes)})
 	defer conn.Close()
-	return traffic, errors.Wrap(invoke(ctx, pb.NewDRPCExchangeClient(conn)), "pull from peer")
+	return traffic, errors.Wrap(invoke(ctx, pb.NewDRPCExchangeClient(boundedConn{conn})), "pull from peer")
 }
 
 // pullServer serves the pulls of peers.
--- a/internal/placement/cached_parts.go
+++ b/internal/placement/cached_parts.go
@@ -28,6 +28,7 @@
 	if !ok {
 		return
 	}
+	parts = parts[max(0, len(parts)-MaxCachedParts):] // the cache would discard the others
 	known := s.cache.cachedParts(now)
 	reportedAge := make(map[uint64]time.Duration, len(parts))
 	for _, p := range parts {
