--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// maxRequestBytes limits a request of a peer. The longest ones hold 256 digests of 8 bytes.
+	maxRequestBytes = 64 << 10
 	// maxReplyBytes limits the answer to a pull.
 	maxReplyBytes = 4 << 20
 	// maxReplyFields limits the fields of an answer to a pull, which are mostly entries of lists. An empty entry has 2 bytes,
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -153,3 +153,26 @@
 	require.NoError(t, err)
 	assert.Len(t, prompts.Servers, engines)
 }
+
+// Guards against a daemon that keeps requests without end of faulty callers, as many as they have connections.
+func TestLongRequestsOfFaultyPeersAreNotKept(t *testing.T) {
+	const callers = 40
+	a := newNode(t, "a", "z1")
+	a.start(t)
+	request := append([]byte("\x04\x01\x01\xff\xff\xff\x7f"), make([]byte, 3<<20)...) // a frame of 256 MB
+	var connections []net.Conn
+	growth := peakHeapGrowth(func() {
+		for range callers {
+			conn, err := net.Dial("tcp", a.member.ControlAddress)
+			require.NoError(t, err)
+			connections = append(connections, conn)
+			require.NoError(t, conn.SetWriteDeadline(time.Now().Add(time.Second)))
+			_, _ = conn.Write(request) // an error means that the daemon has closed the connection
+		}
+	})
+	for _, conn := range connections {
+		_ = conn.Close()
+	}
+	t.Logf("%d MB", growth>>20)
+	assert.Less(t, growth, uint64(32<<20))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -255,7 +255,8 @@
 	}
 	go x.receive(ctx)
 	go func() {
-		if err := drpcserver.New(recovery.Handler(mux, x.options.Logger)).Serve(ctx, x.listener); err != nil && ctx.Err() == nil {
+		server := drpcserver.NewWithOptions(recovery.Handler(mux, x.options.Logger), drpcserver.Options{Manager: readerOptions(maxRequestBytes)})
+		if err := server.Serve(ctx, x.listener); err != nil && ctx.Err() == nil {
 			x.options.Logger.Error("Pull server failed.", "error", err)
 		}
 	}()
