--- a/internal/answer/assembler.go
+++ b/internal/answer/assembler.go
@@ -15,6 +15,7 @@
 type Assembler struct {
 	fields  map[string]any
 	choices []map[string]any // by index
+	bytes   int              // estimated memory of fields and choices
 }
 
 // repeatedFields are string fields whose value in a later chunk replaces the earlier one instead of being
@@ -24,9 +25,23 @@
 // maxChoices limits the memory that a faulty engine can allocate with a large choice index.
 const maxChoices = 128
 
+const (
+	// maxAnswerMemory limits the estimated memory of an answer in bytes: some 8 MB of text, or 10,000 tokens with five
+	// alternatives each.
+	maxAnswerMemory = 48 << 20
+	// Estimated memory of a value, of an object and of a field of an object.
+	valueBytes, objectBytes, fieldBytes = 48, 256, 100
+	// textCopies is how many times text counts, as each chunk copies what it is appended to.
+	textCopies = 6
+)
+
+// errAnswerTooLong ends an answer that takes more than maxAnswerMemory.
+var errAnswerTooLong = errors.New("answer takes too much memory")
+
 var errMalformedChunk = errors.New("chunk is malformed")
 
-// Add merges the JSON of the next chunk into the answer. It returns an error if the chunk is malformed.
+// Add merges the JSON of the next chunk into the answer. It returns an error if the chunk is malformed or the answer takes too much
+// memory.
 func (a *Assembler) Add(data string) error {
 	decoder := json.NewDecoder(bytes.NewReader([]byte(data)))
 	decoder.UseNumber() // keeps large integers exact
@@ -40,7 +55,9 @@
 		a.fields = map[string]any{}
 	}
 	for name, value := range chunk {
-		if value != nil || a.fields[name] == nil {
+		if old, known := a.fields[name]; value != nil || !known {
+			a.countField(name, known)
+			a.bytes += memoryOf(value) - memoryOf(old)
 			a.fields[name] = value
 		}
 	}
@@ -49,9 +66,43 @@
 			return err
 		}
 	}
+	if a.bytes > maxAnswerMemory {
+		return errAnswerTooLong
+	}
 	return nil
 }
 
+// countField counts the memory of a field without its value, unless the field is known.
+func (a *Assembler) countField(name string, known bool) {
+	if !known {
+		a.bytes += fieldBytes + len(name)
+	}
+}
+
+// memoryOf returns the estimated memory of a decoded JSON value.
+func memoryOf(value any) int {
+	total := valueBytes
+	switch value := value.(type) {
+	case nil:
+		return 0
+	case string:
+		total += len(value)
+	case json.Number:
+		total += len(value)
+	case []any:
+		total += len(value) * valueBytes
+		for _, entry := range value {
+			total += memoryOf(entry)
+		}
+	case map[string]any:
+		total += objectBytes
+		for name, field := range value {
+			total += fieldBytes + len(name) + memoryOf(field)
+		}
+	}
+	return total
+}
+
 func (a *Assembler) addChoice(raw any) error {
 	choice, ok := raw.(map[string]any)
 	if !ok {
@@ -66,10 +117,10 @@
 	}
 	target := a.choices[index]
 	delta, _ := choice["delta"].(map[string]any)
-	merge(target["message"].(map[string]any), delta)
+	a.merge(target["message"].(map[string]any), delta)
 	delete(choice, "delta")
 	delete(choice, "index")
-	merge(target, choice)
+	a.merge(target, choice)
 	return nil
 }
 
@@ -92,53 +143,63 @@
 
 // merge adds the fields of part to target. Strings and lists are appended, objects are merged
 // recursively, and other values replace the earlier one.
-func merge(target, part map[string]any) {
+func (a *Assembler) merge(target, part map[string]any) {
 	for name, value := range part {
-		target[name] = mergeValue(name, target[name], value)
+		old, known := target[name]
+		a.countField(name, known)
+		target[name] = a.mergeValue(name, old, value)
 	}
 }
 
-func mergeValue(name string, old, value any) any {
+func (a *Assembler) mergeValue(name string, old, value any) any {
 	switch value := value.(type) {
 	case nil:
 		return old
 	case string:
 		if existing, ok := old.(string); ok && !repeatedFields[name] {
+			a.bytes += textCopies * len(value)
 			return existing + value
 		}
 	case map[string]any:
 		if existing, ok := old.(map[string]any); ok {
-			merge(existing, value)
+			a.merge(existing, value)
 			return existing
 		}
 	case []any:
-		existing, _ := old.([]any)
-		return mergeLists(name, existing, value)
+		existing, ok := old.([]any)
+		if !ok {
+			a.bytes -= memoryOf(old)
+		}
+		return a.mergeLists(name, existing, value)
 	}
+	a.bytes += memoryOf(value) - memoryOf(old)
 	return value
 }
 
 // mergeLists appends parts to list. Parts of a tool call are merged by their "index" field.
-func mergeLists(name string, list, parts []any) any {
+func (a *Assembler) mergeLists(name string, list, parts []any) any {
 	if list == nil {
 		list = []any{}
 	}
 	if name != "tool_calls" {
+		a.bytes += memoryOf(parts)
 		return append(list, parts...)
 	}
 	for _, raw := range parts {
 		call, ok := raw.(map[string]any)
 		if !ok {
+			a.bytes += memoryOf(raw) + valueBytes
 			return append(list, raw)
 		}
 		index := indexOf(call)
 		delete(call, "index")
 		if index >= 0 && index < len(list) {
 			if existing, ok := list[index].(map[string]any); ok {
-				merge(existing, call)
+				a.merge(existing, call)
 				continue
 			}
 		}
+		a.bytes += memoryOf(call) + valueBytes
 		list = append(list, call)
 	}
 	return list
--- a/internal/answer/assembler_test.go
+++ b/internal/answer/assembler_test.go
@@ -1,6 +1,9 @@
 package answer
 
 import (
+	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -41,3 +44,61 @@
 		require.Error(t, a.Add(chunk), chunk)
 	}
 }
+
+// Guards against a daemon that ends for its memory, because an engine sends valid chunks without end for a buffered answer.
+func TestChunksWithoutEndStayWithinMemory(t *testing.T) {
+	const maxHeap = 64 << 20
+	text := strings.Repeat("x", 10_000)
+	zeros := strings.Repeat("0,", 5_000) + "0"
+	objects := strings.Repeat("{},", 3_000) + "{}"
+	calls := strings.Repeat(`{"index":-1},`, 1_000) + "{}"
+	for name, chunk := range map[string]func(i int) string{
+		"text":              func(int) string { return `{"choices":[{"delta":{"content":"` + text + `"}}]}` },
+		"list":              func(int) string { return `{"choices":[{"logprobs":{"content":[` + zeros + `]}}]}` },
+		"list of objects":   func(int) string { return `{"choices":[{"logprobs":{"content":[` + objects + `]}}]}` },
+		"lists in one":      func(int) string { return `{"choices":[{"logprobs":{"content":[[` + zeros + `]]}}]}` },
+		"tool calls":        func(int) string { return `{"choices":[{"delta":{"tool_calls":[` + calls + `]}}]}` },
+		"new fields":        func(i int) string { return fmt.Sprintf(`{"choices":[{"delta":{"f%d":0}}]}`, i) },
+		"new objects":       func(i int) string { return fmt.Sprintf(`{"choices":[{"delta":{"f%d":[%s]}}]}`, i, objects) },
+		"names of fields":   func(i int) string { return fmt.Sprintf(`{"choices":[{"delta":{"f%d%s":0}}]}`, i, text) },
+		"fields of answer":  func(i int) string { return fmt.Sprintf(`{"f%d":"%s"}`, i, text) },
+		"numbers of answer": func(i int) string { return fmt.Sprintf(`{"f%d":1%s}`, i, strings.Repeat("0", 10_000)) },
+		"number for null": func(i int) string {
+			return fmt.Sprintf(`{"choices":[{"f%d":1%s}]}`, i/2, strings.Repeat("0", 10_000*(i%2)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a Assembler
+			var err error
+			i := 0
+			for sent := 0; err == nil && sent < 64<<20 && i < 500_000; i++ {
+				data := chunk(i)
+				err = a.Add(data)
+				sent += len(data)
+			}
+			var stats runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&stats)
+			t.Logf("%d MB after %d chunks", stats.HeapAlloc>>20, i)
+			require.Error(t, err)
+			require.Less(t, stats.HeapAlloc, uint64(maxHeap))
+			runtime.KeepAlive(&a)
+		})
+	}
+}
+
+// Guards against a bound that cuts off long answers, or counts what later chunks replace.
+func TestLongAnswersAreAssembled(t *testing.T) {
+	var a Assembler
+	const chunks = 20_000
+	for range chunks {
+		require.NoError(t, a.Add(`{"id":"chatcmpl-1","model":"m","created":1764800000,"system_fingerprint":"fp","choices":[{"index":0,"delta":{"role":"assistant","content":"token"},"finish_reason":null}],"usage":null}`))
+	}
+	data, err := a.JSON()
+	require.NoError(t, err)
+	require.Greater(t, len(data), chunks*len("token"))
+	replaced := `{"id":"` + strings.Repeat("x", 100_000) + `","choices":[]}`
+	for range 1000 {
+		require.NoError(t, a.Add(replaced))
+	}
+}
