--- a/internal/backend/order.go
+++ b/internal/backend/order.go
@@ -46,7 +46,8 @@
 	}
 	dialer := net.Dialer{}
 	transport := &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
