--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -10,10 +10,25 @@
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/filbertrill/filbertrill/internal/bounded"
 )
 
-// maxResponseBytes limits the size of one response body of a platform service.
-const maxResponseBytes = 64 << 20
+// Limits of one response of a platform service.
+const (
+	// maxHeadBytes limits the head.
+	maxHeadBytes = 64 << 10
+	// maxRecordsBytes limits the answer to a read of the log. 500 records may hold many state records, of 1 MB each.
+	maxRecordsBytes = 64 << 20
+	// maxValueBytes limits one record in it, or one entry of another list.
+	maxValueBytes = 4 << 20
+	// maxInstancesBytes limits the list of instances.
+	maxInstancesBytes = 4 << 20
+	// maxBodyBytes limits the answers to appends and about offsets, which hold some 50 bytes for each value.
+	maxBodyBytes = 256 << 10
+	// maxErrorBytes limits the body of an error.
+	maxErrorBytes = 64 << 10
+)
 
 // maxIdleConnsPerHost is the maximum number of idle connections to one service.
 const maxIdleConnsPerHost = 8
@@ -26,6 +41,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	client := &http.Client{
 		Transport:     transport,
 		Timeout:       timeout,
@@ -55,19 +71,21 @@
 	return u, nil
 }
 
-// readBody reads a response body. It returns an error if the body is larger than maxResponseBytes.
-func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read response body")
+// decodeList calls decode for each entry of a response body, which must be a list of up to maxEntries, and decode decodes it. It returns
+// an error if the body has more than maxBytes or an entry more than maxValueBytes.
+func decodeList(body io.Reader, maxBytes, maxEntries int, decode func(d *bounded.Decoder) error) error {
+	d := bounded.NewDecoder(body, maxBytes, maxValueBytes)
+	if err := d.List(maxEntries, func() error { return decode(d) }); err != nil {
+		return errors.Wrap(err, "decode response body")
 	}
-	if len(data) > maxResponseBytes {
-		return nil, errors.Newf("response body is larger than %d bytes", maxResponseBytes)
-	}
-	return data, nil
+	return errors.Wrap(d.End(), "decode response body")
 }
 
-// decodeJSON decodes data, which must be one JSON value, into target.
-func decodeJSON(data []byte, target any) error {
+// decodeJSON decodes a response body, which must be one JSON value of up to maxBodyBytes, into target.
+func decodeJSON(body io.Reader, target any) error {
+	data, err := bounded.ReadAll(body, maxBodyBytes)
+	if err != nil {
+		return errors.Wrap(err, "read response body")
+	}
 	return errors.Wrap(json.Unmarshal(data, target), "decode response body")
 }
--- a/internal/logservice/instances.go
+++ b/internal/logservice/instances.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/filbertrill/filbertrill/internal/bounded"
 )
 
 const (
@@ -57,32 +60,38 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("list instances: service returned status %d", resp.StatusCode)
 	}
-	data, err := readBody(resp.Body)
-	if err != nil {
-		return nil, errors.Wrap(err, "list instances")
-	}
-	return parseInstances(data)
+	return parseInstances(resp.Body)
 }
 
-func parseInstances(data []byte) ([]Instance, error) {
-	var groups []targetGroup
-	if err := decodeJSON(data, &groups); err != nil {
-		return nil, errors.Wrap(err, "list instances")
-	}
+// maxInstances limits the listed instances and the groups that list them.
+const maxInstances = 20_000
+
+func parseInstances(body io.Reader) ([]Instance, error) {
 	var instances []Instance
 	seen := map[string]bool{}
-	for _, group := range groups {
+	err := decodeList(body, maxInstancesBytes, maxInstances, func(d *bounded.Decoder) error {
+		var group targetGroup
+		if err := d.Decode(&group); err != nil {
+			return err
+		}
 		for _, target := range group.Targets {
 			instance, err := parseInstance(target, group.Labels)
 			if err != nil {
-				return nil, errors.Wrap(err, "list instances")
+				return err
 			}
 			if seen[target] {
-				return nil, errors.Newf("list instances: target %q is listed twice", target)
+				return errors.Newf("target %q is listed twice", target)
+			}
+			if len(instances) == maxInstances {
+				return errors.Newf("there are more than %d instances", maxInstances)
 			}
 			seen[target] = true
 			instances = append(instances, instance)
 		}
+		return nil
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances")
 	}
 	return instances, nil
 }
--- a/internal/logservice/log.go
+++ b/internal/logservice/log.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/filbertrill/filbertrill/internal/bounded"
 )
 
 const (
@@ -96,11 +99,15 @@
 	}
 	req.Header.Set("Content-Type", binaryContentType)
 	req.Header.Set("Accept", metadataContentType)
-	status, data, err := l.do(req)
+	var offsets []int64
+	status, err := l.do(req, func(body io.Reader) (err error) {
+		offsets, err = parseAppendOffsets(body, len(values))
+		return err
+	})
 	if err != nil {
 		return nil, appendError(err, status, connected.Load())
 	}
-	return parseAppendOffsets(data, len(values))
+	return offsets, nil
 }
 
 func newProduceRequest(values [][]byte) produceRequest {
@@ -137,21 +144,21 @@
 }
 
 // parseAppendOffsets returns the offsets in the response to an append of want values.
-func parseAppendOffsets(data []byte, want int) ([]int64, error) {
+func parseAppendOffsets(body io.Reader, want int) ([]int64, error) {
 	var response produceResponse
-	if err := decodeJSON(data, &response); err != nil {
-		return nil, errors.Wrap(err, "append")
+	if err := decodeJSON(body, &response); err != nil {
+		return nil, err
 	}
 	if len(response.Offsets) != want {
-		return nil, errors.Newf("append: response has %d offsets for %d values", len(response.Offsets), want)
+		return nil, errors.Newf("response has %d offsets for %d values", len(response.Offsets), want)
 	}
 	offsets := make([]int64, want)
 	for i, entry := range response.Offsets {
 		if entry.ErrorCode != nil {
-			return nil, errors.Newf("append: value %d: error %d: %s", i, *entry.ErrorCode, entry.Error)
+			return nil, errors.Newf("value %d: error %d: %s", i, *entry.ErrorCode, entry.Error)
 		}
 		if entry.Offset == nil || *entry.Offset < 0 || entry.Partition != 0 {
-			return nil, errors.Newf("append: value %d: no valid offset in partition 0", i)
+			return nil, errors.Newf("value %d: no valid offset in partition 0", i)
 		}
 		offsets[i] = *entry.Offset
 	}
@@ -173,30 +180,35 @@
 	query.Set("count", strconv.Itoa(limit))
 	req.URL.RawQuery = query.Encode()
 	req.Header.Set("Accept", binaryContentType)
-	_, data, err := l.do(req)
+	var records []Record
+	_, err = l.do(req, func(body io.Reader) (err error) {
+		records, err = parseRecords(body, offset, limit)
+		return err
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "read")
 	}
-	return parseRecords(data, offset, limit)
+	return records, nil
 }
 
 // parseRecords returns the records in the response to a read of up to limit records at the offset.
 // Their offsets must be consecutive.
-func parseRecords(data []byte, offset int64, limit int) ([]Record, error) {
-	var consumed []consumedRecord
-	if err := decodeJSON(data, &consumed); err != nil {
-		return nil, errors.Wrap(err, "read")
-	}
-	if len(consumed) > limit {
-		return nil, errors.Newf("read: response has %d records, more than the limit of %d", len(consumed), limit)
-	}
-	records := make([]Record, len(consumed))
-	for i, entry := range consumed {
-		want := offset + int64(i)
+func parseRecords(body io.Reader, offset int64, limit int) ([]Record, error) {
+	records := []Record{}
+	err := decodeList(body, maxRecordsBytes, limit, func(d *bounded.Decoder) error {
+		var entry consumedRecord
+		if err := d.Decode(&entry); err != nil {
+			return err
+		}
+		want := offset + int64(len(records))
 		if entry.Offset == nil || *entry.Offset != want || entry.Partition != 0 {
-			return nil, errors.Newf("read: record %d is not offset %d of partition 0", i, want)
+			return errors.Newf("record %d is not offset %d of partition 0", len(records), want)
 		}
-		records[i] = Record{Offset: want, Value: entry.Value}
+		records = append(records, Record{Offset: want, Value: entry.Value})
+		return nil
+	})
+	if err != nil {
+		return nil, err
 	}
 	return records, nil
 }
@@ -208,12 +220,8 @@
 		return Bounds{}, err
 	}
 	req.Header.Set("Accept", metadataContentType)
-	_, data, err := l.do(req)
-	if err != nil {
-		return Bounds{}, errors.Wrap(err, "bounds")
-	}
 	var response offsetsResponse
-	if err := decodeJSON(data, &response); err != nil {
+	if _, err := l.do(req, func(body io.Reader) error { return decodeJSON(body, &response) }); err != nil {
 		return Bounds{}, errors.Wrap(err, "bounds")
 	}
 	if response.Beginning == nil || response.End == nil {
@@ -238,19 +246,19 @@
 	return req, errors.Wrap(err, "build request")
 }
 
-// do sends the request and returns the status and, if it is 200, the body of the response.
-// Any other status is an error. The status is 0 if there is no response.
-func (l *HTTPLog) do(req *http.Request) (int, []byte, error) {
+// do sends the request, and calls decode with the body of the response if its status is 200. Any other status is an error. It returns
+// the status, 0 if there is no response.
+func (l *HTTPLog) do(req *http.Request, decode func(body io.Reader) error) (int, error) {
 	resp, err := l.service.DoRequest(req)
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "send request")
+		return 0, errors.Wrap(err, "send request")
 	}
 	defer resp.Body.Close()
-	data, err := readBody(resp.Body)
 	if resp.StatusCode == http.StatusOK {
-		return resp.StatusCode, data, err
+		return resp.StatusCode, decode(resp.Body)
 	}
-	return resp.StatusCode, nil, statusError(resp.StatusCode, data)
+	data, _ := bounded.ReadAll(resp.Body, maxErrorBytes) // what was read is decoded
+	return resp.StatusCode, statusError(resp.StatusCode, data)
 }
 
 func statusError(status int, data []byte) error {
