--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,8 +24,9 @@
 	// readBufferSize is the size in bytes of a connection's read buffer. It is large enough
 	// for several events that arrive together.
 	readBufferSize = 4 << 10
-	// maxHeadBytes is the size of the largest head of an answer that is read, readBufferSize more or less.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes is the size of the largest head of an answer that is read, readBufferSize more or less. A head of short
+	// fields takes 16 times as much when it is decoded, for as long as the answer is in progress.
+	maxHeadBytes = 16 << 10
 	// tcpUserTimeoutMillis bounds how long sent bytes may stay unacknowledged. Without it,
 	// connections to a host that lost power hang for minutes.
 	tcpUserTimeoutMillis = 3000
@@ -33,7 +34,7 @@
 	sockoptTCPUserTimeout = 0x12
 )
 
-// ErrHeadTooLong is returned by Conn.Receive when the head of an answer is longer than 64 KiB.
+// ErrHeadTooLong is returned by Conn.Receive when the head of an answer is longer than 16 KiB.
 var ErrHeadTooLong = errors.New("head of the answer is too long")
 
 // Conn is a connection to one backend server. It serves one request at a time.
