Reproduce resumed answers that end as complete without their last event

An engine that sends its end marker too early, right behind a resume, makes the daemon that resumes an answer for another one report it as complete, whatever the caller has of it.

--- a/internal/answer/machine_test.go
+++ b/internal/answer/machine_test.go
@@ -118,6 +118,14 @@
 	require.Equal(t, Retry, m.Step(start, IdleTimeout{}).Kind)
 }
 
+// Guards against an engine's early end marker that is taken for proof that the caller has the last event.
+func TestEndMarkerAloneDoesNotCompleteResumedAnswer(t *testing.T) {
+	for _, next := range []int{0, 1, 3} {
+		m := newMachine(func(o *Options) { o.NextOffset, o.StartedElsewhere, o.Repeatable = next, true, false })
+		require.Equal(t, Resume, m.Step(start, StreamEnded{}).Kind, "next offset %d", next)
+	}
+}
+
 // Guards against an answer that is taken up at another daemon and ends as complete without its last event.
 func TestResumedAnswerEndsBehindItsLastEvent(t *testing.T) {
 	resumed := func() *Machine {
