Learn from the engine whether a resumed answer was complete

A resumed answer ended as complete when the engine's end marker came right behind the resume: the daemon didn't know the caller's last event and took the absence of further ones for proof that it was the final one.

Now the daemon resumes one event earlier. The engine sends the caller's last event again, which is dropped but tells whether it has a finish reason, or follows it. TestResumedAnswerEndsBehindItsLastEvent demanded that the end marker alone ends the answer, which is the fault. It now demands the same end behind the caller's final event, and a resume behind any other one or an event of another attempt.

--- a/internal/answer/machine.go
+++ b/internal/answer/machine.go
@@ -31,7 +31,7 @@
 	nextOffset       int
 	connectionLosses int
 	idleTimeouts     int
-	finalForwarded   bool // the event with the finish reason, or one behind it, was forwarded
+	finalForwarded   bool // the event with the finish reason, or one behind it, was forwarded by this or another daemon
 	eventLost        bool // an event with a malformed ID has come since the last one forwarded
 	done             bool
 }
@@ -42,6 +42,15 @@
 // NextOffset returns the offset of the next event to forward.
 func (m *Machine) NextOffset() int { return m.nextOffset }
 
+// LastOffset returns the offset after which a connection resumes the stream, -1 for the start. As long as all forwarded
+// events came from another daemon, the engine sends the last of them again: only that shows whether it was the final one.
+func (m *Machine) LastOffset() int {
+	if m.opts.StartedElsewhere && m.nextOffset == m.opts.NextOffset {
+		return max(m.nextOffset-2, -1)
+	}
+	return m.nextOffset - 1
+}
+
 // Started reports whether an event of the answer was forwarded, by this or another daemon.
 func (m *Machine) Started() bool { return m.opts.StartedElsewhere || m.nextOffset > m.opts.NextOffset }
 
@@ -95,6 +104,7 @@
 	}
 	if e.AttemptID != m.opts.AttemptID || e.Offset < m.nextOffset {
 		m.eventLost = m.eventLost || e.AttemptID == ""
+		m.finalForwarded = m.finalForwarded || (e.AttemptID == m.opts.AttemptID && e.Final)
 		return Action{Kind: Ignore}
 	}
 	if e.Offset > m.nextOffset {
@@ -108,11 +118,9 @@
 	return Action{Kind: Forward}
 }
 
-// handleStreamEnded accepts the end marker only after the event with the finish reason. If another daemon
-// started the answer, that daemon may have forwarded this event, and then no event but those behind it may follow.
+// handleStreamEnded accepts the end marker only after the event with the finish reason.
 func (m *Machine) handleStreamEnded(now time.Time) Action {
-	finalElsewhere := m.opts.StartedElsewhere && m.nextOffset == m.opts.NextOffset
-	if !m.eventLost && (m.finalForwarded || finalElsewhere) {
+	if !m.eventLost && m.finalForwarded {
 		return Action{Kind: Finish}
 	}
 	m.eventLost = false // the engine sends the event again
@@ -152,7 +160,7 @@
 }
 
 func (m *Machine) resume(delay time.Duration) Action {
-	return Action{Kind: Resume, Delay: delay, LastOffset: m.nextOffset - 1}
+	return Action{Kind: Resume, Delay: delay, LastOffset: m.LastOffset()}
 }
 
 // retryOrFail fails with partialCode if the caller has received a part of the answer. Otherwise it
--- a/internal/answer/machine_test.go
+++ b/internal/answer/machine_test.go
@@ -132,9 +132,22 @@
 		return newMachine(func(o *Options) { o.NextOffset, o.StartedElsewhere, o.Repeatable = 3, true, false })
 	}
 	m := resumed()
+	require.Equal(t, 1, m.LastOffset(), "the engine sends the caller's last event again")
+	require.Equal(t, Ignore, m.Step(start, Received{AttemptID: "a", Offset: 2, Final: true}).Kind)
 	require.Equal(t, Finish, m.Step(start, StreamEnded{}).Kind, "the caller has the last event")
 
 	m = resumed()
+	require.Equal(t, Ignore, m.Step(start, Received{AttemptID: "a", Offset: 2}).Kind)
+	require.Equal(t, Action{Kind: Resume, LastOffset: 1}, m.Step(start, StreamEnded{}), "the caller lacks the last event")
+	require.Equal(t, Forward, m.Step(start, Received{AttemptID: "a", Offset: 3}).Kind)
+	require.Equal(t, 3, m.LastOffset())
+
+	m = resumed()
+	require.Equal(t, Ignore, m.Step(start, Received{AttemptID: "b", Offset: 2, Final: true}).Kind, "another attempt")
+	require.Equal(t, Resume, m.Step(start, StreamEnded{}).Kind)
+
+	m = resumed()
+	require.Equal(t, Ignore, m.Step(start, Received{AttemptID: "a", Offset: 2, Final: true}).Kind, "sent again")
 	require.Equal(t, Ignore, m.Step(start, Received{}).Kind, "event with a malformed ID")
 	require.Equal(t, Resume, m.Step(start, StreamEnded{}).Kind)
 	require.Equal(t, Forward, m.Step(start, Received{AttemptID: "a", Offset: 3, Final: true}).Kind)
--- a/internal/filter/attempt/chat_attempt.go
+++ b/internal/filter/attempt/chat_attempt.go
@@ -53,7 +53,7 @@
 
 func (a *chatAttempt) connectFirst(ctx context.Context) answer.Action {
 	if a.body == nil {
-		return a.resume(ctx, a.machine.NextOffset()-1)
+		return a.resume(ctx, a.machine.LastOffset())
 	}
 	return a.connect(ctx, true, func(ctx context.Context) (*backend.Stream, error) {
 		return a.engine.Start(ctx, a.server.Address, a.attemptID, a.body)
