--- a/internal/controller/claims/claims_test.go
+++ b/internal/controller/claims/claims_test.go
@@ -136,6 +136,31 @@
 	require.Less(t, read, int64(2*maxReadRecords*len(old)), "of %d records", before.Records)
 }
 
+// Guards against a second run at a daemon that starts and takes a record that it can't read for one from before the window.
+func TestUnreadableRecordDoesNotCountAsOld(t *testing.T) {
+	encode := func(b claim.Batch) []byte {
+		value, err := claim.Encode(b)
+		require.NoError(t, err)
+		return value
+	}
+	_, log := startLog(t, logstore.Options{})
+	key, attempt := newRequest(7), claim.AttemptID(uuid.New())
+	values := [][]byte{
+		encode(claim.Batch{Daemon: "d0", CreatedAt: time.Now().Add(-time.Hour)}),
+		encode(claim.Batch{Daemon: "d0", CreatedAt: time.Now(), Records: []claim.Record{{Kind: claim.KindClaim, Key: key.Key, Attempt: attempt}}}),
+		encode(claim.Batch{Daemon: "d0", CreatedAt: time.Now(), Records: []claim.Record{
+			{Kind: claim.KindOutcome, Key: key.Key, Attempt: attempt, Outcome: &claim.Outcome{Status: 200}},
+		}}),
+	}
+	for len(values) < 2*maxReadRecords {
+		values = append(values, encode(claim.Batch{Daemon: "d0", CreatedAt: time.Now()}))
+	}
+	values[maxReadRecords] = []byte("unreadable")
+	_, err := log.Append(t.Context(), DefaultTopic, values)
+	require.NoError(t, err)
+	require.Equal(t, claim.Replay, startDaemon(t, "d1", log).claim(t, key).Kind)
+}
+
 func TestMemoryLogServesIssuedKeys(t *testing.T) {
 	d := startDaemon(t, "d1", &MemoryLog{})
 	for i := range maxMemoryRecords + 100 {
