Let readable records alone tell where the window of claims begins

A daemon that starts took a record of the claims topic that it can't decode for one from before the window, skipped the claims before it, and ran keys again that had run. Now the next readable record decides, and without one the search goes on to earlier records, which costs reads only.

--- a/internal/controller/claims/find.go
+++ b/internal/controller/claims/find.go
@@ -50,11 +50,19 @@
 	return claim.StartFound{Offset: low, CompleteSince: cutoff}, nil
 }
 
-// isOlder reports whether the record at the offset was created before the cutoff.
+// isOlder reports whether the record at the offset was created before the cutoff. The next readable record decides for one
+// that can't be decoded. Without any it counts as not older, so that no claims are skipped.
 func (c *Controller) isOlder(ctx context.Context, offset int64, cutoff time.Time) (bool, error) {
-	records, err := c.opts.Log.Read(ctx, c.opts.Topic, offset, 1)
-	if err != nil || len(records) == 0 {
-		return false, err
+	for _, limit := range []int{1, maxReadRecords} {
+		records, err := c.opts.Log.Read(ctx, c.opts.Topic, offset, limit)
+		if err != nil {
+			return false, err
+		}
+		for _, r := range records {
+			if batch, err := claim.Decode(r.Value); err == nil {
+				return batch.CreatedAt.Before(cutoff), nil
+			}
+		}
 	}
-	return c.decode(records[0]).CreatedAt.Before(cutoff), nil
+	return false, nil
 }
