Keep servers that a restored store lacks when a peer's list lacks them too

A store that was restored from a copy, or is back after an outage, lacks servers that register again within two seconds. A daemon that saw this kept them when it listed the store itself, and removed them when a peer's newer list lacked them.

The delay that holds for an own listing now holds for those of peers, from the moment at which this daemon, or a peer that reports it, sees the era rise, or this one reaches the store again. It is short, as before: servers that stay missing are removed with the first list behind it, which differing digests bring within a second.

Not covered: a daemon that starts while its peers still wait for their next try of a store that is back, at most 0.8 s in small fleets.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -175,6 +175,7 @@
 // has newer records.
 func (g *Gateway) receiveKnowledge(from string, source *pb.Member, v *pb.View, now time.Time) {
 	g.receiveStoreEra(v.StoreEra)
+	g.reader.SeeEra(v.StoreEra, now)
 	timeOf := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, w := range v.Withdrawn {
 		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Incarnation: w.Born, Sequence: w.Sequence, FirstSeen: timeOf(w.AgeMs)}) {
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -119,7 +119,9 @@
 	serversListed  atomic.Bool
 	lastSuccess    atomic.Int64 // time of the last successful call, as monotonic.UnixNano
 	lastCallFailed atomic.Bool
-	loggedChanges  atomic.Int64 // changed servers in the list that is being applied
+	era            atomic.Uint64 // highest one that this daemon or a peer has seen
+	recoveredAt    atomic.Int64  // time at which the store was first seen to be back or restored, as monotonic.UnixNano
+	loggedChanges  atomic.Int64  // changed servers in the list that is being applied
 }
 
 // NewReader returns a reader. Run starts it.
@@ -181,6 +183,16 @@
 // daemon's.
 func (r *Reader) Newer(t Topic, at time.Time) bool { return monotonic.UnixNano(at) > r.asOf[t].Load() }
 
+// SeeEra records an era of the store that this daemon or a peer has seen. A store that is seen for the first time does not count
+// as restored.
+func (r *Reader) SeeEra(era uint64, now time.Time) {
+	for known := r.era.Load(); era > known; known = r.era.Load() {
+		if r.era.CompareAndSwap(known, era) && known != 0 {
+			r.recoveredAt.Store(monotonic.UnixNano(now))
+		}
+	}
+}
+
 // Confirm records that this daemon's state of the topic was current at the given time.
 func (r *Reader) Confirm(t Topic, at time.Time) {
 	for {
@@ -192,12 +204,13 @@
 }
 
 // ApplyServerList applies a full list of servers from a peer that was complete at listedAt. Servers
-// that it lacks are removed if the list is newer than this daemon's. Otherwise servers that this
+// that it lacks are removed if the list is newer than this daemon's, with the delay of reconcile. Otherwise servers that this
 // daemon doesn't know have left since, and are ignored: a daemon that has started after that knows
 // nothing of their withdrawal. If buckets is not nil, records holds the servers of these buckets alone. Those of the
 // others are known to be the same, unless more is set.
 func (r *Reader) ApplyServerList(records []Record, buckets []uint32, more bool, listedAt, now time.Time) {
 	newer := r.Newer(Servers, listedAt)
+	recoveredAt := monotonic.Time(r.recoveredAt.Load())
 	r.loggedChanges.Store(0)
 	r.state.Batch(func() {
 		for _, record := range records {
@@ -208,7 +221,7 @@
 			r.ApplyServer(record, now)
 		}
 		if newer {
-			r.reconcile(records, buckets, listedAt, now, time.Time{})
+			r.reconcile(records, buckets, listedAt, now, recoveredAt)
 		}
 	})
 	if newer && !more {
@@ -257,6 +270,7 @@
 			continue
 		}
 		now := time.Now()
+		r.SeeEra(r.store.Era(), now)
 		if newEra := r.store.Era(); newEra != era {
 			if era != 0 {
 				// Changes at reused offsets would be missed, and the copy may lack servers that register again.
@@ -272,6 +286,9 @@
 		if storeDown {
 			r.logger.Info("Store is reachable again.", "topic", t, "end", end)
 			storeDown, recoveredAt = false, now
+			if t == Servers {
+				r.recoveredAt.Store(monotonic.UnixNano(now))
+			}
 		}
 		if now.Sub(recoveredAt) < recoveryGracePeriod {
 			relist = true // servers that leave now are kept
--- a/internal/topology/reader_test.go
+++ b/internal/topology/reader_test.go
@@ -126,3 +126,31 @@
 	assert.False(t, state.Knows("left in the outage"))
 	assert.True(t, state.Knows("stays"))
 }
+
+// Servers that the list of a peer lacks are kept only for as long as they may register again behind a restore.
+func TestListOfPeerRemovesServersBehindRestoreLater(t *testing.T) {
+	state := NewState(func() {})
+	reader := NewReader(ReaderOptions{Store: &recoveringStore{}, State: state, Logger: slog.New(slog.DiscardHandler)})
+	start := time.Now()
+	list := func(at time.Time, ids ...string) {
+		var records []Record
+		for _, id := range ids {
+			records = append(records, Record{Key: id, Value: []byte("1")})
+		}
+		reader.ApplyServerList(records, nil, false, at, at)
+	}
+	reader.SeeEra(1, start)
+	list(start, "a", "b", "c")
+	list(start.Add(time.Second), "a", "b")
+	assert.False(t, state.Knows("c"), "the first era that is seen is no restore")
+	restored := start.Add(2 * time.Second)
+	reader.SeeEra(2, restored)
+	reader.SeeEra(1, restored.Add(time.Second))
+	list(restored.Add(time.Millisecond), "a")
+	assert.True(t, state.Knows("b"))
+	list(restored.Add(recoveryGracePeriod-time.Millisecond), "a")
+	assert.True(t, state.Knows("b"))
+	list(restored.Add(recoveryGracePeriod), "a")
+	assert.False(t, state.Knows("b"))
+	assert.True(t, state.Knows("a"))
+}
