--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -75,6 +75,9 @@
 	known, complete := g.origins.versionsInUse(now)
 	unsaved, waiting := g.origins.unsavedVersions(resumableServices(g.topology.Config()), now)
 	writes := g.writesStore()
+	if !writes {
+		k.saved = nil // another daemon may remove versions
+	}
 	if now.Before(k.loadAfter) {
 		return true, nil
 	}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -118,10 +118,10 @@
 	v.Update(servers("v1"), start)
 	_, ok := v.Only("s", start.Add(MaxListAge+1))
 	assert.False(t, ok, "the list is too old")
-	v.SetListAge(start.Add(BeginDelay))
-	_, ok = v.Only("s", start.Add(BeginDelay))
+	v.SetListAge(start.Add(MaxListAge))
+	_, ok = v.Only("s", start.Add(MaxListAge))
 	assert.True(t, ok, "nothing can have begun in the gap")
-	later := start.Add(2*BeginDelay + 1)
+	later := start.Add(2*MaxListAge + 1)
 	v.SetListAge(later)
 	v.Update(servers("v1"), later)
 	_, ok = v.Only("s", later)
@@ -148,6 +148,15 @@
 	assert.Equal(t, []string{"v2"}, v.Excluded("s", mixedAt.Add(BeginDelay-1)), "others may not know it")
 	assert.Empty(t, v.Excluded("s", mixedAt.Add(BeginDelay)))
 
+	assert.Equal(t, []string{"v2"}, func() []string {
+		returning := newCompleteVersions(Use{Service: "s", Version: "v2", LastSeen: start, Saved: true})
+		returning.Update(servers("v1", "v2"), start)
+		returning.SetSaved("s", "v1", true)
+		returning.Update(servers("v1"), start.Add(time.Second))
+		returning.Update(servers("v1", "v2"), mixedAt)
+		return returning.Excluded("s", mixedAt)
+	}(), "others may not have seen it before")
+
 	v.Update(servers("v2", "v3"), mixedAt.Add(BeginDelay))
 	assert.Equal(t, []string{"v3"}, v.Excluded("s", mixedAt.Add(2*BeginDelay)))
 	v.Update(servers("v3"), mixedAt.Add(2*BeginDelay))
@@ -160,3 +169,64 @@
 	assert.Empty(t, saved.Expired([]Use{{Service: "s", Version: "v1", LastSeen: start.Add(time.Second)}}, start.Add(savedTTL+time.Second)))
 	assert.Equal(t, []Key{key}, saved.Expired(nil, start.Add(savedTTL+time.Second+1)))
 }
+
+// Guards against a daemon that has just started and begins streams at a version that it takes for the only one.
+func TestIncompleteDaemonBeginsNoStreams(t *testing.T) {
+	v := NewVersions()
+	v.SetListAge(start)
+	v.Update(servers("v2"), start)
+	assert.Equal(t, []string{"v2"}, v.Excluded("s", start))
+	assert.True(t, v.AllExcluded("s", start))
+	assert.Empty(t, v.Excluded("s", start.Add(BeginDelay)), "others have a list with it")
+	v.Merge(nil, true, start)
+	assert.Empty(t, v.Excluded("s", start))
+	v.Update(servers("v2", "v3"), start.Add(time.Second))
+	v.SetSaved("s", "v2", true)
+	assert.Equal(t, []string{"v3"}, v.Excluded("s", start.Add(time.Second)), "streams have begun at v2 before")
+}
+
+// Guards against conclusions from a version that left and returned, which another daemon has never seen.
+func TestReturningVersionIsDelayedAgain(t *testing.T) {
+	p, d := newCompleteVersions(), newCompleteVersions()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	p.Update(servers("v1"), at(0))
+	d.Update(servers("v1"), at(0))
+	p.SetSaved("s", "v1", true)
+	p.Update(servers("v1", "v2"), at(0.1))
+	p.SetSaved("s", "v2", true)
+	p.Update(servers("v1"), at(1.1))
+	d.SetListAge(at(2.2))
+	d.Update(servers("v1"), at(2.2))
+	p.Update(servers("v1", "v2"), at(2.3))
+	for now := 2.3; now < 12; now += 0.1 {
+		_, ok := d.Only("s", at(now))
+		assert.False(t, ok && len(p.Excluded("s", at(now))) == 0, "after %v s", now)
+	}
+}
+
+// Guards against a daemon that stood still and takes a message of before for one of now.
+func TestMessageOfBeforeDoesNotMakeTheListFresh(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for stop := 0.5; stop < 12; stop += 0.1 {
+		for age := 0.0; age < MaxListAge.Seconds(); age += 0.1 {
+			p, d := newCompleteVersions(), newCompleteVersions()
+			p.Update(servers("v1"), at(0))
+			p.SetSaved("s", "v1", true)
+			d.Update(servers("v1"), at(0))
+			p.Update(servers("v1", "v2"), at(0.01))
+			p.SetSaved("s", "v2", true)
+			d.SetListAge(at(stop - age)) // of a message that came at 0
+			_, ok := d.Only("s", at(stop))
+			assert.False(t, ok && len(p.Excluded("s", at(stop))) == 0, "stop of %v s, age of %v s", stop, age)
+		}
+	}
+}
+
+// Guards against a peer without a list for long that says that it knows all versions.
+func TestDaemonWithOldListDoesNotKnowAllVersions(t *testing.T) {
+	v := newCompleteVersions()
+	_, complete := v.All(start.Add(MaxListAge))
+	assert.True(t, complete)
+	_, complete = v.All(start.Add(MaxListAge + 1))
+	assert.False(t, complete)
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// BeginDelay is the time after the first sight of a second version of a service for which no stream begins at it.
-	// Daemons whose list of servers is older than MaxListAge draw no conclusion from it, so a daemon that does knows all
-	// versions at which streams have begun.
-	BeginDelay = 3 * time.Second
-	// MaxListAge is the age of the list of servers up to which the only version in it is known to be the only one. It is shorter
-	// than BeginDelay by the time that a change takes to be passed on within a daemon.
+	// MaxListAge is the age of the list of servers up to which the only version in it is known to be the only one, and the longest
+	// time between two lists in which a version may come and leave unseen.
 	MaxListAge = 2500 * time.Millisecond
+	// BeginDelay is the time after the first sight of a second version of a service for which no stream begins at it. A daemon
+	// that draws conclusions then has a list with this version. A list may be older than it seems by as much as MaxListAge: a
+	// daemon that stood still reads messages of before.
+	BeginDelay = 2 * MaxListAge
 	// savedTTL is the time for which a version stays in the store after its last server was listed. It is longer than TTL, after
 	// which daemons don't count it as saved any more.
 	savedTTL = TTL + time.Minute
@@ -35,9 +35,12 @@
 // Use tells how a version of a service is used.
 type Use struct {
 	Service, Version string
-	FirstSeen        time.Time // by any daemon that this one has heard of
+	FirstSeen        time.Time // since it was last missing in the list
 	LastSeen         time.Time
 	Saved            bool // in the store
+
+	missing bool // in the last list
+	initial bool // first seen while this daemon didn't know what is saved: peers may have seen it before
 }
 
 // NewVersions returns Versions without services.
@@ -45,10 +48,10 @@
 	return &Versions{services: make(map[string]map[string]*Use), listed: make(map[string]map[string]bool)}
 }
 
-// SetListAge records as of when the list of servers was complete. If there was no complete list for longer than BeginDelay before,
+// SetListAge records as of when the list of servers was complete. If there was no complete list for longer than MaxListAge before,
 // streams may have begun at versions that came and left meanwhile: what is saved must be read again.
 func (v *Versions) SetListAge(asOf time.Time) {
-	if asOf.Sub(v.listAsOf) > BeginDelay {
+	if asOf.Sub(v.listAsOf) > MaxListAge {
 		v.complete = false
 	}
 	if asOf.After(v.listAsOf) {
@@ -60,12 +63,20 @@
 func (v *Versions) Update(servers []routing.Server, now time.Time) (mixed []string) {
 	before := make(map[string]bool)
 	for service := range v.services {
-		before[service] = v.Mixed(service, now)
+		uses := v.inUse(service, now)
+		before[service] = len(uses) > 1
+		if len(uses) == 1 && v.complete { // streams have begun at it
+			uses[0].FirstSeen = now.Add(-BeginDelay)
+		}
 	}
+	wasMissing := v.setMissing()
 	clear(v.listed)
 	for _, server := range servers {
 		use := v.use(server.Service, server.Version, now)
-		use.LastSeen = now
+		if wasMissing[use] {
+			use.FirstSeen = now
+		}
+		use.LastSeen, use.missing = now, false
 		if server.Usable() {
 			if v.listed[server.Service] == nil {
 				v.listed[server.Service] = make(map[string]bool)
@@ -81,6 +92,20 @@
 	return mixed
 }
 
+// setMissing marks all versions as missing in the list, and returns those that were before.
+func (v *Versions) setMissing() map[*Use]bool {
+	before := make(map[*Use]bool)
+	for _, uses := range v.services {
+		for _, use := range uses {
+			if use.missing {
+				before[use] = true
+			}
+			use.missing = true
+		}
+	}
+	return before
+}
+
 // use returns the entry of a version. One that was not in use within TTL counts as seen for the first time.
 func (v *Versions) use(service, version string, now time.Time) *Use {
 	uses, ok := v.services[service]
@@ -90,7 +115,7 @@
 	}
 	use, ok := uses[version]
 	if !ok || now.Sub(use.LastSeen) > TTL {
-		use = &Use{Service: service, Version: version, FirstSeen: now, LastSeen: now}
+		use = &Use{Service: service, Version: version, FirstSeen: now, LastSeen: now, initial: !v.complete}
 		uses[version] = use
 	}
 	return use
@@ -116,7 +141,7 @@
 			continue
 		}
 		use := v.use(r.Service, r.Version, now)
-		if r.FirstSeen.Before(use.FirstSeen) {
+		if use.initial && r.FirstSeen.Before(use.FirstSeen) {
 			use.FirstSeen = r.FirstSeen
 		}
 		if r.LastSeen.After(use.LastSeen) {
@@ -127,7 +152,7 @@
 	v.complete = v.complete || complete
 }
 
-// All returns the versions in use, ordered by service and version, and whether they include all that are saved.
+// All returns the versions in use, ordered by service and version, and whether they are all at which streams have begun.
 func (v *Versions) All(now time.Time) (uses []Use, complete bool) {
 	for service := range v.services {
 		for _, use := range v.inUse(service, now) {
@@ -137,7 +162,7 @@
 	slices.SortFunc(uses, func(a, b Use) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 	})
-	return uses, v.complete
+	return uses, v.complete && now.Sub(v.listAsOf) <= MaxListAge
 }
 
 // SetSaved records that the version is in the store, or is no longer.
@@ -170,14 +195,14 @@
 	return uses[0].Version, true
 }
 
-// Excluded returns the versions of ready servers at which no stream may begin yet, because daemons may not know them.
-// Versions that are not saved are excluded while another one may be used.
+// Excluded returns the versions of the service at which no stream may begin yet, because daemons may not know them. The only one
+// may be used if it is known to be that. Versions that are not saved are excluded while another one may be used.
 func (v *Versions) Excluded(service string, now time.Time) (versions []string) {
-	if len(v.services[service]) < 2 {
+	if v.complete && len(v.services[service]) < 2 {
 		return nil
 	}
 	uses := v.inUse(service, now)
-	if len(uses) < 2 {
+	if v.complete && len(uses) < 2 {
 		return nil
 	}
 	var unsaved []string
