Let streams go on at the service that began them (ORDER)

Found by review: on a route with a split, 16 of 30 streams held events of two services when they were taken up, whether or not their versions had the same name; on a route that a configuration had moved, 24 of 24. No fault was needed.

Cause: the service of a request that takes a stream up was drawn anew by its own id, and 'this service has one version' counted as 'this stream began at it'. Same class: a daemon that starts can't know where a route led before.

Records hold the service as well, and a request with one goes there, or is refused if the route no longer leads there. The digests of the routes of streams are saved like versions.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -7,19 +7,26 @@
 	"github.com/filbertrill/filbertrill/internal/routing"
 )
 
-// Origins tells which software version of a service began a stream. A stream is identified by the ID of the attempt that
+// Origins tells which software version of which service began a stream. A stream is identified by the ID of the attempt that
 // brought its first event.
 type Origins interface {
 	// Record stores the version. It returns before the first event is forwarded, so that the caller can take up no stream
 	// that peers have not been told of.
 	Record(service, attempt, version string)
-	// Find returns the version, and what it is known from. The stream must not go on if that is OriginUnknown. It may wait
-	// for answers of peers.
-	Find(ctx context.Context, service, attempt string) (version string, basis OriginBasis)
+	// Find returns the service and version at which the stream goes on, and what they are known from. The stream must not go
+	// on if that is OriginUnknown. It may wait for answers of peers.
+	Find(ctx context.Context, t TakeUp) (service, version string, basis OriginBasis)
 	// Excluded returns the versions of the service at which no stream may begin now, because other daemons may not know them.
 	Excluded(service string) []string
 }
 
+// TakeUp describes a request that continues a stream.
+type TakeUp struct {
+	Host, Path string
+	Attempt    string         // that brought the first event; empty if the request doesn't name it
+	Route      *routing.Route // of the request
+}
+
 // OriginBasis is what a daemon knows the version of a stream from. It is the "origin" of requests that take up streams in the
 // log, and the label "basis" of their metric.
 type OriginBasis string
@@ -42,12 +49,17 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	var version string
-	version, c.originBasis = h.Origins.Find(ctx, c.service.Name, c.envelope.Resumes)
-	h.Metrics.CountTakeUp(string(c.originBasis))
-	if c.originBasis == OriginUnknown {
+	service, version, basis := h.Origins.Find(ctx, TakeUp{
+		Host: c.request.Host, Path: c.request.URL.EscapedPath(), Attempt: c.envelope.Resumes, Route: c.route,
+	})
+	c.originBasis = basis
+	h.Metrics.CountTakeUp(string(basis))
+	if basis == OriginUnknown {
 		return result.New(result.VersionUnknown, "version that began the stream %q is not known", c.envelope.Resumes).WithRetryAfter(defaultRetryAfter)
 	}
+	if c.service = c.config.Service(service); c.service == nil {
+		return result.New(result.NoServerJoined, "service of the stream is not configured").WithRetryAfter(defaultRetryAfter)
+	}
 	c.version = &version
 	return nil
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -75,8 +75,8 @@
 
 func (oneOrigin) Record(string, string, string) {}
 func (oneOrigin) Excluded(string) []string      { return nil }
-func (oneOrigin) Find(context.Context, string, string) (string, OriginBasis) {
-	return "v", OriginRecorded
+func (oneOrigin) Find(_ context.Context, t TakeUp) (string, string, OriginBasis) {
+	return t.Route.Targets[0].Service, "v", OriginRecorded
 }
 
 // scriptedServers answer the requests that they get with the scripts in turn. A script is a list of writes. Requests without
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -350,7 +350,7 @@
 	defer g.changeMu.Unlock()
 	servers := g.topology.Servers()
 	g.places.complete(servers, g.topology.Config(), g.topology.Evacuations().Zones, time.Now())
-	g.origins.setServers(servers, time.Now())
+	g.origins.setServers(servers, g.topology.Config(), time.Now())
 	g.scheduler.SetServers(servers, g.topology.Config())
 	g.exchange.TriggerSend()
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,10 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,9 +52,13 @@
 	mu           sync.Mutex
 	table        *origin.Table
 	versions     *origin.Versions
-	waiting      map[uint64]*originQuery // by stream
-	versionQuery uint64                  // identifies the last question for versions
-	askedAt      time.Time               // when it was sent
+	config       *routing.Config            // in force
+	routes       string                     // digest of its routes
+	splits       bool                       // a route of streams leads to several services
+	configs      map[string]*routing.Config // by digest of their routes: those in force within origin.TTL
+	waiting      map[uint64]*originQuery    // by stream
+	versionQuery uint64                     // identifies the last question for versions
+	askedAt      time.Time                  // when it was sent
 }
 
 // originOptions are the dependencies of streamOrigins.
@@ -81,24 +89,101 @@
 
 func newStreamOrigins(options originOptions) *streamOrigins {
 	return &streamOrigins{
-		options: options, table: origin.NewTable(), versions: origin.NewVersions(), waiting: make(map[uint64]*originQuery),
+		options: options, table: origin.NewTable(), versions: origin.NewVersions(), configs: make(map[string]*routing.Config),
+		waiting: make(map[uint64]*originQuery),
 	}
 }
 
-// setServers records the versions of the servers. It must be called before requests are sent to them.
-func (o *streamOrigins) setServers(servers []routing.Server, now time.Time) {
+// setServers records the versions of the servers and the routes of the configuration, which may be nil. It must be called before
+// requests are sent to them.
+func (o *streamOrigins) setServers(servers []routing.Server, config *routing.Config, now time.Time) {
 	asOf := o.options.listAsOf(now)
 	o.mu.Lock()
 	o.versions.SetListAge(asOf)
+	if routes, ok := o.setConfig(config, now); ok {
+		servers = append(slices.Clone(servers), routes)
+	}
 	mixed := o.versions.Update(servers, now)
 	o.mu.Unlock()
 	for _, service := range mixed {
-		o.options.logger.Info("Several versions of a service are in use.", "service", service)
+		if service == routesService {
+			o.options.logger.Info("Services of streams have changed.", "config", config.Version)
+		} else {
+			o.options.logger.Info("Several versions of a service are in use.", "service", service)
+		}
 		o.tellOwn(service)
 		time.AfterFunc(ownRepeatDelay, func() { o.tellOwn(service) })
 	}
 }
 
+// routesService stands for a service whose versions are the digests of the routes in force. A stream may have begun at another
+// service than that to which its route leads now.
+const routesService = ""
+
+// setConfig records the configuration in force and returns the entry that stands for its routes. ok is false if there is none. The
+// caller holds the lock.
+func (o *streamOrigins) setConfig(config *routing.Config, now time.Time) (routes routing.Server, ok bool) {
+	if config == nil || len(resumableServices(config)) == 0 {
+		return routing.Server{}, false
+	}
+	if config != o.config {
+		o.config, o.routes, o.splits = config, digestRoutes(config), splitsStreams(config)
+		inUse := make(map[string]*routing.Config)
+		uses, _ := o.versions.All(now)
+		for _, use := range uses {
+			if known := o.configs[use.Version]; use.Service == routesService && known != nil {
+				inUse[use.Version] = known
+			}
+		}
+		inUse[o.routes] = config
+		o.configs = inUse
+	}
+	return routing.Server{Service: routesService, Version: o.routes, State: routing.Ready}, true
+}
+
+// digestRoutes returns a hash of the services to which the routes of streams lead.
+func digestRoutes(c *routing.Config) string {
+	hash := sha256.New()
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if !resumable(route) {
+			continue
+		}
+		services := make([]string, 0, len(route.Targets))
+		for _, target := range route.Targets {
+			services = append(services, target.Service)
+		}
+		slices.Sort(services)
+		fmt.Fprintf(hash, "%q %q %q\n", strings.ToLower(route.Host), route.Prefix, services)
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:16])
+}
+
+// services returns the services at which a stream of the host and path may have begun. ok is false if this daemon doesn't know all
+// routes that were in force within origin.TTL. The caller holds the lock.
+func (o *streamOrigins) services(t forward.TakeUp, now time.Time) (services map[string]bool, ok bool) {
+	services = make(map[string]bool)
+	for _, target := range t.Route.Targets {
+		services[target.Service] = true
+	}
+	uses, complete := o.versions.All(now)
+	for _, use := range uses {
+		if use.Service != routesService {
+			continue
+		}
+		config := o.configs[use.Version]
+		if config == nil {
+			return nil, false
+		}
+		if route := config.Match(t.Host, t.Path); route != nil && resumable(route) {
+			for _, target := range route.Targets {
+				services[target.Service] = true
+			}
+		}
+	}
+	return services, complete
+}
+
 // tellOwn tells peers of the streams of this daemon. Those that it began while there was one version were told to nobody then.
 func (o *streamOrigins) tellOwn(service string) {
 	o.mu.Lock()
@@ -106,9 +191,9 @@
 	o.mu.Unlock()
 	batches := make(map[string][]*pb.StreamOrigin) // by control address
 	members := o.options.members()
-	for id, version := range streams {
+	for id, key := range streams {
 		for _, address := range rankMembers(members, id, originReplicas) {
-			batches[address] = append(batches[address], &pb.StreamOrigin{Stream: id, Known: true, Version: version})
+			batches[address] = append(batches[address], encodeOrigin(id, key))
 		}
 	}
 	for address, records := range batches {
@@ -122,11 +207,12 @@
 func (o *streamOrigins) Record(service, attempt, version string) {
 	id, now := placement.Hash(attempt), time.Now()
 	o.mu.Lock()
-	o.table.RecordOwn(id, service, version, now)
-	mixed := o.versions.Mixed(service, now)
+	key := origin.Key{Service: service, Version: version}
+	o.table.RecordOwn(id, key, now)
+	mixed := o.versions.Mixed(service, now) || o.versions.Mixed(routesService, now) || o.splits
 	o.mu.Unlock()
 	if mixed {
-		record := &pb.StreamOrigin{Stream: id, Known: true, Version: version}
+		record := encodeOrigin(id, key)
 		tell := func() {
 			o.options.send(&pb.Origins{Records: []*pb.StreamOrigin{record}}, rankMembers(o.options.members(), id, originReplicas)...)
 		}
@@ -135,6 +221,19 @@
 	}
 }
 
+// splitsStreams reports whether a route of streams leads to several services.
+func splitsStreams(c *routing.Config) bool {
+	return slices.ContainsFunc(c.Routes, func(r routing.Route) bool { return resumable(&r) && len(r.Targets) > 1 })
+}
+
+func encodeOrigin(id uint64, key origin.Key) *pb.StreamOrigin {
+	return &pb.StreamOrigin{Stream: id, Known: true, Service: key.Service, Version: key.Version}
+}
+
+func decodeOrigin(m *pb.StreamOrigin) origin.Key {
+	return origin.Key{Service: m.Service, Version: m.Version}
+}
+
 // Excluded implements forward.Origins.
 func (o *streamOrigins) Excluded(service string) []string {
 	now := time.Now()
@@ -151,44 +250,56 @@
 }
 
 // Find implements forward.Origins.
-func (o *streamOrigins) Find(ctx context.Context, service, attempt string) (version string, basis forward.OriginBasis) {
-	id := placement.Hash(attempt)
-	if attempt != "" {
-		if version, known, conflicting := o.lookup(id); known {
-			if conflicting {
-				return "", forward.OriginUnknown
+func (o *streamOrigins) Find(ctx context.Context, t forward.TakeUp) (service, version string, basis forward.OriginBasis) {
+	leadsTo := func(key origin.Key) bool {
+		return slices.ContainsFunc(t.Route.Targets, func(target routing.Target) bool { return target.Service == key.Service })
+	}
+	id := placement.Hash(t.Attempt)
+	if t.Attempt != "" {
+		if key, known, _ := o.lookup(id); known {
+			if !leadsTo(key) { // also if it can't be determined
+				return "", "", forward.OriginUnknown
 			}
-			return version, forward.OriginRecorded
+			return key.Service, key.Version, forward.OriginRecorded
 		}
 	}
-	if version, ok := o.only(service); ok {
-		return version, forward.OriginConcluded
+	if key, ok := o.only(t); ok && leadsTo(key) {
+		return key.Service, key.Version, forward.OriginConcluded
 	}
-	if attempt == "" {
-		return "", forward.OriginUnknown
+	if t.Attempt == "" {
+		return "", "", forward.OriginUnknown
 	}
 	o.query(ctx, id)
-	version, known, conflicting := o.lookup(id)
-	if !known || conflicting {
-		return "", forward.OriginUnknown
+	key, known, _ := o.lookup(id)
+	if !known || !leadsTo(key) {
+		return "", "", forward.OriginUnknown
 	}
-	return version, forward.OriginAnswered
+	return key.Service, key.Version, forward.OriginAnswered
 }
 
-func (o *streamOrigins) lookup(id uint64) (version string, known, conflicting bool) {
+func (o *streamOrigins) lookup(id uint64) (key origin.Key, known, conflicting bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.table.Lookup(id, time.Now())
 }
 
-// only returns the version at which all streams of the service have begun, see origin.Versions.Only.
-func (o *streamOrigins) only(service string) (version string, ok bool) {
+// only returns the version at which all streams of the host and path have begun. ok is false if there are several, or if there may
+// be others that this daemon doesn't know.
+func (o *streamOrigins) only(t forward.TakeUp) (key origin.Key, ok bool) {
 	now := time.Now()
 	asOf := o.options.listAsOf(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.versions.SetListAge(asOf)
-	return o.versions.Only(service, now)
+	services, ok := o.services(t, now)
+	if !ok || len(services) != 1 {
+		return origin.Key{}, false
+	}
+	for service := range services {
+		key.Service = service
+	}
+	key.Version, ok = o.versions.Only(key.Service, now)
+	return key, ok
 }
 
 // query asks peers for the origin of a stream. It returns when it is known, when all of them have answered, or when they take too
@@ -242,11 +353,13 @@
 	answer := &pb.Origins{}
 	o.mu.Lock()
 	for _, r := range message.Records {
-		o.table.Record(r.Stream, r.Version, now)
+		o.table.Record(r.Stream, decodeOrigin(r), now)
 	}
 	for _, id := range message.Queries {
-		version, known, conflicting := o.table.Lookup(id, now)
-		answer.Answers = append(answer.Answers, &pb.StreamOrigin{Stream: id, Known: known, Version: version, Conflicting: conflicting})
+		key, known, conflicting := o.table.Lookup(id, now)
+		a := encodeOrigin(id, key)
+		a.Known, a.Conflicting = known, conflicting
+		answer.Answers = append(answer.Answers, a)
 	}
 	for _, a := range message.Answers {
 		o.handleAnswer(message.From, a, now)
@@ -279,7 +392,7 @@
 	case a.Conflicting:
 		o.table.RecordConflict(a.Stream, now)
 	case a.Known:
-		o.table.Record(a.Stream, a.Version, now)
+		o.table.Record(a.Stream, decodeOrigin(a), now)
 	}
 	if a.Known || q.answered() {
 		select {
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -46,7 +46,7 @@
 		send:     func(m *pb.Origins, to ...string) { f.deliver(address, m, to) },
 		logger:   slog.New(slog.DiscardHandler),
 	})
-	o.setServers(f.servers, time.Now())
+	o.setServers(f.servers, nil, time.Now())
 	o.mergeVersions(f.saved, time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,6 +85,14 @@
 	}
 }
 
+// takeUp returns a request that continues the stream of the attempt, on a route to the service s.
+func takeUp(attempt string) forward.TakeUp {
+	return forward.TakeUp{
+		Host: "h", Path: "/p", Attempt: attempt,
+		Route: &routing.Route{Kind: routing.Stream, Resumable: true, Host: "h", Prefix: "/", Targets: []routing.Target{{Service: "s", Weight: 1}}},
+	}
+}
+
 // originSeeds returns the seeds of TestOriginsAreKnownAfterTheirDaemonIsKilled: ORIGIN_SEEDS of them, or 10.
 func originSeeds(t *testing.T) uint64 {
 	text := os.Getenv("ORIGIN_SEEDS")
@@ -117,7 +125,7 @@
 			now := time.Now()
 			f.saved = []origin.Use{{Service: "s", Version: "v1", FirstSeen: now, LastSeen: now, Saved: true}, {Service: "s", Version: "v2", FirstSeen: now, LastSeen: now, Saved: true}}
 			for _, o := range f.daemons {
-				o.setServers(f.servers, now)
+				o.setServers(f.servers, nil, now)
 			}
 		}
 		if i >= mixedAt && rng.IntN(2) == 0 {
@@ -147,7 +155,7 @@
 			continue
 		}
 		callers.Go(func() {
-			version, basis := f.daemons[taker].Find(t.Context(), "s", s.attempt)
+			_, version, basis := f.daemons[taker].Find(t.Context(), takeUp(s.attempt))
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -195,30 +203,30 @@
 	both := []routing.Server{one, {ID: "b", Service: "s", Version: "v2"}}
 	listAge := time.Duration(-1)
 	o := newLonelyOrigins(&listAge)
-	o.setServers(both[:1], time.Now())
-	_, basis := o.Find(t.Context(), "s", "attempt")
+	o.setServers(both[:1], nil, time.Now())
+	_, _, basis := o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "not all servers are known")
 	o.mergeVersions(nil, time.Now())
-	_, basis = o.Find(t.Context(), "s", "attempt")
+	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "not all servers are known, though what is saved is")
-	o.setServers(both, time.Now())
+	o.setServers(both, nil, time.Now())
 	listAge = 0
 	o.mergeVersions(nil, time.Now())
-	_, basis = o.Find(t.Context(), "s", "attempt")
+	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "versions are mixed")
 
 	o = newLonelyOrigins(&listAge)
-	o.setServers(both[:1], time.Now())
-	_, basis = o.Find(t.Context(), "s", "attempt")
+	o.setServers(both[:1], nil, time.Now())
+	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "what is saved is not known")
 	o.mergeVersions(nil, time.Now())
-	version, basis := o.Find(t.Context(), "s", "attempt")
+	_, version, basis := o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginConcluded, basis, "the list is complete with one version, and no other is saved")
 	assert.Equal(t, "v1", version)
-	o.setServers(both, time.Now())
-	_, basis = o.Find(t.Context(), "s", "attempt")
+	o.setServers(both, nil, time.Now())
+	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "nobody knows the stream, which says nothing")
-	_, basis = o.Find(t.Context(), "s", "")
+	_, _, basis = o.Find(t.Context(), takeUp(""))
 	assert.Equal(t, forward.OriginUnknown, basis, "the caller names no stream")
 }
 
@@ -227,18 +235,18 @@
 	listAge := time.Duration(0)
 	o := newLonelyOrigins(&listAge)
 	o.options.members = func() []*pb.Member { return []*pb.Member{{Id: "p", ControlAddress: "p"}} }
-	o.setServers([]routing.Server{{ID: "a", Service: "s", Version: "v1"}}, time.Now())
+	o.setServers([]routing.Server{{ID: "a", Service: "s", Version: "v1"}}, nil, time.Now())
 	answer := func() *pb.Origins {
 		return &pb.Origins{From: "p", AnswersVersions: o.versionQuery, VersionsComplete: true}
 	}
 	o.askVersions()
 	o.askedAt = time.Now().Add(-maxVersionsAge - time.Millisecond)
 	o.handle(answer())
-	_, ok := o.only("s")
+	_, ok := o.only(takeUp(""))
 	assert.False(t, ok)
 	o.askVersions()
 	o.handle(answer())
-	_, ok = o.only("s")
+	_, ok = o.only(takeUp(""))
 	assert.True(t, ok)
 }
 
--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -73,7 +73,11 @@
 		k.era = era
 	}
 	known, complete := g.origins.versionsInUse(now)
-	unsaved, waiting := g.origins.unsavedVersions(resumableServices(g.topology.Config()), now)
+	services := resumableServices(g.topology.Config())
+	if len(services) > 0 {
+		services[routesService] = true
+	}
+	unsaved, waiting := g.origins.unsavedVersions(services, now)
 	writes := g.writesStore()
 	if !writes {
 		k.saved = nil // another daemon may remove versions
@@ -161,7 +165,7 @@
 		return services
 	}
 	for _, route := range c.Routes {
-		if route.Kind != routing.Stream || !route.Resumable {
+		if !resumable(&route) {
 			continue
 		}
 		for _, target := range route.Targets {
@@ -171,6 +175,8 @@
 	return services
 }
 
+func resumable(r *routing.Route) bool { return r.Kind == routing.Stream && r.Resumable }
+
 // mayBeginStreams reports whether streams of each service may begin, at one version at least.
 func (g *Gateway) mayBeginStreams(now time.Time) bool {
 	for service := range resumableServices(g.topology.Config()) {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -23,11 +23,13 @@
 	streams *simplelru.LRU[uint64, stream]
 }
 
+// Key identifies a version of a service.
+type Key struct{ Service, Version string }
+
 type stream struct {
-	version     string
-	service     string // of own streams
-	own         bool   // this daemon recorded it first
-	conflicting bool   // two versions were recorded
+	Key
+	own         bool // this daemon recorded it first
+	conflicting bool // two versions were recorded
 	recordedAt  time.Time
 }
 
@@ -39,13 +41,13 @@
 }
 
 // Record stores the version of a stream that a peer has reported.
-func (t *Table) Record(id uint64, version string, now time.Time) {
-	t.add(id, stream{version: version, recordedAt: now})
+func (t *Table) Record(id uint64, key Key, now time.Time) {
+	t.add(id, stream{Key: key, recordedAt: now})
 }
 
 // RecordOwn stores the version of a stream of this daemon.
-func (t *Table) RecordOwn(id uint64, service, version string, now time.Time) {
-	t.add(id, stream{version: version, service: service, own: true, recordedAt: now})
+func (t *Table) RecordOwn(id uint64, key Key, now time.Time) {
+	t.add(id, stream{Key: key, own: true, recordedAt: now})
 }
 
 // RecordConflict stores that the version of a stream can't be determined.
@@ -55,10 +57,8 @@
 
 func (t *Table) add(id uint64, s stream) {
 	if known, ok := t.lookup(id, s.recordedAt); ok {
-		s.conflicting = s.conflicting || known.conflicting || known.version != s.version
-		if known.own {
-			s.service, s.own = known.service, true
-		}
+		s.conflicting = s.conflicting || known.conflicting || known.Key != s.Key
+		s.own = s.own || known.own
 	}
 	t.streams.Add(id, s)
 }
@@ -70,21 +70,22 @@
 
 // Lookup returns the version of a stream. known is false if nothing is recorded. conflicting is true, without a version, if two
 // versions were recorded: attempts at several daemons had the same ID.
-func (t *Table) Lookup(id uint64, now time.Time) (version string, known, conflicting bool) {
+func (t *Table) Lookup(id uint64, now time.Time) (key Key, known, conflicting bool) {
 	s, ok := t.lookup(id, now)
 	if !ok || s.conflicting {
-		return "", ok, ok
+		return Key{}, ok, ok
 	}
-	return s.version, true, false
+	return s.Key, true, false
 }
 
-// Own returns the versions of the streams of this daemon in the service, by ID.
-func (t *Table) Own(service string, now time.Time) map[uint64]string {
-	versions := make(map[uint64]string)
+// Own returns the streams of this daemon that began at the service, by ID. An empty service stands for all.
+func (t *Table) Own(service string, now time.Time) map[uint64]Key {
+	keys := make(map[uint64]Key)
 	for _, id := range t.streams.Keys() {
-		if s, ok := t.streams.Peek(id); ok && s.own && !s.conflicting && s.service == service && now.Sub(s.recordedAt) <= TTL {
-			versions[id] = s.version
+		s, ok := t.streams.Peek(id)
+		if ok && s.own && !s.conflicting && (service == "" || s.Service == service) && now.Sub(s.recordedAt) <= TTL {
+			keys[id] = s.Key
 		}
 	}
-	return versions
+	return keys
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -20,42 +20,46 @@
 
 func TestStreamIsForgottenAfterTTL(t *testing.T) {
 	table := NewTable()
-	table.Record(7, "v1", start)
-	version, known, _ := table.Lookup(7, start.Add(TTL))
+	table.Record(7, Key{"s", "v1"}, start)
+	key, known, _ := table.Lookup(7, start.Add(TTL))
 	assert.True(t, known)
-	assert.Equal(t, "v1", version)
+	assert.Equal(t, Key{"s", "v1"}, key)
 	_, known, _ = table.Lookup(7, start.Add(TTL+1))
 	assert.False(t, known)
 	_, known, _ = table.Lookup(8, start)
 	assert.False(t, known)
 }
 
-// Guards against a stream that goes on at one of two versions which daemons have recorded for the same ID.
+// Guards against a stream that goes on at one of two versions, or services, which daemons have recorded for the same ID.
 func TestStreamOfTwoRecordedVersionsHasNone(t *testing.T) {
-	table := NewTable()
-	table.RecordOwn(7, "s", "v1", start)
-	table.Record(7, "v1", start)
-	version, known, conflicting := table.Lookup(7, start)
-	assert.Equal(t, "v1", version)
-	assert.True(t, known)
-	assert.False(t, conflicting)
-	table.Record(7, "v2", start)
-	table.Record(7, "v1", start)
-	version, known, conflicting = table.Lookup(7, start)
-	assert.Empty(t, version)
-	assert.True(t, known)
-	assert.True(t, conflicting)
-	assert.Empty(t, table.Own("s", start))
+	first := Key{"s", "v1"}
+	for _, other := range []Key{{"s", "v2"}, {"other", "v1"}} {
+		table := NewTable()
+		table.RecordOwn(7, first, start)
+		table.Record(7, first, start)
+		key, known, conflicting := table.Lookup(7, start)
+		assert.Equal(t, first, key)
+		assert.True(t, known)
+		assert.False(t, conflicting)
+		table.Record(7, other, start)
+		table.Record(7, first, start)
+		key, known, conflicting = table.Lookup(7, start)
+		assert.Empty(t, key)
+		assert.True(t, known)
+		assert.True(t, conflicting)
+		assert.Empty(t, table.Own("s", start))
+	}
 }
 
 func TestOwnStreams(t *testing.T) {
 	table := NewTable()
-	table.RecordOwn(1, "s", "v1", start)
-	table.RecordOwn(2, "other", "v1", start)
-	table.Record(3, "v1", start)
-	table.RecordOwn(4, "s", "v2", start.Add(time.Second))
-	assert.Equal(t, map[uint64]string{1: "v1", 4: "v2"}, table.Own("s", start.Add(TTL)))
-	assert.Equal(t, map[uint64]string{4: "v2"}, table.Own("s", start.Add(TTL+1)))
+	table.RecordOwn(1, Key{"s", "v1"}, start)
+	table.RecordOwn(2, Key{"other", "v1"}, start)
+	table.Record(3, Key{"s", "v1"}, start)
+	table.RecordOwn(4, Key{"s", "v2"}, start.Add(time.Second))
+	assert.Equal(t, map[uint64]Key{1: {"s", "v1"}, 4: {"s", "v2"}}, table.Own("s", start.Add(TTL)))
+	assert.Len(t, table.Own("", start.Add(TTL)), 3)
+	assert.Equal(t, map[uint64]Key{4: {"s", "v2"}}, table.Own("s", start.Add(TTL+1)))
 }
 
 // newCompleteVersions returns Versions of a daemon that knows all that is saved, and has a list of servers of now.
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -254,9 +254,6 @@
 // Saved is what a daemon that writes to the store knows of the versions in it: when they were last in use.
 type Saved map[Key]time.Time
 
-// Key identifies a version of a service.
-type Key struct{ Service, Version string }
-
 // Expired returns the saved versions that are to be removed from the store. It updates when versions were last in use.
 func (s Saved) Expired(uses []Use, now time.Time) []Key {
 	for _, use := range uses {
