--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -112,9 +112,9 @@
 	return nil, errors.Wrap(err, "connect")
 }
 
-// processEndTime is the time within which the kernel closes the sockets of a killed process. It closes the newest connections
-// first, and a listener, which accepts connections until then, last: up to 10 ms later with 500 connections.
-const processEndTime = 20 * time.Millisecond
+// processEndTime is the time within which the kernel closes the sockets of a killed process, on all but the busiest machines. It
+// closes the newest connections first, and a listener, which accepts connections until then, last: up to 27 ms later.
+const processEndTime = 50 * time.Millisecond
 
 // Check returns an error if the process at the endpoint has ended or ends, as far as connections to it show that. An answer
 // without a length that ends with its connection is complete only if its server has not ended. Check takes processEndTime, or
