Take only a repeat of another daemon's event for proof of its end

TestForwardsEachOffsetOnce failed once (rapid): an event sent again with a finish reason, which the forwarded one did not have, let the answer end as complete.

--- a/internal/answer/machine.go
+++ b/internal/answer/machine.go
@@ -45,12 +45,17 @@
 // LastOffset returns the offset after which a connection resumes the stream, -1 for the start. As long as all forwarded
 // events came from another daemon, the engine sends the last of them again: only that shows whether it was the final one.
 func (m *Machine) LastOffset() int {
-	if m.opts.StartedElsewhere && m.nextOffset == m.opts.NextOffset {
+	if m.startedElsewhereOnly() {
 		return max(m.nextOffset-2, -1)
 	}
 	return m.nextOffset - 1
 }
 
+// startedElsewhereOnly reports whether another daemon forwarded all events that the caller has.
+func (m *Machine) startedElsewhereOnly() bool {
+	return m.opts.StartedElsewhere && m.nextOffset == m.opts.NextOffset
+}
+
 // Started reports whether an event of the answer was forwarded, by this or another daemon.
 func (m *Machine) Started() bool { return m.opts.StartedElsewhere || m.nextOffset > m.opts.NextOffset }
 
@@ -104,7 +109,7 @@
 	}
 	if e.AttemptID != m.opts.AttemptID || e.Offset < m.nextOffset {
 		m.eventLost = m.eventLost || e.AttemptID == ""
-		m.finalForwarded = m.finalForwarded || (e.AttemptID == m.opts.AttemptID && e.Final)
+		m.finalForwarded = m.finalForwarded || (m.startedElsewhereOnly() && e.AttemptID == m.opts.AttemptID && e.Final)
 		return Action{Kind: Ignore}
 	}
 	if e.Offset > m.nextOffset {
