--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -212,6 +212,15 @@
 	if ok && len(z.Members) == 0 {
 		z.Members = known.Members
 	}
+	entries, replaced := zoneEntries(z), 0
+	if ok {
+		replaced = known.entries
+	}
+	if !x.mayRetain(entries, replaced) {
+		x.mu.Unlock()
+		x.options.Logger.Warn("Summary of the own zone ignored, there are too many.", "entries", entries)
+		return
+	}
 	for _, m := range z.Members {
 		if a := x.addAddress(m.ControlAddress, m.Zone); a != nil {
 			a.lastSeen, a.member = now, m
@@ -221,7 +230,7 @@
 		x.fleet.sizeChanged()
 		x.fleet.membersChanged()
 	}
-	x.zones[z.Zone] = &zone{Zone: z, lastSeen: now}
+	x.zones[z.Zone] = &zone{Zone: z, entries: entries, lastSeen: now}
 	aggregator := x.isAggregator(now)
 	view := z.View
 	for _, included := range z.Included {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -149,6 +149,7 @@
 // peer is another daemon that sends its state to this one.
 type peer struct {
 	state    *pb.State // newest
+	entries  int       // of its lists
 	lastSeen time.Time
 	live     bool
 	// asksForMembers is set when a peer of another zone has sent its state to this daemon, because
@@ -160,6 +161,7 @@
 // zone is the newest summary of another zone, or of the own one if that is large.
 type zone struct {
 	*pb.Zone
+	entries    int // of its lists
 	lastSeen   time.Time
 	placements *placementQueue // to be forwarded to a large zone
 	wasSent    bool            // to the daemons of a large zone
@@ -225,7 +227,7 @@
 }
 
 // addAddress adds an address, or sets the zone of a known one. It returns nil for this daemon's own
-// address and for invalid ones. The caller holds the lock.
+// address, for invalid ones and beyond maxAddresses. The caller holds the lock.
 func (x *Exchange) addAddress(controlAddress, zone string) *address {
 	if a, ok := x.addresses[controlAddress]; ok {
 		if zone != "" {
@@ -233,7 +235,7 @@
 		}
 		return a
 	}
-	if controlAddress == x.options.ControlAddress || controlAddress == "" {
+	if controlAddress == x.options.ControlAddress || controlAddress == "" || len(x.addresses) >= maxAddresses {
 		return nil
 	}
 	parsed, err := netip.ParseAddrPort(controlAddress) // names are not looked up: that could block for seconds
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -36,6 +36,10 @@
 		x.options.Logger.Warn("Could not decode datagram.", "bytes", len(data), "error", err)
 		return
 	}
+	if entries := datagramEntries(d); entries*minEntryBytes > len(data) {
+		x.options.Logger.Warn("Datagram is of no daemon.", "bytes", len(data), "entries", entries)
+		return
+	}
 	x.countControl(telemetry.Received, senderZone(d), kindOf(d), len(data))
 	if s := d.State; s != nil && s.Member != nil && s.View != nil {
 		x.handleState(s, now)
@@ -90,6 +94,14 @@
 func (x *Exchange) acceptState(s *pb.State, now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	entries, replaced := 1+stateEntries(s), 0
+	if known, ok := x.peers[s.Member.Id]; ok {
+		replaced = known.entries
+	}
+	if !x.mayRetain(entries, replaced) {
+		x.options.Logger.Warn("State ignored, there are too many.", "peer", s.Member.Id, "entries", entries)
+		return false
+	}
 	for _, m := range s.Members {
 		if a := x.addAddress(m.ControlAddress, m.Zone); a != nil {
 			a.member = m
@@ -119,7 +131,7 @@
 	if !p.live {
 		x.options.Logger.Info("Peer is live.", "peer", s.Member.Id, "incarnation", s.Incarnation)
 	}
-	p.state, p.lastSeen, p.live = s, now, true
+	p.state, p.entries, p.lastSeen, p.live = s, entries, now, true
 	if isToAggregator {
 		x.ownPlacements.add(s.View.Placements, now)
 		x.remotePlacements.add(s.View.Placements, now)
@@ -156,6 +168,14 @@
 	if ok && len(z.Members) == 0 {
 		z.Members = old.Members
 	}
+	entries, replaced := zoneEntries(z), 0
+	if ok {
+		replaced = old.entries
+	}
+	if !x.mayRetain(entries, replaced) {
+		x.options.Logger.Warn("Summary ignored, there are too many.", "zone", z.Zone, "entries", entries)
+		return false
+	}
 	if !ok {
 		x.options.Logger.Info("Zone is live.", "zone", z.Zone, "delegate", z.Delegate.Id, "members", len(z.Members))
 	}
@@ -163,7 +183,7 @@
 		x.fleet.sizeChanged()
 		x.fleet.membersChanged()
 	}
-	received := &zone{Zone: z, lastSeen: now, placements: &placementQueue{}}
+	received := &zone{Zone: z, entries: entries, lastSeen: now, placements: &placementQueue{}}
 	if ok && old.placements != nil {
 		received.placements = old.placements
 	}
