Read a list though one value in it is too long

A longer one made the page unreadable, and with it the list: servers, configuration, addresses of peers, versions. A bound on one entry must not make the others unknown.

Change: strings that are too long are cut while they are read, with a mark that is not base64. What is cut off is bounded to 8 MB an answer.

Ruled out: time-outs and load (the log names the refused page at the first read), and the sum of the page (below 4 MB).

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -8,8 +8,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxFields limits the fields of an object.
-const maxFields = 1000
+const (
+	// maxFields limits the fields of an object.
+	maxFields = 1000
+	// maxCutBytes limits what is cut off from the strings of an answer.
+	maxCutBytes = 8 << 20
+)
 
 // ErrTooLong is the error of reading more of an answer or of a value in it than its limit.
 var ErrTooLong = errors.New("answer or a value in it is too long")
@@ -49,6 +53,76 @@
 	return &Decoder{json.NewDecoder(source), source, maxValue}
 }
 
+// CutMark is the last character of a string that CutStrings has cut. Base64 does not contain it.
+const CutMark = "!"
+
+// CutStrings returns a reader of the same JSON text in which strings, names included, that take more than maxBytes as encoded end
+// after about maxBytes with CutMark. So a long string does not make the rest of the text unreadable. It returns ErrTooLong when it has
+// cut off more than maxCutBytes.
+func CutStrings(r io.Reader, maxBytes int) io.Reader {
+	return &stringCutter{reader: r, maxBytes: maxBytes}
+}
+
+type stringCutter struct {
+	reader   io.Reader
+	maxBytes int
+	inString bool
+	length   int  // bytes of the string so far
+	escaped  bool // the next byte belongs to an escape sequence
+	digits   int  // hexadecimal digits that the escape sequence still has
+	cut      bool // the rest of the string is dropped
+	cutBytes int  // of all strings
+}
+
+// Read implements io.Reader.
+func (c *stringCutter) Read(p []byte) (int, error) {
+	for len(p) > 0 {
+		n, err := c.reader.Read(p)
+		kept := 0
+		for _, b := range p[:n] {
+			if b, ok := c.next(b); ok {
+				p[kept] = b
+				kept++
+			}
+		}
+		if c.cutBytes += n - kept; c.cutBytes > maxCutBytes {
+			return kept, ErrTooLong
+		}
+		if kept > 0 || err != nil {
+			return kept, err
+		}
+	}
+	return 0, nil
+}
+
+// next returns what stands for the next byte of the text, or false for nothing.
+func (c *stringCutter) next(b byte) (byte, bool) {
+	const unicodeDigits = 4
+	switch {
+	case !c.inString:
+		c.inString, c.length, c.cut = b == '"', 0, false
+		return b, true
+	case c.escaped:
+		c.escaped = false
+		if b == 'u' {
+			c.digits = unicodeDigits
+		}
+	case c.digits > 0 && b != '"':
+		c.digits--
+	case b == '"':
+		c.inString, c.digits = false, 0
+		return b, true
+	default:
+		c.escaped = b == '\\'
+		if !c.cut && c.length >= c.maxBytes {
+			c.cut = true
+			return CutMark[0], true
+		}
+	}
+	c.length++
+	return b, !c.cut
+}
+
 // ReadAll reads to the end, but no more than maxBytes.
 func ReadAll(r io.Reader, maxBytes int) ([]byte, error) {
 	return io.ReadAll(&reader{reader: r, value: maxBytes, left: maxBytes})
