Compare all of a server's entry that daemons use, not only its state and address

A server that wrote another version, service, zone or number of slots under the same start time and address kept its digest, so daemons that had missed the record counted their list as equal to that of a peer that had it, and as fresh. They took the version of before for the one of now, which is what ORDER rests on. Besides, a daemon that did read such a record did not pass it on to the scheduler and to the tracking of versions when only version or zone had changed, until the next change of any server.

TestChangedEntryOfSameStartTimeIsPassedOn showed both before: digests were equal and no record differed after each of the four changes, and those who use the list were not called after a change of version and of zone.

What counts as changed and what the digest covers are one list now. A renewal, which raises the sequence number alone, changes neither. While daemons of the code before and this code run together, their digests never agree and they pull from each other at most once a second.

--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -162,8 +162,7 @@
 
 // SetServer stores a record of a backend server, unless a newer record is known or the server
 // was removed and its withdrawal covers the record. A known server whose withdrawal covers the
-// record is set to draining. SetServer reports whether the state, incarnation, address, slots or
-// service changed.
+// record is set to draining. SetServer reports whether something changed that is used, see identity.
 func (s *State) SetServer(server routing.Server, record []byte, now time.Time) bool {
 	s.mu.Lock()
 	old, ok := s.servers[server.ID]
@@ -181,8 +180,7 @@
 	if server.ColdRemaining > 0 {
 		server.ColdUntil = now.Add(server.ColdRemaining)
 	}
-	changed := !ok || coldChanged(old.Server, server) || old.Server.State != server.State || old.Server.Incarnation != server.Incarnation ||
-		old.Server.Address != server.Address || old.Server.Slots != server.Slots || old.Server.Service != server.Service
+	changed := !ok || coldChanged(old.Server, server) || identityOf(old.Server) != identityOf(server)
 	recordedAt := now
 	if ok && old.Server.Incarnation == server.Incarnation && old.Server.Sequence == server.Sequence {
 		recordedAt = old.recordedAt
@@ -203,6 +201,18 @@
 	return changed
 }
 
+// identity is what daemons use of the record of a server, other than its cold time.
+type identity struct {
+	id, service, address, zone, version string
+	slots                               int
+	state                               routing.ServerState
+	incarnation                         int64
+}
+
+func identityOf(s routing.Server) identity {
+	return identity{s.ID, s.Service, s.Address, s.Zone, s.Version, s.Slots, s.State, s.Incarnation}
+}
+
 // maxColdDrift is the change of the end of a cold time below which it counts as the same.
 const maxColdDrift = 400 * time.Millisecond
 
@@ -365,14 +375,21 @@
 	s.buckets[bucketOf(server.ID)] -= part
 }
 
+// digestTextBytes is more than the usual length of the text of which serverDigest returns the hash.
+const digestTextBytes = 256
+
 // serverDigest returns the part of one server in State.Digest, which is the sum of all parts, so that
-// their order doesn't matter.
+// their order doesn't matter. It covers what SetServer reports as changed, except for the drift of cold times.
 func serverDigest(server routing.Server) uint64 {
-	cold := ""
-	if server.ColdRemaining > 0 {
-		cold = " cold"
+	text := make([]byte, 0, digestTextBytes)
+	for _, part := range []string{server.ID, server.Service, server.Address, server.Zone, server.Version} {
+		text = strconv.AppendInt(text, int64(len(part)), 10) // so that the boundaries count
+		text = append(append(text, ' '), part...)
+	}
+	for _, number := range []int64{int64(server.Slots), int64(server.State), server.Incarnation} {
+		text = append(strconv.AppendInt(text, number, 10), ' ')
 	}
-	return xxhash.Sum64String(server.ID + " " + server.Address + " " + strconv.FormatInt(server.Incarnation, 10) + " " + strconv.Itoa(int(server.State)) + cold)
+	return xxhash.Sum64(strconv.AppendBool(text, server.ColdRemaining > 0))
 }
 
 // Records returns the store's records of the backend servers.
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -298,3 +298,36 @@
 		assert.Less(t, takeoverAge(interval), 1500*time.Millisecond, "a change is known within 2 s if a reader fails")
 	}
 }
+
+// Guards against daemons that keep different entries of a server, because what they compare does not tell them apart.
+func TestChangedEntryOfSameStartTimeIsPassedOn(t *testing.T) {
+	entry := routing.Server{
+		ID: "a", Service: "s", Address: "10.0.0.1:1", Zone: "z", Version: "v1", Slots: 4, State: routing.Ready, Incarnation: 1, Sequence: 1,
+	}
+	changes := map[string]func(*routing.Server){
+		"version": func(s *routing.Server) { s.Version = "v2" },
+		"service": func(s *routing.Server) { s.Service = "other" },
+		"slots":   func(s *routing.Server) { s.Slots = 5 },
+		"zone":    func(s *routing.Server) { s.Zone = "other" },
+	}
+	for name, change := range changes {
+		calls := 0
+		former, current := NewState(func() {}), NewState(func() { calls++ })
+		former.SetServer(entry, nil, now)
+		current.SetServer(entry, nil, now)
+		require.Equal(t, former.Digest(), current.Digest())
+		next := entry
+		next.Sequence++
+		current.SetServer(next, nil, now)
+		assert.Equal(t, former.Digest(), current.Digest(), "a renewal is no change")
+		assert.Equal(t, 1, calls)
+
+		next.Sequence++
+		change(&next)
+		assert.True(t, current.SetServer(next, []byte("new"), now), name)
+		assert.Equal(t, 2, calls, "%s: those who use the list are not told", name)
+		assert.NotEqual(t, former.Digest(), current.Digest(), name)
+		records, _, _ := current.DifferingRecords(former.BucketDigests(), 0, now)
+		assert.Len(t, records, 1, name)
+	}
+}
