Refuse keys that a batch of the claims topic which can't be read may have claimed

A daemon that could not decode a batch of the claims topic went on as if it had been empty. A request whose key was claimed in it ran again (TWICE). One record of an unknown kind, as a later release may write, makes the whole batch unreadable.

TestKeyIsNotRunBehindUnreadableBatch, with real controllers and a log: the key ran again. TestAtMostOneRunBehindUnreadableBatches, the simulation with batches that each daemon fails to decode now and then: a key ran twice after 118 tests.

An unreadable batch is marked now. Keys that were created before it, with the margin for clocks, are refused like those that are older than the log, unless their claim was read before that batch and is the earliest. Where the time of the batch can't be read, it counts as created when it is read. Open requests are decided at once, so that their claims are released when they are read.

--- a/internal/claim/codec.go
+++ b/internal/claim/codec.go
@@ -34,20 +34,20 @@
 	return m
 }
 
-// Decode decodes a value of the log. It returns an error if the value is not a valid batch.
+// Decode decodes a value of the log. It returns an error, and an unreadable batch, if the value is not a valid batch.
 func Decode(data []byte) (Batch, error) {
 	var m pb.ClaimBatch
 	if err := proto.Unmarshal(data, &m); err != nil {
-		return Batch{}, errors.Wrap(err, "decode claims")
+		return Batch{Unreadable: true}, errors.Wrap(err, "decode claims")
 	}
 	if m.TimeMs <= 0 || m.Daemon == "" {
-		return Batch{}, errors.New("decode claims: batch without time or daemon")
+		return Batch{Unreadable: true}, errors.New("decode claims: batch without time or daemon")
 	}
 	b := Batch{Daemon: m.Daemon, Incarnation: m.Incarnation, CreatedAt: time.UnixMilli(m.TimeMs)}
 	for _, r := range m.Records {
 		record, err := recordFromProto(r)
 		if err != nil {
-			return Batch{}, err
+			return Batch{CreatedAt: b.CreatedAt, Unreadable: true}, err
 		}
 		b.Records = append(b.Records, record)
 	}
--- a/internal/claim/event.go
+++ b/internal/claim/event.go
@@ -34,7 +34,7 @@
 
 // ReadCompleted reports the values from the offset of a ReadLog on.
 type ReadCompleted struct {
-	Batches []Batch // one for each offset; the zero Batch for an invalid value
+	Batches []Batch // one for each offset
 	AtEnd   bool    // the read reached the end of the log
 }
 
--- a/internal/claim/index.go
+++ b/internal/claim/index.go
@@ -12,6 +12,7 @@
 type keyState struct {
 	claimedAt time.Time // creation time of the last effective claim; of the first record if there is none
 	held      bool
+	heldSince time.Time // completeSince of the index when the last effective claim was applied
 	holder    AttemptID
 	content   Hash
 	outcome   *Outcome // nil until the outcome of the holder is known
@@ -62,13 +63,17 @@
 	}
 }
 
-// apply applies the batch at the next offset.
+// apply applies the batch at the next offset. CreatedAt must be set, for an unreadable one to the time at which it was read if
+// that of its creation is not known: it may hold claims of all keys that were created before.
 func (x *index) apply(b Batch) {
 	x.nextOffset++
-	if b.CreatedAt.IsZero() {
+	x.setCompleteSince(b.CreatedAt)
+	if b.Unreadable {
+		if b.CreatedAt.After(x.completeSince) {
+			x.completeSince = b.CreatedAt
+		}
 		return
 	}
-	x.setCompleteSince(b.CreatedAt)
 	for i := range b.Records {
 		x.applyRecord(b.CreatedAt, &b.Records[i])
 	}
@@ -86,7 +91,7 @@
 		if state.held || state.isReleased(r.Attempt) {
 			return
 		}
-		state.held, state.holder, state.content, state.claimedAt = true, r.Attempt, r.Content, at
+		state.held, state.holder, state.content, state.claimedAt, state.heldSince = true, r.Attempt, r.Content, at, x.completeSince
 	case KindRelease:
 		state.release(r.Attempt)
 	case KindOutcome:
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"time"
 )
@@ -84,7 +85,14 @@
 
 // apply applies the batch at the next offset and decides the open requests of its keys.
 func (t *Table) apply(now time.Time, batch Batch) {
+	if batch.CreatedAt.IsZero() {
+		batch.Unreadable, batch.CreatedAt = true, now
+	}
 	t.index.apply(batch)
+	if batch.Unreadable {
+		t.decideAll(now) // before claims of this daemon are read that may not be effective
+		return
+	}
 	own := batch.Daemon == t.opts.Daemon && batch.Incarnation == t.opts.Incarnation
 	for _, r := range batch.Records {
 		if own {
@@ -95,6 +103,16 @@
 	}
 }
 
+// decideAll decides all open requests, in the order of their attempt IDs to keep Step deterministic.
+func (t *Table) decideAll(now time.Time) {
+	open := slices.SortedFunc(maps.Keys(t.requests), func(x, y AttemptID) int { return bytes.Compare(x[:], y[:]) })
+	for _, attempt := range open {
+		if req, ok := t.requests[attempt]; ok {
+			t.decide(now, req)
+		}
+	}
+}
+
 // releaseAbandoned releases the claim of a request that was abandoned before the claim was read.
 func (t *Table) releaseAbandoned(r Record) {
 	if r.Kind != KindClaim {
--- a/internal/claim/simulation_test.go
+++ b/internal/claim/simulation_test.go
@@ -54,6 +54,7 @@
 	nextID         uint64
 	decisionCounts map[DecisionKind]int
 	logDown        bool
+	unreadable     bool // daemons can't decode some batches, each one others
 }
 
 func newSimulation(t *rapid.T, daemons int) *simulation {
@@ -230,7 +231,21 @@
 	}
 	rest := s.log[offset-s.firstOffset:]
 	n := min(len(rest), s.draw("limit", 4)+1)
-	s.step(d, ReadCompleted{Batches: append([]Batch(nil), rest[:n]...), AtEnd: n == len(rest)})
+	batches := append([]Batch(nil), rest[:n]...)
+	for i := range batches {
+		if s.unreadable && s.draw("unreadable", 29) == 0 {
+			batches[i] = s.unreadableBatch(batches[i])
+		}
+	}
+	s.step(d, ReadCompleted{Batches: batches, AtEnd: n == len(rest)})
+}
+
+// unreadableBatch returns the result of decoding a batch that is invalid as a whole or in part.
+func (s *simulation) unreadableBatch(b Batch) Batch {
+	if s.draw("in part", 1) == 0 {
+		return Batch{CreatedAt: b.CreatedAt, Unreadable: true}
+	}
+	return Batch{Unreadable: true}
 }
 
 func (s *simulation) appendToLog(b Batch) {
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -174,15 +174,19 @@
 }
 
 // claimMayBeMissing reports whether an earlier claim of the request's key may have expired from
-// the log or the index.
+// the log or the index, or may be in a batch that can't be read. One that was read before that batch is the earliest.
 func (t *Table) claimMayBeMissing(now time.Time, req *openRequest) bool {
 	if req.KeyCreatedAt.Add(t.opts.Window).Before(now) {
 		return true
 	}
-	if !t.index.completeSinceKnown || t.index.completeSince.IsZero() {
+	since := t.index.completeSince
+	if state := t.index.keys[req.Key]; state != nil && state.held {
+		since = state.heldSince
+	}
+	if !t.index.completeSinceKnown || since.IsZero() {
 		return false
 	}
-	return req.KeyCreatedAt.Add(-2 * t.opts.MaxClockSkew).Before(t.index.completeSince)
+	return req.KeyCreatedAt.Add(-2 * t.opts.MaxClockSkew).Before(since)
 }
 
 func (t *Table) respond(attempt AttemptID, kind DecisionKind, outcome *Outcome) {
--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -8,10 +8,16 @@
 	"pgregory.net/rapid"
 )
 
-func TestAtMostOneRun(t *testing.T) {
+func TestAtMostOneRun(t *testing.T) { testAtMostOneRun(t, false) }
+
+// Guards against a second run at a daemon that can't read the batch with the claim of the first one.
+func TestAtMostOneRunBehindUnreadableBatches(t *testing.T) { testAtMostOneRun(t, true) }
+
+func testAtMostOneRun(t *testing.T, unreadable bool) {
 	total := map[DecisionKind]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.IntRange(1, 3).Draw(t, "daemons"))
+		s.unreadable = unreadable
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
 			s.randomStep()
 		}
--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -50,6 +50,9 @@
 	Incarnation uint64
 	CreatedAt   time.Time // by the daemon's clock, in whole milliseconds
 	Records     []Record
+	// Unreadable is set if the value could not be decoded. The batch then has no records, though others may read some, and
+	// CreatedAt is zero if it is not known either.
+	Unreadable bool
 }
 
 // Outcome is the HTTP answer of a run. Status 0 means that the outcome is not known.
@@ -88,7 +91,7 @@
 	KeyReused                              // the key was used before with different content
 	Unclaimed                              // the claim could not be recorded; no earlier attempt holds the key
 	Unavailable                            // the claim could not be recorded; an earlier attempt may hold the key
-	KeyExpired                             // the key is older than the known part of the log
+	KeyExpired                             // the key is older than the known part of the log, or than a part that can't be read
 )
 
 // Decision is the decision on a request.
--- a/internal/controller/claims/claims.go
+++ b/internal/controller/claims/claims.go
@@ -225,7 +225,7 @@
 func (c *Controller) decode(r logservice.Record) claim.Batch {
 	batch, err := claim.Decode(r.Value)
 	if err != nil {
-		c.opts.Logger.Warn("Skipped an invalid record of the claims topic.", "offset", r.Offset, "error", err)
+		c.opts.Logger.Warn("A record of the claims topic can't be read, refusing keys from before it that it may claim.", "offset", r.Offset, "error", err)
 	}
 	return batch
 }
--- a/internal/controller/claims/claims_test.go
+++ b/internal/controller/claims/claims_test.go
@@ -161,6 +161,43 @@
 	require.Equal(t, claim.Replay, startDaemon(t, "d1", log).claim(t, key).Kind)
 }
 
+// Guards against a second run of a key whose claim stands in a batch that this daemon can't decode.
+func TestKeyIsNotRunBehindUnreadableBatch(t *testing.T) {
+	key, earlier := newRequest(7), newRequest(8)
+	outcome := &claim.Outcome{Status: 200}
+	claimOf := func(r claim.Request) claim.Record {
+		return claim.Record{Kind: claim.KindClaim, Key: r.Key, Content: r.Content, Attempt: r.Attempt}
+	}
+	encode := func(b claim.Batch) []byte {
+		b.Daemon, b.CreatedAt = "d0", time.Now()
+		value, err := claim.Encode(b)
+		require.NoError(t, err)
+		return value
+	}
+	unreadable := map[string][]byte{
+		"noise":                    []byte("unreadable"),
+		"one record of other kind": encode(claim.Batch{Records: []claim.Record{claimOf(key), {Kind: 99}}}),
+	}
+	for name, value := range unreadable {
+		_, log := startLog(t, logstore.Options{})
+		_, err := log.Append(t.Context(), DefaultTopic, [][]byte{
+			encode(claim.Batch{Records: []claim.Record{claimOf(earlier), {Kind: claim.KindOutcome, Key: earlier.Key, Attempt: earlier.Attempt, Outcome: outcome}}}),
+			value,
+		})
+		require.NoError(t, err)
+		d := startDaemon(t, "d1", log)
+		request := newRequest(7)
+		request.KeyCreatedAt = key.KeyCreatedAt
+		require.Equal(t, claim.KeyExpired, d.claim(t, request).Kind, name)
+		request = newRequest(8)
+		request.KeyCreatedAt = earlier.KeyCreatedAt
+		require.Equal(t, claim.Replay, d.claim(t, request).Kind, "%s: the claim before it is known", name)
+		request = newRequest(9)
+		request.KeyCreatedAt = time.Now().Add(3 * claim.DefaultMaxClockSkew)
+		require.Equal(t, claim.Run, d.claim(t, request).Kind, "%s: nothing before it can have claimed the key", name)
+	}
+}
+
 func TestMemoryLogServesIssuedKeys(t *testing.T) {
 	d := startDaemon(t, "d1", &MemoryLog{})
 	for i := range maxMemoryRecords + 100 {
