Take the age of a pulled list from the daemon that it comes from

A daemon that starts hears of a list from one peer, pulls it from another one of the zone that has a list, and took over the age that the first one had told. A list from a peer that had heard nothing of servers for long counted as fresh, and the only version in it as the only one there is (ORDER).

Answers to pulls say how old the list is, read before the records. The time of the request is the reference, so that time on the way makes a list older and never younger. Peers of earlier versions don't say it: then the age of before holds if the list comes from the daemon that told of it, and from others it says nothing of servers that the daemon doesn't know.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -222,8 +222,8 @@
 	return 0
 }
 
-// pullRecords gets and applies the configuration and the list of servers of a peer. listedAt
-// is when the peer's list was known to be complete.
+// pullRecords gets and applies the configuration and the list of servers of a peer, or of another one if this daemon has no list.
+// listedAt is when the peer's list was known to be complete.
 func (g *Gateway) pullRecords(source *pb.Member, listedAt time.Time) {
 	defer func() {
 		time.Sleep(minPullInterval)
@@ -234,6 +234,9 @@
 	for more := true; more; {
 		if !listed {
 			from = fullListSource(source, g.exchange.Members(), rand.IntN)
+			if from.Id != source.Id {
+				listedAt = time.Time{}
+			}
 		}
 		digest := g.topology.Digest()
 		var n int
@@ -252,8 +255,10 @@
 	g.logger.Info("Records pulled.", "peer", from.Id, "version", g.configVersion(), "servers", received)
 }
 
-// pullPart gets and applies what a peer has and this daemon lacks, or a part of it. It returns the number of servers received.
+// pullPart gets and applies what a peer has and this daemon lacks, or a part of it. listedAt is when the peer's list was known to be
+// complete if the answer doesn't say it. pullPart returns the number of servers received.
 func (g *Gateway) pullPart(source *pb.Member, listedAt time.Time) (received int, more bool, err error) {
+	asked := time.Now()
 	records, err := g.exchange.PullRecords(context.Background(), source.ControlAddress, &pb.PullRequest{
 		ConfigVersion: g.configVersion(), BucketDigests: g.topology.BucketDigests(),
 	})
@@ -271,13 +276,18 @@
 	if records.Partial {
 		buckets = append([]uint32{}, records.Buckets...)
 	}
+	if records.ServerAgeMs != nil { // earlier versions don't set it
+		listedAt = asked.Add(-time.Duration(*records.ServerAgeMs) * time.Millisecond)
+	}
 	g.reader.ApplyServerList(servers, buckets, records.More, listedAt, time.Now())
 	return len(servers), records.More, nil
 }
 
 // recordsMessage returns the records that a peer pulls, without those that it has.
 func (g *Gateway) recordsMessage(request *pb.PullRequest) *pb.Records {
-	out := &pb.Records{}
+	// The age is read before the records, see topology.Reader.Freshness.
+	age := exchange.AgeMillis(g.reader.Age(topology.Servers, time.Now()))
+	out := &pb.Records{ServerAgeMs: &age}
 	if g.configVersion() > request.ConfigVersion {
 		out.ConfigKey, out.Config = g.topology.ConfigRecord()
 	}
