Keep a late removal of a saved version from reaching one that has returned

A removal without an answer may be executed seconds later. The daemon that asked for it loaded what is saved again, found the version still there, and counted it as saved when it came back into use; so did a daemon that took over.

A removal is bound to the position at which the store ended before now. The daemon that writes appends a record before it trusts what it loads, which makes earlier removals void, and only what it has loaded or written itself counts as saved; others learn that from it.

Price: one more write and read each time the role of writing passes to another daemon, and one more read for each removal.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -449,6 +449,12 @@
 	o.versions.SetSaved(key.Service, key.Version, saved)
 }
 
+func (o *streamOrigins) setAllSaved(saved origin.Saved) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.SetAllSaved(saved)
+}
+
 func (o *streamOrigins) forgetSaved() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -13,8 +13,10 @@
 // VersionStore keeps the versions at which streams may have begun, for the case that all daemons that know them end.
 type VersionStore interface {
 	SaveVersion(ctx context.Context, key origin.Key) error
-	RemoveVersion(ctx context.Context, key origin.Key) error
-	SavedVersions(ctx context.Context) ([]origin.Key, error)
+	// RemoveVersion has no effect, at whatever time it is executed, if something was written after end.
+	RemoveVersion(ctx context.Context, key origin.Key, end int64) error
+	// SavedVersions returns the versions, and the position behind what was written up to the call.
+	SavedVersions(ctx context.Context) (keys []origin.Key, end int64, err error)
 }
 
 const (
@@ -35,6 +37,9 @@
 	saved     origin.Saved // nil until loaded
 	era       uint64       // of the store when saved was loaded
 	loadAfter time.Time    // earliest time at which what is saved may be loaded
+
+	removeAfter time.Time // earliest time of the next removal; zero if end is not known
+	end         int64     // see VersionStore.RemoveVersion
 }
 
 // runVersionKeeper runs the keeper until the context ends.
@@ -77,11 +82,14 @@
 	if len(services) > 0 {
 		services[routesService] = true
 	}
-	unsaved, waiting := g.origins.unsavedVersions(services, now)
 	writes := g.writesStore()
 	if !writes {
 		k.saved = nil // another daemon may remove versions
 	}
+	if k.saved != nil {
+		g.origins.setAllSaved(k.saved) // peers may know less
+	}
+	unsaved, waiting := g.origins.unsavedVersions(services, now)
 	if now.Before(k.loadAfter) {
 		return true, nil
 	}
@@ -89,25 +97,38 @@
 		g.origins.askVersions() // who may also know since when versions are in use
 	}
 	if g.readsStore() && !g.member().StoreLost && (!complete || writes && k.saved == nil) {
-		if err := g.loadVersions(ctx, k); err != nil {
+		if err := g.loadVersions(ctx, k, writes); err != nil {
 			return true, err
 		}
 	}
 	if writes && k.saved != nil {
-		if err := g.saveVersions(ctx, k, unsaved, known, now); err != nil {
+		if err := g.saveVersions(ctx, k, unsaved, now); err != nil {
 			return true, err
 		}
+		if expired := k.saved.Expired(known, now); complete && len(expired) > 0 {
+			if err := g.removeVersion(ctx, k, expired[0], now); err != nil {
+				return true, err
+			}
+		}
 	}
 	return !complete || waiting, nil
 }
 
-// loadVersions loads what is saved.
-func (g *Gateway) loadVersions(ctx context.Context, k *versionKeeper) error {
+// loadVersions loads what is saved. writes states that this daemon writes to the store, and so knows what stays there.
+func (g *Gateway) loadVersions(ctx context.Context, k *versionKeeper, writes bool) error {
 	started := time.Now()
-	keys, err := k.store.SavedVersions(ctx)
+	keys, _, err := k.store.SavedVersions(ctx)
 	if err != nil {
 		return err
 	}
+	if writes && len(keys) > 0 { // a removal without an answer may be executed later, unless something was written since
+		if err := k.store.SaveVersion(ctx, keys[0]); err != nil {
+			return errors.Wrap(err, "write before versions are loaded")
+		}
+		if keys, _, err = k.store.SavedVersions(ctx); err != nil {
+			return err
+		}
+	}
 	now := time.Now()
 	if now.Sub(started) > versionCallTimeout {
 		return errors.New("the answer of the store is too old")
@@ -115,19 +136,20 @@
 	uses := make([]origin.Use, 0, len(keys))
 	saved := make(origin.Saved, len(keys))
 	for _, key := range keys {
-		uses = append(uses, origin.Use{Service: key.Service, Version: key.Version, FirstSeen: now, LastSeen: now, Saved: true})
+		uses = append(uses, origin.Use{Service: key.Service, Version: key.Version, FirstSeen: now, LastSeen: now})
 		saved[key] = now
 	}
-	if k.saved == nil {
-		k.saved = saved
-	}
 	g.origins.mergeVersions(uses, now)
+	if writes {
+		k.saved, k.removeAfter = saved, time.Time{}
+		g.origins.setAllSaved(saved)
+	}
 	g.logger.Info("Versions of services loaded.", "versions", len(keys))
 	return nil
 }
 
-// saveVersions saves versions, and removes those that have not been in use for long.
-func (g *Gateway) saveVersions(ctx context.Context, k *versionKeeper, unsaved, known []origin.Use, now time.Time) error {
+// saveVersions saves versions.
+func (g *Gateway) saveVersions(ctx context.Context, k *versionKeeper, unsaved []origin.Use, now time.Time) error {
 	writes := 0
 	for _, use := range unsaved {
 		key := origin.Key{Service: use.Service, Version: use.Version}
@@ -136,6 +158,7 @@
 				break
 			}
 			writes++
+			k.removeAfter = time.Time{}
 			if err := k.store.SaveVersion(ctx, key); err != nil {
 				return errors.Wrapf(err, "save version %q of service %q", key.Version, key.Service)
 			}
@@ -144,18 +167,25 @@
 		k.saved[key] = now
 		g.origins.setSaved(key, true)
 	}
-	for _, key := range k.saved.Expired(known, now) {
-		if writes == maxVersionWrites {
-			break
-		}
-		writes++
-		if err := k.store.RemoveVersion(ctx, key); err != nil {
-			return errors.Wrapf(err, "remove version %q of service %q", key.Version, key.Service)
+	return nil
+}
+
+// removeVersion removes a version that has not been in use for long, unless something is written until all daemons that write have
+// a list in which it would stand.
+func (g *Gateway) removeVersion(ctx context.Context, k *versionKeeper, key origin.Key, now time.Time) (err error) {
+	if k.removeAfter.IsZero() {
+		if _, k.end, err = k.store.SavedVersions(ctx); err != nil {
+			return err
 		}
-		delete(k.saved, key)
-		g.origins.setSaved(key, false)
+		k.removeAfter = now.Add(origin.MaxListAge)
 	}
-	return nil
+	if now.Before(k.removeAfter) {
+		return nil
+	}
+	k.removeAfter = time.Time{}
+	delete(k.saved, key) // it may be executed without an answer
+	g.origins.setSaved(key, false)
+	return errors.Wrapf(k.store.RemoveVersion(ctx, key, k.end), "remove version %q of service %q", key.Version, key.Service)
 }
 
 // resumableServices returns the services whose streams may be taken up.
--- /dev/null
+++ b/internal/gateway/version_keeper_test.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/exchange"
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/origin"
+	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/topology"
+)
+
+// lateStore is a VersionStore that can be asked to execute removals later than it answers.
+type lateStore struct {
+	mu     sync.Mutex
+	length int64 // of the log
+	saved  map[origin.Key]bool
+	late   bool
+	later  []func() // removals to execute
+}
+
+func (s *lateStore) SaveVersion(_ context.Context, key origin.Key) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved[key] = true
+	s.length++
+	return nil
+}
+
+func (s *lateStore) RemoveVersion(ctx context.Context, key origin.Key, end int64) error {
+	remove := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.length == end {
+			delete(s.saved, key)
+			s.length++
+		}
+	}
+	if !s.late {
+		remove()
+		return nil
+	}
+	s.mu.Lock()
+	s.later = append(s.later, remove)
+	s.mu.Unlock()
+	<-ctx.Done()
+	return errors.Wrap(ctx.Err(), "no answer")
+}
+
+func (s *lateStore) SavedVersions(context.Context) (keys []origin.Key, end int64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.saved {
+		keys = append(keys, key)
+	}
+	return keys, s.length, nil
+}
+
+func (s *lateStore) has(key origin.Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.saved[key]
+}
+
+// pendingRemovals returns the removals that are still to be executed.
+func (s *lateStore) pendingRemovals() []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.later)
+}
+
+// keeperRegistry is the registry of a store of the era.
+type keeperRegistry struct {
+	Registry
+	era uint64
+}
+
+func (r *keeperRegistry) Era() uint64 { return r.era }
+
+// newKeepingGateway returns a gateway without peers that keeps versions in the store, and whose list of servers is always of now. It
+// must be called outside of a bubble, for its sockets.
+func newKeepingGateway(t *testing.T, store VersionStore, registry *keeperRegistry) *Gateway {
+	config, err := routing.Build(routing.Config{Version: 1, Routes: []routing.Route{*takeUp("").Route}})
+	require.NoError(t, err)
+	g := newListeningGateway(t)
+	g.platform = Platform{Versions: store, Registry: registry}
+	g.topology.SetConfig(config, topology.Record{})
+	g.reader.ApplyServerList(nil, nil, false, time.Now(), time.Now())
+	g.origins = newStreamOrigins(originOptions{
+		members:  func() []*pb.Member { return nil },
+		listAsOf: func(now time.Time) time.Time { return now },
+		send:     func(*pb.Origins, ...string) {},
+		logger:   g.logger,
+	})
+	return g
+}
+
+func newListeningGateway(t *testing.T) *Gateway {
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := socket.LocalAddr().String()
+	require.NoError(t, socket.Close())
+	g := &Gateway{logger: slog.New(slog.DiscardHandler), settings: Settings{ID: "d", Zone: "z", ControlAddress: address}}
+	g.topology = topology.NewState(func() {})
+	g.reader = topology.NewReader(topology.ReaderOptions{Store: versionRecords{}, State: g.topology, Logger: g.logger})
+	g.exchange, err = exchange.New(exchange.Options{
+		Self: g.member, ControlAddress: address, View: func(time.Duration) *pb.View { return &pb.View{} }, Logger: g.logger,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		assert.NoError(t, g.exchange.Run(ended))
+	})
+	return g
+}
+
+// follow lets the gateway know of servers of the versions for the time, and calls check now and then.
+func (g *Gateway) follow(d time.Duration, check func(), versions ...string) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		var servers []routing.Server
+		for _, version := range versions {
+			servers = append(servers, routing.Server{ID: version, Service: "s", Version: version, State: routing.Ready})
+		}
+		g.origins.setServers(servers, g.topology.Config(), time.Now())
+		synctest.Wait()
+		check()
+	}
+}
+
+// Guards against a version that returns while the store still executes its removal, and that daemons take for saved then.
+func TestLateRemovalDoesNotReachVersionThatHasReturned(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		t.Run(fmt.Sprint("another daemon takes over: ", other), func(t *testing.T) { testLateRemoval(t, other) })
+	}
+}
+
+func testLateRemoval(t *testing.T, other bool) {
+	const removalDelay = 8 * time.Second
+	v2 := origin.Key{Service: "s", Version: "v2"}
+	store, registry := &lateStore{saved: map[origin.Key]bool{}}, &keeperRegistry{era: 1}
+	first, second := newKeepingGateway(t, store, registry), newKeepingGateway(t, store, registry)
+	synctest.Test(t, func(t *testing.T) {
+		stop := first.keep(t)
+		first.follow(time.Minute, func() {}, "v1", "v2")
+		require.True(t, store.has(v2))
+		store.late = true
+		for range 10 * 60 {
+			if first.follow(time.Second, func() {}, "v1"); len(store.pendingRemovals()) > 0 {
+				break
+			}
+		}
+		removals := store.pendingRemovals()
+		require.NotEmpty(t, removals, "the version is not removed")
+		store.late = false
+		g := first
+		if other {
+			stop()
+			g = second
+			stop = g.keep(t)
+			g.follow(2*time.Second, func() {}, "v1")
+		}
+		unsaved := time.Duration(0)
+		check := func() {
+			if !slices.Contains(g.origins.Excluded("s"), "v2") && !store.has(v2) {
+				unsaved += 50 * time.Millisecond
+			}
+		}
+		g.follow(removalDelay, check, "v1", "v2")
+		for _, remove := range removals {
+			remove()
+		}
+		g.follow(time.Minute, check, "v1", "v2")
+		assert.Zero(t, unsaved, "streams may begin at a version that is not saved")
+		assert.Empty(t, g.origins.Excluded("s"))
+
+		g.follow(10*time.Minute, func() {}, "v1")
+		assert.False(t, store.has(v2), "it is removed once it is out of use for long")
+		stop()
+		synctest.Wait()
+	})
+}
+
+// keep runs the keeper of versions.
+func (g *Gateway) keep(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	go g.runVersionKeeper(ctx)
+	return cancel
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -172,6 +172,15 @@
 	}
 }
 
+// SetAllSaved records that the versions in saved are in the store, and no others.
+func (v *Versions) SetAllSaved(saved Saved) {
+	for _, uses := range v.services {
+		for _, use := range uses {
+			_, use.Saved = saved[Key{use.Service, use.Version}]
+		}
+	}
+}
+
 // Forget states that what is saved is not known any more.
 func (v *Versions) Forget() {
 	v.complete = false
