Don't take a store that was restored for all versions that were in use

A fleet that was started again just after a restore of the store loaded the copy and concluded from it. A version that the copy lacks, and whose servers had not registered again, counted as never used, and its streams went on at another one (ORDER). Daemons that were running when the era of the store rose waited 5 s for such servers; those that saw the era for the first time did not, and neither knew of a version whose servers were gone.

The daemon that writes saves the era of the store in which all versions are known to be saved. Versions that are loaded from a store of another era are not taken for all. A daemon without peers that know more has all of them when it has followed the list of servers for five minutes; streams begin after 5 s as before, and it loads each 5 s. A daemon that knew all versions when the era rose still does: only what is saved is open then. A load during which the era rises counts as failed.

Price: one more read with each load and one write for each era. After both a restore and a loss of all daemons within some 5 s, streams that no daemon knows are refused for five minutes; so they are after the whole fleet has been replaced at once by this version, as earlier ones save no era. Not covered: a copy from before the first version was saved.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -436,11 +436,11 @@
 	return o.versions.Unsaved(services, now)
 }
 
-// mergeVersions adds all versions that are saved in the store.
-func (o *streamOrigins) mergeVersions(uses []origin.Use, now time.Time) {
+// mergeVersions adds versions that are saved in the store. complete states that they include all that were ever saved within origin.TTL.
+func (o *streamOrigins) mergeVersions(uses []origin.Use, complete bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.versions.Merge(uses, true, now)
+	o.versions.Merge(uses, complete, now)
 }
 
 func (o *streamOrigins) setSaved(key origin.Key, saved bool) {
@@ -455,12 +455,6 @@
 	o.versions.SetAllSaved(saved)
 }
 
-func (o *streamOrigins) forgetSaved() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.versions.Forget()
-}
-
 // encodeVersions returns the versions for a peer, and whether they include all that are saved.
 func encodeVersions(versions *origin.Versions, now time.Time) (messages []*pb.VersionInUse, complete bool) {
 	uses, complete := versions.All(now)
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -47,7 +47,7 @@
 		logger:   slog.New(slog.DiscardHandler),
 	})
 	o.setServers(f.servers, nil, time.Now())
-	o.mergeVersions(f.saved, time.Now())
+	o.mergeVersions(f.saved, true, time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.daemons[address], f.alive[address] = o, true
@@ -206,12 +206,12 @@
 	o.setServers(both[:1], nil, time.Now())
 	_, _, basis := o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "not all servers are known")
-	o.mergeVersions(nil, time.Now())
+	o.mergeVersions(nil, true, time.Now())
 	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "not all servers are known, though what is saved is")
 	o.setServers(both, nil, time.Now())
 	listAge = 0
-	o.mergeVersions(nil, time.Now())
+	o.mergeVersions(nil, true, time.Now())
 	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "versions are mixed")
 
@@ -219,7 +219,7 @@
 	o.setServers(both[:1], nil, time.Now())
 	_, _, basis = o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginUnknown, basis, "what is saved is not known")
-	o.mergeVersions(nil, time.Now())
+	o.mergeVersions(nil, true, time.Now())
 	_, version, basis := o.Find(t.Context(), takeUp("attempt"))
 	assert.Equal(t, forward.OriginConcluded, basis, "the list is complete with one version, and no other is saved")
 	assert.Equal(t, "v1", version)
--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -17,6 +17,10 @@
 	RemoveVersion(ctx context.Context, key origin.Key, end int64) error
 	// SavedVersions returns the versions, and the position behind what was written up to the call.
 	SavedVersions(ctx context.Context) (keys []origin.Key, end int64, err error)
+	// SaveVersionsEra saves the era of the store in which all versions were last known to be saved, and VersionsEra returns it, 0
+	// for none. A store that was restored from a copy since has a higher one.
+	SaveVersionsEra(ctx context.Context, era uint64) error
+	VersionsEra(ctx context.Context) (uint64, error)
 }
 
 const (
@@ -26,6 +30,8 @@
 	shortVersionInterval = 100 * time.Millisecond
 	// versionCallTimeout bounds the calls to the store in one interval.
 	versionCallTimeout = time.Second
+	// reloadInterval is the time between two loads from a store that is not known to hold all versions.
+	reloadInterval = 5 * time.Second
 	// maxVersionWrites bounds the writes to the store in one interval.
 	maxVersionWrites = 4
 )
@@ -36,7 +42,9 @@
 	store     VersionStore
 	saved     origin.Saved // nil until loaded
 	era       uint64       // of the store when saved was loaded
+	wholeEra  uint64       // in which all versions were last known to be saved; 0 if that is not known
 	loadAfter time.Time    // earliest time at which what is saved may be loaded
+	nextLoad  time.Time    // earliest time of another load by a daemon that lacks versions
 
 	removeAfter time.Time // earliest time of the next removal; zero if end is not known
 	end         int64     // see VersionStore.RemoveVersion
@@ -72,7 +80,7 @@
 func (g *Gateway) keepVersions(ctx context.Context, k *versionKeeper, now time.Time) (incomplete bool, err error) {
 	if era := g.storeEra(); era != k.era {
 		if k.era != 0 { // the copy may lack the last versions, until they are saved and servers are registered again
-			g.origins.forgetSaved()
+			g.origins.setAllSaved(nil)
 			k.saved, k.loadAfter = nil, now.Add(origin.BeginDelay)
 		}
 		k.era = era
@@ -86,7 +94,8 @@
 	if !writes {
 		k.saved = nil // another daemon may remove versions
 	}
-	if k.saved != nil {
+	knowsSaved := k.saved != nil
+	if knowsSaved {
 		g.origins.setAllSaved(k.saved) // peers may know less
 	}
 	unsaved, waiting := g.origins.unsavedVersions(services, now)
@@ -96,7 +105,7 @@
 	if !complete || waiting && !writes {
 		g.origins.askVersions() // who may also know since when versions are in use
 	}
-	if g.readsStore() && !g.member().StoreLost && (!complete || writes && k.saved == nil) {
+	if g.readsStore() && !g.member().StoreLost && (!complete && !now.Before(k.nextLoad) || writes && k.saved == nil) {
 		if err := g.loadVersions(ctx, k, writes); err != nil {
 			return true, err
 		}
@@ -111,12 +120,24 @@
 			}
 		}
 	}
-	return !complete || waiting, nil
+	if writes && knowsSaved && complete && len(unsaved) == 0 && k.wholeEra != k.era && k.era == g.storeEra() {
+		if err := k.store.SaveVersionsEra(ctx, k.era); err != nil {
+			return true, errors.Wrap(err, "save the era of the versions")
+		}
+		k.wholeEra = k.era
+	}
+	return !complete && !now.Before(k.nextLoad) || waiting, nil
 }
 
-// loadVersions loads what is saved. writes states that this daemon writes to the store, and so knows what stays there.
+// loadVersions loads what is saved. Unless the store is known to hold all versions since it was last restored, they are not taken
+// for all that were in use. writes states that this daemon writes to the store, and so knows what stays there.
 func (g *Gateway) loadVersions(ctx context.Context, k *versionKeeper, writes bool) error {
 	started := time.Now()
+	wholeEra, err := k.store.VersionsEra(ctx)
+	if err != nil {
+		return err
+	}
+	era := g.storeEra()
 	keys, _, err := k.store.SavedVersions(ctx)
 	if err != nil {
 		return err
@@ -139,12 +160,23 @@
 		uses = append(uses, origin.Use{Service: key.Service, Version: key.Version, FirstSeen: now, LastSeen: now})
 		saved[key] = now
 	}
-	g.origins.mergeVersions(uses, now)
+	if k.era == 0 {
+		k.era = era
+	}
+	if g.storeEra() != k.era {
+		return errors.New("the store was restored while versions were loaded")
+	}
+	k.wholeEra = wholeEra
+	whole := wholeEra == k.era || wholeEra == 0 && len(keys) == 0
+	if !whole {
+		k.nextLoad = now.Add(reloadInterval)
+	}
+	g.origins.mergeVersions(uses, whole, now)
 	if writes {
 		k.saved, k.removeAfter = saved, time.Time{}
 		g.origins.setAllSaved(saved)
 	}
-	g.logger.Info("Versions of services loaded.", "versions", len(keys))
+	g.logger.Info("Versions of services loaded.", "versions", len(keys), "whole", whole)
 	return nil
 }
 
--- a/internal/gateway/version_keeper_test.go
+++ b/internal/gateway/version_keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -29,6 +30,9 @@
 	saved  map[origin.Key]bool
 	late   bool
 	later  []func() // removals to execute
+
+	wholeEra uint64 // see VersionsEra
+	reads    int    // of VersionsEra
 }
 
 func (s *lateStore) SaveVersion(_ context.Context, key origin.Key) error {
@@ -68,6 +72,20 @@
 	return keys, s.length, nil
 }
 
+func (s *lateStore) SaveVersionsEra(_ context.Context, era uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wholeEra = era
+	return nil
+}
+
+func (s *lateStore) VersionsEra(context.Context) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.wholeEra, nil
+}
+
 func (s *lateStore) has(key origin.Key) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,3 +217,41 @@
 	go g.runVersionKeeper(ctx)
 	return cancel
 }
+
+// Guards against a fleet that is started again just after a restore of the store, and takes the copy for all that was in use.
+func TestStartedFleetDoesNotTrustRestoredStore(t *testing.T) {
+	store, registry := &lateStore{saved: map[origin.Key]bool{}}, &keeperRegistry{era: 1}
+	before, started, later := newKeepingGateway(t, store, registry), newKeepingGateway(t, store, registry), newKeepingGateway(t, store, registry)
+	synctest.Test(t, func(t *testing.T) {
+		concluded := func(g *Gateway) bool {
+			_, ok := g.origins.only(takeUp(""))
+			return ok
+		}
+		stop := before.keep(t)
+		before.follow(time.Second, func() {}, "v1")
+		require.True(t, concluded(before), "nothing was saved before")
+		copied := maps.Clone(store.saved)
+		before.follow(20*time.Second, func() {}, "v1", "v2")
+		require.True(t, store.has(origin.Key{Service: "s", Version: "v2"}))
+		stop()
+		synctest.Wait()
+
+		store.saved, registry.era = copied, 2
+		stop = started.keep(t)
+		started.follow(time.Minute, func() { assert.False(t, concluded(started), "v2 may have begun streams") }, "v1")
+		assert.Empty(t, started.origins.Excluded("s"), "streams may begin")
+		assert.LessOrEqual(t, store.reads, 15, "a minute of loads each 5 s, and those before")
+		started.follow(origin.TTL, func() {}, "v1")
+		assert.True(t, concluded(started), "streams of before have ended")
+		stop()
+		synctest.Wait()
+
+		stop = later.keep(t)
+		later.follow(time.Second, func() {}, "v1")
+		assert.True(t, concluded(later), "the store is known to be whole since the restore")
+		registry.era = 3
+		later.follow(time.Minute, func() { assert.True(t, concluded(later), "it was there before the restore") }, "v1")
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -24,12 +24,13 @@
 // Versions tracks the software versions of each service at which streams may have begun within TTL: those of the servers that
 // are listed, and those that are saved in the store. A version is saved before streams begin at it while there is
 // another one, and soon after its first sight otherwise. A daemon that knows what is saved, and has followed the list since,
-// knows all of them.
+// knows all of them. So does one that has followed the list for longer than TTL.
 type Versions struct {
 	services map[string]map[string]*Use // by service and version
 	listed   map[string]map[string]bool // by service: versions of ready servers
-	complete bool                       // what is saved is known, and the list was followed since
+	complete bool                       // all of them are known
 	listAsOf time.Time                  // of the newest list
+	since    time.Time                  // of the first list since which there was no gap longer than MaxListAge
 }
 
 // Use tells how a version of a service is used.
@@ -52,11 +53,14 @@
 // streams may have begun at versions that came and left meanwhile: what is saved must be read again.
 func (v *Versions) SetListAge(asOf time.Time) {
 	if asOf.Sub(v.listAsOf) > MaxListAge {
-		v.complete = false
+		v.complete, v.since = false, asOf
 	}
 	if asOf.After(v.listAsOf) {
 		v.listAsOf = asOf
 	}
+	if asOf.Sub(v.since) > TTL+BeginDelay {
+		v.complete = true
+	}
 }
 
 // Update records the servers that are known now. It returns the services that have several versions since this update.
@@ -181,16 +185,6 @@
 	}
 }
 
-// Forget states that what is saved is not known any more.
-func (v *Versions) Forget() {
-	v.complete = false
-	for _, uses := range v.services {
-		for _, use := range uses {
-			use.Saved = false
-		}
-	}
-}
-
 // Mixed reports whether several versions of the service are in use.
 func (v *Versions) Mixed(service string, now time.Time) bool { return len(v.inUse(service, now)) > 1 }
 
