--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -12,10 +12,14 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/filbertrill/filbertrill/internal/bounded"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 	"github.com/filbertrill/filbertrill/internal/recovery"
 )
 
+// maxEntries limits the entries of all lists in a message. Its bytes are limited to 4 MiB by drpc.
+const maxEntries = 64 << 10
+
 // Handler processes a message received from a peer. It must not block.
 type Handler func(env *pb.Envelope)
 
@@ -113,7 +117,7 @@
 			return err
 		}
 	}
-	return drpcserver.New(recovery.Handler(mux, m.opts.Logger)).Serve(m.ctx, lis)
+	return drpcserver.New(recovery.Handler(bounded.Handler(mux, maxEntries), m.opts.Logger)).Serve(m.ctx, lis)
 }
 
 // Send queues a message for the peer at the address, or drops it if the queue is full. It sets
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/filbertrill/filbertrill/internal/bounded"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
 )
 
@@ -47,7 +48,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 
-	stream, err := pb.NewDRPCMeshClient(conn).Session(withToken(ctx, l.mesh.opts.Secret, l.mesh.opts.ID))
+	stream, err := pb.NewDRPCMeshClient(bounded.Conn{Conn: conn, MaxEntries: maxEntries}).Session(withToken(ctx, l.mesh.opts.Secret, l.mesh.opts.ID))
 	if err != nil {
 		return false, err
 	}
