--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -212,7 +212,7 @@
 	if ok && len(z.Members) == 0 {
 		z.Members = known.Members
 	}
-	entries, replaced := zoneEntries(z), 0
+	entries, replaced := x.retainedEntries(zoneEntries(z)), 0
 	if ok {
 		replaced = known.entries
 	}
--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -1,11 +1,8 @@
 package exchange
 
 import (
-	"context"
+	"slices"
 
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/encoding/protowire"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
@@ -17,9 +14,8 @@
 	maxRequestBytes = 64 << 10
 	// maxReplyBytes limits the answer to a pull.
 	maxReplyBytes = 4 << 20
-	// maxReplyFields limits the fields of an answer to a pull, which are mostly entries of lists. An empty entry has 2 bytes,
-	// and some 130 when it is decoded.
-	maxReplyFields = 64 << 10
+	// maxReplyEntries limits the entries of all lists in an answer to a pull.
+	maxReplyEntries = 64 << 10
 )
 
 // readerOptions returns the options of a connection on which messages of up to so many bytes are received.
@@ -27,38 +23,18 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxBytes}}
 }
 
-// boundedConn is a connection that doesn't decode answers of more than maxReplyFields.
-type boundedConn struct{ drpc.Conn }
-
-// Invoke implements drpc.Conn.
-func (c boundedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	return c.Conn.Invoke(ctx, rpc, boundedEncoding{enc}, in, out)
-}
-
-// boundedEncoding doesn't decode messages of more than maxReplyFields.
-type boundedEncoding struct{ drpc.Encoding }
-
-// Unmarshal implements drpc.Encoding.
-func (e boundedEncoding) Unmarshal(data []byte, message drpc.Message) error {
-	for rest, fields := data, 0; len(rest) > 0; fields++ {
-		if fields == maxReplyFields {
-			return errors.Newf("answer of a peer has more than %d fields", maxReplyFields)
-		}
-		_, _, n := protowire.ConsumeField(rest)
-		if n < 0 {
-			return errors.Wrap(protowire.ParseError(n), "answer of a peer")
-		}
-		rest = rest[n:]
-	}
-	return e.Encoding.Unmarshal(data, message)
-}
-
 const (
 	// minEntryBytes is less than any entry of a list takes in a datagram of a daemon: each holds a hash of 8 bytes or a name.
 	minEntryBytes = 8
+	// quartersPerEntry is the number of quarters of an account that count as one entry. Accounts have four.
+	quartersPerEntry = 8
 	// maxRetainedEntries limits the entries in the states and summaries that are kept, some 100 bytes each. In a fleet of 390
 	// daemons in 18 zones with 1,500 servers, there are up to 130,000.
 	maxRetainedEntries = 300_000
+	// retainedEntryBytes is the size in a datagram that counts as one of them, for what has long names or unknown fields.
+	retainedEntryBytes = 50
+	// maxMemberBytes limits the names and addresses of a member, which are kept with its control address.
+	maxMemberBytes = 2 << 10
 	// maxAddresses limits the known control addresses.
 	maxAddresses = 4096
 )
@@ -69,7 +45,17 @@
 	for _, z := range d.Forwarded {
 		n += zoneEntries(z)
 	}
-	return n + len(d.GetOrigins().GetRecords()) + len(d.GetOrigins().GetAnswers())
+	return n + len(d.GetOrigins().GetRecords()) + len(d.GetOrigins().GetAnswers()) + len(d.GetOrigins().GetVersions())
+}
+
+// hasLongMember reports whether a member in the datagram has names and addresses of more than maxMemberBytes.
+func hasLongMember(d *pb.Datagram) bool {
+	isLong := func(m *pb.Member) bool {
+		return len(m.GetId())+len(m.GetZone())+len(m.GetRegion())+len(m.GetEntryAddress())+len(m.GetControlAddress()) > maxMemberBytes
+	}
+	inZone := func(z *pb.Zone) bool { return isLong(z.GetDelegate()) || slices.ContainsFunc(z.GetMembers(), isLong) }
+	return isLong(d.GetState().GetMember()) || slices.ContainsFunc(d.GetState().GetMembers(), isLong) ||
+		slices.ContainsFunc(d.GetState().GetZones(), inZone) || slices.ContainsFunc(d.Forwarded, inZone) || inZone(d.Zone) || inZone(d.OwnZone)
 }
 
 // stateEntries returns the number of entries of all lists in a state, which may be nil.
@@ -103,9 +89,18 @@
 	for _, s := range v.Suspects {
 		n += len(s.Ends)
 	}
+	for _, a := range v.Accounts {
+		n += len(a.Quarters) / quartersPerEntry
+	}
 	return n
 }
 
+// retainedEntries returns what a state or summary of so many entries counts in mayRetain. It must not count as less than the
+// datagram takes in which it was received.
+func (x *Exchange) retainedEntries(entries int) int {
+	return max(entries, x.datagramBytes/retainedEntryBytes)
+}
+
 // mayRetain reports whether a state or summary with so many entries may replace one with replaced entries, 0 for none. The caller
 // holds the lock.
 func (x *Exchange) mayRetain(entries, replaced int) bool {
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -181,27 +182,39 @@
 
 // Guards against a daemon that ends for its memory, because datagrams of ever other members hold thousands of empty entries.
 func TestDatagramsOfManyMembersStayWithinMemory(t *testing.T) {
-	const datagrams, maxGrowth = 300, 64 << 20
+	const maxGrowth = 64 << 20
+	long := strings.Repeat("x", 60_000)
+	unknown := &pb.View{}
+	unknown.ProtoReflect().SetUnknown(protowire.AppendString(protowire.AppendTag(nil, 99, protowire.BytesType), long))
 	for name, view := range map[string]*pb.View{
-		"loads":       {Servers: repeated(25_000, &pb.ServerLoad{})},
-		"withdrawals": {Withdrawn: repeated(25_000, &pb.Withdrawal{})},
-		"suspects":    {Suspects: repeated(25_000, &pb.Suspect{})},
-		"usual loads": {Servers: repeated(3_500, &pb.ServerLoad{Server: 1 << 60, Running: 1, PendingTokens: 1})},
+		"loads":          {Servers: repeated(25_000, &pb.ServerLoad{})},
+		"withdrawals":    {Withdrawn: repeated(25_000, &pb.Withdrawal{})},
+		"suspects":       {Suspects: repeated(25_000, &pb.Suspect{})},
+		"usual loads":    {Servers: repeated(3_500, &pb.ServerLoad{Server: 1 << 60, Running: 1, PendingTokens: 1})},
+		"quarters":       {Accounts: []*pb.AccountUse{{Quarters: make([]uint64, 60_000)}}},
+		"long name":      {Withdrawn: []*pb.Withdrawal{{Server: long}}},
+		"unknown fields": unknown,
 	} {
-		a := newNode(t, "a", "z1")
-		t.Cleanup(func() {
-			assert.NoError(t, a.conn.Close())
-			assert.NoError(t, a.listener.Close())
-		})
-		a.options.OnView = func(string, *pb.Member, *pb.View, time.Duration) {}
-		growth := peakHeapGrowth(func() {
-			for i := range datagrams {
-				data, err := proto.Marshal(&pb.Datagram{State: &pb.State{Member: &pb.Member{Id: fmt.Sprint("m", i), Zone: "z1"}, View: view}})
-				require.NoError(t, err)
-				a.handleDatagram(data, time.Now())
+		t.Run(name, func(t *testing.T) {
+			datagrams := 300
+			if len(view.Servers)+len(view.Suspects)+len(view.Withdrawn) <= 1 {
+				datagrams = 3000
 			}
+			a := newNode(t, "a", "z1")
+			t.Cleanup(func() {
+				assert.NoError(t, a.conn.Close())
+				assert.NoError(t, a.listener.Close())
+			})
+			a.options.OnView = func(string, *pb.Member, *pb.View, time.Duration) {}
+			growth := peakHeapGrowth(func() {
+				for i := range datagrams {
+					data, err := proto.Marshal(&pb.Datagram{State: &pb.State{Member: &pb.Member{Id: fmt.Sprint("m", i), Zone: "z1"}, View: view}})
+					require.NoError(t, err)
+					a.handleDatagram(data, time.Now())
+				}
+			})
+			t.Logf("%d MB", growth>>20)
+			assert.Less(t, growth, uint64(maxGrowth))
 		})
-		t.Logf("%s: %d MB", name, growth>>20)
-		assert.Less(t, growth, uint64(maxGrowth), name)
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -123,6 +123,8 @@
 	listener    net.Listener
 	sendNow     chan struct{}
 
+	datagramBytes int // size of the datagram that receive handles
+
 	mu             sync.Mutex
 	sequence       uint64
 	lastMemberList time.Time
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/filbertrill/filbertrill/internal/bounded"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
@@ -83,7 +84,7 @@
 	}
 	conn := drpcconn.NewWithOptions(countedConn{rawConn, traffic}, drpcconn.Options{Manager: readerOptions(maxReplyBytes)})
 	defer conn.Close()
-	return traffic, errors.Wrap(invoke(ctx, pb.NewDRPCExchangeClient(boundedConn{conn})), "pull from peer")
+	return traffic, errors.Wrap(invoke(ctx, pb.NewDRPCExchangeClient(bounded.Conn{Conn: conn, MaxEntries: maxReplyEntries})), "pull from peer")
 }
 
 // pullServer serves the pulls of peers.
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -36,7 +36,8 @@
 		x.options.Logger.Warn("Could not decode datagram.", "bytes", len(data), "error", err)
 		return
 	}
-	if entries := datagramEntries(d); entries*minEntryBytes > len(data) {
+	x.datagramBytes = len(data)
+	if entries := datagramEntries(d); entries*minEntryBytes > len(data) || hasLongMember(d) {
 		x.options.Logger.Warn("Datagram is of no daemon.", "bytes", len(data), "entries", entries)
 		return
 	}
@@ -94,7 +95,7 @@
 func (x *Exchange) acceptState(s *pb.State, now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	entries, replaced := 1+stateEntries(s), 0
+	entries, replaced := x.retainedEntries(1+stateEntries(s)), 0
 	if known, ok := x.peers[s.Member.Id]; ok {
 		replaced = known.entries
 	}
@@ -168,7 +169,7 @@
 	if ok && len(z.Members) == 0 {
 		z.Members = old.Members
 	}
-	entries, replaced := zoneEntries(z), 0
+	entries, replaced := x.retainedEntries(zoneEntries(z)), 0
 	if ok {
 		replaced = old.entries
 	}
