Read saved suspects again when a daemon begins to write them

A suspect could be missing in the store though the fleet held it back. If all daemons ended then, those that started sent what it had held back, and servers ended again.

Cause: a daemon reads what is saved at its start, and concludes from that what is saved when it becomes the one that writes, maybe hours later. The daemon that wrote until then may have removed a suspect. If the part ends as many servers again, and the writer ends before it has saved that, its successor takes the suspect for saved.

Change: what is saved is read again when a daemon becomes the one that writes.

--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -36,9 +36,10 @@
 // quarantineKeeper loads the stored evidence at the start of a daemon that reads the store, and keeps the store up to date
 // if this daemon is the one of the fleet that writes. Two daemons may do so for a while; they write the same.
 type quarantineKeeper struct {
-	store QuarantineStore
-	saved map[string]savedSuspect // nil until loaded
-	era   uint64                  // of the store when saved was loaded
+	store  QuarantineStore
+	saved  map[string]savedSuspect // nil until loaded
+	era    uint64                  // of the store when saved was loaded
+	writes bool                    // this daemon has been the one that writes since saved was loaded
 }
 
 // savedSuspect tells what of the evidence against a suspect is stored.
@@ -64,15 +65,18 @@
 	}
 }
 
-// keepQuarantine loads what is stored, once and after the store was restored from a copy, and saves what has changed.
+// keepQuarantine loads what is stored, once, after the store was restored from a copy and when this daemon becomes the one that
+// writes, and saves what has changed.
 func (g *Gateway) keepQuarantine(ctx context.Context, k *quarantineKeeper) error {
-	if era := g.storeEra(); k.saved == nil || era != k.era {
+	era, writes := g.storeEra(), g.writesStore()
+	if k.saved == nil || era != k.era || writes && !k.writes {
 		if err := g.loadQuarantine(ctx, k); err != nil {
 			return err
 		}
 		k.era = era
 	}
-	if !g.writesStore() {
+	k.writes = writes
+	if !writes {
 		return nil
 	}
 	return k.save(ctx, g.scheduler.QuarantineReports(time.Now()), time.Now())
