Count members that an old instance list lacks

Cause: a member that was silent for 60 s and not on the platform's list did not count towards the majority. If the list can't be read, the last one stays in use, and it may be from before the member started. The daemon concluded from it that the member was gone.

Change: the roster knows as of when the list is, instead of whether it has ever answered. A member is dropped if a list lacks it that was read more than 60 s after its last message, else after 24 h, as without a list.

Price: while the list can't be read, instances that died and were not on the last one count for 24 h instead of 60 s.

The cases of TestRosterSize that had a list have one as of now, and two with an old list were added.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -69,15 +69,17 @@
 		size    int
 	}{
 		"alone":                         {nil, configsync.InstanceListing{}, 1},
-		"silent but listed":             {[]member.Status{status("b", "1", hour, live)}, configsync.InstanceListing{Answered: true, Addresses: []string{"1"}}, 2},
-		"silent and off the list":       {[]member.Status{status("b", "1", hour, live)}, configsync.InstanceListing{Answered: true}, 1},
+		"silent but listed":             {[]member.Status{status("b", "1", hour, live)}, configsync.InstanceListing{AsOf: epoch, Addresses: []string{"1"}}, 2},
+		"silent and off the list":       {[]member.Status{status("b", "1", hour, live)}, configsync.InstanceListing{AsOf: epoch}, 1},
 		"silent, no list":               {[]member.Status{status("b", "1", hour, live)}, configsync.InstanceListing{}, 2},
 		"silent for days, no list":      {[]member.Status{status("b", "1", 48*hour, live)}, configsync.InstanceListing{}, 1},
-		"just off the list":             {[]member.Status{status("b", "1", time.Second, live)}, configsync.InstanceListing{Answered: true}, 2},
-		"left":                          {[]member.Status{status("b", "1", 0, left)}, configsync.InstanceListing{Answered: true}, 1},
-		"listed, never seen":            {nil, configsync.InstanceListing{Answered: true, Addresses: []string{"1", "2", "1"}}, 3},
+		"just off the list":             {[]member.Status{status("b", "1", time.Second, live)}, configsync.InstanceListing{AsOf: epoch}, 2},
+		"off a list from before":        {[]member.Status{status("b", "1", hour, live)}, configsync.InstanceListing{AsOf: epoch.Add(-2 * hour)}, 2},
+		"silent for days, old list":     {[]member.Status{status("b", "1", 48*hour, live)}, configsync.InstanceListing{AsOf: epoch.Add(-72 * hour)}, 1},
+		"left":                          {[]member.Status{status("b", "1", 0, left)}, configsync.InstanceListing{AsOf: epoch}, 1},
+		"listed, never seen":            {nil, configsync.InstanceListing{AsOf: epoch, Addresses: []string{"1", "2", "1"}}, 3},
 		"seeds until the list answers":  {nil, configsync.InstanceListing{Seeds: []string{"1", "2"}}, 3},
-		"seeds after the list answered": {nil, configsync.InstanceListing{Answered: true, Seeds: []string{"1", "2"}}, 1},
+		"seeds after the list answered": {nil, configsync.InstanceListing{AsOf: epoch, Seeds: []string{"1", "2"}}, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -91,7 +93,7 @@
 
 func TestRosterKeepsMembersMissingFromTheView(t *testing.T) {
 	r := configsync.NewRoster("a")
-	listing := configsync.InstanceListing{Answered: true, Addresses: []string{"0", "1", "2"}}
+	listing := configsync.InstanceListing{AsOf: epoch, Addresses: []string{"0", "1", "2"}}
 	r.Update(epoch, []member.Status{status("a", "0", 0, 1), status("b", "1", 0, 1), status("c", "2", 0, 1)}, listing)
 	r.Update(epoch.Add(time.Hour), []member.Status{status("a", "0", 0, 1)}, listing)
 	require.Equal(t, 3, r.Size())
--- a/internal/configsync/roster.go
+++ b/internal/configsync/roster.go
@@ -10,9 +10,9 @@
 
 // Times after which the roster drops a silent member or stops waiting for it.
 const (
-	// unlistedTimeout applies to a member that is not on the instance list.
+	// unlistedTimeout is the time from the last message of a member to the read of an instance list that lacks it.
 	unlistedTimeout = 60 * time.Second
-	// noListTimeout applies to every member as long as the instance list has never answered.
+	// noListTimeout is the silence of a member since whose last message no instance list was read.
 	noListTimeout = 24 * time.Hour
 	// firstContactTimeout is how long an instance that is on the list, but was never seen,
 	// counts as starting. After that it counts as suspected.
@@ -22,9 +22,9 @@
 // InstanceListing holds the peer addresses from the platform's instance list and from the
 // settings.
 type InstanceListing struct {
-	Answered  bool     // the instance list has answered at least once
-	Addresses []string // peer addresses on the instance list
-	Seeds     []string // peer addresses from the settings; used until the list answers
+	AsOf      time.Time // start of the last read of the instance list that succeeded; zero for none
+	Addresses []string  // peer addresses on the instance list
+	Seeds     []string  // peer addresses from the settings; used until the list answers
 }
 
 // Roster is the set of members over which a majority is counted. It keeps members that have
@@ -53,7 +53,7 @@
 		listed[address] = true
 	}
 	for id, s := range r.members {
-		if id != r.self && shouldDrop(s, now, listing.Answered, listed[s.Member.PeerAddress]) {
+		if id != r.self && shouldDrop(s, now, listing.AsOf, listed[s.Member.PeerAddress]) {
 			delete(r.members, id)
 		}
 	}
@@ -69,20 +69,18 @@
 	r.members[s.Member.Id] = s
 }
 
-func shouldDrop(s *member.Status, now time.Time, answered, listed bool) bool {
+// shouldDrop reports whether a member has left, or was silent for too long and is not on the list of listedAsOf. A list from before
+// its last message says nothing of it.
+func shouldDrop(s *member.Status, now, listedAsOf time.Time, listed bool) bool {
 	if s.Member.State == pb.MemberState_MEMBER_STATE_LEFT {
 		return true
 	}
-	silence := now.Sub(s.LastSeen)
-	if answered {
-		return !listed && silence > unlistedTimeout
-	}
-	return silence > noListTimeout
+	return !listed && (listedAsOf.Sub(s.LastSeen) > unlistedTimeout || now.Sub(s.LastSeen) > noListTimeout)
 }
 
 func (r *Roster) updateUncontacted(now time.Time, listing InstanceListing, listed map[string]bool) {
 	for address := range r.replaced {
-		if listing.Answered && !listed[address] {
+		if !listing.AsOf.IsZero() && !listed[address] {
 			delete(r.replaced, address)
 		}
 	}
@@ -91,7 +89,7 @@
 		known[s.Member.PeerAddress] = true
 	}
 	addresses := listing.Addresses
-	if !listing.Answered {
+	if listing.AsOf.IsZero() {
 		addresses = listing.Seeds
 	}
 	previous := r.uncontacted
--- a/internal/controller/config/config.go
+++ b/internal/controller/config/config.go
@@ -38,9 +38,9 @@
 	Self() *pb.Member
 	Live(now time.Time) []*pb.Member
 	All() []member.Status
-	// Listed returns the peer addresses on the platform's instance list, and whether the
-	// list has answered at least once.
-	Listed() (addresses []string, answered bool)
+	// Listed returns the peer addresses on the platform's instance list, and the start of the last
+	// read of it that succeeded, zero for none.
+	Listed() (addresses []string, asOf time.Time)
 	// Address returns the peer address of the member with the given id, empty if unknown.
 	Address(id string) string
 }
--- a/internal/controller/config/config_test.go
+++ b/internal/controller/config/config_test.go
@@ -140,7 +140,7 @@
 	return all
 }
 
-func (e *endpoint) Listed() ([]string, bool) { return nil, false }
+func (e *endpoint) Listed() ([]string, time.Time) { return nil, time.Time{} }
 
 func (e *endpoint) Address(id string) string { return id }
 
--- a/internal/controller/config/freshness.go
+++ b/internal/controller/config/freshness.go
@@ -73,8 +73,8 @@
 func (c *Controller) tick(now time.Time) {
 	self := c.opts.Members.Self()
 	view := c.opts.Members.All()
-	addresses, answered := c.opts.Members.Listed()
-	listing := configsync.InstanceListing{Answered: answered, Addresses: addresses, Seeds: c.opts.Seeds}
+	addresses, asOf := c.opts.Members.Listed()
+	listing := configsync.InstanceListing{AsOf: asOf, Addresses: addresses, Seeds: c.opts.Seeds}
 	zonePeers := map[string]bool{}
 	for _, s := range view {
 		zonePeers[s.Member.Id] = s.Member.Zone == self.Zone
--- a/internal/controller/members/list.go
+++ b/internal/controller/members/list.go
@@ -34,13 +34,16 @@
 // refreshList reads the instance list and sets the view's endpoints from it and the seeds. If
 // the read fails, the last list stays in use.
 func (c *Controller) refreshList(ctx context.Context) {
+	started := time.Now()
 	listed, err := c.readList(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.logListResult(err)
 	if err == nil {
 		c.listedEndpoints = listed
-		c.listAnswered = c.opts.InstanceList != nil
+		if c.opts.InstanceList != nil {
+			c.listedAsOf = started
+		}
 	}
 	endpoints := append([]member.Endpoint{}, c.listedEndpoints...)
 	for _, seed := range c.opts.Seeds {
@@ -81,13 +84,13 @@
 // RefreshList reads the platform's instance list without waiting for the next interval.
 func (c *Controller) RefreshList(ctx context.Context) { c.refreshList(ctx) }
 
-// Listed returns the peer addresses on the instance list, and whether a read has succeeded.
-func (c *Controller) Listed() ([]string, bool) {
+// Listed returns the peer addresses on the instance list, and the start of the last read that succeeded, zero for none.
+func (c *Controller) Listed() ([]string, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	addresses := make([]string, 0, len(c.listedEndpoints))
 	for _, endpoint := range c.listedEndpoints {
 		addresses = append(addresses, endpoint.Address)
 	}
-	return addresses, c.listAnswered
+	return addresses, c.listedAsOf
 }
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -59,7 +59,7 @@
 	view            *member.View
 	listedEndpoints []member.Endpoint
 	listErr         error
-	listAnswered    bool                    // a read of the list has succeeded
+	listedAsOf      time.Time               // start of the last read of the list that succeeded
 	zoneOf          map[string]string       // data centre by peer address and by member id, as of the last tick
 	loggedStatus    map[string]loggedStatus // by member id
 }
