Begin no stream at an unsaved version beside an unsaved one

Found by the review: while the store takes no writes (507, 429), a fleet with one version, not yet saved, that gets a second one began streams at both. If all daemons ended then, those that started knew the listed version only, and concluded that all streams had begun at it (ORDER).

Cause: unsaved versions were excluded only beside a saved one with ready servers. Now one version at most may be used without being saved: the one that was seen first of those with ready servers. Price: while the store takes no writes, servers of a second version get no streams, as they did beside a saved one.

Daemons that see two versions in another order at their start may still choose different ones.

--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -199,7 +199,8 @@
 }
 
 // Excluded returns the versions of the service at which no stream may begin yet, because daemons may not know them. The only one
-// may be used if it is known to be that. Versions that are not saved are excluded while another one may be used.
+// may be used if it is known to be that. Versions that are not saved are excluded while another one may be used. If servers are ready of
+// unsaved ones only, the one that was seen first may be used.
 func (v *Versions) Excluded(service string, now time.Time) (versions []string) {
 	if v.complete && len(v.services[service]) < 2 {
 		return nil
@@ -208,20 +209,27 @@
 	if v.complete && len(uses) < 2 {
 		return nil
 	}
-	var unsaved []string
+	var unsaved []*Use
 	usable := false
 	for _, use := range uses {
 		switch {
 		case now.Sub(use.FirstSeen) < BeginDelay:
 			versions = append(versions, use.Version)
 		case !use.Saved:
-			unsaved = append(unsaved, use.Version)
+			unsaved = append(unsaved, use)
 		default:
 			usable = usable || v.listed[service][use.Version]
 		}
 	}
-	if usable {
-		versions = append(versions, unsaved...)
+	slices.SortFunc(unsaved, func(a, b *Use) int {
+		return cmp.Or(a.FirstSeen.Compare(b.FirstSeen), cmp.Compare(a.Version, b.Version))
+	})
+	for _, use := range unsaved {
+		if !usable && v.listed[service][use.Version] {
+			usable = true
+			continue
+		}
+		versions = append(versions, use.Version)
 	}
 	return versions
 }
