--- a/internal/gateway/version_keeper_test.go
+++ b/internal/gateway/version_keeper_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,13 +53,16 @@
 			s.length++
 		}
 	}
-	if !s.late {
+	s.mu.Lock()
+	late := s.late
+	if late {
+		s.later = append(s.later, remove)
+	}
+	s.mu.Unlock()
+	if !late {
 		remove()
 		return nil
 	}
-	s.mu.Lock()
-	s.later = append(s.later, remove)
-	s.mu.Unlock()
 	<-ctx.Done()
 	return errors.Wrap(ctx.Err(), "no answer")
 }
@@ -99,13 +103,38 @@
 	return slices.Clone(s.later)
 }
 
+func (s *lateStore) setLate(late bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
+// copied returns what is saved, for a later call of restore.
+func (s *lateStore) copied() map[origin.Key]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.saved)
+}
+
+func (s *lateStore) restore(saved map[origin.Key]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = saved
+}
+
 // keeperRegistry is the registry of a store of the era.
 type keeperRegistry struct {
 	Registry
-	era uint64
+	era atomic.Uint64
+}
+
+func newKeeperRegistry() *keeperRegistry {
+	r := &keeperRegistry{}
+	r.era.Store(1)
+	return r
 }
 
-func (r *keeperRegistry) Era() uint64 { return r.era }
+func (r *keeperRegistry) Era() uint64 { return r.era.Load() }
 
 // newKeepingGateway returns a gateway without peers that keeps versions in the store, and whose list of servers is always of now. It
 // must be called outside of a bubble, for its sockets.
@@ -168,13 +197,13 @@
 func testLateRemoval(t *testing.T, other bool) {
 	const removalDelay = 8 * time.Second
 	v2 := origin.Key{Service: "s", Version: "v2"}
-	store, registry := &lateStore{saved: map[origin.Key]bool{}}, &keeperRegistry{era: 1}
+	store, registry := &lateStore{saved: map[origin.Key]bool{}}, newKeeperRegistry()
 	first, second := newKeepingGateway(t, store, registry), newKeepingGateway(t, store, registry)
 	synctest.Test(t, func(t *testing.T) {
 		stop := first.keep(t)
 		first.follow(time.Minute, func() {}, "v1", "v2")
 		require.True(t, store.has(v2))
-		store.late = true
+		store.setLate(true)
 		for range 10 * 60 {
 			if first.follow(time.Second, func() {}, "v1"); len(store.pendingRemovals()) > 0 {
 				break
@@ -182,7 +211,7 @@
 		}
 		removals := store.pendingRemovals()
 		require.NotEmpty(t, removals, "the version is not removed")
-		store.late = false
+		store.setLate(false)
 		g := first
 		if other {
 			stop()
@@ -220,7 +249,7 @@
 
 // Guards against a fleet that is started again just after a restore of the store, and takes the copy for all that was in use.
 func TestStartedFleetDoesNotTrustRestoredStore(t *testing.T) {
-	store, registry := &lateStore{saved: map[origin.Key]bool{}}, &keeperRegistry{era: 1}
+	store, registry := &lateStore{saved: map[origin.Key]bool{}}, newKeeperRegistry()
 	before, started, later := newKeepingGateway(t, store, registry), newKeepingGateway(t, store, registry), newKeepingGateway(t, store, registry)
 	synctest.Test(t, func(t *testing.T) {
 		concluded := func(g *Gateway) bool {
@@ -230,13 +259,14 @@
 		stop := before.keep(t)
 		before.follow(time.Second, func() {}, "v1")
 		require.True(t, concluded(before), "nothing was saved before")
-		copied := maps.Clone(store.saved)
+		copied := store.copied()
 		before.follow(20*time.Second, func() {}, "v1", "v2")
 		require.True(t, store.has(origin.Key{Service: "s", Version: "v2"}))
 		stop()
 		synctest.Wait()
 
-		store.saved, registry.era = copied, 2
+		store.restore(copied)
+		registry.era.Store(2)
 		stop = started.keep(t)
 		started.follow(time.Minute, func() { assert.False(t, concluded(started), "v2 may have begun streams") }, "v1")
 		assert.Empty(t, started.origins.Excluded("s"), "streams may begin")
@@ -249,7 +279,7 @@
 		stop = later.keep(t)
 		later.follow(time.Second, func() {}, "v1")
 		assert.True(t, concluded(later), "the store is known to be whole since the restore")
-		registry.era = 3
+		registry.era.Store(3)
 		later.follow(time.Minute, func() { assert.True(t, concluded(later), "it was there before the restore") }, "v1")
 		stop()
 		synctest.Wait()
