Keep servers that a store may have lost in an outage that this daemon did not see

Entries of servers expire while the store is down, and are back within some two seconds of its return. A daemon that starts then lists the store without them, and its peers removed them at once unless their own calls had failed and succeeded again. Removing them is told to the others as a withdrawal, so that they lost the servers as well. A daemon that stood still during the outage did the same with its own next listing.

TestListOfPeerAfterAnOutageRemovesServersLater: the server was removed at once, for a list behind the outage and for one behind a list that was equal. TestDaemonThatStoodStillKeepsServersAfterAnOutage: removed at the first listing.

A daemon whose list was not confirmed for more than 1.5 s, the time after which a store counts as unreachable, now keeps missing servers for 2.5 s from the first list after that, as after an outage that it saw. Withdrawals apply at once.

TestListOfPeerRemovesServersBehindRestoreLater had 2.5 s between two of its lists, which is an outage now. It has a further list in between and checks that as well; its other checks are as before.

--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -120,7 +120,7 @@
 	lastSuccess    atomic.Int64 // time of the last successful call, as monotonic.UnixNano
 	lastCallFailed atomic.Bool
 	era            atomic.Uint64 // highest one that this daemon or a peer has seen
-	recoveredAt    atomic.Int64  // time at which the store was first seen to be back or restored, as monotonic.UnixNano
+	recoveredAt    atomic.Int64  // time at which the store was last seen to be back or restored, as monotonic.UnixNano
 	loggedChanges  atomic.Int64  // changed servers in the list that is being applied
 }
 
@@ -193,8 +193,26 @@
 	}
 }
 
+// seeList records that a list of servers was complete at the given time. If none was for longer than unreachableAfter before, the
+// store may have been down: servers whose entries have expired have the time to register again. The daemon need not have called
+// the store itself, or may have stood still.
+func (r *Reader) seeList(at time.Time) {
+	next := monotonic.UnixNano(at)
+	if !r.serversListed.Load() || next-r.asOf[Servers].Load() <= int64(unreachableAfter) {
+		return
+	}
+	for known := r.recoveredAt.Load(); next > known; known = r.recoveredAt.Load() {
+		if r.recoveredAt.CompareAndSwap(known, next) {
+			r.logger.Info("List of servers was not current for long.", "age", time.Duration(next-r.asOf[Servers].Load()))
+		}
+	}
+}
+
 // Confirm records that this daemon's state of the topic was current at the given time.
 func (r *Reader) Confirm(t Topic, at time.Time) {
+	if t == Servers {
+		r.seeList(at)
+	}
 	for {
 		old := r.asOf[t].Load()
 		if next := monotonic.UnixNano(at); next <= old || r.asOf[t].CompareAndSwap(old, next) {
@@ -210,6 +228,9 @@
 // others are known to be the same, unless more is set.
 func (r *Reader) ApplyServerList(records []Record, buckets []uint32, more bool, listedAt, now time.Time) {
 	newer := r.Newer(Servers, listedAt)
+	if newer {
+		r.seeList(listedAt)
+	}
 	recoveredAt := monotonic.Time(r.recoveredAt.Load())
 	r.loggedChanges.Store(0)
 	r.state.Batch(func() {
@@ -290,6 +311,12 @@
 				r.recoveredAt.Store(monotonic.UnixNano(now))
 			}
 		}
+		if t == Servers {
+			r.seeList(started)
+			if seen := monotonic.Time(r.recoveredAt.Load()); seen.After(recoveredAt) {
+				recoveredAt = seen
+			}
+		}
 		if now.Sub(recoveredAt) < recoveryGracePeriod {
 			relist = true // servers that leave now are kept
 		}
--- a/internal/topology/reader_test.go
+++ b/internal/topology/reader_test.go
@@ -148,9 +148,63 @@
 	reader.SeeEra(1, restored.Add(time.Second))
 	list(restored.Add(time.Millisecond), "a")
 	assert.True(t, state.Knows("b"))
+	list(restored.Add(recoveryGracePeriod/2), "a") // without it the time between two lists would count as an outage
+	assert.True(t, state.Knows("b"))
 	list(restored.Add(recoveryGracePeriod-time.Millisecond), "a")
 	assert.True(t, state.Knows("b"))
 	list(restored.Add(recoveryGracePeriod), "a")
 	assert.False(t, state.Knows("b"))
 	assert.True(t, state.Knows("a"))
 }
+
+// Guards against servers that are removed because a peer lists a store that has just returned, and lacks those that have yet to
+// register again. This daemon may not have called the store at all.
+func TestListOfPeerAfterAnOutageRemovesServersLater(t *testing.T) {
+	for name, confirmed := range map[string]bool{"first list": false, "list behind one that is equal": true} {
+		state := NewState(func() {})
+		reader := NewReader(ReaderOptions{Store: &recoveringStore{}, State: state, Logger: slog.New(slog.DiscardHandler)})
+		start := time.Now()
+		list := func(at time.Time, ids ...string) {
+			var records []Record
+			for _, id := range ids {
+				records = append(records, Record{Key: id, Value: []byte("1")})
+			}
+			reader.ApplyServerList(records, nil, false, at, at)
+		}
+		list(start, "a", "b", "c")
+		list(start.Add(unreachableAfter), "a", "b")
+		assert.False(t, state.Knows("c"), "%s: there was no outage", name)
+		returned := start.Add(2*unreachableAfter + time.Millisecond)
+		if confirmed {
+			reader.Confirm(Servers, returned)
+		}
+		for at := returned; at.Before(returned.Add(recoveryGracePeriod)); at = at.Add(100 * time.Millisecond) {
+			list(at.Add(time.Millisecond), "a")
+			assert.True(t, state.Knows("b"), "%s: %v after the return", name, at.Sub(returned))
+		}
+		list(returned.Add(recoveryGracePeriod+10*time.Millisecond), "a")
+		assert.False(t, state.Knows("b"), name)
+		assert.True(t, state.Knows("a"), name)
+	}
+}
+
+// Guards against a daemon that stood still during an outage of the store, and then takes entries that have expired for removed.
+func TestDaemonThatStoodStillKeepsServersAfterAnOutage(t *testing.T) {
+	store := &recoveringStore{}
+	store.write("lapses", 1)
+	state := NewState(func() {})
+	reader := NewReader(ReaderOptions{
+		Store: store, State: state, ReadsStore: func() bool { return true }, ReaderCount: func() int { return 1 },
+		StateInterval: func() time.Duration { return usualStateInterval }, Logger: slog.New(slog.DiscardHandler),
+	})
+	reader.ApplyServerList([]Record{{Key: "lapses", Value: []byte("1")}}, nil, false, time.Now().Add(-5*time.Second), time.Now())
+	store.write("lapses", 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { reader.follow(ctx, Servers) })
+	defer running.Wait()
+	defer cancel()
+	require.Eventually(t, func() bool { return reader.Age(Servers, time.Now()) < time.Second }, 5*time.Second, time.Millisecond)
+	assert.True(t, state.Knows("lapses"))
+	require.Eventually(t, func() bool { return !state.Knows("lapses") }, 5*time.Second, 10*time.Millisecond, "it does not register again")
+}
