--- a/internal/claim/event.go
+++ b/internal/claim/event.go
@@ -91,6 +91,7 @@
 	Backoff           time.Duration // before the next call after a failed one
 	MaxOpenRequests   int           // open requests at once
 	MaxBatchRecords   int           // records in a batch
+	MaxBatchBytes     int           // size of the answers in a batch of several records
 	MaxBodyBytes      int64         // total size of the stored answer bodies
 }
 
@@ -104,6 +105,7 @@
 	DefaultBackoff           = 100 * time.Millisecond
 	DefaultMaxOpenRequests   = 2000
 	DefaultMaxBatchRecords   = 200
+	DefaultMaxBatchBytes     = 1 << 20
 	DefaultMaxBodyBytes      = 16 << 20
 )
 
@@ -116,6 +118,7 @@
 	setDefault(&o.Backoff, DefaultBackoff)
 	setDefault(&o.MaxOpenRequests, DefaultMaxOpenRequests)
 	setDefault(&o.MaxBatchRecords, DefaultMaxBatchRecords)
+	setDefault(&o.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 }
 
--- a/internal/claim/outbox.go
+++ b/internal/claim/outbox.go
@@ -47,7 +47,13 @@
 	if len(o.pending) == 0 || o.inFlight != nil || o.verify != verifyNone || now.Before(o.nextAppendAt) {
 		return Batch{}, false
 	}
-	n := min(len(o.pending), opts.MaxBatchRecords)
+	n, answerBytes := 0, 0
+	for n < min(len(o.pending), opts.MaxBatchRecords) {
+		if answerBytes += o.pending[n].answerBytes(); n > 0 && answerBytes > opts.MaxBatchBytes {
+			break
+		}
+		n++
+	}
 	o.inFlight = slices.Clone(o.pending[:n])
 	o.pending = slices.Clone(o.pending[n:])
 	o.nextAppendAt = now.Add(opts.MinAppendInterval)
--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -44,6 +44,18 @@
 	Outcome *Outcome // set for KindOutcome
 }
 
+// answerBytes returns the size of the answer in the record, 0 if it has none.
+func (r *Record) answerBytes() int {
+	if r.Outcome == nil {
+		return 0
+	}
+	n := len(r.Outcome.Body)
+	for _, f := range r.Outcome.Header {
+		n += len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
 // Batch holds the records that a daemon appends in one call. It is stored as one value of the log.
 type Batch struct {
 	Daemon      string
--- a/internal/controller/claims/claims.go
+++ b/internal/controller/claims/claims.go
@@ -212,14 +212,15 @@
 		c.opts.Logger.Warn("Claims expired from the log before they were read.", "offset", offset)
 		return claim.OffsetExpired{}
 	}
-	if err != nil {
+	more := errors.Is(err, logservice.ErrMoreRecords)
+	if err != nil && !more {
 		return claim.ReadFailed{}
 	}
 	batches := make([]claim.Batch, len(records))
 	for i, r := range records {
 		batches[i] = c.decode(r)
 	}
-	return claim.ReadCompleted{Batches: batches, AtEnd: len(records) < maxReadRecords}
+	return claim.ReadCompleted{Batches: batches, AtEnd: !more && len(records) < maxReadRecords}
 }
 
 func (c *Controller) decode(r logservice.Record) claim.Batch {
--- a/internal/controller/claims/claims_test.go
+++ b/internal/controller/claims/claims_test.go
@@ -198,6 +198,36 @@
 	}
 }
 
+// partLog returns few records in a read, like a log with large ones.
+type partLog struct{ logservice.Log }
+
+func (l partLog) Read(ctx context.Context, topic string, offset int64, limit int) ([]logservice.Record, error) {
+	const few = 3
+	records, err := l.Log.Read(ctx, topic, offset, limit)
+	if err == nil && len(records) > few {
+		return records[:few], logservice.ErrMoreRecords
+	}
+	return records, err
+}
+
+// Guards against a daemon that can't decide on claims for good, because the log's records are too large for one read.
+func TestClaimsInLargeRecordsAreRead(t *testing.T) {
+	_, log := startLog(t, logstore.Options{})
+	first := startDaemon(t, "d1", log)
+	requests := make([]claim.Request, 40)
+	for i := range requests {
+		requests[i] = newRequest(byte(i))
+		require.Equal(t, claim.Run, first.claim(t, requests[i]).Kind)
+		first.End(requests[i].Attempt, &claim.Outcome{Status: 200})
+	}
+	require.True(t, first.Flush(t.Context()))
+	second := startDaemon(t, "d2", partLog{log})
+	for _, request := range requests {
+		request.Attempt = claim.AttemptID(uuid.New())
+		require.Equal(t, claim.Replay, second.claim(t, request).Kind)
+	}
+}
+
 func TestMemoryLogServesIssuedKeys(t *testing.T) {
 	d := startDaemon(t, "d1", &MemoryLog{})
 	for i := range maxMemoryRecords + 100 {
--- a/internal/controller/claims/find.go
+++ b/internal/controller/claims/find.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/filbertrill/filbertrill/internal/claim"
 	"github.com/filbertrill/filbertrill/internal/logservice"
 )
@@ -55,7 +57,7 @@
 func (c *Controller) isOlder(ctx context.Context, offset int64, cutoff time.Time) (bool, error) {
 	for _, limit := range []int{1, maxReadRecords} {
 		records, err := c.opts.Log.Read(ctx, c.opts.Topic, offset, limit)
-		if err != nil {
+		if err != nil && !errors.Is(err, logservice.ErrMoreRecords) {
 			return false, err
 		}
 		for _, r := range records {
--- a/internal/controller/config/config_test.go
+++ b/internal/controller/config/config_test.go
@@ -243,6 +243,33 @@
 	requireWeight(t, isolated.startDaemon(t, "b", log), 60)
 }
 
+// partLog returns few records in a read, like a log with large ones.
+type partLog struct{ *memoryLog }
+
+func (l partLog) Read(ctx context.Context, topic string, offset int64, limit int) ([]logservice.Record, error) {
+	const few = 3
+	records, err := l.memoryLog.Read(ctx, topic, offset, limit)
+	if err == nil && len(records) > few {
+		return records[:few], logservice.ErrMoreRecords
+	}
+	return records, err
+}
+
+// Guards against a configuration that stays behind for good, because the log's records are too large for one read.
+func TestLogWithLargeRecordsIsReadToItsEnd(t *testing.T) {
+	for name, log := range map[string]*memoryLog{"whole": {}, "truncated": {maxRecords: 20}} {
+		a := (&network{controllers: map[string]*config.Controller{}}).startDaemon(t, "a", log)
+		for number := 1; number <= 60; number += 4 {
+			appendTickets(t, log, number, number+3)
+			requireWeight(t, a, float64(number+3))
+			if log.maxRecords > 0 {
+				require.Eventually(t, func() bool { return stateRecordIsRecent(log) }, waitTimeout, 10*time.Millisecond, name)
+			}
+		}
+		requireWeight(t, (&network{controllers: map[string]*config.Controller{}}).startDaemon(t, "b", partLog{log}), 60)
+	}
+}
+
 // stateRecordIsRecent reports whether there is a state record in the newer half of the log.
 // While the log is at most a quarter full, none is needed.
 func stateRecordIsRecent(log *memoryLog) bool {
--- a/internal/controller/config/reader.go
+++ b/internal/controller/config/reader.go
@@ -116,11 +116,12 @@
 	if errors.Is(err, logservice.ErrOffsetExpired) {
 		return false, c.readRetained(ctx)
 	}
-	if err != nil {
+	more := errors.Is(err, logservice.ErrMoreRecords)
+	if err != nil && !more {
 		return false, err
 	}
 	c.Apply(records)
-	if len(records) == maxReadRecords {
+	if more || len(records) == maxReadRecords {
 		return false, nil
 	}
 	c.recordLogEnd(started, next+int64(len(records)))
@@ -161,7 +162,7 @@
 	}
 	for offset := bounds.First; offset < bounds.Next; {
 		records, err := c.read(ctx, offset)
-		if err != nil {
+		if err != nil && !errors.Is(err, logservice.ErrMoreRecords) {
 			return err
 		}
 		if len(records) == 0 {
--- a/internal/controller/orders/log.go
+++ b/internal/controller/orders/log.go
@@ -21,13 +21,14 @@
 			}
 			continue
 		}
-		if err != nil {
+		more := errors.Is(err, logservice.ErrMoreRecords)
+		if err != nil && !more {
 			return err
 		}
 		for _, r := range records {
 			c.registry.Apply(r.Offset, r.Value)
 		}
-		if len(records) < maxReadRecords {
+		if !more && len(records) < maxReadRecords {
 			return nil
 		}
 	}
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -18,10 +18,12 @@
 const (
 	// maxHeadBytes limits the head.
 	maxHeadBytes = 64 << 10
-	// maxRecordsBytes limits the answer to a read of the log. 500 records may hold many state records, of 1 MB each.
-	maxRecordsBytes = 64 << 20
-	// maxValueBytes limits one record in it, or one entry of another list.
-	maxValueBytes = 4 << 20
+	// maxRecordsBytes limits what is read of the answer to a read of the log.
+	maxRecordsBytes = 32 << 20
+	// maxEntryBytes limits one record in it, or one entry of another list.
+	maxEntryBytes = 8 << 20
+	// maxStringBytes limits the value of a record in base64. It leaves room in maxEntryBytes for the other fields.
+	maxStringBytes = maxEntryBytes - 4<<10
 	// maxInstancesBytes limits the list of instances.
 	maxInstancesBytes = 4 << 20
 	// maxBodyBytes limits the answers to appends and about offsets, which hold some 50 bytes for each value.
@@ -30,6 +32,9 @@
 	maxErrorBytes = 64 << 10
 )
 
+// MaxValueBytes is the size of the largest value that Append accepts. It fits into a read of the log and into a message between daemons.
+const MaxValueBytes = 3 << 20
+
 // maxIdleConnsPerHost is the maximum number of idle connections to one service.
 const maxIdleConnsPerHost = 8
 
@@ -72,9 +77,10 @@
 }
 
 // decodeList calls decode for each entry of a response body, which must be a list of up to maxEntries, and decode decodes it. It returns
-// an error if the body has more than maxBytes or an entry more than maxValueBytes.
+// an error, that is bounded.ErrTooLong, if the body has more than maxBytes or an entry more than maxEntryBytes. Strings of more than
+// maxStringBytes are cut.
 func decodeList(body io.Reader, maxBytes, maxEntries int, decode func(d *bounded.Decoder) error) error {
-	d := bounded.NewDecoder(body, maxBytes, maxValueBytes)
+	d := bounded.NewDecoder(bounded.CutStrings(body, maxStringBytes), maxBytes, maxEntryBytes)
 	if err := d.List(maxEntries, func() error { return decode(d) }); err != nil {
 		return errors.Wrap(err, "decode response body")
 	}
--- a/internal/logservice/log.go
+++ b/internal/logservice/log.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -65,7 +66,7 @@
 }
 
 type consumedRecord struct {
-	Value     []byte `json:"value"`
+	Value     string `json:"value"` // base64
 	Partition int32  `json:"partition"`
 	Offset    *int64 `json:"offset"`
 }
@@ -87,6 +88,11 @@
 	if len(values) == 0 {
 		return nil, nil
 	}
+	for i, value := range values {
+		if len(value) > MaxValueBytes {
+			return nil, wrapSentinel(ErrNotAppended, errors.Newf("append: value %d has %d bytes, more than %d", i, len(value), MaxValueBytes))
+		}
+	}
 	body, err := json.Marshal(newProduceRequest(values))
 	if err != nil {
 		return nil, wrapSentinel(ErrNotAppended, errors.Wrap(err, "encode append"))
@@ -165,8 +171,12 @@
 	return offsets, nil
 }
 
+// unreadableValue stands for values that are too long or not in base64. No reader can decode it.
+var unreadableValue = []byte{0}
+
 // Read returns up to limit records starting at the offset, and none if the offset is Bounds.Next.
-// The error wraps ErrOffsetExpired if the offset is below Bounds.First.
+// The error wraps ErrOffsetExpired if the offset is below Bounds.First, and ErrMoreRecords if the answer was too long; the records
+// before that are returned. A value of more than some 6 MB is replaced by one that can't be decoded.
 func (l *HTTPLog) Read(ctx context.Context, topic string, offset int64, limit int) ([]Record, error) {
 	if offset < 0 || limit <= 0 {
 		return nil, errors.Newf("read: offset %d and limit %d are out of range", offset, limit)
@@ -185,14 +195,17 @@
 		records, err = parseRecords(body, offset, limit)
 		return err
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, bounded.ErrTooLong) && len(records) > 0:
+		return records, wrapSentinel(ErrMoreRecords, errors.Wrap(err, "read"))
+	case err != nil:
 		return nil, errors.Wrap(err, "read")
 	}
 	return records, nil
 }
 
 // parseRecords returns the records in the response to a read of up to limit records at the offset.
-// Their offsets must be consecutive.
+// Their offsets must be consecutive. With an error it returns the records before it.
 func parseRecords(body io.Reader, offset int64, limit int) ([]Record, error) {
 	records := []Record{}
 	err := decodeList(body, maxRecordsBytes, limit, func(d *bounded.Decoder) error {
@@ -204,13 +217,14 @@
 		if entry.Offset == nil || *entry.Offset != want || entry.Partition != 0 {
 			return errors.Newf("record %d is not offset %d of partition 0", len(records), want)
 		}
-		records = append(records, Record{Offset: want, Value: entry.Value})
+		value, err := base64.StdEncoding.DecodeString(entry.Value)
+		if err != nil {
+			value = unreadableValue
+		}
+		records = append(records, Record{Offset: want, Value: value})
 		return nil
 	})
-	if err != nil {
-		return nil, err
-	}
-	return records, nil
+	return records, err
 }
 
 // Bounds returns the range of offsets that the topic retains.
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -21,10 +21,11 @@
 type Log interface {
 	// Append adds values to the topic and returns the offset of each, in order.
 	// If the error wraps ErrNotAppended, the append had no effect; after any other error
-	// the values may be in the log.
+	// the values may be in the log. Values of more than MaxValueBytes are not appended.
 	Append(ctx context.Context, topic string, values [][]byte) ([]int64, error)
 	// Read returns up to limit records starting at the offset, and none if the offset is
-	// Bounds.Next. The error wraps ErrOffsetExpired if the offset is below Bounds.First.
+	// Bounds.Next. The error wraps ErrOffsetExpired if the offset is below Bounds.First. With an error that wraps ErrMoreRecords
+	// it returns at least one record.
 	Read(ctx context.Context, topic string, offset int64, limit int) ([]Record, error)
 	// Bounds returns the range of offsets that the topic retains.
 	Bounds(ctx context.Context, topic string) (Bounds, error)
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return 0, result.Wrap(err, result.TicketMalformed, "the ticket can't be encoded")
 	}
+	if len(record) > logservice.MaxValueBytes {
+		return 0, result.New(result.TicketMalformed, "the ticket has %d bytes, more than %d", len(record), logservice.MaxValueBytes)
+	}
 	retryUntil := time.Now().Add(appendRetryTimeout)
 	outcomeUnknown := false
 	for {
