--- a/internal/gateway/version_keeper_test.go
+++ b/internal/gateway/version_keeper_test.go
@@ -155,9 +155,9 @@
 }
 
 func newListeningGateway(t *testing.T) *Gateway {
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0") // ports that are free for UDP may be those of former TCP connections
 	require.NoError(t, err)
-	address := socket.LocalAddr().String()
+	address := socket.Addr().String()
 	require.NoError(t, socket.Close())
 	g := &Gateway{logger: slog.New(slog.DiscardHandler), settings: Settings{ID: "d", Zone: "z", ControlAddress: address}}
 	g.topology = topology.NewState(func() {})
