Don't ask peers for minutes whether a version without servers is saved

A version that has left the list and was never saved counted as one that a stream waits for, so that a daemon asked its peers every 0.1 s until it expired. Streams only wait for versions with ready servers.

TestNoStreamWaitsForVersionWithoutServers fails before and passes now.

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -234,3 +234,17 @@
 	_, complete = v.All(start.Add(MaxListAge + 1))
 	assert.False(t, complete)
 }
+
+// Guards against a daemon that asks its peers for minutes whether a version without servers is saved.
+func TestNoStreamWaitsForVersionWithoutServers(t *testing.T) {
+	v := newCompleteVersions(Use{Service: "s", Version: "v0", FirstSeen: start, LastSeen: start})
+	v.Update(servers("v1"), start)
+	services := map[string]bool{"s": true}
+	unsaved, waiting := v.Unsaved(services, start)
+	assert.Len(t, unsaved, 2)
+	assert.True(t, waiting, "v1 has to be saved")
+	v.SetSaved("s", "v1", true)
+	unsaved, waiting = v.Unsaved(services, start)
+	assert.Len(t, unsaved, 1)
+	assert.False(t, waiting)
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -255,7 +255,7 @@
 		for _, use := range all {
 			if !use.Saved {
 				uses = append(uses, *use)
-				waiting = waiting || len(all) > 1
+				waiting = waiting || len(all) > 1 && v.listed[service][use.Version]
 			}
 		}
 	}
