Take a store without any saved version for complete only once it could be written

Streams begin at the only version, which needs no saving. All daemons end, and another version replaces it.

Cause: "nothing is saved" was read as "nothing was used". A store that holds neither a version nor the era in which all were saved now counts as complete once the daemon that writes has saved the era.

--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -45,6 +45,7 @@
 	wholeEra  uint64       // in which all versions were last known to be saved; 0 if that is not known
 	loadAfter time.Time    // earliest time at which what is saved may be loaded
 	nextLoad  time.Time    // earliest time of another load by a daemon that lacks versions
+	blank     bool         // nothing was ever saved: by a new fleet, or because the store took no writes
 
 	removeAfter time.Time // earliest time of the next removal; zero if end is not known
 	end         int64     // see VersionStore.RemoveVersion
@@ -120,17 +121,19 @@
 			}
 		}
 	}
-	if writes && knowsSaved && complete && len(unsaved) == 0 && k.wholeEra != k.era && k.era == g.storeEra() {
+	if writes && knowsSaved && len(unsaved) == 0 && k.era == g.storeEra() && (k.blank || complete && k.wholeEra != k.era) {
 		if err := k.store.SaveVersionsEra(ctx, k.era); err != nil {
 			return true, errors.Wrap(err, "save the era of the versions")
 		}
-		k.wholeEra = k.era
+		k.wholeEra, k.blank = k.era, false
+		g.origins.mergeVersions(nil, true, now)
 	}
-	return !complete && !now.Before(k.nextLoad) || waiting, nil
+	return !complete && !now.Before(k.nextLoad) || waiting || writes && k.blank, nil
 }
 
 // loadVersions loads what is saved. Unless the store is known to hold all versions since it was last restored, they are not taken
-// for all that were in use. writes states that this daemon writes to the store, and so knows what stays there.
+// for all that were in use. A store without any counts as such once a daemon could write to it. writes states that this daemon
+// writes to the store, and so knows what stays there.
 func (g *Gateway) loadVersions(ctx context.Context, k *versionKeeper, writes bool) error {
 	started := time.Now()
 	wholeEra, err := k.store.VersionsEra(ctx)
@@ -166,8 +169,8 @@
 	if g.storeEra() != k.era {
 		return errors.New("the store was restored while versions were loaded")
 	}
-	k.wholeEra = wholeEra
-	whole := wholeEra == k.era || wholeEra == 0 && len(keys) == 0
+	k.wholeEra, k.blank = wholeEra, wholeEra == 0 && len(keys) == 0
+	whole := wholeEra == k.era && !k.blank
 	if !whole {
 		k.nextLoad = now.Add(reloadInterval)
 	}
