Choose the ports of the test of first lists that are free for TCP

TestFirstListIsAsOldAsThatOfThePeerItComesFrom failed in 1 of 1 runs beside 15,102 connections in TIME_WAIT, as the tests of the keeper did.

--- a/internal/gateway/first_list_test.go
+++ b/internal/gateway/first_list_test.go
@@ -25,9 +25,9 @@
 
 // newPullingGateway returns a gateway that exchanges lists of servers with its peers, and nothing else.
 func newPullingGateway(t *testing.T, id string, peers ...string) *Gateway {
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	address := socket.LocalAddr().String()
+	address := socket.Addr().String()
 	require.NoError(t, socket.Close())
 	g := &Gateway{logger: slog.New(slog.DiscardHandler), settings: Settings{ID: id, Zone: "z", ControlAddress: address}}
 	g.topology = topology.NewState(func() {})
