Keep the summary of a large zone when a daemon knows few others

What callers could see: in zones of more than 60 other daemons, a daemon that knows the load of a few others only, and takes no others for live, so that it admits and places requests as if the rest of the zone had none.

Cause: a daemon that hears nothing of its aggregator for 0.9 s asks up to eight others at once. Each of these then took itself for an aggregator of the whole zone for 2.5 s: it dropped the summaries that it received and used the states of those that had asked it, often one. And it sent a summary of these few, which the one that had asked took for the sum and the members of the zone.

Evidence: TestLargeZoneIsSummarized now prints what each daemon knows.

Change: a summary that includes less than half as many daemons as the last one, which is of another aggregator and less than 1.5 s old, is ignored. A daemon that was asked, but has states of less than half of the daemons in a summary, uses the summary, as long as one has arrived within 0.9 s.

--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -36,6 +36,8 @@
 	// maxAggregatorSilence is the time without a datagram of an aggregator that was asked for a summary after which another
 	// one is asked as well.
 	maxAggregatorSilence = 900 * time.Millisecond
+	// summaryTTL is the time for which a summary counts.
+	summaryTTL = 1500 * time.Millisecond
 	// aggregatorRetryInterval is the time after which a silent daemon is asked again, one of them at a time. It may have been
 	// paused, and finds the others only through them.
 	aggregatorRetryInterval = 2 * time.Second
@@ -194,7 +196,7 @@
 }
 
 // handleOwnZone stores a summary of this daemon's zone, and passes it on without the view of this daemon that it contains. An
-// aggregator has the views of the zone's daemons themselves and takes only the members.
+// aggregator has the views of the zone's daemons themselves and takes only the members, unless only few daemons have asked it.
 func (x *Exchange) handleOwnZone(z *pb.Zone, now time.Time) {
 	self := x.options.Self()
 	if z.Zone != self.Zone || z.Delegate.Id == self.Id {
@@ -209,6 +211,10 @@
 		x.mu.Unlock()
 		return
 	}
+	if ok && known.Delegate.Id != z.Delegate.Id && now.Sub(known.lastSeen) <= summaryTTL && includesFewer(len(z.Included), known.Zone) {
+		x.mu.Unlock()
+		return // few others have asked its sender as an aggregator
+	}
 	if ok && len(z.Members) == 0 {
 		z.Members = known.Members
 	}
@@ -230,8 +236,8 @@
 		x.fleet.sizeChanged()
 		x.fleet.membersChanged()
 	}
-	x.zones[z.Zone] = &zone{Zone: z, entries: entries, lastSeen: now}
-	aggregator := x.isAggregator(now)
+	x.zones[z.Zone] = &zone{Zone: z, entries: entries, lastSeen: now, knowsMore: includesFewer(1+x.recentZonePeers(self, now), z)}
+	direct := x.takesDirectViews(self, now)
 	view := z.View
 	for _, included := range z.Included {
 		if included.Member != memberHash(self.Id) || included.Incarnation != x.incarnation {
@@ -244,7 +250,7 @@
 		}
 	}
 	x.mu.Unlock()
-	if !aggregator {
+	if !direct {
 		x.options.OnOwnZone(z.Delegate, view, z.Included, viewAge(z))
 	}
 }
@@ -253,9 +259,26 @@
 // the summaries that it receives. The caller holds the lock.
 func (x *Exchange) takesDirectViews(self *pb.Member, now time.Time) bool {
 	own, ok := x.zones[self.Zone]
-	return !ok || now.Sub(own.lastSeen) > maxFailureTimeout || x.isAggregator(now)
+	if !ok || now.Sub(own.lastSeen) > maxFailureTimeout {
+		return true
+	}
+	return x.isAggregator(now) && (!own.knowsMore || now.Sub(own.lastSeen) > maxAggregatorSilence)
 }
 
+// recentZonePeers returns the number of other daemons of the zone whose last states count. The caller holds the lock.
+func (x *Exchange) recentZonePeers(self *pb.Member, now time.Time) (n int) {
+	for _, p := range x.peers {
+		if p.live && p.state.Member.Zone == self.Zone && now.Sub(p.lastSeen) <= summaryTTL {
+			n++
+		}
+	}
+	return n
+}
+
+// includesFewer reports whether so many daemons are less than half of those that the summary includes. A daemon that misses its
+// aggregator for a moment asks others, which then have the states of the few that do so.
+func includesFewer(daemons int, z *pb.Zone) bool { return 2*daemons < len(z.Included) }
+
 // subtractView returns a copy of the sum without the loads, usage and demand of the view that it contains. What is no sum is
 // left as it is.
 func subtractView(sum, part *pb.View) *pb.View {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -167,6 +167,7 @@
 	lastSeen   time.Time
 	placements *placementQueue // to be forwarded to a large zone
 	wasSent    bool            // to the daemons of a large zone
+	knowsMore  bool            // for the own zone: it includes far more daemons than this one received states of
 }
 
 // forwarded returns a copy of the summary to be sent on, with the age of its view now.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -104,6 +107,40 @@
 	return 0
 }
 
+// knowledge describes what each of the nodes knows. Addresses of none of the nodes are marked as foreign.
+func knowledge(nodes []*node) string {
+	own := map[string]string{}
+	for _, n := range nodes {
+		own[n.member.ControlAddress] = n.member.Id
+	}
+	var out strings.Builder
+	for _, n := range nodes {
+		fmt.Fprintf(&out, "%s: demand of the own zone %d;", n.member.Id, n.ownZoneDemand())
+		n.describe(&out, own)
+		out.WriteByte('\n')
+	}
+	return out.String()
+}
+
+func (n *node) describe(out *strings.Builder, own map[string]string) {
+	n.Exchange.mu.Lock()
+	defer n.Exchange.mu.Unlock()
+	now := time.Now()
+	fmt.Fprintf(out, " fleet %d, members %d, aggregator=%t;", n.fleetSize(), len(n.members()), n.isAggregator(now))
+	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[id]
+		fmt.Fprintf(out, " peer %s live=%t %v ago toAggregator=%t;", id, p.live, now.Sub(p.lastSeen).Round(time.Millisecond), p.state.ToAggregator)
+	}
+	for name, z := range n.zones {
+		fmt.Fprintf(out, " zone %s by %s %v ago, %d members, %d included;", name, z.Delegate.Id, now.Sub(z.lastSeen).Round(time.Millisecond), len(z.Members), len(z.Included))
+	}
+	for controlAddress, a := range n.addresses {
+		if _, ok := own[controlAddress]; !ok {
+			fmt.Fprintf(out, " foreign %s zone %q member %v;", controlAddress, a.zone, a.member.GetId())
+		}
+	}
+}
+
 func TestSmallFleetExchangesStates(t *testing.T) {
 	a, b := newNode(t, "a", "z1"), newNode(t, "b", "z2")
 	b.AddAddress(a.member.ControlAddress, "")
