Send states to the second aggregator while lost ones are asked again

What callers could see: for a minute after daemons were lost, the second aggregator of a zone of more than 60 other daemons has states that are up to 1.5 s old, so that it misses the load of others, and so does who asks it.

Cause: a lost daemon is asked again each 2 s, and counted as one of the two aggregators until it was silent for 0.9 s. With three lost ones their turns follow each other.

Lost daemons are asked in addition.

--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -132,7 +132,9 @@
 			}
 		}
 		targets = append(targets, aggregatorTarget{a, asked})
-		rank++
+		if answered || live[m.Id] { // a lost one that is asked again takes no other's turn
+			rank++
+		}
 	}
 	return targets
 }
--- a/internal/exchange/aggregate_test.go
+++ b/internal/exchange/aggregate_test.go
@@ -153,6 +153,29 @@
 	assert.EqualValues(t, 20, n.ownZoneDemand(), "nothing else counts")
 }
 
+// Guards against a second aggregator that receives no states while daemons before it that were lost are asked again.
+func TestLostAggregatorsDontTakeTheTurnOfTheSecond(t *testing.T) {
+	const lost, rounds = 3, 40
+	now := time.Now()
+	n := newLargeZoneNode(t, "a90", now.Add(-maxAggregatorSilence))
+	missed := 0
+	for round := range rounds {
+		at := now.Add(time.Duration(round) * AggregateInterval)
+		summary := ownZoneSummaryOf("a03", maxDirectZone+10, uint64(round+1))
+		summary.Members = summary.Members[lost:]
+		n.handleOwnZone(summary, at)
+		n.Exchange.mu.Lock()
+		targets := n.aggregatorTargets(n.member, at)
+		n.Exchange.mu.Unlock()
+		isSecond := func(target aggregatorTarget) bool { return target.member.Id == "a04" }
+		if !slices.ContainsFunc(targets, isSecond) {
+			missed++
+		}
+		assert.LessOrEqual(t, len(targets), aggregators+lost)
+	}
+	assert.Zero(t, missed, "of %d rounds", rounds)
+}
+
 // A daemon that starts later finds its place in a large zone, also if it knows no daemon but one that is no aggregator.
 func TestDaemonJoinsLargeZone(t *testing.T) {
 	zone, _ := startLargeZone(t)
