Count a first list as received only once its time is known

A reader stored that it had a list of servers before it stored when that was complete. Whoever looked in between saw a list of 1970, and the next look took the time since for a gap: what is saved in the store was not known any more. The daemon could say that it is ready and refuse a stream with 1105 then.

--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -341,13 +341,15 @@
 		if full && t == Servers {
 			listedAt = now
 			relist = relist && started.Before(recoveredAt.Add(recoveryGracePeriod))
-			r.serversListed.Store(true)
 		}
 		next = max(end, next)
 		if full {
 			next = end
 		}
 		r.Confirm(t, currentAsOf(t, started, len(records), full))
+		if full && t == Servers {
+			r.serversListed.Store(true) // with a time as of which the list was complete
+		}
 		if t == Servers {
 			pause := serverReadInterval - time.Since(started)
 			if relist {
