--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -45,7 +45,6 @@
 	wholeEra  uint64       // in which all versions were last known to be saved; 0 if that is not known
 	loadAfter time.Time    // earliest time at which what is saved may be loaded
 	nextLoad  time.Time    // earliest time of another load by a daemon that lacks versions
-	blank     bool         // nothing was ever saved: by a new fleet, or because the store took no writes
 
 	removeAfter time.Time // earliest time of the next removal; zero if end is not known
 	end         int64     // see VersionStore.RemoveVersion
@@ -121,19 +120,17 @@
 			}
 		}
 	}
-	if writes && knowsSaved && len(unsaved) == 0 && k.era == g.storeEra() && (k.blank || complete && k.wholeEra != k.era) {
-		if err := k.store.SaveVersionsEra(ctx, k.era); err != nil {
-			return true, errors.Wrap(err, "save the era of the versions")
+	if writes && knowsSaved && complete && len(unsaved) == 0 && k.era == g.storeEra() && k.wholeEra != k.era {
+		if err := g.saveVersionsEra(ctx, k); err != nil {
+			return true, err
 		}
-		k.wholeEra, k.blank = k.era, false
-		g.origins.mergeVersions(nil, true, now)
 	}
-	return !complete && !now.Before(k.nextLoad) || waiting || writes && k.blank, nil
+	return !complete && !now.Before(k.nextLoad) || waiting, nil
 }
 
 // loadVersions loads what is saved. Unless the store is known to hold all versions since it was last restored, they are not taken
-// for all that were in use. A store without any counts as such once a daemon could write to it. writes states that this daemon
-// writes to the store, and so knows what stays there.
+// for all that were in use. A store without any is so once the daemon that writes could write to it. writes states that this daemon
+// does, and so knows what stays there.
 func (g *Gateway) loadVersions(ctx context.Context, k *versionKeeper, writes bool) error {
 	started := time.Now()
 	wholeEra, err := k.store.VersionsEra(ctx)
@@ -145,7 +142,8 @@
 	if err != nil {
 		return err
 	}
-	if writes && len(keys) > 0 { // a removal without an answer may be executed later, unless something was written since
+	takesOver := writes && k.saved == nil
+	if takesOver && len(keys) > 0 { // a removal without an answer may be executed later, unless something was written since
 		if err := k.store.SaveVersion(ctx, keys[0]); err != nil {
 			return errors.Wrap(err, "write before versions are loaded")
 		}
@@ -169,13 +167,20 @@
 	if g.storeEra() != k.era {
 		return errors.New("the store was restored while versions were loaded")
 	}
-	k.wholeEra, k.blank = wholeEra, wholeEra == 0 && len(keys) == 0
-	whole := wholeEra == k.era && !k.blank
+	k.wholeEra = wholeEra
+	whole := wholeEra == k.era
+	if blank := wholeEra == 0 && len(keys) == 0; blank { // a new one, or one that took no writes
+		if whole = takesOver; whole { // before anything is saved, so that those who load it trust it
+			if err := g.saveVersionsEra(ctx, k); err != nil {
+				return err
+			}
+		}
+	}
 	if !whole {
 		k.nextLoad = now.Add(reloadInterval)
 	}
 	g.origins.mergeVersions(uses, whole, now)
-	if writes {
+	if takesOver {
 		k.saved, k.removeAfter = saved, time.Time{}
 		g.origins.setAllSaved(saved)
 	}
@@ -183,6 +188,15 @@
 	return nil
 }
 
+// saveVersionsEra saves that the store holds all versions.
+func (g *Gateway) saveVersionsEra(ctx context.Context, k *versionKeeper) error {
+	if err := k.store.SaveVersionsEra(ctx, k.era); err != nil {
+		return errors.Wrap(err, "save the era of the versions")
+	}
+	k.wholeEra = k.era
+	return nil
+}
+
 // saveVersions saves versions.
 func (g *Gateway) saveVersions(ctx context.Context, k *versionKeeper, unsaved []origin.Use, now time.Time) error {
 	writes := 0
