--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -12,7 +12,8 @@
 
 // Engines queries the prefix caches of engines.
 type Engines interface {
-	// CachedParts returns the prompt parts in the prefix cache of the engine at the address.
+	// CachedParts returns the prompt parts in the prefix cache of the engine at the address. With an error, it may return some
+	// of them.
 	CachedParts(ctx context.Context, address string) ([]placement.Part, error)
 }
 
@@ -144,7 +145,9 @@
 	defer cancel()
 	parts, err := g.platform.Engines.CachedParts(ctx, s.Address)
 	if err != nil {
-		g.logger.Warn("Could not load cached prefix parts.", "server", s.ID, "error", err)
+		g.logger.Warn("Could not load cached prefix parts.", "server", s.ID, "loaded", len(parts), "error", err)
+	}
+	if len(parts) == 0 {
 		return
 	}
 	cached := make([]placement.CachedPart, 0, len(parts))
