--- a/internal/forward/answer_memory.go
+++ b/internal/forward/answer_memory.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"io"
 	"sync/atomic"
 
@@ -10,32 +11,48 @@
 const (
 	// answerBufferBytes is the size of the buffer with which an answer begins. It is doubled for longer ones.
 	answerBufferBytes = 4 << 10
-	// maxAnswerMemory bounds the buffers of all answers beyond their first size. The process may need four times as
-	// much: a buffer is copied when it is doubled, and the garbage collector lets the heap double.
-	maxAnswerMemory = 8 << 20
+	// defaultAnswerMemory bounds the buffers of all answers beyond their first size, and their heads, of a daemon without a
+	// memory limit. The process may need four times as much: a buffer is copied when it is doubled, and the garbage collector
+	// lets the heap double.
+	defaultAnswerMemory = 8 << 20
+	// smallAnswerBytes is the size up to which a buffer may use all of the memory.
+	smallAnswerBytes = 64 << 10
+	// largeAnswerShare is the share of the memory up to which larger buffers and heads are given some.
+	largeAnswerShare = 0.75
 )
 
 // errAnswerMemory ends attempts for which no memory is left.
 var errAnswerMemory = errors.New("buffered answers have reached their limit of memory")
 
-// answerMemory is the memory that is in use for answers of servers.
-type answerMemory struct{ used atomic.Int64 }
+// answerMemory is the memory that is in use for answers of servers. Its methods are safe for concurrent use.
+type answerMemory struct {
+	limit int64 // 0 for defaultAnswerMemory
+	used  atomic.Int64
+}
 
-// reserve takes n bytes. It returns errAnswerMemory if they are not available; nothing is taken then.
-func (m *answerMemory) reserve(n int) error {
-	if m.used.Add(int64(n)) > maxAnswerMemory {
+// reserve takes n bytes for an answer of up to so many bytes in all. It returns errAnswerMemory if they are not available; nothing
+// is taken then.
+func (m *answerMemory) reserve(n, all int) error {
+	limit := cmp.Or(m.limit, defaultAnswerMemory)
+	if all > smallAnswerBytes {
+		limit = int64(largeAnswerShare * float64(limit))
+	}
+	if m.used.Add(int64(n)) > limit {
 		m.release(n)
 		return errAnswerMemory
 	}
 	return nil
 }
 
+// reserveHead takes n bytes for the head of an answer like reserve does for a large answer.
+func (m *answerMemory) reserveHead(n int) error { return m.reserve(n, smallAnswerBytes+1) }
+
 func (m *answerMemory) release(n int) { m.used.Add(-int64(n)) }
 
 // grow returns a copy of the full buffer with twice its capacity. The buffer begins with answerBufferBytes; what it has
 // beyond is released with releaseBuffer.
 func (m *answerMemory) grow(buffer []byte) ([]byte, error) {
-	if err := m.reserve(cap(buffer)); err != nil {
+	if err := m.reserve(cap(buffer), 2*cap(buffer)); err != nil {
 		return buffer, err
 	}
 	grown := make([]byte, len(buffer), 2*cap(buffer))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -91,6 +91,7 @@
 func (h *Handler) sendWithRetries(ctx context.Context, c *call) error {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	defer h.releaseFailure(c)
 	tried := make(map[string]bool, 2)
 	sentAttempts, unsentAttempts := 0, 0
 	for {
@@ -218,7 +219,14 @@
 	}
 	sentBefore, receivedBefore := conn.Traffic()
 	w := newWatchdog(ctx, conn, c)
+	conn.ReserveHeads(h.answerMemory.reserveHead)
+	earlierFailure := c.serverFailure
 	progress, err := h.roundTrip(c, choice, conn, a, w, record)
+	if headMemory := conn.ReleaseHeads(); c.serverFailure != earlierFailure {
+		c.serverFailure.memory += headMemory
+	} else {
+		h.answerMemory.release(headMemory)
+	}
 	sent, received := conn.Traffic()
 	record.sentBytes, record.receivedBytes = sent-sentBefore, received-receivedBefore
 	h.countZoneTraffic(c, choice, record)
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +205,72 @@
 		_, err = io.WriteString(w, text)
 	}
 }
+
+// Guards against answers with a server error that are kept while another server is tried, but don't count as memory of answers.
+func TestFailedAnswerCountsWhileAnotherServerIsTried(t *testing.T) {
+	const bodyBytes = 900 << 10
+	body := strings.Repeat("x", bodyBytes)
+	tried, end := make(chan struct{}), make(chan struct{})
+	var attempts atomic.Int64
+	gateway := startGateway(t, routing.Route{Kind: routing.Idempotent}, func(_ net.Listener, conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		if attempts.Add(1) == 1 {
+			fmt.Fprintf(conn, "HTTP/1.1 500 No\r\nId: id\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			return
+		}
+		close(tried)
+		<-end
+	})
+	h := gateway.Config.Handler.(*Handler)
+	status := make(chan int)
+	go func() {
+		got, _ := statusOf(t, gateway.URL)
+		status <- got
+	}()
+	<-tried
+	assert.Greater(t, h.answerMemory.used.Load(), int64(bodyBytes), "while the second server is tried")
+	close(end)
+	assert.Equal(t, http.StatusInternalServerError, <-status, "the answer of the first server")
+	require.Eventually(t, func() bool { return h.ActiveRequests() == 0 }, time.Second, time.Millisecond)
+	assert.Zero(t, h.answerMemory.used.Load(), "after the request")
+}
+
+// Guards against heads that are large once decoded, of many answers in progress at a time, and against memory that is not given back.
+func TestHeadsOfAnswersInProgressAreBoundedTogether(t *testing.T) {
+	const callers = 100
+	var fields strings.Builder
+	for i := 0; fields.Len() < 15<<10; i++ {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	for name, rest := range map[string]string{"events": "\r\nid: 1\ndata: x\n\n", "no end of the head": ""} {
+		end := make(chan struct{})
+		h := newBusyHandler(t)
+		h.Protocol = idProtocol{}
+		address := serveRaw(t, func(w io.Writer) {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nId: id\r\nContent-Type: text/event-stream\r\n"+fields.String()+rest)
+			<-end
+		})
+		h.Scheduler.SetServers([]routing.Server{{ID: "s", Address: address, Service: "llm", Zone: "a", Slots: callers, State: routing.Ready}}, nil)
+		var clients sync.WaitGroup
+		for range callers {
+			clients.Go(func() {
+				defer func() { _ = recover() }() // of http.ErrAbortHandler
+				h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://h/", nil))
+			})
+		}
+		most := int64(0)
+		for range 30 {
+			time.Sleep(10 * time.Millisecond)
+			most = max(most, h.answerMemory.used.Load())
+		}
+		close(end)
+		clients.Wait()
+		t.Logf("%s: %d KB reserved", name, most>>10)
+		assert.Positive(t, most, name)
+		assert.LessOrEqual(t, most, int64(defaultAnswerMemory), name)
+		assert.Zero(t, h.answerMemory.used.Load(), name)
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -37,6 +37,7 @@
 	ConnectionPressure func() bool // callers hold so many connections that refusals should close theirs
 	Overloaded         func() bool // the process gets too little processor time
 	BodyMemory         int64       // bytes for the bodies of requests in progress; 0 for a default
+	AnswerMemory       int64       // bytes for answers in progress, beyond a few KiB of each; 0 for a default
 	Metrics            *telemetry.Metrics
 	Logger             *slog.Logger
 }
@@ -60,6 +61,7 @@
 func NewHandler(o Options) *Handler {
 	h := &Handler{Options: o, started: time.Now()}
 	h.bodyMemory.limit = cmp.Or(o.BodyMemory, defaultBodyMemory)
+	h.answerMemory.limit = o.AnswerMemory
 	h.chain = chain.Link[*call](chain.HandlerFunc[*call](h.sendWithRetries),
 		h.record,
 		h.refuseWhenStopping,
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -52,7 +52,12 @@
 // stored in the call instead if the request may be retried.
 func (h *Handler) relayBuffered(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt) (attemptProgress, error) {
 	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
-	defer h.answerMemory.releaseBuffer(body)
+	kept := false
+	defer func() {
+		if !kept {
+			h.answerMemory.releaseBuffer(body)
+		}
+	}()
 	if err == nil {
 		err = h.confirmEnd(c, conn, response)
 	}
@@ -62,7 +67,9 @@
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
 	if failed && mayRetry(c, maybeRun, len(c.attempts)+1) {
-		c.serverFailure = &failedAnswer{response, body}
+		h.releaseFailure(c)
+		c.serverFailure = &failedAnswer{response: response, body: body, memory: cap(body) - answerBufferBytes}
+		kept = true
 		return maybeRun, errors.Newf("server failed with status %d", response.StatusCode)
 	}
 	if c.answerStarted {
@@ -79,6 +86,15 @@
 type failedAnswer struct {
 	response *http.Response // with its body already read
 	body     []byte
+	memory   int // reserved for both
+}
+
+// releaseFailure drops the stored answer with a server error, if there is one.
+func (h *Handler) releaseFailure(c *call) {
+	if c.serverFailure != nil {
+		h.answerMemory.release(c.serverFailure.memory)
+		c.serverFailure = nil
+	}
 }
 
 // writeAnswer writes a complete answer to the caller.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,9 @@
 	bodyMemoryShare = 0.16
 	// maxBodyMemory bounds it.
 	maxBodyMemory = 48 << 20
+	// answerMemoryShare is the fraction of the memory limit for answers of servers in progress, beyond what
+	// connectionMemoryShare allows for.
+	answerMemoryShare = 0.06
 	// headerTimeout bounds the time to read a request's head.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is longer than any caller keeps an idle connection open, so that the callers
@@ -165,6 +168,7 @@
 		ConnectionPressure: g.connLimiter.nearLimit,
 		Overloaded:         g.overload.overloaded.Load,
 		BodyMemory:         min(int64(bodyMemoryShare*float64(s.MemoryLimitBytes)), maxBodyMemory),
+		AnswerMemory:       int64(answerMemoryShare * float64(s.MemoryLimitBytes)),
 		Metrics:            metrics,
 		Logger:             logging.For(logging.Entry),
 	})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,7 +41,8 @@
 type Conn struct {
 	net.Conn
 	endpoint      Endpoint
-	limited       *io.LimitedReader // of the connection, limits heads
+	heads         headReader        // of the connection
+	limited       *io.LimitedReader // of heads, limits them
 	reader        *bufio.Reader     // of limited
 	rawConn       syscall.RawConn
 	sentBytes     int64
@@ -70,7 +71,8 @@
 		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
 	c := &Conn{Conn: netConn, received: countingReader{reader: netConn}, rawConn: rawConn}
-	c.limited = &io.LimitedReader{R: &c.received, N: math.MaxInt64}
+	c.heads.reader = &c.received
+	c.limited = &io.LimitedReader{R: &c.heads, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
 	return c, nil
 }
@@ -143,6 +145,7 @@
 	response, err := c.receiveFinal(method)
 	tooLong := c.limited.N <= 0
 	c.limited.N = math.MaxInt64
+	c.heads.inHead = false
 	if err != nil {
 		c.reuseDisabled = true
 		if tooLong { // the error is the end of the limited reader
@@ -161,6 +164,10 @@
 // 101 (Switching Protocols) is an error.
 func (c *Conn) receiveFinal(method string) (*http.Response, error) {
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // as many can be peeked
+		if err := c.heads.begin(buffered); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -70,3 +70,49 @@
 	require.NoError(t, err)
 	assert.Equal(t, "right", string(body))
 }
+
+// Guards against heads of usual size, or bodies, for which memory is reserved, and against large ones for which none is.
+func TestOnlyLargeHeadsReserveMemory(t *testing.T) {
+	events := strings.Repeat("id: 1\ndata: x\n\n", 1000)
+	usual := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Usual-Field: with a value of some length\r\n", 20) + "\r\n"
+	interim := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("a:\r\n", 20) + "\r\n"
+	for name, c := range map[string]struct {
+		answer   string
+		reserves bool
+	}{
+		"usual":        {usual + events, false},
+		"interim":      {interim + usual + events, true},
+		"no fields":    {"HTTP/1.1 200 OK\n\n" + events, false},
+		"short fields": {headOf(15<<10) + events, true},
+		"long line":    {"HTTP/1.1 200 OK\r\na: " + strings.Repeat("x", 14<<10) + "\r\n\r\n" + events, true},
+	} {
+		address := serveRaw(t, func(conn net.Conn) {
+			defer conn.Close()
+			_, _ = io.WriteString(conn, c.answer)
+		})
+		for _, refused := range []bool{false, true} {
+			conn, err := NewPool().Get(context.Background(), Endpoint{Address: address}, 0)
+			require.NoError(t, err)
+			reserved := 0
+			conn.ReserveHeads(func(bytes int) error {
+				if refused {
+					return io.ErrNoProgress
+				}
+				reserved += bytes
+				return nil
+			})
+			response, err := conn.Receive(http.MethodGet)
+			if refused && c.reserves {
+				assert.ErrorIs(t, err, io.ErrNoProgress, name)
+			} else if assert.NoError(t, err, name) {
+				body, err := io.ReadAll(response.Body)
+				assert.NoError(t, err, name)
+				assert.NotEmpty(t, body, name)
+				assert.True(t, strings.HasPrefix(events, string(body)), name)
+			}
+			assert.Equal(t, reserved, conn.ReleaseHeads(), name)
+			assert.Equal(t, c.reserves && !refused, reserved > 0, name)
+			_ = conn.Close()
+		}
+	}
+}
