--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -174,6 +174,34 @@
 	assert.Zero(t, memory.used.Load())
 }
 
+// Guards against large answers in progress that leave no memory for usual ones.
+func TestLargeAnswersLeaveMemoryForUsualOnes(t *testing.T) {
+	const large, usual, usualBytes = 60, 20, 60_000
+	var memory answerMemory
+	var held [][]byte
+	for range large {
+		buffer, err := memory.readAll(endlessReader{}, maxBufferedAnswerBytes)
+		require.Error(t, err, "an answer without end")
+		if errors.Is(err, errAnswerMemory) {
+			memory.releaseBuffer(buffer) // it is given up
+			continue
+		}
+		held = append(held, buffer)
+	}
+	require.NotEmpty(t, held)
+	require.Less(t, len(held), large)
+	require.ErrorIs(t, memory.reserveHead(1<<20), errAnswerMemory)
+	for range usual {
+		buffer, err := memory.readAll(io.LimitReader(endlessReader{}, usualBytes), maxBufferedAnswerBytes)
+		require.NoError(t, err)
+		held = append(held, buffer)
+	}
+	for _, buffer := range held {
+		memory.releaseBuffer(buffer)
+	}
+	assert.Zero(t, memory.used.Load())
+}
+
 // callEndless sends requests of many callers at once to a server that answers with write. It returns what
 // peaks does, and the time until all have ended.
 func callEndless(t *testing.T, write func(w io.Writer)) (heap uint64, buffers int64, took time.Duration) {
