Divide the fleet's limits among all daemons that may be there

Callers and servers could see more repeats than the fleet may send, and more requests than a server's limit allows: after a start of the fleet, and for good once parts of it had lost each other for a minute.

Cause: FleetSize counts the daemons that are known, and a daemon took those for the fleet. One that starts knows its seeds only. One that hears nothing for a minute forgot the others, also when it had been frozen, and took silence for proof that they had ended. As the addresses were forgotten too, parts did not find each other again when they could. Daemons of other zones that were known by their zone only were forgotten with it, after seconds. A daemon of a zone with more than 60 others counted itself twice.

Change: Exchange.Shares is what retry slack, connection limits and limits of servers are divided by. A daemon that has just started uses next to nothing of them until its fleet has not grown for 3 s and a peer is live or the registry has been read; one to which the settings name no other counts itself alone. A silent daemon counts until it was silent for 60 s and had said that it would leave, or over three fifths of the known ones are in touch, or ten minutes have passed; its address is kept as long. The estimate of an account's demand by the fair shares still uses FleetSize.

--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -231,7 +231,8 @@
 	}
 	for _, m := range z.Members {
 		if a := x.addAddress(m.ControlAddress, m.Zone); a != nil {
-			a.lastSeen, a.member = now, m
+			a.lastSeen = now
+			a.list(m)
 		}
 	}
 	if !ok || !slices.EqualFunc(known.Members, z.Members, sameMember) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -51,8 +51,16 @@
 	minFailureTimeout = 1200 * time.Millisecond
 	maxFailureTimeout = 2500 * time.Millisecond
 	// expiryTimeout is the time without a datagram after which a peer and its address are
-	// removed.
+	// removed. See expireAddresses for an address.
 	expiryTimeout = 60 * time.Second
+	// silentTimeout is the time without a datagram or summary after which a daemon doesn't count among those that are
+	// in touch with this one.
+	silentTimeout = 10 * time.Second
+	// lostTimeout is the time without a datagram after which the address of a daemon is removed in any case.
+	lostTimeout = 10 * time.Minute
+	// settleTime is the time since the start, and since an address was added, after which a daemon that has just started
+	// counts its fleet. Lists of members arrive within memberListInterval of the first datagram.
+	settleTime = 3 * time.Second
 	// maxConcurrentPulls bounds the pulls of records that a daemon answers at a time. Each answer may hold the whole list
 	// of servers in memory.
 	maxConcurrentPulls = 4
@@ -133,6 +141,9 @@
 	summarized     []*pb.Member     // the last members in summaries
 	lastCrossZone  time.Time        // last state that was sent to other zones
 	lastExpire     time.Time        // last call of expire
+	grewAt         time.Time        // when the last address was added, or the start
+	settled        bool             // see Shares
+	registryRead   bool             // see SetRegistryRead
 	peers          map[string]*peer // by ID
 	zones          map[string]*zone // other zones, by name
 	addresses      map[string]*address
@@ -190,6 +201,8 @@
 	listedAt time.Time // when it was last sent the list of members because it had asked
 
 	member  *pb.Member // as last listed; nil if unknown
+	served  bool       // the member has been ready
+	leaving bool       // the member drains after it has been ready
 	askedAt time.Time  // when the daemon was last known to answer as an aggregator, or asked for the first time since
 	heardAt time.Time  // last datagram of the daemon itself
 }
@@ -219,6 +232,7 @@
 		peers:       make(map[string]*peer),
 		zones:       make(map[string]*zone),
 		addresses:   make(map[string]*address),
+		grewAt:      time.Now(),
 	}, nil
 }
 
@@ -248,6 +262,7 @@
 	}
 	a := &address{udp: net.UDPAddrFromAddrPort(parsed), zone: zone, lastSeen: time.Now()}
 	x.addresses[controlAddress] = a
+	x.grewAt = a.lastSeen
 	x.fleet.sizeChanged()
 	return a
 }
@@ -301,6 +316,9 @@
 		for _, z := range x.zones {
 			z.lastSeen = z.lastSeen.Add(stall)
 		}
+		for _, a := range x.addresses {
+			a.lastSeen = a.lastSeen.Add(stall)
+		}
 	}
 	x.lastExpire = now
 	for id, p := range x.peers {
@@ -322,10 +340,6 @@
 			x.options.Logger.Warn("Zone timed out.", "zone", name, "silent", silence)
 		}
 	}
-	for controlAddress, a := range x.addresses {
-		if now.Sub(a.lastSeen) > expiryTimeout {
-			delete(x.addresses, controlAddress)
-			x.fleet.sizeChanged()
-		}
-	}
+	x.expireAddresses(now)
+	x.settle(now)
 }
--- a/internal/exchange/members.go
+++ b/internal/exchange/members.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"time"
+
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
@@ -26,8 +28,8 @@
 	return x.members()
 }
 
-// FleetSize returns the number of daemons in the fleet, including this one and failed ones that have
-// not expired.
+// FleetSize returns the number of known daemons in the fleet, including this one and failed ones that
+// have not expired.
 func (x *Exchange) FleetSize() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -48,10 +50,76 @@
 			controlAddresses[m.ControlAddress] = true
 		}
 	}
+	delete(controlAddresses, x.options.ControlAddress) // a summary of the own zone lists this daemon
 	x.fleet.size = len(controlAddresses) + 1
 	return x.fleet.size
 }
 
+// Shares returns the number of daemons among which what the fleet may use together is divided. It is FleetSize, except for a
+// daemon that has just started and doesn't know the size of its fleet yet: that one may use next to nothing. A daemon to which
+// the settings name no other is alone until another one makes itself known.
+func (x *Exchange) Shares() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.settled || len(x.addresses) == 0 {
+		return x.fleetSize()
+	}
+	return max(x.fleetSize(), maxAddresses)
+}
+
+// SetRegistryRead records that the addresses of registered daemons have been added, as far as there are any. A daemon without
+// peers doesn't know before how large its fleet is.
+func (x *Exchange) SetRegistryRead() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.registryRead = true
+}
+
+// settle determines whether this daemon knows the size of its fleet. The caller holds the lock.
+func (x *Exchange) settle(now time.Time) {
+	if x.settled || now.Sub(x.grewAt) < settleTime {
+		return
+	}
+	x.settled = x.registryRead || len(x.addresses) == 0 || len(x.members()) > 0
+	if x.settled {
+		x.options.Logger.Info("Size of the fleet known.", "daemons", x.fleetSize())
+	}
+}
+
+// expireAddresses removes the addresses of daemons that have been silent for too long. Silence doesn't prove that a daemon has
+// ended: it may be cut off, and go on with its share of what the fleet may use together. So after expiryTimeout daemons remove
+// those that have said before that they would leave, and others only while over three fifths of the fleet are in touch: the
+// shares that are counted twice are then less than the margin that retry.Window leaves. After lostTimeout all are removed. The
+// caller holds the lock.
+func (x *Exchange) expireAddresses(now time.Time) {
+	known, inTouch := 1, 1
+	for _, a := range x.addresses {
+		if now.Sub(a.lastSeen) <= silentTimeout {
+			known, inTouch = known+1, inTouch+1
+		} else if !a.leaving {
+			known++
+		}
+	}
+	mostInTouch := 5*inTouch > 3*known
+	for controlAddress, a := range x.addresses {
+		silence := now.Sub(a.lastSeen)
+		if silence > lostTimeout || (silence > expiryTimeout && (mostInTouch || a.leaving)) {
+			delete(x.addresses, controlAddress)
+			x.fleet.sizeChanged()
+		}
+	}
+}
+
+// list records the member as last listed at the address.
+func (a *address) list(m *pb.Member) {
+	if a.member == nil || a.member.Id != m.Id {
+		a.served = false
+	}
+	a.served = a.served || !m.Draining
+	a.leaving = a.served && m.Draining
+	a.member = m
+}
+
 // members implements Members. The caller holds the lock.
 func (x *Exchange) members() []*pb.Member {
 	if x.fleet.members != nil {
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -105,11 +105,12 @@
 	}
 	for _, m := range s.Members {
 		if a := x.addAddress(m.ControlAddress, m.Zone); a != nil {
-			a.member = m
+			a.list(m)
 		}
 	}
 	if a := x.addAddress(s.Member.ControlAddress, s.Member.Zone); a != nil {
-		a.lastSeen, a.heardAt, a.member = now, now, s.Member
+		a.lastSeen, a.heardAt = now, now
+		a.list(s.Member)
 	}
 	isToAggregator := s.ToAggregator && s.Member.Zone == x.options.Self().Zone
 	if isToAggregator {
@@ -195,8 +196,9 @@
 	// The other daemons of that zone don't send datagrams to this one, so the zone summary
 	// keeps their addresses from expiring.
 	for _, m := range z.Members {
-		if known, ok := x.addresses[m.ControlAddress]; ok {
-			known.lastSeen = now
+		if a := x.addAddress(m.ControlAddress, m.Zone); a != nil {
+			a.lastSeen = now
+			a.list(m)
 		}
 	}
 	return !x.isMesh()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -207,7 +207,7 @@
 func (h *Handler) sendOnPooledConn(ctx context.Context, c *call, choice placement.Choice, a *placement.Attempt, record *attemptRecord) (attemptProgress, error) {
 	server := choice.Server
 	endpoint := upstream.Endpoint{Address: server.Address, ID: server.ID, Incarnation: server.Incarnation}
-	maxConns := upstream.ConnectionLimit(c.service.MaxConnections, h.Scheduler.Daemons(), record.runningRequests)
+	maxConns := upstream.ConnectionLimit(c.service.MaxConnections, h.Scheduler.Shares(), record.runningRequests)
 	conn, err := h.Pool.Get(ctx, endpoint, maxConns)
 	if err != nil {
 		return notSent, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,7 @@
 		FairWindow:  s.FairWindow,
 		RetryBudget: retry.WindowOptions{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Daemons:     func() int { return g.exchange.FleetSize() },
+		Shares:      func() int { return g.exchange.Shares() },
 		MayTry:      g.mayTry,
 	})
 	g.origins = newStreamOrigins(originOptions{
--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -49,6 +49,7 @@
 	registry Registry
 	zone     string
 	addPeer  func(address string)
+	onRead   func() // called when the registered addresses have been read and added
 	logger   *slog.Logger
 
 	era          uint64    // highest era of the store that a daemon of the fleet knows
@@ -99,6 +100,7 @@
 		registry: g.platform.Registry,
 		zone:     g.settings.Zone,
 		addPeer:  func(address string) { g.exchange.AddAddress(address, "") },
+		onRead:   g.exchange.SetRegistryRead,
 		logger:   g.logger,
 	}
 	for {
@@ -134,11 +136,13 @@
 	if err != nil {
 		r.logger.Warn("Registered addresses could not be read.", "read", len(addresses), "error", err)
 	}
-	if len(addresses) == 0 {
-		return
+	if len(addresses) > 0 {
+		r.logger.Info("Registered addresses read, no peers known.", "control", addresses)
 	}
-	r.logger.Info("Registered addresses read, no peers known.", "control", addresses)
 	for _, address := range addresses {
 		r.addPeer(address)
 	}
+	if err == nil || len(addresses) > 0 { // records that can't be read name no daemon
+		r.onRead()
+	}
 }
--- a/internal/gateway/registrar_test.go
+++ b/internal/gateway/registrar_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
@@ -53,3 +56,39 @@
 	_, read := r.plan(self, []*pb.Member{{Id: "b1", Zone: "b"}}, start.Add(6*time.Minute))
 	assert.False(t, read)
 }
+
+type fakeRegistry struct {
+	addresses []string
+	err       error
+}
+
+func (f fakeRegistry) Register(context.Context, string, []string) error { return f.err }
+func (f fakeRegistry) Registered(context.Context) ([]string, error)     { return f.addresses, f.err }
+func (f fakeRegistry) Era() uint64                                      { return 0 }
+
+// Guards against a daemon that takes itself for alone because the store does not answer.
+func TestRegistrarReportsOnlyWhatItHasRead(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		registry fakeRegistry
+		reported bool
+	}{
+		{"addresses", fakeRegistry{[]string{"a"}, nil}, true},
+		{"none registered", fakeRegistry{nil, nil}, true},
+		{"one record is malformed", fakeRegistry{[]string{"a"}, errors.New("malformed")}, true},
+		{"no answer", fakeRegistry{nil, errors.New("no answer")}, false},
+	} {
+		var added []string
+		reported := false
+		r := registrar{
+			registry: test.registry, logger: slog.New(slog.DiscardHandler),
+			addPeer: func(address string) { added = append(added, address) },
+			onRead: func() {
+				reported = true
+				assert.Equal(t, test.registry.addresses, added, "%s: reported after they were added", test.name)
+			},
+		}
+		r.execute(t.Context(), nil, true, time.Now())
+		assert.Equal(t, test.reported, reported, test.name)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -82,7 +82,10 @@
 	Zone        string
 	FairWindow  time.Duration
 	RetryBudget retry.WindowOptions
-	Daemons     func() int // returns the size of the fleet, unreachable daemons included
+	Daemons     func() int // returns the known size of the fleet, unreachable daemons included
+	// Shares returns the number of daemons among which limits on the whole fleet are divided, see exchange.Exchange.Shares. If
+	// it is nil, Daemons is called.
+	Shares func() int
 	// MayTry reports whether this daemon is one of those that make the trials of a suspect, see quarantine.New. If it is
 	// nil, it is.
 	MayTry func(suspect uint64, triers int) bool
@@ -93,12 +96,15 @@
 	if options.MayTry == nil {
 		options.MayTry = func(uint64, int) bool { return true }
 	}
+	if options.Shares == nil {
+		options.Shares = options.Daemons
+	}
 	s := &Scheduler{
 		balancer:     placement.NewBalancer(options.Zone),
 		shares:       admission.NewShares(options.FairWindow),
 		retryBudgets: make(map[string]*retry.Window),
 		quarantine:   quarantine.New(options.MayTry),
-		limiter:      serverlimit.New(serverlimit.Options{ID: options.ID, Zone: options.Zone, Daemons: options.Daemons}),
+		limiter:      serverlimit.New(serverlimit.Options{ID: options.ID, Zone: options.Zone, Daemons: options.Shares}),
 		notices:      notice.NewRegistry(),
 		options:      options,
 	}
@@ -352,7 +358,7 @@
 	if !ok {
 		return choice, false, false
 	}
-	if !free && !s.retryBudget(r.Service).Take(now, s.options.Daemons()) {
+	if !free && !s.retryBudget(r.Service).Take(now, s.options.Shares()) {
 		return choice, true, false
 	}
 	s.limiter.Take(placement.ServerIdentity(choice.Server))
@@ -376,8 +382,8 @@
 	return choice, true
 }
 
-// Daemons returns the size of the fleet, unreachable daemons included.
-func (s *Scheduler) Daemons() int { return s.options.Daemons() }
+// Shares returns the number of daemons among which limits on the whole fleet are divided.
+func (s *Scheduler) Shares() int { return s.options.Shares() }
 
 // Start records that the request is sent to the chosen server.
 func (s *Scheduler) Start(r Request, choice placement.Choice, now time.Time) *placement.Attempt {
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -35,7 +35,7 @@
 type Options struct {
 	ID      string     // of this daemon
 	Zone    string     // of this daemon
-	Daemons func() int // returns the size of the fleet, unreachable daemons included
+	Daemons func() int // returns the size of the fleet, unreachable daemons included, and more while it is not known
 }
 
 // Server is a backend server, identified by a hash of its ID and incarnation.
