--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -32,7 +32,7 @@
 func (h *Handler) chooseServer(c *call) error {
 	c.decidedAt = time.Now()
 	decision := h.Scheduler.Decide(h.schedulerRequest(c), c.decidedAt)
-	c.choice, c.trial = decision.Choice, decision.Trial
+	c.choice, c.trial, c.chosenAt = decision.Choice, decision.Trial, c.decidedAt
 	if decision.Quarantined != nil {
 		return quarantineError(*decision.Quarantined, c.decidedAt)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/internal/topology"
 	"github.com/filbertrill/filbertrill/internal/upstream"
 )
 
@@ -44,10 +45,14 @@
 // attemptRecord describes an attempt in the log.
 type attemptRecord struct {
 	server          string
-	zone            string // of the server
-	sentBytes       int64  // of the request
-	receivedBytes   int64  // of the answer
-	version         string // of the server's software
+	zone            string             // of the server
+	sentBytes       int64              // of the request
+	receivedBytes   int64              // of the answer
+	version         string             // of the server's software
+	knowledge       topology.Knowledge // when the request was about to be sent
+	listAge         time.Duration      // of the list of servers at that time
+	choiceAge       time.Duration      // since the server was chosen
+	connAge         time.Duration      // since the connection was opened
 	predicted       time.Duration
 	uncachedTokens  int
 	runningRequests int
@@ -71,6 +76,14 @@
 		" sent=" + strconv.FormatInt(a.sentBytes, 10) +
 		" received=" + strconv.FormatInt(a.receivedBytes, 10) +
 		" version=" + a.version +
+		" entry=" + a.knowledge.EntryAge.String() +
+		" from=" + a.knowledge.Source +
+		" list=" + a.listAge.String() +
+		" listed=" + strconv.FormatBool(a.knowledge.Listed) +
+		" missing=" + a.knowledge.Missing.String() +
+		" draining=" + a.knowledge.Draining.String() +
+		" chosen=" + a.choiceAge.String() +
+		" conn=" + a.connAge.String() +
 		" predicted=" + a.predicted.String() +
 		" uncached=" + strconv.Itoa(a.uncachedTokens) +
 		" running=" + strconv.Itoa(a.runningRequests) +
@@ -115,7 +128,8 @@
 			return finalResult(c, progress, err)
 		}
 		var ok, allowed bool
-		c.choice, ok, allowed = h.Scheduler.DecideRetry(h.schedulerRequest(c), tried, progress == notSent, time.Now())
+		c.chosenAt = time.Now()
+		c.choice, ok, allowed = h.Scheduler.DecideRetry(h.schedulerRequest(c), tried, progress == notSent, c.chosenAt)
 		if !ok || !allowed {
 			return finalResult(c, progress, err)
 		}
@@ -217,6 +231,11 @@
 		h.Pool.Put(endpoint, conn) // unused, so that another request can use it
 		return notSent, errors.New("the caller closed its connection before the request was sent")
 	}
+	now := time.Now()
+	if h.ServerKnowledge != nil {
+		record.knowledge, record.listAge = h.ServerKnowledge(server.ID, now)
+	}
+	record.choiceAge, record.connAge = now.Sub(c.chosenAt), conn.Age(now)
 	sentBefore, receivedBefore := conn.Traffic()
 	w := newWatchdog(ctx, conn, c)
 	conn.ReserveHeads(h.answerMemory.reserveHead)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -39,7 +39,8 @@
 		c.trial = isTrial
 		if time.Since(c.decidedAt) > maxChoiceAge {
 			var ok bool
-			if c.choice, ok = h.Scheduler.ChooseAgain(h.schedulerRequest(c), c.choice, time.Now()); !ok {
+			c.chosenAt = time.Now()
+			if c.choice, ok = h.Scheduler.ChooseAgain(h.schedulerRequest(c), c.choice, c.chosenAt); !ok {
 				return result.New(result.NoServerJoined, "no backend server takes requests any more").WithRetryAfter(defaultRetryAfter)
 			}
 		}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -18,6 +18,7 @@
 	"github.com/filbertrill/filbertrill/internal/routing"
 	"github.com/filbertrill/filbertrill/internal/scheduler"
 	"github.com/filbertrill/filbertrill/internal/telemetry"
+	"github.com/filbertrill/filbertrill/internal/topology"
 	"github.com/filbertrill/filbertrill/internal/upstream"
 )
 
@@ -27,12 +28,14 @@
 
 // Options are the dependencies of a Handler.
 type Options struct {
-	Zone               string // of this daemon
-	Protocol           Protocol
-	Config             func() *routing.Config
-	ConfigAge          func(time.Time) time.Duration // time since the configuration was known to be the newest
-	Scheduler          *scheduler.Scheduler
-	Origins            Origins
+	Zone      string // of this daemon
+	Protocol  Protocol
+	Config    func() *routing.Config
+	ConfigAge func(time.Time) time.Duration // time since the configuration was known to be the newest
+	Scheduler *scheduler.Scheduler
+	Origins   Origins
+	// ServerKnowledge returns what is known of a server, and the age of the list of servers. It may be nil.
+	ServerKnowledge    func(server string, now time.Time) (topology.Knowledge, time.Duration)
 	Pool               *upstream.Pool
 	ConnectionPressure func() bool // callers hold so many connections that refusals should close theirs
 	Overloaded         func() bool // the process gets too little processor time
@@ -105,6 +108,7 @@
 	originBasis      OriginBasis      // what version is known from, for requests that take up a stream
 	choice           placement.Choice // the server of the next attempt
 	decidedAt        time.Time        // time of the admission decision
+	chosenAt         time.Time        // time of the choice
 	trial            bool             // see scheduler.Decision
 	admission        *admissionRecord // nil before the decision, and for plain services
 	attempts         []attemptRecord
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,7 @@
 		ConfigAge:          func(now time.Time) time.Duration { return g.reader.Age(topology.Configs, now) },
 		Scheduler:          g.scheduler,
 		Origins:            g.origins,
+		ServerKnowledge:    g.serverKnowledge,
 		Pool:               g.pool,
 		ConnectionPressure: g.connLimiter.nearLimit,
 		Overloaded:         g.overload.overloaded.Load,
@@ -316,6 +317,11 @@
 	return now.Add(-g.reader.Age(topology.Servers, now))
 }
 
+// serverKnowledge implements forward.Options.ServerKnowledge.
+func (g *Gateway) serverKnowledge(id string, now time.Time) (topology.Knowledge, time.Duration) {
+	return g.topology.Knowledge(id, now), g.reader.Age(topology.Servers, now)
+}
+
 func (g *Gateway) ready() bool {
 	return !g.draining.Load() && g.topology.Config() != nil && g.reader.ServersListed()
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -179,7 +179,7 @@
 	timeOf := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, w := range v.Withdrawn {
 		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Incarnation: w.Born, Sequence: w.Sequence, FirstSeen: timeOf(w.AgeMs)}) {
-			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", from)
+			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", from, "age", now.Sub(timeOf(w.AgeMs)))
 		}
 	}
 	if e := v.Evacuations; e != nil {
@@ -270,7 +270,7 @@
 	}
 	servers := make([]topology.Record, 0, len(records.Servers))
 	for _, r := range records.Servers {
-		servers = append(servers, topology.Record{Key: r.Key, Value: r.Value, Age: time.Duration(r.AgeMs) * time.Millisecond})
+		servers = append(servers, topology.Record{Key: r.Key, Value: r.Value, Age: time.Duration(r.AgeMs) * time.Millisecond, Source: source.Id})
 	}
 	var buckets []uint32 // nil for all
 	if records.Partial {
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -28,9 +28,10 @@
 
 // Record is a value of a key. A nil value deletes the key.
 type Record struct {
-	Key   string
-	Value []byte
-	Age   time.Duration // since the first daemon received it, 0 if it was just read from the store
+	Key    string
+	Value  []byte
+	Age    time.Duration // since the first daemon received it, 0 if it was just read from the store
+	Source string        // ID of the peer that it came from; empty for the store
 }
 
 // Store is the platform's store of the configuration and the backend servers.
@@ -401,7 +402,7 @@
 			r.ApplyServer(record, now)
 		case !recovering:
 			if r.state.RemoveServer(record.Key, now) {
-				r.logger.Info("Server removed.", "server", record.Key)
+				r.logger.Info("Server removed.", "server", record.Key, "reason", "deleted")
 			}
 		}
 	}
@@ -458,13 +459,14 @@
 		r.logger.Debug("Invalid server record ignored.", "key", record.Key, "error", err)
 		return
 	}
-	if !r.state.SetServer(server, record.Value, now.Add(-record.Age)) {
+	if !r.state.setServer(server, record.Value, record.Source, now.Add(-record.Age)) {
 		return
 	}
 	switch n := r.loggedChanges.Add(1); {
 	case n <= maxLoggedChanges:
 		r.logger.Info("Server changed.", "server", server.ID, "service", server.Service, "address", server.Address,
-			"state", server.State, "born", server.Incarnation, "cold", server.ColdRemaining)
+			"state", server.State, "born", server.Incarnation, "cold", server.ColdRemaining, "version", server.Version,
+			"source", record.Source, "age", record.Age)
 	case n == maxLoggedChanges+1:
 		r.logger.Info("Further servers changed.", "records", r.state.Size())
 	}
@@ -481,7 +483,17 @@
 	if now.Sub(recoveredAt) < recoveryGracePeriod {
 		gracePeriod = recoveryGracePeriod
 	}
-	r.state.RemoveMissing(listed, buckets, gracePeriod, listedAt, now)
+	missing, removed := r.state.RemoveMissing(listed, buckets, gracePeriod, listedAt, now)
+	if gracePeriod > 0 && len(missing) > 0 {
+		r.logger.Info("Servers are missing in the list after an outage of the store.", "servers", missing[:min(len(missing), maxLoggedChanges)],
+			"count", len(missing), "list", now.Sub(listedAt), "recovered", now.Sub(recoveredAt))
+	}
+	for id, missingFor := range removed {
+		if r.loggedChanges.Add(1) > maxLoggedChanges {
+			break
+		}
+		r.logger.Info("Server removed.", "server", id, "reason", "missing", "since", missingFor, "list", now.Sub(listedAt), "recovered", now.Sub(recoveredAt))
+	}
 }
 
 func (r *Reader) sleep(ctx context.Context, d time.Duration) {
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -19,6 +19,7 @@
 type KnownServer struct {
 	Server       routing.Server
 	Record       []byte    // as read from the store; sent to peers
+	source       string    // ID of the peer that the record came from; empty for the store
 	recordedAt   time.Time // when this daemon first received the record
 	missingSince time.Time // when a listing first lacked the server; zero while it is listed
 }
@@ -164,6 +165,11 @@
 // was removed and its withdrawal covers the record. A known server whose withdrawal covers the
 // record is set to draining. SetServer reports whether something changed that is used, see identity.
 func (s *State) SetServer(server routing.Server, record []byte, now time.Time) bool {
+	return s.setServer(server, record, "", now)
+}
+
+// setServer is SetServer with the ID of the peer that the record came from, empty for the store.
+func (s *State) setServer(server routing.Server, record []byte, source string, now time.Time) bool {
 	s.mu.Lock()
 	old, ok := s.servers[server.ID]
 	if ok && isOlder(server, old.Server) {
@@ -190,7 +196,7 @@
 		s.removeDigest(old.Server)
 	}
 	s.addDigest(server)
-	s.servers[server.ID] = &KnownServer{Server: server, Record: record, recordedAt: recordedAt}
+	s.servers[server.ID] = &KnownServer{Server: server, Record: record, source: source, recordedAt: recordedAt}
 	if server.State == routing.Draining {
 		s.recordWithdrawal(server, now)
 	}
@@ -251,6 +257,35 @@
 	return ok
 }
 
+// Knowledge describes what a daemon knows of a backend server, and since when.
+type Knowledge struct {
+	Listed   bool          // false if the list does not contain it
+	Source   string        // ID of the peer that its entry came from; empty for the store
+	EntryAge time.Duration // since a daemon first received the entry
+	Missing  time.Duration // since a list lacked the server; 0 if none did
+	Draining time.Duration // since a daemon first knew that it leaves; 0 if it does not
+}
+
+// Knowledge returns what is known of the server.
+func (s *State) Knowledge(id string, now time.Time) Knowledge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var k Knowledge
+	if known, ok := s.servers[id]; ok {
+		k = Knowledge{Listed: true, Source: known.source, EntryAge: now.Sub(known.recordedAt)}
+		if !known.missingSince.IsZero() {
+			k.Missing = now.Sub(known.missingSince)
+		}
+		if known.Server.State != routing.Draining {
+			return k
+		}
+	}
+	if w, ok := s.withdrawals[id]; ok {
+		k.Draining = now.Sub(w.FirstSeen)
+	}
+	return k
+}
+
 // Withdraw applies a withdrawal received from a peer. It reports whether a ready server became
 // draining.
 func (s *State) Withdraw(w Withdrawal) bool {
@@ -438,8 +473,9 @@
 // RemoveMissing compares the servers with a full listing by ID and removes those that have been
 // missing for at least the grace period. The listing was complete at listedAt, so records
 // received later don't count as missing. If buckets is not nil, the listing holds only the servers of these buckets.
-func (s *State) RemoveMissing(listed map[string]bool, buckets []uint32, gracePeriod time.Duration, listedAt, now time.Time) {
-	var expired []string
+// It returns the servers that are missing for the first time, and those that were removed with the time since when they were missing.
+func (s *State) RemoveMissing(listed map[string]bool, buckets []uint32, gracePeriod time.Duration, listedAt, now time.Time) (missing []string, removed map[string]time.Duration) {
+	removed = make(map[string]time.Duration)
 	s.mu.Lock()
 	for id, server := range s.servers {
 		if buckets != nil && !slices.Contains(buckets, bucketOf(id)) {
@@ -451,13 +487,15 @@
 		case server.recordedAt.After(listedAt):
 		case server.missingSince.IsZero():
 			server.missingSince = now
+			missing = append(missing, id)
 		}
 		if !server.missingSince.IsZero() && now.Sub(server.missingSince) >= gracePeriod {
-			expired = append(expired, id)
+			removed[id] = now.Sub(server.missingSince)
 		}
 	}
 	s.mu.Unlock()
-	for _, id := range expired {
+	for id := range removed {
 		s.RemoveServer(id, now)
 	}
+	return missing, removed
 }
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -331,3 +331,22 @@
 		assert.Len(t, records, 1, name)
 	}
 }
+
+func TestKnowledgeTellsSourceAndAgesOfAnEntry(t *testing.T) {
+	state := NewState(func() {})
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	state.setServer(routing.Server{ID: "s", Incarnation: 2, Sequence: 7}, nil, "peer", at(0))
+	assert.Equal(t, Knowledge{Listed: true, Source: "peer", EntryAge: 3 * time.Second}, state.Knowledge("s", at(3)))
+
+	missing, removed := state.RemoveMissing(nil, nil, time.Minute, at(4), at(4))
+	assert.Equal(t, []string{"s"}, missing)
+	assert.Empty(t, removed)
+	assert.Equal(t, 2*time.Second, state.Knowledge("s", at(6)).Missing)
+
+	state.Withdraw(Withdrawal{ID: "s", Incarnation: 2, Sequence: 8, FirstSeen: at(7)})
+	assert.Equal(t, time.Second, state.Knowledge("s", at(8)).Draining)
+
+	_, removed = state.RemoveMissing(nil, nil, time.Second, at(9), at(9))
+	assert.Equal(t, map[string]time.Duration{"s": 5 * time.Second}, removed)
+	assert.Equal(t, Knowledge{Draining: 3 * time.Second}, state.Knowledge("s", at(10)))
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,6 +45,7 @@
 	limited       *io.LimitedReader // of heads, limits them
 	reader        *bufio.Reader     // of limited
 	rawConn       syscall.RawConn
+	openedAt      time.Time
 	sentBytes     int64
 	received      countingReader
 	lastUsed      time.Time     // end of the last request
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
-	c := &Conn{Conn: netConn, received: countingReader{reader: netConn}, rawConn: rawConn}
+	c := &Conn{Conn: netConn, received: countingReader{reader: netConn}, rawConn: rawConn, openedAt: time.Now()}
 	c.heads.reader = &c.received
 	c.limited = &io.LimitedReader{R: &c.heads, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
@@ -99,6 +100,9 @@
 // DisableReuse makes Pool.Put close the connection instead of keeping it.
 func (c *Conn) DisableReuse() { c.reuseDisabled = true }
 
+// Age returns the time since the connection was opened.
+func (c *Conn) Age(now time.Time) time.Duration { return now.Sub(c.openedAt) }
+
 // Reused reports whether the connection was used for an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
