--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -492,7 +492,7 @@
 		if r.loggedChanges.Add(1) > maxLoggedChanges {
 			break
 		}
-		r.logger.Info("Server removed.", "server", id, "reason", "missing", "since", missingFor, "list", now.Sub(listedAt), "recovered", now.Sub(recoveredAt))
+		r.logger.Info("Server removed.", "server", id, "reason", "missing", "since", missingFor, "list", now.Sub(listedAt))
 	}
 }
 
