--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -236,6 +236,10 @@
 		record.knowledge, record.listAge = h.ServerKnowledge(server.ID, now)
 	}
 	record.choiceAge, record.connAge = now.Sub(c.chosenAt), conn.Age(now)
+	if record.choiceAge > maxChoiceAge && !h.Scheduler.TakesRequests(choice, now) { // a connection may take a second to open
+		h.Pool.Put(endpoint, conn)
+		return notSent, errors.New("the server stopped to take requests while the connection opened")
+	}
 	sentBefore, receivedBefore := conn.Traffic()
 	w := newWatchdog(ctx, conn, c)
 	conn.ReserveHeads(h.answerMemory.reserveHead)
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -312,10 +312,10 @@
 	}
 }
 
-// Evacuated reports whether nothing more may be sent to the server because its zone is evacuated.
-func (b *Balancer) Evacuated(id string) bool {
-	s, ok := b.servers[id]
-	return ok && s.Evacuated
+// Usable reports whether the process that was chosen is still listed and takes requests.
+func (b *Balancer) Usable(chosen routing.Server) bool {
+	s, ok := b.servers[chosen.ID]
+	return ok && s.Incarnation == chosen.Incarnation && s.Address == chosen.Address && s.Usable()
 }
 
 // EvacuatedRunning returns the number of requests of this daemon at servers of evacuated zones.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -373,7 +373,7 @@
 	s.limiter.Return(placement.ServerIdentity(old.Server))
 	choice, ok = s.balancer.Choose(r.Request, nil, now)
 	if !ok {
-		if !s.notices.Available(placement.ServerIdentity(old.Server), now) || s.balancer.Evacuated(old.Server.ID) {
+		if !s.takesRequests(old.Server, now) {
 			return old, false
 		}
 		choice = old
@@ -382,6 +382,18 @@
 	return choice, true
 }
 
+// TakesRequests reports whether the server of the choice still takes requests. Time may have passed since the choice.
+func (s *Scheduler) TakesRequests(choice placement.Choice, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takesRequests(choice.Server, now)
+}
+
+// takesRequests is TakesRequests for callers that hold the lock.
+func (s *Scheduler) takesRequests(server routing.Server, now time.Time) bool {
+	return s.balancer.Usable(server) && s.notices.Available(placement.ServerIdentity(server), now)
+}
+
 // Shares returns the number of daemons among which limits on the whole fleet are divided.
 func (s *Scheduler) Shares() int { return s.options.Shares() }
 
