--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -321,7 +321,6 @@
 		if now.Sub(recoveredAt) < recoveryGracePeriod {
 			relist = true // servers that leave now are kept
 		}
-		backoff = minBackoff
 		r.lastCallFailed.Store(false)
 		r.lastSuccess.Store(monotonic.UnixNano(now))
 		if full && t == Servers {
@@ -333,12 +332,20 @@
 			r.applyEvacuations(records, full, Position{era, end})
 		}
 		r.loggedChanges.Store(0)
+		applied := true
 		r.state.Batch(func() {
-			r.apply(t, records, now, now.Sub(recoveredAt) < recoveryGracePeriod)
+			applied = r.apply(t, records, now, now.Sub(recoveredAt) < recoveryGracePeriod)
 			if full && t == Servers {
 				r.reconcile(records, nil, started, now, recoveredAt)
 			}
 		})
+		if !applied {
+			next = -1 // the configuration in force is not current: list again
+			r.sleep(ctx, backoff)
+			backoff = min(2*backoff, maxBackoffFor(r.readerCount()))
+			continue
+		}
+		backoff = minBackoff
 		if full && t == Servers {
 			listedAt = now
 			relist = relist && started.Before(recoveredAt.Add(recoveryGracePeriod))
@@ -393,11 +400,16 @@
 
 // apply applies records to the state. While the store recovers from an outage, deletions are left
 // to the full listing at the end of the recovery: the leases of running servers may have expired.
-func (r *Reader) apply(t Topic, records []Record, now time.Time, recovering bool) {
+// apply reports whether the last configuration in the records, if there is one, could be decoded. Invalid server records do not
+// count: any program may have written them.
+func (r *Reader) apply(t Topic, records []Record, now time.Time, recovering bool) bool {
+	applied := true
 	for _, record := range records {
 		switch {
 		case t == Configs:
-			r.ApplyConfig(record)
+			if valid, isConfig := r.ApplyConfig(record); isConfig {
+				applied = valid
+			}
 		case record.Value != nil:
 			r.ApplyServer(record, now)
 		case !recovering:
@@ -406,6 +418,7 @@
 			}
 		}
 	}
+	return applied
 }
 
 // applyEvacuations applies the records of topic Configs up to the position. A full listing holds all evacuations.
@@ -433,20 +446,25 @@
 	}
 }
 
-// ApplyConfig decodes a record of topic Configs and applies it if its version is higher.
-func (r *Reader) ApplyConfig(record Record) {
-	if record.Value == nil || r.state.HasConfig(record) {
-		return
+// ApplyConfig decodes a record of topic Configs and applies it if its version is higher. isConfig is false for records of other
+// keys and for removals. valid reports whether a configuration could be decoded.
+func (r *Reader) ApplyConfig(record Record) (valid, isConfig bool) {
+	if record.Value == nil {
+		return false, false
+	}
+	if r.state.HasConfig(record) {
+		return true, true
 	}
 	config, err := r.store.DecodeConfig(record)
 	if err != nil {
 		r.logger.Warn("Invalid configuration ignored.", "key", record.Key, "error", err)
-		return
+		return false, true
 	}
 	if config != nil && r.state.SetConfig(config, record) {
 		r.logger.Info("Configuration in force.", "version", config.Version, "routes", len(config.Routes),
 			"accounts", len(config.Accounts))
 	}
+	return true, config != nil
 }
 
 // ApplyServer decodes the record of a backend server and applies it if it is newer.
