--- a/cmd/filbertrilld/gateway.go
+++ b/cmd/filbertrilld/gateway.go
@@ -27,7 +27,7 @@
 	logWriter := logging.NewAsyncWriter(os.Stdout)
 	defer logWriter.Close()
 	logging.Setup(logging.Options{Level: slog.LevelInfo, Writer: logWriter})
-	store := platform.NewStore(settings.StoreAddress)
+	store := platform.NewStore(settings.StoreAddress, platform.WithRecordBytes(settings.RecordBytes))
 	g, err := gateway.New(settings.Gateway, gateway.Platform{
 		Directory: platform.Directory,
 		Readiness: platform.Readiness,
