--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	callerListener net.Listener
 	draining       atomic.Bool
 	hasBegun       atomic.Bool // see readyToBegin
+	suspectsKnown  atomic.Bool // the stored evidence was read once, or is not awaited any longer
 	stop           chan struct{}
 	pullInProgress atomic.Bool
 	// nextServerPull is the earliest time at which a differing list of servers is pulled
@@ -326,10 +327,10 @@
 	return !g.draining.Load() && g.topology.Config() != nil && g.reader.ServersListed()
 }
 
-// readyToBegin reports whether the daemon is ready, and has been able to begin streams since its start. One that starts while several
-// versions are in use waits until the others of the fleet know them too.
+// readyToBegin reports whether the daemon is ready, knows the stored evidence against suspects, and has been able to begin streams since
+// its start. One that starts while several versions are in use waits until the others of the fleet know them too.
 func (g *Gateway) readyToBegin() bool {
-	if !g.ready() {
+	if !g.ready() || g.platform.Quarantine != nil && !g.suspectsKnown.Load() {
 		return false
 	}
 	if !g.hasBegun.Load() && g.mayBeginStreams(time.Now()) {
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -31,9 +31,11 @@
 	maxSuspectBytes = 2 << 10
 	// maxLoadedSuspects limits the suspects that are loaded.
 	maxLoadedSuspects = 512
+	// maxSuspectsWait is the longest time for which a daemon that is ready otherwise waits for the stored evidence.
+	maxSuspectsWait = 5 * time.Second
 )
 
-// quarantineKeeper loads the stored evidence at the start of a daemon that reads the store, and keeps the store up to date
+// quarantineKeeper loads the stored evidence at the start of the daemon, and keeps the store up to date
 // if this daemon is the one of the fleet that writes. Two daemons may do so for a while; they write the same.
 type quarantineKeeper struct {
 	store  QuarantineStore
@@ -48,8 +50,9 @@
 // runQuarantineKeeper runs the keeper until the context ends.
 func (g *Gateway) runQuarantineKeeper(ctx context.Context) {
 	k := &quarantineKeeper{store: g.platform.Quarantine}
+	var readySince time.Time
 	for {
-		if g.readsStore() && !g.member().StoreLost {
+		if (g.readsStore() || !g.suspectsKnown.Load()) && !g.member().StoreLost {
 			callCtx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 			if err := g.keepQuarantine(callCtx, k); err != nil {
 				g.logger.Warn("Evidence against suspects was not loaded or saved.", "error", err)
@@ -57,6 +60,13 @@
 			}
 			cancel()
 		}
+		switch now := time.Now(); {
+		case !g.ready():
+		case readySince.IsZero():
+			readySince = now
+		case now.Sub(readySince) > maxSuspectsWait && g.suspectsKnown.CompareAndSwap(false, true):
+			g.logger.Warn("Ready without the stored evidence against suspects.")
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -119,6 +129,7 @@
 		g.scheduler.MergeQuarantine(reports, time.Now())
 		g.logger.Info("Evidence against suspects loaded.", "suspects", len(reports))
 	}
+	g.suspectsKnown.Store(true)
 	return nil
 }
 
