--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -277,6 +277,15 @@
 	assert.Equal(t, http.StatusBadRequest, readStream(t, "none", true).status)
 }
 
+// Guards against second runs that go on behind the events of a stream that may not be resumed.
+func TestStreamThatIsNotResumableIsNotTakenUp(t *testing.T) {
+	for _, lastEventID := range []string{"0", "3", fmt.Sprint(lastEvent), "none"} {
+		outcome := readStream(t, lastEventID, false)
+		assert.Equal(t, http.StatusBadRequest, outcome.status, lastEventID)
+		assert.Empty(t, outcome.after, "requests at servers")
+	}
+}
+
 // rawAnswer returns what a server writes for an answer with the status line, the headers and the body.
 func rawAnswer(status, headers, body string) []string {
 	return []string{fmt.Sprintf("HTTP/1.1 %s\r\nId: id\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)}
