--- a/internal/forward/resolve.go
+++ b/internal/forward/resolve.go
@@ -82,6 +82,9 @@
 		if c.events, err = eventstream.NewTracker(envelope.LastEventID); err != nil {
 			return result.Wrap(err, result.BodyMalformed, "position in the stream is malformed")
 		}
+		if c.takesUp() && !c.route.Resumable {
+			return h.retryIfConfigStale(c, result.New(result.StreamNotResumable, "route %q does not allow to resume streams", c.route.Name))
+		}
 	}
 	if limit := c.config.Limits.MaxBodyBytes; limit > 0 && c.request.ContentLength > limit {
 		return result.New(result.BodyTooLarge, "request body is longer than %d bytes", limit)
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -23,6 +23,7 @@
 	ResumeTokenInvalid    Code = 1008
 	IdempotencyKeyReused  Code = 1009
 	IdempotencyKeyInvalid Code = 1010
+	StreamNotResumable    Code = 1011
 )
 
 // Requests that were not run because of a limit or missing capacity.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -24,6 +24,7 @@
 	{ResumeTokenInvalid, "resume_token_invalid", http.StatusBadRequest, NotRun, RetryNever, "The resume token is malformed, expired or of another request."},
 	{IdempotencyKeyReused, "idempotency_key_reused", http.StatusUnprocessableEntity, NotRun, RetryNever, "The idempotency key was used before with other content."},
 	{IdempotencyKeyInvalid, "idempotency_key_invalid", http.StatusBadRequest, NotRun, RetryNever, "The idempotency key is missing where required, or malformed."},
+	{StreamNotResumable, "stream_not_resumable", http.StatusBadRequest, NotRun, RetryNever, "The request continues a stream, which its route does not allow."},
 
 	{AccountQueueFull, "account_queue_full", http.StatusTooManyRequests, NotRun, RetrySameDaemon, "The account has reached its limit of queued requests or bytes on this daemon."},
 	{DaemonFull, "daemon_full", http.StatusServiceUnavailable, NotRun, RetryAnotherEntry, "The daemon has reached its limit of requests, connections or memory."},
