--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -124,7 +124,7 @@
 		if requestCanceled(c.request.Context()) {
 			return result.Wrap(err, result.CallerGone, "the caller closed its connection")
 		}
-		if unsentAttempts >= maxUnsentAttempts || !mayRetry(c, progress, sentAttempts) {
+		if unsentAttempts >= maxUnsentAttempts || !h.mayRetry(c, progress, sentAttempts) {
 			return finalResult(c, progress, err)
 		}
 		var ok, allowed bool
@@ -138,7 +138,7 @@
 
 // mayRetry reports whether another attempt may follow one that ended with the given progress.
 // sentAttempts is the number of attempts that have sent at least a byte.
-func mayRetry(c *call, progress attemptProgress, sentAttempts int) bool {
+func (h *Handler) mayRetry(c *call, progress attemptProgress, sentAttempts int) bool {
 	if sentAttempts >= max(1, c.route.MaxAttempts) || time.Until(c.deadline) < minAttemptTime {
 		return false
 	}
@@ -146,15 +146,22 @@
 	case notSent, notRun:
 		return true
 	case maybeRun:
-		return c.route.Repeatable()
+		return h.repeatable(c)
 	case partlyForwarded:
-		return c.route.Kind == routing.Stream && c.route.Resumable && c.events.Delivered() > 0
+		return c.route.Kind == routing.Stream && c.events.Delivered() > 0 && h.repeatable(c)
 	case fullyForwarded:
 		return false
 	}
 	return false
 }
 
+// repeatable reports whether a request that may have run can be sent again, by the configuration of its arrival and by the one
+// in force now.
+func (h *Handler) repeatable(c *call) bool {
+	now := h.Config().Match(c.request.Host, c.request.URL.EscapedPath())
+	return c.route.Repeatable() && now != nil && now.Kind == c.route.Kind && now.Repeatable()
+}
+
 // finalResult ends a request whose last attempt failed with the given progress. It writes the
 // stored answer of a server that failed, if there is one, and otherwise returns the error for the
 // caller. The error says that the request did not run only if that holds for every attempt.
