--- a/internal/gateway/stream_routes.go
+++ b/internal/gateway/stream_routes.go
@@ -19,7 +19,7 @@
 // setConfig records the configuration in force and returns the entry that stands for its routes. ok is false if there is none. The
 // caller holds the lock.
 func (o *streamOrigins) setConfig(config *routing.Config, now time.Time) (routes routing.Server, ok bool) {
-	if config == nil || len(resumableServices(config)) == 0 {
+	if config == nil || !slices.ContainsFunc(config.Routes, isStreamRoute) {
 		return routing.Server{}, false
 	}
 	if config != o.config {
@@ -37,12 +37,13 @@
 	return routing.Server{Service: routesService, Version: o.routes, State: routing.Ready}, true
 }
 
-// digestRoutes returns a hash of the services to which the routes of streams lead.
+// digestRoutes returns a hash of the services to which the routes of streams lead, whether streams may be resumed or not: that may
+// change while a stream is broken.
 func digestRoutes(c *routing.Config) string {
 	hash := sha256.New()
 	for i := range c.Routes {
 		route := &c.Routes[i]
-		if !resumable(route) {
+		if !isStreamRoute(*route) {
 			continue
 		}
 		services := make([]string, 0, len(route.Targets))
@@ -71,7 +72,7 @@
 		if config == nil {
 			return nil, false
 		}
-		if route := config.Match(t.Host, t.Path); route != nil && resumable(route) {
+		if route := config.Match(t.Host, t.Path); route != nil && isStreamRoute(*route) {
 			for _, target := range route.Targets {
 				services[target.Service] = true
 			}
@@ -84,3 +85,5 @@
 func splitsStreams(c *routing.Config) bool {
 	return slices.ContainsFunc(c.Routes, func(r routing.Route) bool { return resumable(&r) && len(r.Targets) > 1 })
 }
+
+func isStreamRoute(r routing.Route) bool { return r.Kind == routing.Stream }
