--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -73,6 +73,8 @@
 			MaxGap:       c.service.MaxTokenGap,
 
 			ExcludedVersions: h.excludedVersions(c),
+			Certain:          c.resumes(),
+			PreferCertain:    c.begins(),
 		},
 		Account:   c.account,
 		Rank:      c.rank,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -148,7 +148,7 @@
 	case maybeRun:
 		return h.repeatable(c)
 	case partlyForwarded:
-		return c.route.Kind == routing.Stream && c.events.Delivered() > 0 && h.repeatable(c)
+		return c.route.Kind == routing.Stream && !c.versionUnknown && c.events.Delivered() > 0 && h.repeatable(c)
 	case fullyForwarded:
 		return false
 	}
@@ -212,9 +212,6 @@
 			outcome = placement.Abandoned
 		}
 	}
-	if progress == notSent && errors.Is(err, syscall.ECONNREFUSED) {
-		h.Scheduler.RecordRefused(attempt, time.Now())
-	}
 	if record.serverBroke && ctx.Err() == nil && progress != notSent {
 		h.Scheduler.RecordBroken(h.schedulerRequest(c), attempt, record.status/100 == 2, time.Now())
 	}
@@ -247,6 +244,10 @@
 		h.Pool.Put(endpoint, conn)
 		return notSent, errors.New("the server stopped to take requests while the connection opened")
 	}
+	if err := h.checkVersion(c, server, now); err != nil {
+		h.Pool.Put(endpoint, conn)
+		return notSent, err
+	}
 	sentBefore, receivedBefore := conn.Traffic()
 	w := newWatchdog(ctx, conn, c)
 	conn.ReserveHeads(h.answerMemory.reserveHead)
@@ -262,6 +263,9 @@
 	h.countZoneTraffic(c, choice, record)
 	closedHere := !w.stop()
 	record.serverBroke = !closedHere && isConnectionBroken(err)
+	if record.serverBroke {
+		h.Pool.RecordBroken(conn)
+	}
 	if closedHere || err != nil {
 		conn.DisableReuse()
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -105,6 +105,7 @@
 	regions   []string // in which the request may be processed; nil for all
 
 	version          *string          // the only version that may serve the request; nil for any
+	versionUnknown   bool             // of the server that the last request of a resumable stream was sent to
 	originBasis      OriginBasis      // what version is known from, for requests that take up a stream
 	choice           placement.Choice // the server of the next attempt
 	decidedAt        time.Time        // time of the admission decision
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -13,6 +16,8 @@
 	// Record stores the version. It returns before the first event is forwarded, so that the caller can take up no stream
 	// that peers have not been told of.
 	Record(service, attempt, version string)
+	// RecordUnknown stores that the version of a stream of the service is not known.
+	RecordUnknown(service, attempt string)
 	// Find returns the service and version at which the stream goes on, and what they are known from. The stream must not go
 	// on if that is OriginUnknown. It may wait for answers of peers.
 	Find(ctx context.Context, t TakeUp) (service, version string, basis OriginBasis)
@@ -66,12 +71,33 @@
 
 // excludedVersions returns the versions at which the request may not begin a stream.
 func (h *Handler) excludedVersions(c *call) []string {
-	if c.route.Kind != routing.Stream || !c.route.Resumable || c.version != nil {
+	if !c.begins() {
 		return nil
 	}
 	return h.Origins.Excluded(c.service.Name)
 }
 
+// resumes reports whether the request takes a stream up, or goes on with one within its answer.
+func (c *call) resumes() bool { return c.version != nil }
+
+// begins reports whether the request begins a stream that may be resumed.
+func (c *call) begins() bool {
+	return c.route.Kind == routing.Stream && c.route.Resumable && !c.resumes()
+}
+
+// checkVersion returns an error if another process than the registered one may answer at the chosen server, which was not known at
+// the choice. It is called when the connection is open.
+func (h *Handler) checkVersion(c *call, server routing.Server, now time.Time) error {
+	if !c.resumes() && !c.begins() {
+		return nil
+	}
+	c.versionUnknown = h.Scheduler.MayHaveChanged(server, now)
+	if c.versionUnknown && (c.resumes() || !c.choice.Uncertain) {
+		return errors.New("another process than the registered one may answer at the server")
+	}
+	return nil
+}
+
 // recordOrigin records the version of the server whose first event is about to be forwarded. Further attempts are bound to
 // it.
 func (h *Handler) recordOrigin(c *call) {
@@ -84,7 +110,11 @@
 	}
 	version := c.choice.Server.Version
 	c.version = &version
-	if attempt != "" {
+	switch {
+	case attempt == "":
+	case c.versionUnknown:
+		h.Origins.RecordUnknown(c.service.Name, attempt)
+	default:
 		h.Origins.Record(c.service.Name, attempt, version)
 	}
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -74,6 +74,7 @@
 type oneOrigin struct{}
 
 func (oneOrigin) Record(string, string, string) {}
+func (oneOrigin) RecordUnknown(string, string)  {}
 func (oneOrigin) Excluded(string) []string      { return nil }
 func (oneOrigin) Find(_ context.Context, t TakeUp) (string, string, OriginBasis) {
 	return t.Route.Targets[0].Service, "v", OriginRecorded
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,11 @@
 		Daemons:     func() int { return g.exchange.FleetSize() },
 		Shares:      func() int { return g.exchange.Shares() },
 		MayTry:      g.mayTry,
+
+		ListAsOf:        g.listAsOf,
+		RegistrationLag: registrationIntervals * s.HeartbeatInterval,
 	})
+	g.pool.SetContinuity(continuity{g.scheduler})
 	g.origins = newStreamOrigins(originOptions{
 		members:  func() []*pb.Member { return g.exchange.Members() },
 		listAsOf: g.listAsOf,
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// RecordUnknown implements forward.Origins.
+func (o *streamOrigins) RecordUnknown(service, attempt string) {
+	id, now := placement.Hash(attempt), time.Now()
+	o.mu.Lock()
+	o.table.RecordConflict(id, now)
+	o.mu.Unlock()
+	o.options.logger.Info("Stream begins at an unknown version.", "service", service, "request", attempt)
+}
+
 func encodeOrigin(id uint64, key origin.Key) *pb.StreamOrigin {
 	return &pb.StreamOrigin{Stream: id, Known: true, Service: key.Service, Version: key.Version}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,7 @@
 	CPUCores            float64       // that the process may use; may be a fraction
 	GracePeriod         time.Duration // from the stop signal to the end of the process
 	MaxEntryTTL         time.Duration // for which callers may cache an answer of the directory
+	HeartbeatInterval   time.Duration // at which backend servers write their registrations
 	FairWindow          time.Duration // over which the accounts' fair shares are computed
 	RetryRatio          float64       // see retry.WindowOptions
 	RetrySlack          float64       // see retry.WindowOptions
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -76,13 +76,6 @@
 	return a.server.identity, true
 }
 
-// RecordRefused records that the server of the attempt refused the connection: no process runs there.
-func (b *Balancer) RecordRefused(a *Attempt, now time.Time) {
-	if a.server != nil {
-		a.server.refusedAt = now
-	}
-}
-
 // Draining reports whether the server was leaving when it was last heard of.
 func (a *Attempt) Draining() bool { return a.server != nil && a.server.State != routing.Ready }
 
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -41,8 +41,6 @@
 	homeCachedShare = 0.6
 	// maxPlacementAge is how long a placement is kept in order to report it to peers.
 	maxPlacementAge = time.Second
-	// registrationLag is the time after which a server that has started again is known by its new registration.
-	registrationLag = 3 * time.Second
 	// minPlacementTokens is the shortest shared prefix that is reported to peers: the prefill of a
 	// shorter one is cheap.
 	minPlacementTokens = 64
@@ -68,6 +66,9 @@
 	Version *string
 	// ExcludedVersions are software versions whose servers may not be chosen.
 	ExcludedVersions []string
+	// Certain states that the version of the server must be known: only servers whose process can't have changed since their
+	// registration may be chosen. PreferCertain states the same unless there is no such server.
+	Certain, PreferCertain bool
 	// Regions are the only regions whose servers may be chosen, nil if all may.
 	Regions []string
 }
@@ -111,6 +112,7 @@
 	PromptRun      time.Duration // for which the server then processes prompts without a break, up to the end of the request's own
 	UncachedTokens int           // prompt tokens that the server has to prefill
 	Load           Load          // of the server, as far as known
+	Uncertain      bool          // another process than the registered one may answer, see Request.Certain
 	Home           bool          // the server is the home of the shared prefix, see Balancer.home
 
 	Source        routing.Server // server from which prompt parts are fetched; its ID is empty if none are
@@ -129,17 +131,12 @@
 	lastFailureRate    float64   // at lastOutcome, see failureRate
 	lastOutcome        time.Time // time of the last success or failure
 	awaitingFirstEvent map[*Attempt]struct{}
-	refusedAt          time.Time // when it last refused a connection
+	interruptedAt      time.Time // when the process may last have ended, see RecordInterrupted
+	brokenAt           time.Time // see RecordBroken; zero if it runs on
 	longPromptAt       time.Time // when it was last known to process a long prompt, see stallPenalty
 	wasCold            bool      // slowdown is that of the cold server, see warmUp
 }
 
-// mayHaveChanged reports whether the server may have another version than the one that the request needs: it was down a
-// short time ago, and its registration may be of the process before.
-func (s *server) mayHaveChanged(r Request, now time.Time) bool {
-	return r.Version != nil && now.Sub(s.refusedAt) < registrationLag
-}
-
 // peerLoads is the last load report of a peer.
 type peerLoads struct {
 	loads      map[uint64]Load // by server hash
@@ -161,6 +158,8 @@
 	recentPlacements []Placement                  // of this daemon, oldest first
 
 	available     func(identity uint64, now time.Time) bool
+	listAsOf      time.Time          // see SetListAsOf
+	lag           time.Duration      // see SetRegistrationLag
 	overloaded    bool               // see SetOverloaded
 	rotation      int                // see rotate
 	loaded        map[*server]bool   // servers that run requests of this daemon
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -35,6 +35,7 @@
 // chooseIf returns the server with the lowest score among those for which eligible returns true.
 // weight is the penalty for a token to prefill, as a multiple of its prefill time.
 func (b *Balancer) chooseIf(r Request, eligible func(*server) bool, weight float64, now time.Time) (Choice, bool) {
+	r.Certain = r.Certain || r.PreferCertain && b.anyCertain(r)
 	b.expirePeerLoads(now)
 	candidates := b.candidates(r)
 	home, coeffs := home(candidates, r, now), b.coefficients(r.Service, now)
@@ -45,7 +46,7 @@
 	}
 	best, found, bestScore := Choice{}, false, math.Inf(1)
 	for s := range b.rotate(candidates) {
-		if !eligible(s) || !r.allows(s) || s.mayHaveChanged(r, now) || !b.available(s.identity, now) {
+		if !eligible(s) || !r.allows(s) || r.Certain && b.mayHaveChanged(s) || !b.available(s.identity, now) {
 			continue
 		}
 		c := b.predict(s, r, coeffs, s == home, sources.of(s.Version), peerRunning, now)
@@ -60,7 +61,7 @@
 
 // predict returns the choice of the server with its predictions filled in.
 func (b *Balancer) predict(s *server, r Request, coeffs coefficients, home bool, src *fetchSource, peerRunning float64, now time.Time) Choice {
-	c := Choice{Server: s.Server, Load: b.load(s), Home: home}
+	c := Choice{Server: s.Server, Load: b.load(s), Home: home, Uncertain: b.mayHaveChanged(s)}
 	slowdown := b.currentSlowdown(s, now)
 	if !r.Engine {
 		c.Load.Running = s.ownLoad.Running + int(math.Round(peerRunning*float64(max(1, s.Slots))))
--- /dev/null
+++ b/internal/placement/continuity.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// SetRegistrationLag sets the time within which a list of servers tells that a process has ended: a process that answers at the
+// address of another one has registered by then, and otherwise the registration has expired.
+func (b *Balancer) SetRegistrationLag(lag time.Duration) { b.lag = lag }
+
+// SetListAsOf sets the time as of which the list of servers was last known to be complete.
+func (b *Balancer) SetListAsOf(asOf time.Time) { b.listAsOf = asOf }
+
+// RecordInterrupted records that the registered process of the server may have ended at the given time, and that another one may
+// answer since.
+func (b *Balancer) RecordInterrupted(registered routing.Server, at time.Time) {
+	if s, ok := b.process(registered); ok && at.After(s.interruptedAt) {
+		s.interruptedAt = at
+	}
+}
+
+// RecordBroken records that the process may have ended at the given time and that it is being found out: RecordInterrupted or
+// RecordContinued follows.
+func (b *Balancer) RecordBroken(registered routing.Server, at time.Time) {
+	if s, ok := b.process(registered); ok && at.After(s.brokenAt) {
+		s.brokenAt = at
+	}
+}
+
+// RecordContinued records that what was recorded by RecordBroken up to the given time was no end of the process.
+func (b *Balancer) RecordContinued(registered routing.Server, asOf time.Time) {
+	if s, ok := b.process(registered); ok && !s.brokenAt.After(asOf) {
+		s.brokenAt = time.Time{}
+	}
+}
+
+// MayHaveChanged reports whether another process than the registered one may answer at the server: its version isn't known.
+func (b *Balancer) MayHaveChanged(registered routing.Server) bool {
+	s, ok := b.process(registered)
+	return !ok || b.mayHaveChanged(s)
+}
+
+func (b *Balancer) mayHaveChanged(s *server) bool {
+	confirms := func(at time.Time) bool { return at.IsZero() || b.listAsOf.After(at.Add(b.lag)) }
+	return !confirms(s.interruptedAt) || !confirms(s.brokenAt)
+}
+
+// anyCertain reports whether the version of a ready server that the request may be sent to is known.
+func (b *Balancer) anyCertain(r Request) bool {
+	return slices.ContainsFunc(b.ready[r.Service], func(s *server) bool { return r.allows(s) && !b.mayHaveChanged(s) })
+}
+
+// process returns the server if it is still registered with this process.
+func (b *Balancer) process(registered routing.Server) (*server, bool) {
+	s, ok := b.servers[registered.ID]
+	return s, ok && s.Incarnation == registered.Incarnation && s.Address == registered.Address
+}
--- /dev/null
+++ b/internal/placement/continuity_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/filbertrill/filbertrill/internal/routing"
+)
+
+// Guards against a registration that is taken for the process that answers, after its own may have ended.
+func TestCertainRequestsAvoidServersWhoseProcessMayHaveEnded(t *testing.T) {
+	const lag = 5 * time.Second
+	list := servers(2)
+	first, other := list[0], list[1]
+	newBalancer := func() *Balancer {
+		b := newBalancer(2)
+		b.SetRegistrationLag(lag)
+		b.SetListAsOf(epoch)
+		return b
+	}
+	chosen := func(b *Balancer, certain, prefer bool, tried ...string) string {
+		r, excluded := prompt(2, 1), map[string]bool{}
+		r.Certain, r.PreferCertain = certain, prefer
+		for _, id := range tried {
+			excluded[id] = true
+		}
+		c, _ := b.Choose(r, excluded, epoch)
+		return c.Server.ID
+	}
+
+	t.Run("interrupted", func(t *testing.T) {
+		b := newBalancer()
+		b.RecordInterrupted(first, epoch)
+		assert.Empty(t, chosen(b, true, false, other.ID))
+		assert.Empty(t, chosen(b, false, true, other.ID), "the other one is certain")
+		assert.Equal(t, first.ID, chosen(b, false, false, other.ID))
+		b.RecordInterrupted(other, epoch)
+		assert.Empty(t, chosen(b, true, false))
+		assert.Equal(t, first.ID, chosen(b, false, true, other.ID), "none is certain")
+	})
+	t.Run("until the list is newer", func(t *testing.T) {
+		b := newBalancer()
+		b.RecordInterrupted(first, epoch)
+		b.RecordInterrupted(first, epoch.Add(-time.Second))
+		b.SetListAsOf(epoch.Add(lag))
+		assert.True(t, b.MayHaveChanged(first))
+		b.SetListAsOf(epoch.Add(lag + time.Millisecond))
+		assert.False(t, b.MayHaveChanged(first))
+	})
+	t.Run("until the next process is registered", func(t *testing.T) {
+		b := newBalancer()
+		b.RecordInterrupted(first, epoch)
+		again := first
+		again.Incarnation++
+		b.SetServers([]routing.Server{again, other})
+		assert.False(t, b.MayHaveChanged(again))
+		assert.True(t, b.MayHaveChanged(first), "the former process")
+		b.RecordInterrupted(first, epoch)
+		assert.False(t, b.MayHaveChanged(again), "found at the former process")
+	})
+	t.Run("broken", func(t *testing.T) {
+		b := newBalancer()
+		b.RecordInterrupted(first, epoch.Add(-time.Second))
+		b.RecordBroken(first, epoch)
+		b.RecordContinued(first, epoch)
+		assert.True(t, b.MayHaveChanged(first), "the process that runs on may be the next one")
+		b.RecordBroken(other, epoch)
+		assert.True(t, b.MayHaveChanged(other))
+		b.RecordContinued(other, epoch.Add(-time.Millisecond))
+		assert.True(t, b.MayHaveChanged(other), "an earlier break")
+		b.RecordContinued(other, epoch)
+		assert.False(t, b.MayHaveChanged(other))
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,6 +86,10 @@
 	// Shares returns the number of daemons among which limits on the whole fleet are divided, see exchange.Exchange.Shares. If
 	// it is nil, Daemons is called.
 	Shares func() int
+	// ListAsOf returns the time as of which the list of servers was last known to be complete. If it is nil, the list is always.
+	ListAsOf func(now time.Time) time.Time
+	// RegistrationLag is the time within which the list tells that a process has ended, see placement.Balancer.SetRegistrationLag.
+	RegistrationLag time.Duration
 	// MayTry reports whether this daemon is one of those that make the trials of a suspect, see quarantine.New. If it is
 	// nil, it is.
 	MayTry func(suspect uint64, triers int) bool
@@ -99,6 +103,9 @@
 	if options.Shares == nil {
 		options.Shares = options.Daemons
 	}
+	if options.ListAsOf == nil {
+		options.ListAsOf = func(now time.Time) time.Time { return now }
+	}
 	s := &Scheduler{
 		balancer:     placement.NewBalancer(options.Zone),
 		shares:       admission.NewShares(options.FairWindow),
@@ -108,6 +115,7 @@
 		notices:      notice.NewRegistry(),
 		options:      options,
 	}
+	s.balancer.SetRegistrationLag(options.RegistrationLag)
 	s.balancer.SetAvailable(s.available)
 	return s
 }
@@ -240,6 +248,7 @@
 func (s *Scheduler) Decide(r Request, now time.Time) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.balancer.SetListAsOf(s.options.ListAsOf(now))
 	trial := false
 	if held, ok := s.held(r); ok {
 		if trial = s.quarantine.StartTrial(s.subjects(r), now); !trial {
@@ -351,6 +360,7 @@
 func (s *Scheduler) DecideRetry(r Request, tried map[string]bool, free bool, now time.Time) (choice placement.Choice, ok, allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.balancer.SetListAsOf(s.options.ListAsOf(now))
 	if _, held := s.held(r); held {
 		return choice, false, false
 	}
@@ -370,6 +380,7 @@
 func (s *Scheduler) ChooseAgain(r Request, old placement.Choice, now time.Time) (choice placement.Choice, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.balancer.SetListAsOf(s.options.ListAsOf(now))
 	s.limiter.Return(placement.ServerIdentity(old.Server))
 	choice, ok = s.balancer.Choose(r.Request, nil, now)
 	if !ok {
@@ -404,13 +415,6 @@
 	return s.balancer.Start(r.Request, choice, now)
 }
 
-// RecordRefused records that the server refused the connection of the attempt.
-func (s *Scheduler) RecordRefused(a *placement.Attempt, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.balancer.RecordRefused(a, now)
-}
-
 // RecordFirstEvent records the arrival of the first event, or of the answer of a plain service.
 func (s *Scheduler) RecordFirstEvent(a *placement.Attempt, now time.Time) {
 	s.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -82,12 +82,16 @@
 type countingReader struct {
 	reader io.Reader
 	bytes  int64
+	lastAt time.Time // when bytes were last read
 }
 
 // Read implements io.Reader.
 func (r *countingReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
 	r.bytes += int64(n)
+	if n > 0 {
+		r.lastAt = time.Now()
+	}
 	return n, err
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -53,9 +53,10 @@
 // Pool keeps open connections to backend servers, by endpoint. Its methods are safe for
 // concurrent use.
 type Pool struct {
-	dialer    net.Dialer
-	mu        sync.Mutex
-	endpoints map[Endpoint]*endpointConns
+	dialer     net.Dialer
+	continuity Continuity // may be nil
+	mu         sync.Mutex
+	endpoints  map[Endpoint]*endpointConns
 }
 
 // Endpoint is one incarnation of a backend server at an address. Connections are not shared
@@ -67,8 +68,10 @@
 }
 
 type endpointConns struct {
-	open int     // idle, in use or being dialled
-	idle []*Conn // least recently used first
+	open        int     // idle, in use or being dialled
+	idle        []*Conn // least recently used first
+	established map[*Conn]struct{}
+	breakage    *breakage // further ones while one is being resolved, nil if none is
 }
 
 // NewPool returns an empty pool.
@@ -104,10 +107,16 @@
 		var c *Conn
 		if c, err = newConn(netConn); err == nil {
 			c.endpoint = e
+			p.mu.Lock()
+			p.connsOf(e).established[c] = struct{}{}
+			p.mu.Unlock()
 			return c, nil
 		}
 		_ = netConn.Close()
 	}
+	if ctx.Err() == nil {
+		p.recordDialFailure(e, err)
+	}
 	p.connClosed(e)
 	return nil, errors.Wrap(err, "connect")
 }
@@ -183,6 +192,7 @@
 				continue
 			}
 			toClose = append(toClose, c)
+			delete(conns.established, c)
 			conns.open--
 		}
 		conns.idle = kept
@@ -213,6 +223,9 @@
 		if !c.idleExpired(now) && c.healthy() {
 			return c
 		}
+		if c.closedEarly(now) {
+			p.broken(c, false)
+		}
 		p.closeConn(e, c)
 	}
 }
@@ -231,7 +244,7 @@
 func (p *Pool) connsOf(e Endpoint) *endpointConns {
 	conns, ok := p.endpoints[e]
 	if !ok {
-		conns = &endpointConns{}
+		conns = &endpointConns{established: make(map[*Conn]struct{})}
 		p.endpoints[e] = conns
 	}
 	return conns
@@ -239,6 +252,11 @@
 
 func (p *Pool) closeConn(e Endpoint, c *Conn) {
 	_ = c.Close() // no request is in flight on it
+	p.mu.Lock()
+	if conns, ok := p.endpoints[e]; ok {
+		delete(conns.established, c)
+	}
+	p.mu.Unlock()
 	p.connClosed(e)
 }
 
