--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -85,7 +85,7 @@
 		return 0
 	}
 	n := len(v.Servers) + len(v.Accounts) + len(v.Placements) + len(v.Withdrawn) + len(v.Models) + len(v.Suspects) + len(v.Limits) +
-		len(v.Demands) + len(v.GetEvacuations().GetZones())
+		len(v.Demands) + len(v.GetEvacuations().GetZones()) + len(v.Refused)
 	for _, s := range v.Suspects {
 		n += len(s.Ends)
 	}
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -21,6 +21,7 @@
 	suspects := make(map[suspectKey]*pb.Suspect)
 	limits := make(map[uint64]*pb.ServerLimit)
 	demands := make(map[uint64]*pb.ServiceDemand)
+	refused := make(map[uint64]*pb.RefusedServer)
 	placed := make(map[placementKey]bool)
 	for _, v := range views {
 		out.Daemons += v.Daemons
@@ -28,6 +29,11 @@
 		if newerEvacuations(v.Evacuations, out.Evacuations) {
 			out.Evacuations = v.Evacuations
 		}
+		for _, r := range v.Refused {
+			if known, ok := refused[r.Process]; !ok || r.AgeMs < known.AgeMs {
+				refused[r.Process] = r
+			}
+		}
 		for _, l := range v.Limits {
 			if known, ok := limits[l.Server]; !ok || l.AgeMs < known.AgeMs {
 				limits[l.Server] = l
@@ -93,6 +99,12 @@
 	for _, d := range demands {
 		out.Demands = append(out.Demands, d)
 	}
+	for _, r := range refused {
+		if len(out.Refused) == maxMergedRefused {
+			break // daemons repeat them, and the order of the map differs each time
+		}
+		out.Refused = append(out.Refused, r)
+	}
 	for _, s := range suspects {
 		if len(out.Suspects) == maxMergedSuspects {
 			break // daemons repeat their evidence, and the order of the map differs each time
@@ -105,6 +117,9 @@
 // maxMergedPlacements bounds the placements in a summary to some 12 KB. Those left out are missing in other zones.
 const maxMergedPlacements = 512
 
+// maxMergedRefused bounds the servers in a summary that refused connections to some 6 KB.
+const maxMergedRefused = 256
+
 // maxMergedSuspects bounds the evidence in a summary, so that it fits into a datagram with 32 ends for each.
 const maxMergedSuspects = 64
 
--- a/internal/gateway/continuity.go
+++ b/internal/gateway/continuity.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/routing"
 	"github.com/filbertrill/filbertrill/internal/scheduler"
 	"github.com/filbertrill/filbertrill/internal/upstream"
@@ -12,6 +14,12 @@
 // registration expires after three without a heartbeat, and a process that starts before writes its own within one.
 const registrationIntervals = 4
 
+// maxRefused bounds the servers that a view names as refusing connections. All are named again in further views.
+const maxRefused = 64
+
+// maxViewDelay is longer than a view takes to arrive, also through other daemons.
+const maxViewDelay = 2 * time.Second
+
 // continuity passes on what connections show of the processes of servers. It implements upstream.Continuity.
 type continuity struct{ scheduler *scheduler.Scheduler }
 
@@ -20,6 +28,11 @@
 	c.scheduler.RecordInterrupted(serverOf(e), at)
 }
 
+// Refused implements upstream.Continuity.
+func (c continuity) Refused(e upstream.Endpoint, at time.Time) {
+	c.scheduler.RecordRefused(serverOf(e), at)
+}
+
 // Broken implements upstream.Continuity.
 func (c continuity) Broken(e upstream.Endpoint, at time.Time) {
 	c.scheduler.RecordServerBroken(serverOf(e), at)
@@ -34,4 +47,27 @@
 	return routing.Server{ID: e.ID, Address: e.Address, Incarnation: e.Incarnation}
 }
 
+// encodeRefusals returns up to maxRefused of the servers that refused a connection, others each time.
+func encodeRefusals(refusals []placement.Refusal, now time.Time) (messages []*pb.RefusedServer) {
+	for _, r := range refusals[:min(maxRefused, len(refusals))] {
+		messages = append(messages, &pb.RefusedServer{Server: r.Server, Process: r.Process, AgeMs: ageMillis(now.Sub(r.At))})
+	}
+	return messages
+}
+
+// receiveRefusals applies which servers have refused connections of peers, unless a connection of this daemon from before is open.
+func (g *Gateway) receiveRefusals(messages []*pb.RefusedServer, now time.Time) {
+	for _, m := range messages {
+		at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
+		server, ok := g.scheduler.Registered(placement.Refusal{Server: m.Server, Process: m.Process})
+		if !ok {
+			continue
+		}
+		e := upstream.Endpoint{Address: server.Address, ID: server.ID, Incarnation: server.Incarnation}
+		if !g.pool.HoldsFrom(e, at.Add(-maxViewDelay)) {
+			g.scheduler.RecordInterrupted(server, at)
+		}
+	}
+}
+
 var _ upstream.Continuity = continuity{}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -105,7 +105,9 @@
 func (g *Gateway) viewMessage(placementAge time.Duration) *pb.View {
 	now := time.Now()
 	g.publishQuarantine()
-	v := encodeView(g.scheduler.View(placementAge, now))
+	view := g.scheduler.View(placementAge, now)
+	v := encodeView(view)
+	v.Refused = encodeRefusals(view.Refusals, now)
 	for _, w := range g.topology.Withdrawals(now) {
 		v.Withdrawn = append(v.Withdrawn, &pb.Withdrawal{
 			Server: w.ID, Born: w.Incarnation, Sequence: w.Sequence, AgeMs: ageMillis(now.Sub(w.FirstSeen)),
@@ -175,6 +177,7 @@
 // has newer records.
 func (g *Gateway) receiveKnowledge(from string, source *pb.Member, v *pb.View, now time.Time) {
 	g.receiveStoreEra(v.StoreEra)
+	g.receiveRefusals(v.Refused, now)
 	g.reader.SeeEra(v.StoreEra, now)
 	timeOf := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
 	for _, w := range v.Withdrawn {
--- a/internal/placement/continuity.go
+++ b/internal/placement/continuity.go
@@ -22,6 +22,38 @@
 	}
 }
 
+// RecordRefused records that the server refused a connection of this daemon at the given time: the registered process has ended.
+func (b *Balancer) RecordRefused(registered routing.Server, at time.Time) {
+	b.RecordInterrupted(registered, at)
+	if s, ok := b.process(registered); ok && at.After(s.refusedAt) {
+		s.refusedAt = at
+	}
+}
+
+// Refusal names a process that refused a connection.
+type Refusal struct {
+	Server, Process uint64 // hash of the ID, and ServerIdentity
+	At              time.Time
+}
+
+// Refusals returns the registered processes that refused a connection of this daemon, as long as others may answer for them.
+func (b *Balancer) Refusals() (refusals []Refusal) {
+	for _, s := range b.servers {
+		if !s.refusedAt.IsZero() && !b.listAsOf.After(s.refusedAt.Add(b.lag)) {
+			refusals = append(refusals, Refusal{s.hash, s.identity, s.refusedAt})
+		}
+	}
+	return refusals
+}
+
+// Registered returns the server if the process of the refusal is still the registered one.
+func (b *Balancer) Registered(r Refusal) (routing.Server, bool) {
+	if s, ok := b.byHash[r.Server]; ok && s.identity == r.Process {
+		return s.Server, true
+	}
+	return routing.Server{}, false
+}
+
 // RecordBroken records that the process may have ended at the given time and that it is being found out: RecordInterrupted or
 // RecordContinued follows.
 func (b *Balancer) RecordBroken(registered routing.Server, at time.Time) {
--- a/internal/placement/continuity_test.go
+++ b/internal/placement/continuity_test.go
@@ -73,4 +73,23 @@
 		b.RecordContinued(other, epoch)
 		assert.False(t, b.MayHaveChanged(other))
 	})
+	t.Run("told by a peer", func(t *testing.T) {
+		told, b := newBalancer(), newBalancer()
+		told.RecordInterrupted(other, epoch)
+		told.RecordRefused(first, epoch)
+		refusals := told.Refusals()
+		assert.Equal(t, []Refusal{{Hash(first.ID), ServerIdentity(first), epoch}}, refusals)
+		registered, ok := b.Registered(refusals[0])
+		assert.True(t, ok)
+		b.RecordInterrupted(registered, epoch)
+		assert.True(t, b.MayHaveChanged(first))
+		assert.Empty(t, b.Refusals(), "what peers tell is not passed on")
+		told.SetListAsOf(epoch.Add(lag + time.Millisecond))
+		assert.Empty(t, told.Refusals())
+		first := first
+		first.Incarnation++
+		b.SetServers([]routing.Server{first, other})
+		_, ok = b.Registered(refusals[0])
+		assert.False(t, ok, "the next process")
+	})
 }
--- a/internal/scheduler/continuity.go
+++ b/internal/scheduler/continuity.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/routing"
 )
 
@@ -13,6 +14,20 @@
 	s.balancer.RecordInterrupted(server, at)
 }
 
+// RecordRefused records that the server refused a connection of this daemon at the given time.
+func (s *Scheduler) RecordRefused(server routing.Server, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.RecordRefused(server, at)
+}
+
+// Registered returns the server if the process of the refusal is still the registered one.
+func (s *Scheduler) Registered(r placement.Refusal) (routing.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Registered(r)
+}
+
 // RecordServerBroken records that the registered process of the server may have ended, and that it is being found out.
 func (s *Scheduler) RecordServerBroken(server routing.Server, at time.Time) {
 	s.mu.Lock()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -167,6 +167,7 @@
 	TimingModels map[uint64]placement.TimingModel // by hash of the service's name
 	Quarantine   []quarantine.Report
 	Limits       serverlimit.Report
+	Refusals     []placement.Refusal
 	Age          time.Duration // of the oldest state in the view when it was sent, 0 for that of a single daemon
 }
 
@@ -198,6 +199,7 @@
 func (s *Scheduler) View(placementAge time.Duration, now time.Time) View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.balancer.SetListAsOf(s.options.ListAsOf(now))
 	return View{
 		Loads:        s.balancer.OwnLoad(),
 		Usage:        s.shares.Report(now),
@@ -205,6 +207,7 @@
 		TimingModels: s.balancer.TimingModels(),
 		Quarantine:   s.quarantine.Reports(now),
 		Limits:       s.limiter.Report(now),
+		Refusals:     s.balancer.Refusals(),
 	}
 }
 
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -14,6 +14,8 @@
 type Continuity interface {
 	// Interrupted is called when the process may have ended: from now on another one may answer at the endpoint.
 	Interrupted(e Endpoint, at time.Time)
+	// Refused is called when the endpoint has refused a connection: the process has ended.
+	Refused(e Endpoint, at time.Time)
 	// Broken is called when the process may have ended and it is being found out. Continued or Interrupted follows.
 	Broken(e Endpoint, at time.Time)
 	// Continued is called when the process did not end, as of the given time.
@@ -29,7 +31,11 @@
 // recordDialFailure records that the endpoint refused a connection, or that nothing answers there.
 func (p *Pool) recordDialFailure(e Endpoint, err error) {
 	var timeout interface{ Timeout() bool }
-	if p.continuity != nil && (errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()) {
+	switch {
+	case p.continuity == nil:
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.continuity.Refused(e, time.Now())
+	case errors.As(err, &timeout) && timeout.Timeout():
 		p.continuity.Interrupted(e, time.Now())
 	}
 }
@@ -118,7 +124,7 @@
 func (p *Pool) continues(e Endpoint, alive time.Time, mayDial bool) bool {
 	if !mayDial {
 		time.Sleep(processEndTime)
-		return p.anyOpen(e, alive)
+		return p.HoldsFrom(e, alive)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), processEndTime)
 	defer cancel()
@@ -126,20 +132,20 @@
 	c, err := p.dialBeyondLimit(ctx, e)
 	if err != nil {
 		time.Sleep(time.Until(end)) // a server at its limit resets connections
-		return p.anyOpen(e, alive)
+		return p.HoldsFrom(e, alive)
 	}
 	if c.closedUntil(end) {
 		p.closeConn(e, c)
 		time.Sleep(time.Until(end))
-		return p.anyOpen(e, alive)
+		return p.HoldsFrom(e, alive)
 	}
 	p.Put(e, c)
 	return true
 }
 
-// anyOpen reports whether a connection that was opened before the given time is open, with nothing to read: a process that has
+// HoldsFrom reports whether a connection that was opened before the given time is open, with nothing to read: a process that has
 // ended may leave data.
-func (p *Pool) anyOpen(e Endpoint, before time.Time) bool {
+func (p *Pool) HoldsFrom(e Endpoint, before time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns, ok := p.endpoints[e]
--- a/internal/upstream/continuity_test.go
+++ b/internal/upstream/continuity_test.go
@@ -25,6 +25,7 @@
 }
 
 func (l *continuityLog) Interrupted(Endpoint, time.Time) { l.add("interrupted") }
+func (l *continuityLog) Refused(Endpoint, time.Time)     { l.add("refused") }
 func (l *continuityLog) Broken(Endpoint, time.Time)      { l.add("broken") }
 func (l *continuityLog) Continued(Endpoint, time.Time)   { l.add("continued") }
 
@@ -113,7 +114,7 @@
 		server.end()
 		awaitEnd(t, c)
 		pool.RecordBroken(c)
-		log.become(t, "broken", "interrupted", "interrupted") // by the refused connection, and by the result
+		log.become(t, "broken", "refused", "interrupted")
 	})
 	t.Run("idle connection closed early, all others too", func(t *testing.T) {
 		pool, log, server, e := newPool(t)
