--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -47,7 +47,7 @@
 }
 
 // Withdrawal states that an incarnation of a backend server takes no new requests. It covers the
-// records of the incarnation up to the sequence number.
+// records of the incarnation up to the sequence number, and those of earlier incarnations, which have ended.
 type Withdrawal struct {
 	ID          string
 	Incarnation int64
@@ -55,6 +55,11 @@
 	FirstSeen   time.Time // when the first daemon received it; peers pass it on unchanged
 }
 
+// covers reports whether the withdrawal covers the record of the incarnation with the sequence number.
+func (w Withdrawal) covers(incarnation, sequence int64) bool {
+	return incarnation < w.Incarnation || (incarnation == w.Incarnation && sequence <= w.Sequence)
+}
+
 const (
 	// withdrawalTTL is the time after which a withdrawal expires. By then a draining server has
 	// stopped, and no older record of it is still read.
@@ -176,7 +181,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	if w, found := s.withdrawals[server.ID]; found && server.Incarnation == w.Incarnation && server.Sequence <= w.Sequence {
+	if w, found := s.withdrawals[server.ID]; found && w.covers(server.Incarnation, server.Sequence) {
 		if !ok {
 			s.mu.Unlock()
 			return false // removed: the record is from a stale list
@@ -292,13 +297,12 @@
 	s.mu.Lock()
 	old, ok := s.servers[w.ID]
 	known, isKnown := s.withdrawals[w.ID]
-	if (isKnown && known.Incarnation >= w.Incarnation && known.Sequence >= w.Sequence) || s.overridden(w) {
+	if (isKnown && known.covers(w.Incarnation, w.Sequence)) || s.overridden(w) {
 		s.mu.Unlock()
 		return false
 	}
 	s.withdrawals[w.ID] = w
-	applies := ok && old.Server.State == routing.Ready && old.Server.Incarnation == w.Incarnation &&
-		old.Server.Sequence <= w.Sequence
+	applies := ok && old.Server.State == routing.Ready && w.covers(old.Server.Incarnation, old.Server.Sequence)
 	if applies {
 		s.removeDigest(old.Server)
 		old.Server.State = routing.Draining
@@ -331,10 +335,9 @@
 	return s.lastListed[w.ID].Sub(w.FirstSeen) > listingOverrideDelay
 }
 
-// recordWithdrawal stores a withdrawal of the server, unless the same or a later one of its
-// incarnation is known. The caller holds the lock.
+// recordWithdrawal stores a withdrawal of the server, unless the same or a later one is known. The caller holds the lock.
 func (s *State) recordWithdrawal(server routing.Server, now time.Time) {
-	if w, ok := s.withdrawals[server.ID]; ok && w.Incarnation == server.Incarnation && w.Sequence >= server.Sequence {
+	if w, ok := s.withdrawals[server.ID]; ok && w.covers(server.Incarnation, server.Sequence) {
 		return
 	}
 	s.withdrawals[server.ID] = Withdrawal{server.ID, server.Incarnation, server.Sequence, now}
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -350,3 +350,46 @@
 	assert.Equal(t, map[string]time.Duration{"s": 5 * time.Second}, removed)
 	assert.Equal(t, Knowledge{Draining: 3 * time.Second}, state.Knowledge("s", at(10)))
 }
+
+// Guards against requests to a process that leaves, by what is known of the process before it at the same ID.
+func TestWithdrawalCoversFormerProcess(t *testing.T) {
+	former := routing.Server{ID: "s", Incarnation: 1, Sequence: 50}
+	next := routing.Server{ID: "s", Incarnation: 2, Sequence: 3}
+	leaving := Withdrawal{ID: "s", Incarnation: 2, Sequence: 4, FirstSeen: now}
+	t.Run("only the former one is known", func(t *testing.T) {
+		state := NewState(func() {})
+		state.SetServer(former, nil, now)
+		assert.True(t, state.Withdraw(leaving))
+		got, _ := serverState(state, "s")
+		assert.Equal(t, routing.Draining, got)
+	})
+	t.Run("record of the former one arrives later", func(t *testing.T) {
+		state := NewState(func() {})
+		state.SetServer(next, nil, now)
+		state.RemoveServer("s", now)
+		state.SetServer(former, nil, now)
+		_, ok := serverState(state, "s")
+		assert.False(t, ok)
+	})
+	t.Run("withdrawal of the former one arrives later", func(t *testing.T) {
+		state := NewState(func() {})
+		state.SetServer(next, nil, now)
+		state.RemoveServer("s", now)
+		state.Withdraw(Withdrawal{ID: "s", Incarnation: 1, Sequence: 51, FirstSeen: now})
+		state.SetServer(next, nil, now) // from a stale list
+		_, ok := serverState(state, "s")
+		assert.False(t, ok)
+		assert.Equal(t, []Withdrawal{{"s", 2, 3, now}}, state.Withdrawals(now))
+	})
+	t.Run("former one left", func(t *testing.T) {
+		state := NewState(func() {})
+		state.SetServer(former, nil, now)
+		state.RemoveServer("s", now)
+		state.SetServer(next, nil, now)
+		got, _ := serverState(state, "s")
+		assert.Equal(t, routing.Ready, got)
+		assert.False(t, state.Withdraw(Withdrawal{ID: "s", Incarnation: 1, Sequence: 51, FirstSeen: now}))
+		got, _ = serverState(state, "s")
+		assert.Equal(t, routing.Ready, got)
+	})
+}
