--- a/internal/exchange/suspect.go
+++ b/internal/exchange/suspect.go
@@ -55,10 +55,10 @@
 	return millis > 0, time.Duration(millis) * time.Millisecond
 }
 
-// maxAge bounds ages in messages. It is longer than any state is kept.
-const maxAge = 48 * time.Hour
+// MaxAge bounds ages in messages. It is longer than any state is kept. State of that age was never known.
+const MaxAge = 48 * time.Hour
 
-// AgeMillis converts an age to milliseconds, rounded up and limited to maxAge.
+// AgeMillis converts an age to milliseconds, rounded up and limited to MaxAge.
 func AgeMillis(age time.Duration) uint32 {
-	return uint32((min(max(age, 0), maxAge) + time.Millisecond - 1).Milliseconds())
+	return uint32((min(max(age, 0), MaxAge) + time.Millisecond - 1).Milliseconds())
 }
--- a/internal/gateway/first_list_test.go
+++ b/internal/gateway/first_list_test.go
@@ -72,3 +72,15 @@
 	assert.Equal(t, 1, started.topology.Size())
 	assert.GreaterOrEqual(t, started.reader.Age(topology.Servers, time.Now()), age)
 }
+
+// Guards against daemons that count as ready without servers because they asked a peer that had started again and had no list yet.
+func TestPeerWithoutListGivesNoFirstList(t *testing.T) {
+	blank := newPullingGateway(t, "blank")
+	started := newPullingGateway(t, "started", blank.settings.ControlAddress)
+	peer := &pb.Member{Id: "blank", Zone: "z", ControlAddress: blank.settings.ControlAddress, KnowsServers: true} // that it said before
+	require.Eventually(t, func() bool {
+		_, _, err := started.pullPart(peer, time.Now())
+		return err == nil
+	}, 5*time.Second, 5*time.Millisecond)
+	assert.False(t, started.reader.ServersListed())
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -252,7 +252,7 @@
 		// Records that are older than this daemon's change nothing, and would be answered again for good.
 		more = more && g.topology.Digest() != digest
 	}
-	if g.topology.Digest() == digestBefore {
+	if g.topology.Digest() == digestBefore && g.reader.ServersListed() {
 		g.nextServerPull.Store(monotonic.UnixNano(time.Now().Add(unchangedPullDelay)))
 	}
 	g.logger.Info("Records pulled.", "peer", from.Id, "version", g.configVersion(), "servers", received)
@@ -281,6 +281,9 @@
 	}
 	if records.ServerAgeMs != nil { // earlier versions don't set it
 		listedAt = asked.Add(-time.Duration(*records.ServerAgeMs) * time.Millisecond)
+		if *records.ServerAgeMs >= exchange.AgeMillis(exchange.MaxAge) {
+			listedAt = time.Time{} // the peer has no list
+		}
 	}
 	g.reader.ApplyServerList(servers, buckets, records.More, listedAt, time.Now())
 	return len(servers), records.More, nil
