--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -17,6 +17,7 @@
 	DirectoryAddress string            // for callers that look up entry addresses
 	MetricsAddress   string            // empty for no metrics listener
 	Seeds            []string          // control addresses of other daemons
+	StartedBefore    bool              // the whole system has been started before; false if unknown
 
 	MemoryLimitBytes    int64         // of the process; 0 if unknown or unlimited
 	FileDescriptorLimit int           // of the process; 0 if unknown or unlimited
--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -129,8 +130,8 @@
 }
 
 // loadVersions loads what is saved. Unless the store is known to hold all versions since it was last restored, they are not taken
-// for all that were in use. A store without any is so once the daemon that writes could write to it. writes states that this daemon
-// does, and so knows what stays there.
+// for all that were in use. A store without any is so once the daemon that writes could write to it, if the log tells what was listed
+// before or the whole system may start for the first time. writes states that this daemon does, and so knows what stays there.
 func (g *Gateway) loadVersions(ctx context.Context, k *versionKeeper, writes bool) error {
 	started := time.Now()
 	wholeEra, err := k.store.VersionsEra(ctx)
@@ -151,11 +152,17 @@
 			return err
 		}
 	}
+	blank, listed := wholeEra == 0 && len(keys) == 0, false // a new store, or one that took no writes
+	var uses []origin.Use
+	if takesOver && blank && g.platform.Store != nil {
+		if uses, listed, err = readListedVersions(ctx, g.platform.Store, started); err != nil {
+			return err
+		}
+	}
 	now := time.Now()
 	if now.Sub(started) > versionCallTimeout {
 		return errors.New("the answer of the store is too old")
 	}
-	uses := make([]origin.Use, 0, len(keys))
 	saved := make(origin.Saved, len(keys))
 	for _, key := range keys {
 		uses = append(uses, origin.Use{Service: key.Service, Version: key.Version, FirstSeen: now, LastSeen: now})
@@ -169,8 +176,11 @@
 	}
 	k.wholeEra = wholeEra
 	whole := wholeEra == k.era
-	if blank := wholeEra == 0 && len(keys) == 0; blank { // a new one, or one that took no writes
-		if whole = takesOver; whole { // before anything is saved, so that those who load it trust it
+	if blank {
+		if err := g.saveUnlisted(ctx, k, uses, saved, now); err != nil {
+			return err
+		}
+		if whole = takesOver && (listed || !g.settings.StartedBefore); whole { // before others are saved, so that those who load it trust it
 			if err := g.saveVersionsEra(ctx, k); err != nil {
 				return err
 			}
@@ -188,6 +198,24 @@
 	return nil
 }
 
+// saveUnlisted saves the versions that this daemon has not seen in use itself, and adds them to saved.
+func (g *Gateway) saveUnlisted(ctx context.Context, k *versionKeeper, uses []origin.Use, saved origin.Saved, now time.Time) error {
+	known, _ := g.origins.versionsInUse(now)
+	services := resumableServices(g.topology.Config())
+	for _, use := range uses {
+		key := origin.Key{Service: use.Service, Version: use.Version}
+		seen := slices.ContainsFunc(known, func(u origin.Use) bool { return u.Service == use.Service && u.Version == use.Version })
+		if seen || use.Service != routesService && !services[use.Service] {
+			continue
+		}
+		if err := k.store.SaveVersion(ctx, key); err != nil {
+			return errors.Wrapf(err, "save version %q of service %q", key.Version, key.Service)
+		}
+		saved[key] = now
+	}
+	return nil
+}
+
 // saveVersionsEra saves that the store holds all versions.
 func (g *Gateway) saveVersionsEra(ctx context.Context, k *versionKeeper) error {
 	if err := k.store.SaveVersionsEra(ctx, k.era); err != nil {
--- a/internal/gateway/version_keeper_test.go
+++ b/internal/gateway/version_keeper_test.go
@@ -303,3 +303,22 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a fleet that is started again and takes a store without versions for a new one.
+func TestFleetThatWasStartedBeforeDoesNotTrustStoreWithoutVersions(t *testing.T) {
+	g := newKeepingGateway(t, &lateStore{saved: map[origin.Key]bool{}}, newKeeperRegistry())
+	g.settings.StartedBefore = true
+	synctest.Test(t, func(t *testing.T) {
+		concluded := func() bool {
+			_, ok := g.origins.only(takeUp(""))
+			return ok
+		}
+		stop := g.keep(t)
+		g.follow(time.Minute, func() { assert.False(t, concluded(), "streams may have begun at other versions") }, "v1")
+		assert.Empty(t, g.origins.Excluded("s"), "streams may begin")
+		g.follow(origin.TTL, func() {}, "v1")
+		assert.True(t, concluded(), "streams of before have ended")
+		stop()
+		synctest.Wait()
+	})
+}
