--- a/internal/exchange/aggregate.go
+++ b/internal/exchange/aggregate.go
@@ -288,7 +288,8 @@
 	out := &pb.View{
 		Placements: sum.Placements, Withdrawn: sum.Withdrawn, ConfigVersion: sum.ConfigVersion, ServerDigest: sum.ServerDigest,
 		ConfigAgeMs: sum.ConfigAgeMs, ServerAgeMs: sum.ServerAgeMs, Models: sum.Models, Suspects: sum.Suspects, Limits: sum.Limits,
-		StoreEra: sum.StoreEra, Evacuations: sum.Evacuations, Refused: sum.Refused, Daemons: less(sum.Daemons, part.Daemons),
+		StoreEra: sum.StoreEra, StoreReturnAgeMs: sum.StoreReturnAgeMs, Evacuations: sum.Evacuations, Refused: sum.Refused,
+		Daemons: less(sum.Daemons, part.Daemons),
 	}
 	servers := make(map[uint64]*pb.ServerLoad, len(part.Servers))
 	for _, l := range part.Servers {
--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -45,6 +45,7 @@
 	for _, z := range d.Forwarded {
 		n += zoneEntries(z)
 	}
+	n += len(d.GetStoreNews().GetWithdrawn())
 	return n + len(d.GetOrigins().GetRecords()) + len(d.GetOrigins().GetAnswers()) + len(d.GetOrigins().GetVersions())
 }
 
--- a/internal/exchange/count.go
+++ b/internal/exchange/count.go
@@ -14,6 +14,8 @@
 		return telemetry.KindZoneSummary
 	case len(d.Forwarded) > 0:
 		return telemetry.KindForward
+	case d.StoreNews != nil:
+		return telemetry.KindStoreNews
 	case d.Origins != nil:
 		return telemetry.KindOrigins
 	case len(d.GetState().GetMembers()) > 0:
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -114,6 +114,8 @@
 	Notices func() *pb.NoticeList
 	// OnOrigins is called with each message about the origins of streams. It must not block.
 	OnOrigins func(*pb.Origins)
+	// OnStoreNews is called with what a daemon has learned from the store. It may be nil.
+	OnStoreNews func(*pb.StoreNews)
 	// OnZoneTraffic is called with the bytes that are sent from one zone to another, because of
 	// this daemon. It may be nil.
 	OnZoneTraffic func(from, to string, kind telemetry.TrafficKind, bytes int64)
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -26,6 +26,9 @@
 	for _, v := range views {
 		out.Daemons += v.Daemons
 		out.StoreEra = max(out.StoreEra, v.StoreEra)
+		if at := v.StoreReturnAgeMs; at != nil && (out.StoreReturnAgeMs == nil || *at < *out.StoreReturnAgeMs) {
+			out.StoreReturnAgeMs = at
+		}
 		if newerEvacuations(v.Evacuations, out.Evacuations) {
 			out.Evacuations = v.Evacuations
 		}
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -55,6 +55,9 @@
 	if d.Origins != nil {
 		x.options.OnOrigins(d.Origins)
 	}
+	if d.StoreNews != nil && x.options.OnStoreNews != nil {
+		x.options.OnStoreNews(d.StoreNews)
+	}
 }
 
 // handleState stores the state of a peer if it is newer than the stored one, and calls OnView with
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -190,7 +190,7 @@
 	return &pb.View{
 		Servers: v.Servers, Accounts: v.Accounts, Withdrawn: v.Withdrawn, Models: v.Models, Limits: v.Limits, Demands: v.Demands, Daemons: v.Daemons,
 		ConfigVersion: v.ConfigVersion, ConfigAgeMs: v.ConfigAgeMs, ServerDigest: v.ServerDigest, ServerAgeMs: v.ServerAgeMs, StoreEra: v.StoreEra,
-		Evacuations: v.Evacuations, Refused: v.Refused,
+		Evacuations: v.Evacuations, Refused: v.Refused, StoreReturnAgeMs: v.StoreReturnAgeMs,
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -108,10 +108,10 @@
 	view := g.scheduler.View(placementAge, now)
 	v := encodeView(view)
 	v.Refused = encodeRefusals(view.Refusals, now)
-	for _, w := range g.topology.Withdrawals(now) {
-		v.Withdrawn = append(v.Withdrawn, &pb.Withdrawal{
-			Server: w.ID, Born: w.Incarnation, Sequence: w.Sequence, AgeMs: ageMillis(now.Sub(w.FirstSeen)),
-		})
+	v.Withdrawn = append(v.Withdrawn, withdrawalMessages(g.topology.Withdrawals(now), now)...)
+	if age := now.Sub(g.reader.Returned()); age < returnAdvertiseTTL {
+		millis := ageMillis(age)
+		v.StoreReturnAgeMs = &millis
 	}
 	known := g.reader.Freshness(now)
 	v.ConfigVersion, v.ConfigAgeMs = known.ConfigVersion, ageMillis(known.ConfigAge)
@@ -180,11 +180,8 @@
 	g.receiveRefusals(v.Refused, now)
 	g.reader.SeeEra(v.StoreEra, now)
 	timeOf := func(millis uint32) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
-	for _, w := range v.Withdrawn {
-		if g.topology.Withdraw(topology.Withdrawal{ID: w.Server, Incarnation: w.Born, Sequence: w.Sequence, FirstSeen: timeOf(w.AgeMs)}) {
-			g.logger.Info("Server withdrawn by a peer.", "server", w.Server, "peer", from, "age", now.Sub(timeOf(w.AgeMs)))
-		}
-	}
+	g.receiveReturn(v.StoreReturnAgeMs, now)
+	g.receiveWithdrawals(from, v.Withdrawn, now)
 	if e := v.Evacuations; e != nil {
 		g.reader.ApplyEvacuations(topology.Evacuations{Position: topology.Position{Era: e.Era, Offset: e.Offset}, Zones: e.Zones})
 	}
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -48,13 +48,14 @@
 	KindForward     Kind = "forward"      // of summaries of other zones
 	KindOwnZone     Kind = "own_zone"     // summary for the daemons of a large zone
 	KindOrigins     Kind = "origins"
+	KindStoreNews   Kind = "store_news"
 	KindPull        Kind = "pull"
 )
 
 var kinds = []Kind{
 	KindPing, KindPong, KindHeartbeat, KindBidReport, KindGrantBatch, KindRunReport,
 	KindConfigRecords, KindConfigRequest, KindConfigReply, KindZoneReports, KindLog, KindOther,
-	KindState, KindMemberList, KindZoneSummary, KindForward, KindOwnZone, KindOrigins, KindPull,
+	KindState, KindMemberList, KindZoneSummary, KindForward, KindOwnZone, KindOrigins, KindStoreNews, KindPull,
 }
 
 // controlCounter counts the control messages of one direction, locality and kind.
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -68,12 +69,6 @@
 	serverReadInterval = 500 * time.Millisecond
 	// relistInterval is the time between two full listings of the servers.
 	relistInterval = 5 * time.Second
-	// minBackoff and maxBackoff bound the time between failing calls when up to backoffReaders
-	// daemons read the store. With more readers the upper bound grows in proportion (see
-	// maxBackoffFor): without that, 85 daemons made 2,362 calls in 50 s with an outage of 7 s.
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = 800 * time.Millisecond
-	backoffReaders = 4
 	// minTakeoverAge is the least age of the state received from peers at which a daemon starts to
 	// read the store itself. A change has to be received within 2 s even if one call is lost.
 	minTakeoverAge = 900 * time.Millisecond
@@ -88,9 +83,6 @@
 	// maxLoggedChanges bounds the log lines about the servers of one list: a daemon that starts learns of thousands, and each
 	// line is a system call.
 	maxLoggedChanges = 20
-	// recoveryGracePeriod is how long missing servers are kept after an outage of the store.
-	// Running servers register again within 2 s.
-	recoveryGracePeriod = 2500 * time.Millisecond
 )
 
 // ReaderOptions are the dependencies of a Reader.
@@ -100,12 +92,20 @@
 	// ReadsStore reports whether this daemon reads the store for its peers. A daemon that does
 	// not uses the state that peers send, and reads the store itself once that state is stale.
 	ReadsStore func() bool
+	// ReadsFirst reports whether this daemon reads the store when it returns from an outage, in which no daemon is known to
+	// reach it. ReadsStore is used if it is nil.
+	ReadsFirst func() bool
 	// ReaderCount returns the number of daemons, this one included, that may call the store at
 	// the same time and send each other the results.
 	ReaderCount func() int
 	// StateInterval returns the time between two states that peers send.
 	StateInterval func() time.Duration
-	Logger        *slog.Logger
+	// OnReturn is called with the time at which a call was answered for the first time after an outage of the store, unless
+	// a peer has reported that before. OnGone is called with the withdrawals of servers that were missing behind an
+	// outage. Both may be nil.
+	OnReturn func(at time.Time)
+	OnGone   func([]Withdrawal)
+	Logger   *slog.Logger
 }
 
 // Reader keeps a State synchronized with the store.
@@ -113,6 +113,9 @@
 	store          Store
 	state          *State
 	readsStore     func() bool
+	readsFirst     func() bool
+	onReturn       func(time.Time)
+	onGone         func([]Withdrawal)
 	readerCount    func() int
 	stateInterval  func() time.Duration
 	logger         *slog.Logger
@@ -120,14 +123,30 @@
 	serversListed  atomic.Bool
 	lastSuccess    atomic.Int64 // time of the last successful call, as monotonic.UnixNano
 	lastCallFailed atomic.Bool
-	era            atomic.Uint64 // highest one that this daemon or a peer has seen
-	recoveredAt    atomic.Int64  // time at which the store was last seen to be back or restored, as monotonic.UnixNano
-	loggedChanges  atomic.Int64  // changed servers in the list that is being applied
+	era            atomic.Uint64    // highest one that this daemon or a peer has seen
+	recoveredAt    atomic.Int64     // time at which the store was last seen to be back or restored, as monotonic.UnixNano
+	returnedAt     atomic.Int64     // see Returned, as monotonic.UnixNano
+	currentSince   atomic.Int64     // start of the time since when lists were current without a gap, as monotonic.UnixNano
+	heard          atomic.Int64     // last return of the store that a peer has reported, as monotonic.UnixNano
+	failedAt       [2]atomic.Int64  // by topic: time of the last failed call, as monotonic.UnixNano
+	wake           [2]chan struct{} // by topic, see wakeAll
+	probes         probeSchedule
+	loggedChanges  atomic.Int64 // changed servers in the list that is being applied
 }
 
 // NewReader returns a reader. Run starts it.
 func NewReader(o ReaderOptions) *Reader {
-	return &Reader{store: o.Store, state: o.State, readsStore: o.ReadsStore, readerCount: o.ReaderCount, stateInterval: o.StateInterval, logger: o.Logger}
+	if o.ReadsFirst == nil {
+		o.ReadsFirst = o.ReadsStore
+	}
+	r := &Reader{
+		store: o.Store, state: o.State, readsStore: o.ReadsStore, readsFirst: o.ReadsFirst, onReturn: o.OnReturn, onGone: o.OnGone,
+		readerCount: o.ReaderCount, stateInterval: o.StateInterval, logger: o.Logger,
+	}
+	for t := range r.wake {
+		r.wake[t] = make(chan struct{}, 1)
+	}
+	return r
 }
 
 // takeoverAge returns the age of the state received from peers at which a daemon reads the store itself.
@@ -147,6 +166,14 @@
 	return r.lastCallFailed.Load() && now.Sub(monotonic.Time(r.lastSuccess.Load())) > unreachableAfter
 }
 
+// setListed records the first full list of servers.
+func (r *Reader) setListed(at time.Time) {
+	if !r.serversListed.Load() {
+		r.currentSince.Store(monotonic.UnixNano(at))
+		r.serversListed.Store(true)
+	}
+}
+
 // Age returns the time since the state of the topic was last known to be current.
 func (r *Reader) Age(t Topic, now time.Time) time.Duration {
 	return now.Sub(monotonic.Time(r.asOf[t].Load()))
@@ -194,21 +221,6 @@
 	}
 }
 
-// seeList records that a list of servers was complete at the given time. If none was for longer than unreachableAfter before, the
-// store may have been down: servers whose entries have expired have the time to register again. The daemon need not have called
-// the store itself, or may have stood still.
-func (r *Reader) seeList(at time.Time) {
-	next := monotonic.UnixNano(at)
-	if !r.serversListed.Load() || next-r.asOf[Servers].Load() <= int64(unreachableAfter) {
-		return
-	}
-	for known := r.recoveredAt.Load(); next > known; known = r.recoveredAt.Load() {
-		if r.recoveredAt.CompareAndSwap(known, next) {
-			r.logger.Info("List of servers was not current for long.", "age", time.Duration(next-r.asOf[Servers].Load()))
-		}
-	}
-}
-
 // Confirm records that this daemon's state of the topic was current at the given time.
 func (r *Reader) Confirm(t Topic, at time.Time) {
 	if t == Servers {
@@ -248,7 +260,7 @@
 	})
 	if newer && !more {
 		r.Confirm(Servers, listedAt)
-		r.serversListed.Store(true)
+		r.setListed(listedAt)
 	}
 }
 
@@ -260,20 +272,27 @@
 
 // follow reads one topic: first the newest record of each key, then changes.
 func (r *Reader) follow(ctx context.Context, t Topic) {
-	backoff, storeDown := minBackoff, false
-	var listedAt, recoveredAt time.Time
-	relist := false // at the end of the grace period after recoveredAt
+	storeDown := false
+	backoff := minBackoff // while the newest configuration can't be decoded
+	var listedAt time.Time
+	relist := false // at the end of the grace period
 	next := int64(-1)
 	var era uint64 // at the last listing
 	for ctx.Err() == nil {
 		started := time.Now()
-		if !r.readsStore() && r.Age(t, started) < takeoverAge(r.stateInterval()) {
+		graceEnd := monotonic.Time(r.recoveredAt.Load()).Add(recoveryGracePeriod)
+		// A daemon that has read a store which had just returned lists it again even if it is no reader any more.
+		relistDue := relist && !started.Before(graceEnd)
+		if !relistDue && r.peersRead(t, started) {
 			next = -1
-			r.sleep(ctx, roleCheckInterval)
+			pause := roleCheckInterval
+			if relist {
+				pause = min(pause, graceEnd.Sub(started))
+			}
+			r.sleep(ctx, pause)
 			continue
 		}
-		graceEnd := recoveredAt.Add(recoveryGracePeriod)
-		full := next < 0 || (t == Servers && (started.Sub(listedAt) > relistInterval || relist && !started.Before(graceEnd)))
+		full := next < 0 || t == Servers && started.Sub(listedAt) > relistInterval || relistDue
 		records, end, err := r.call(ctx, t, next, full)
 		if errors.Is(err, ErrTruncated) {
 			r.logger.Info("Requested records are no longer in the store, listing the newest records.", "topic", t, "from", next)
@@ -286,9 +305,9 @@
 			}
 			storeDown = true
 			r.lastCallFailed.Store(true)
+			r.failedAt[t].Store(monotonic.UnixNano(started))
 			next = -1 // reads may have been stale or truncated: list again
-			r.sleep(ctx, backoff)
-			backoff = min(2*backoff, maxBackoffFor(r.readerCount()))
+			r.awaitProbe(ctx, t, r.probes.failed(t, time.Now(), r.readerCount(), rand.Float64))
 			continue
 		}
 		now := time.Now()
@@ -297,7 +316,7 @@
 			if era != 0 {
 				// Changes at reused offsets would be missed, and the copy may lack servers that register again.
 				r.logger.Info("Store was restored from a copy, listing the newest records.", "topic", t, "era", newEra)
-				recoveredAt = now
+				r.raiseRecovered(now)
 			}
 			era = newEra
 			if !full {
@@ -307,20 +326,17 @@
 		}
 		if storeDown {
 			r.logger.Info("Store is reachable again.", "topic", t, "end", end)
-			storeDown, recoveredAt = false, now
-			if t == Servers {
-				r.recoveredAt.Store(monotonic.UnixNano(now))
-			}
+			storeDown = false
+			r.returned(t, monotonic.Time(r.failedAt[t].Load()), now)
 		}
 		if t == Servers {
 			r.seeList(started)
-			if seen := monotonic.Time(r.recoveredAt.Load()); seen.After(recoveredAt) {
-				recoveredAt = seen
-			}
 		}
-		if now.Sub(recoveredAt) < recoveryGracePeriod {
+		recoveredAt := monotonic.Time(r.recoveredAt.Load())
+		if t == Servers && now.Sub(recoveredAt) < recoveryGracePeriod {
 			relist = true // servers that leave now are kept
 		}
+		r.probes.succeeded(t)
 		r.lastCallFailed.Store(false)
 		r.lastSuccess.Store(monotonic.UnixNano(now))
 		if full && t == Servers {
@@ -336,7 +352,10 @@
 		r.state.Batch(func() {
 			applied = r.apply(t, records, now, now.Sub(recoveredAt) < recoveryGracePeriod)
 			if full && t == Servers {
-				r.reconcile(records, nil, started, now, recoveredAt)
+				removed := r.reconcile(records, nil, started, now, recoveredAt)
+				if relistDue && len(removed) > 0 && r.onGone != nil {
+					r.onGone(removed)
+				}
 			}
 		})
 		if !applied {
@@ -356,7 +375,7 @@
 		}
 		r.Confirm(t, currentAsOf(t, started, len(records), full))
 		if full && t == Servers {
-			r.serversListed.Store(true) // with a time as of which the list was complete
+			r.setListed(started) // with a time as of which the list was complete
 		}
 		if t == Servers {
 			pause := serverReadInterval - time.Since(started)
@@ -368,12 +387,6 @@
 	}
 }
 
-// maxBackoffFor returns the upper bound of the time between two failing calls of one daemon. It
-// grows with the number of readers, so that the total rate of calls is bounded.
-func maxBackoffFor(readers int) time.Duration {
-	return maxBackoff * time.Duration(max(readers, backoffReaders)) / backoffReaders
-}
-
 // currentAsOf returns the time as of which the result of a call was complete: the start of the
 // call, or the end of the wait of a read that returned nothing.
 func currentAsOf(t Topic, started time.Time, records int, full bool) time.Time {
@@ -490,9 +503,9 @@
 	}
 }
 
-// reconcile removes the servers that are missing from a full listing, complete at listedAt, or from one of the buckets if
+// reconcile removes and returns the servers that are missing from a full listing, complete at listedAt, or from one of the buckets if
 // they are not nil. Within the grace period after the store recovered, missing servers are kept.
-func (r *Reader) reconcile(records []Record, buckets []uint32, listedAt, now, recoveredAt time.Time) {
+func (r *Reader) reconcile(records []Record, buckets []uint32, listedAt, now, recoveredAt time.Time) []Withdrawal {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
 		listed[record.Key] = true
@@ -512,6 +525,7 @@
 		}
 		r.logger.Info("Server removed.", "server", id, "reason", "missing", "since", missingFor, "list", now.Sub(listedAt))
 	}
+	return r.state.withdrawalsOf(removed)
 }
 
 func (r *Reader) sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/topology/recovery.go
@@ -0,0 +1,128 @@
+package topology
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertrill/filbertrill/internal/monotonic"
+)
+
+// recoveryGracePeriod is how long missing servers are kept after the store has returned from an outage. Running servers register
+// again within 2 s.
+const recoveryGracePeriod = 2100 * time.Millisecond
+
+// raiseRecovered sets recoveredAt to a later time and reports whether it was earlier.
+func (r *Reader) raiseRecovered(at time.Time) bool {
+	next := monotonic.UnixNano(at)
+	for known := r.recoveredAt.Load(); next > known; known = r.recoveredAt.Load() {
+		if r.recoveredAt.CompareAndSwap(known, next) {
+			return true
+		}
+	}
+	return false
+}
+
+// lastCurrent returns the time since when an outage of the store would show: that of the last complete list, or of the return of
+// the store after that.
+func (r *Reader) lastCurrent() int64 { return max(r.asOf[Servers].Load(), r.recoveredAt.Load()) }
+
+// seeList records that a list of servers was complete at the given time. If none was for longer than unreachableAfter before, the
+// store may have been down: servers whose entries have expired have the time to register again. The daemon need not have called
+// the store itself, or may have stood still.
+func (r *Reader) seeList(at time.Time) {
+	if !r.serversListed.Load() {
+		return
+	}
+	age := time.Duration(monotonic.UnixNano(at) - r.lastCurrent())
+	if age <= unreachableAfter || !r.raiseRecovered(at) {
+		return
+	}
+	r.returnedAt.Store(monotonic.UnixNano(at))
+	r.currentSince.Store(monotonic.UnixNano(at))
+	r.logger.Info("List of servers was not current for long.", "age", age)
+}
+
+// returned records that a call has succeeded after the last one of its topic failed. It tells peers, unless one of them or the other
+// topic has noticed it before.
+func (r *Reader) returned(t Topic, failedAt, now time.Time) {
+	if r.recoveredAt.Load() > monotonic.UnixNano(failedAt) {
+		return
+	}
+	outage := time.Duration(monotonic.UnixNano(now)-r.lastCurrent()) > unreachableAfter
+	r.seeList(now)
+	// After an outage that only this daemon has seen, or a short one, servers are kept by its own lists alone.
+	if t == Servers && !outage && now.Sub(failedAt) < recoveryGracePeriod+unreachableAfter {
+		r.raiseRecovered(now)
+	}
+	r.wakeAll()
+	if r.onReturn != nil && (outage || r.probes.backsOff(t)) {
+		r.onReturn(now)
+	}
+}
+
+// Returned returns the time at which a daemon first had a call answered after the last outage of the store, zero if none is known.
+func (r *Reader) Returned() time.Time {
+	if at := r.returnedAt.Load(); at != 0 {
+		return monotonic.Time(at)
+	}
+	return time.Time{}
+}
+
+// HearReturn records that a call of a peer was answered at the given time, the first after an outage of the store. The daemon then
+// reads the store at once if it does so for its zone, and otherwise waits for the list of a peer. Servers that this daemon's list
+// lacks are kept until the end of the grace period after that time if it had no current list then.
+func (r *Reader) HearReturn(at, now time.Time) {
+	next := monotonic.UnixNano(at)
+	unseen := next-r.lastCurrent() > int64(unreachableAfter)
+	late := next <= r.currentSince.Load() && next-r.recoveredAt.Load() > int64(unreachableAfter)
+	if unseen || late || !r.serversListed.Load() && r.recoveredAt.Load() == 0 {
+		if r.raiseRecovered(at) {
+			r.returnedAt.Store(next)
+			r.logger.Info("Store has returned, reported by a peer.", "age", now.Sub(at))
+		}
+	}
+	if !r.lastCallFailed.Load() || next <= max(r.failedAt[Configs].Load(), r.failedAt[Servers].Load()) {
+		return
+	}
+	for known := r.heard.Load(); next-known > int64(unreachableAfter); known = r.heard.Load() {
+		if r.heard.CompareAndSwap(known, next) {
+			r.wakeAll()
+		}
+	}
+}
+
+// peersRead reports whether the daemon leaves it to peers to read the topic.
+func (r *Reader) peersRead(t Topic, now time.Time) bool {
+	patience := takeoverAge(r.stateInterval())
+	fresh := r.Age(t, now) < patience
+	heard := monotonic.Time(r.heard.Load())
+	if r.lastCallFailed.Load() && now.Sub(heard) < patience && heard.After(monotonic.Time(r.failedAt[t].Load())) {
+		return !r.readsFirst()
+	}
+	return fresh && !r.readsStore()
+}
+
+// wakeAll ends the backoff of both topics.
+func (r *Reader) wakeAll() {
+	for _, wake := range r.wake {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// awaitProbe waits until the planned time, or until the store is known to answer. A plan that was made for more readers than are
+// left ends with the backoff for these.
+func (r *Reader) awaitProbe(ctx context.Context, t Topic, planned time.Time) {
+	started := time.Now()
+	for now := started; now.Before(planned) && now.Sub(started) < 2*maxBackoffFor(r.readerCount()); now = time.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake[t]:
+			return
+		case <-time.After(min(planned.Sub(now), roleCheckInterval)):
+		}
+	}
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -360,6 +360,18 @@
 	return out
 }
 
+// withdrawalsOf returns the withdrawals of the servers with the IDs.
+func (s *State) withdrawalsOf(ids map[string]time.Duration) (out []Withdrawal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range ids {
+		if w, ok := s.withdrawals[id]; ok {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // Servers returns the backend servers in no particular order.
 func (s *State) Servers() []routing.Server {
 	s.mu.Lock()
