--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -417,6 +417,10 @@
 // count: any program may have written them.
 func (r *Reader) apply(t Topic, records []Record, now time.Time, recovering bool) bool {
 	applied := true
+	last := make(map[string]Record, len(records)) // by key
+	for _, record := range records {
+		last[record.Key] = record
+	}
 	for _, record := range records {
 		switch {
 		case t == Configs:
@@ -425,7 +429,7 @@
 			}
 		case record.Value != nil:
 			r.ApplyServer(record, now)
-		case !recovering:
+		case !recovering && !r.registersAgain(last[record.Key]): // what a peer has told of may be the next process
 			if r.state.RemoveServer(record.Key, now) {
 				r.logger.Info("Server removed.", "server", record.Key, "reason", "deleted")
 			}
@@ -434,6 +438,15 @@
 	return applied
 }
 
+// registersAgain reports whether the record, the last of its key, is that of a server.
+func (r *Reader) registersAgain(last Record) bool {
+	if last.Value == nil {
+		return false
+	}
+	_, err := r.store.DecodeServer(last)
+	return err == nil
+}
+
 // applyEvacuations applies the records of topic Configs up to the position. A full listing holds all evacuations.
 func (r *Reader) applyEvacuations(records []Record, full bool, position Position) {
 	zones := make(map[string]bool)
--- a/internal/topology/reader_test.go
+++ b/internal/topology/reader_test.go
@@ -208,3 +208,35 @@
 	assert.True(t, state.Knows("lapses"))
 	require.Eventually(t, func() bool { return !state.Knows("lapses") }, 5*time.Second, 10*time.Millisecond, "it does not register again")
 }
+
+// Guards against the withdrawal of a running process by the end of the one before it at its ID, which is read after a peer has told
+// of both.
+func TestDeletionBeforeKnownEntryWithdrawsNothing(t *testing.T) {
+	state := NewState(func() {})
+	r := NewReader(ReaderOptions{Store: bornStore{}, State: state, Logger: slog.New(slog.DiscardHandler)})
+	former, next := Record{Key: "s", Value: []byte{1, 50}}, Record{Key: "s", Value: []byte{2, 1}}
+	r.ApplyServer(former, now)
+	r.ApplyServer(next, now) // from a peer
+	r.apply(Servers, []Record{former, {Key: "s"}, next}, now, false)
+	got, ok := serverState(state, "s")
+	assert.True(t, ok)
+	assert.Equal(t, routing.Ready, got)
+	assert.Empty(t, state.Withdrawals(now))
+	r.apply(Servers, []Record{next, {Key: "s"}}, now, false)
+	_, ok = serverState(state, "s")
+	assert.False(t, ok)
+	r.ApplyServer(Record{Key: "s", Value: []byte{3, 1}}, now)
+	r.apply(Servers, []Record{{Key: "s"}, {Key: "s", Value: []byte{}}}, now, false) // of another writer
+	_, ok = serverState(state, "s")
+	assert.False(t, ok)
+}
+
+// bornStore decodes server records whose value is the start time and the sequence number.
+type bornStore struct{ Store }
+
+func (bornStore) DecodeServer(r Record) (routing.Server, error) {
+	if len(r.Value) < 2 {
+		return routing.Server{}, errors.New("no server")
+	}
+	return routing.Server{ID: r.Key, Incarnation: int64(r.Value[0]), Sequence: int64(r.Value[1])}, nil
+}
