--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -39,6 +39,7 @@
 // AnswerInfo is the metadata in the header of a server's answer.
 type AnswerInfo struct {
 	ID     string // ID of the request that it answers; empty if missing
+	Server string // ID of the server; only answers to health checks have it
 	NotRun bool   // the server did not run the request and never will
 	Signed bool
 	// RequestLimit is how many requests per second the server takes from the whole fleet. HasRequestLimit is false if it
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -12,6 +12,7 @@
 	"github.com/filbertrill/filbertrill/internal/eventstream"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/routing"
 	"github.com/filbertrill/filbertrill/internal/upstream"
 )
 
@@ -177,18 +178,48 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
-// confirmEnd returns an error if the answer ends with its connection and the server doesn't accept another one. When a process is
-// killed, its connections end like those of a complete answer.
+// probeTimeout is the longest time that a server has to answer a question for its health after an answer that ends with its
+// connection.
+const probeTimeout = time.Second
+
+// confirmEnd returns an error if the answer ends with its connection and the server doesn't answer another request, or, for services without
+// a health check, doesn't accept another connection. When a process is killed, its connections end like those of a complete answer.
 func (h *Handler) confirmEnd(c *call, conn *upstream.Conn, response *http.Response) error {
 	if !endsWithConnection(response) {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
-	err := h.Pool.Check(ctx, conn.Endpoint())
+	var err error
+	if c.service != nil && c.service.HealthPath != "" {
+		err = h.probe(ctx, c, conn.Endpoint())
+	} else {
+		err = h.Pool.Check(ctx, conn.Endpoint())
+	}
 	return errors.Mark(errors.Wrap(err, "server has ended with its answer"), io.ErrUnexpectedEOF)
 }
 
+// probe returns an error unless the server of the endpoint answers a health check. Any status proves that it lives, except that
+// of another server at its address.
+func (h *Handler) probe(ctx context.Context, c *call, e upstream.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+c.service.HealthPath, nil)
+	if err != nil {
+		return errors.Wrap(err, "build health check")
+	}
+	head := h.Protocol.EncodeRequestHeader(ServerRequest{
+		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: probeTimeout,
+	})
+	return h.Pool.Probe(ctx, e, request.Method, head, func(r *http.Response) error {
+		server := h.Protocol.DecodeAnswer(r.Header).Server
+		if r.StatusCode == http.StatusMisdirectedRequest || server != "" && server != e.ID {
+			return errors.Newf("another server answers at %s", e.Address)
+		}
+		return nil
+	})
+}
+
 // forwardEvents writes events to the caller, after the header of the answer if they are the first ones.
 func (h *Handler) forwardEvents(c *call, response *http.Response, events []byte, flusher *http.ResponseController) error {
 	if len(events) == 0 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -151,6 +153,56 @@
 	return nil
 }
 
+// maxProbeBytes limits what Probe reads of a body, so that its connection can be kept.
+const maxProbeBytes = 4 << 10
+
+// Probe sends the head of a request on a new connection to the endpoint, and returns an error unless accept returns nil for the answer. An
+// answer proves that the process lives, other than an open connection: the kernel of a busy machine accepts connections to a
+// killed process for long. Two resets in a row are those of a server at its connection limit: a listener that was closed refuses the
+// second connection. The context must have a deadline. Probe keeps the connection for the next request.
+func (p *Pool) Probe(ctx context.Context, e Endpoint, method string, head []byte, accept func(*http.Response) error) error {
+	for reset := false; ; reset = true {
+		err := p.probe(ctx, e, method, head, accept)
+		if !errors.Is(err, syscall.ECONNRESET) {
+			return err
+		}
+		if reset {
+			return nil
+		}
+	}
+}
+
+// probe is Probe on one connection.
+func (p *Pool) probe(ctx context.Context, e Endpoint, method string, head []byte, accept func(*http.Response) error) error {
+	c, err := p.dialBeyondLimit(ctx, e)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now()) }) // fails on closed connections only
+	defer stop()
+	response, err := c.probe(method, head, accept)
+	if err != nil {
+		p.closeConn(e, c)
+		return err
+	}
+	if n, err := io.CopyN(io.Discard, response.Body, maxProbeBytes); !errors.Is(err, io.EOF) || n == maxProbeBytes || !stop() {
+		c.DisableReuse()
+	}
+	p.Put(e, c)
+	return nil
+}
+
+func (c *Conn) probe(method string, head []byte, accept func(*http.Response) error) (*http.Response, error) {
+	if _, err := c.Send(head, nil); err != nil {
+		return nil, err
+	}
+	response, err := c.Receive(method)
+	if err != nil {
+		return nil, err
+	}
+	return response, accept(response)
+}
+
 // dialBeyondLimit opens a connection, whatever the limit of the endpoint is.
 func (p *Pool) dialBeyondLimit(ctx context.Context, e Endpoint) (*Conn, error) {
 	p.mu.Lock()
