--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -25,8 +25,12 @@
 // SetContinuity sets the receiver. It must be called before the pool is used.
 func (p *Pool) SetContinuity(c Continuity) { p.continuity = c }
 
+// maxSilence is the time since the last sign of life of a connection within which its end is taken for one of just now. A host that
+// lost power closes nothing, and resets the connection once it runs again.
+const maxSilence = time.Second
+
 // RecordBroken records that the server has closed or reset the connection while a request was in progress.
-func (p *Pool) RecordBroken(c *Conn) { p.broken(c, true) }
+func (p *Pool) RecordBroken(c *Conn) { p.broken(c, time.Since(c.lastAlive()) < maxSilence) }
 
 // recordDialFailure records that the endpoint refused a connection, or that nothing answers there.
 func (p *Pool) recordDialFailure(e Endpoint, err error) {
--- a/internal/upstream/continuity_test.go
+++ b/internal/upstream/continuity_test.go
@@ -108,6 +108,15 @@
 		pool.RecordBroken(c)
 		log.become(t, "broken", "continued")
 	})
+	t.Run("one connection reset after a long silence", func(t *testing.T) {
+		pool, log, server, e := newPool(t)
+		c := get(t, pool, e)
+		c.openedAt = c.openedAt.Add(-maxSilence)
+		server.closeConn(t, 0)
+		awaitEnd(t, c)
+		pool.RecordBroken(c)
+		log.become(t, "broken", "interrupted")
+	})
 	t.Run("process ended", func(t *testing.T) {
 		pool, log, server, e := newPool(t)
 		c := get(t, pool, e)
