--- a/internal/upstream/continuity_test.go
+++ b/internal/upstream/continuity_test.go
@@ -64,6 +64,17 @@
 	return r
 }
 
+// await returns when n connections were accepted. One that was not is reset with the listener.
+func (r *restartable) await(t *testing.T, n int) *restartable {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.conns) == n
+	}, 5*time.Second, time.Millisecond)
+	return r
+}
+
 // end closes all like a process that ends.
 func (r *restartable) end() {
 	_ = r.Close()
@@ -75,11 +86,10 @@
 }
 
 func (r *restartable) closeConn(t *testing.T, i int) {
-	require.Eventually(t, func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return len(r.conns) > i && r.conns[i].Close() == nil
-	}, time.Second, time.Millisecond)
+	r.await(t, i+1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	require.NoError(t, r.conns[i].Close())
 }
 
 // Guards against a process that is taken for the one before: the pool must tell when it may have changed, and no more than that.
@@ -120,7 +130,7 @@
 	t.Run("process ended", func(t *testing.T) {
 		pool, log, server, e := newPool(t)
 		c := get(t, pool, e)
-		server.end()
+		server.await(t, 1).end()
 		awaitEnd(t, c)
 		pool.RecordBroken(c)
 		log.become(t, "broken", "refused", "interrupted")
@@ -130,7 +140,7 @@
 		c := get(t, pool, e)
 		c.idleTimeout = time.Minute
 		pool.Put(e, c)
-		server.end()
+		server.await(t, 1).end()
 		again := startListener(t, e.Address)
 		_ = get(t, pool, e)
 		log.become(t, "broken", "interrupted")
