--- a/internal/gateway/continuity.go
+++ b/internal/gateway/continuity.go
@@ -33,16 +33,6 @@
 	c.scheduler.RecordRefused(serverOf(e), at)
 }
 
-// Broken implements upstream.Continuity.
-func (c continuity) Broken(e upstream.Endpoint, at time.Time) {
-	c.scheduler.RecordServerBroken(serverOf(e), at)
-}
-
-// Continued implements upstream.Continuity.
-func (c continuity) Continued(e upstream.Endpoint, asOf time.Time) {
-	c.scheduler.RecordContinued(serverOf(e), asOf)
-}
-
 func serverOf(e upstream.Endpoint) routing.Server {
 	return routing.Server{ID: e.ID, Address: e.Address, Incarnation: e.Incarnation}
 }
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -131,9 +131,8 @@
 	lastFailureRate    float64   // at lastOutcome, see failureRate
 	lastOutcome        time.Time // time of the last success or failure
 	awaitingFirstEvent map[*Attempt]struct{}
-	interruptedAt      time.Time // when the process may last have ended, see RecordInterrupted
+	interruptedAt      time.Time // when the process may last have ended, see RecordInterrupted; zero if it never may
 	refusedAt          time.Time // when it last refused a connection of this daemon
-	brokenAt           time.Time // see RecordBroken; zero if it runs on
 	longPromptAt       time.Time // when it was last known to process a long prompt, see stallPenalty
 	wasCold            bool      // slowdown is that of the cold server, see warmUp
 }
--- a/internal/placement/continuity.go
+++ b/internal/placement/continuity.go
@@ -54,21 +54,6 @@
 	return routing.Server{}, false
 }
 
-// RecordBroken records that the process may have ended at the given time and that it is being found out: RecordInterrupted or
-// RecordContinued follows.
-func (b *Balancer) RecordBroken(registered routing.Server, at time.Time) {
-	if s, ok := b.process(registered); ok && at.After(s.brokenAt) {
-		s.brokenAt = at
-	}
-}
-
-// RecordContinued records that what was recorded by RecordBroken up to the given time was no end of the process.
-func (b *Balancer) RecordContinued(registered routing.Server, asOf time.Time) {
-	if s, ok := b.process(registered); ok && !s.brokenAt.After(asOf) {
-		s.brokenAt = time.Time{}
-	}
-}
-
 // MayHaveChanged reports whether another process than the registered one may answer at the server: its version isn't known.
 func (b *Balancer) MayHaveChanged(registered routing.Server) bool {
 	s, ok := b.process(registered)
@@ -76,8 +61,7 @@
 }
 
 func (b *Balancer) mayHaveChanged(s *server) bool {
-	confirms := func(at time.Time) bool { return at.IsZero() || b.listAsOf.After(at.Add(b.lag)) }
-	return !confirms(s.interruptedAt) || !confirms(s.brokenAt)
+	return !s.interruptedAt.IsZero() && !b.listAsOf.After(s.interruptedAt.Add(b.lag))
 }
 
 // anyCertain reports whether the version of a ready server that the request may be sent to is known.
--- a/internal/scheduler/continuity.go
+++ b/internal/scheduler/continuity.go
@@ -28,20 +28,6 @@
 	return s.balancer.Registered(r)
 }
 
-// RecordServerBroken records that the registered process of the server may have ended, and that it is being found out.
-func (s *Scheduler) RecordServerBroken(server routing.Server, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.balancer.RecordBroken(server, at)
-}
-
-// RecordContinued records that the registered process of the server was seen to run on as of the given time.
-func (s *Scheduler) RecordContinued(server routing.Server, asOf time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.balancer.RecordContinued(server, asOf)
-}
-
 // MayHaveChanged reports whether another process than the registered one may answer at the server.
 func (s *Scheduler) MayHaveChanged(server routing.Server, now time.Time) bool {
 	s.mu.Lock()
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -16,10 +16,6 @@
 	Interrupted(e Endpoint, at time.Time)
 	// Refused is called when the endpoint has refused a connection: the process has ended.
 	Refused(e Endpoint, at time.Time)
-	// Broken is called when the process may have ended and it is being found out. Continued or Interrupted follows.
-	Broken(e Endpoint, at time.Time)
-	// Continued is called when the process did not end, as of the given time.
-	Continued(e Endpoint, asOf time.Time)
 }
 
 // SetContinuity sets the receiver. It must be called before the pool is used.
@@ -64,14 +60,17 @@
 	return last
 }
 
-// broken reports that the process of a closed connection may have ended, and starts to find out. mayDial states that the
+// broken starts to find out whether the process of a closed connection may have ended, and reports that it may. mayDial states that the
 // connection was closed just now: a process that accepts another one at once, and keeps it, is the same.
 func (p *Pool) broken(c *Conn, mayDial bool) {
 	if p.continuity == nil {
 		return
 	}
 	e, next := c.endpoint, breakage{at: time.Now(), alive: c.lastAlive(), mayDial: mayDial}
-	p.continuity.Broken(e, next.at)
+	if !mayDial && !p.HoldsFrom(e, next.alive) {
+		p.continuity.Interrupted(e, next.at)
+		return
+	}
 	p.mu.Lock()
 	conns := p.connsOf(e)
 	if conns.breakage != nil {
@@ -104,9 +103,7 @@
 // resolve finds out whether the process of the endpoint runs on, until no further connection has broken meanwhile.
 func (p *Pool) resolve(e Endpoint, b breakage) {
 	for {
-		if p.continues(e, b.alive, b.mayDial) {
-			p.continuity.Continued(e, b.at)
-		} else {
+		if !p.continues(e, b.alive, b.mayDial) {
 			p.continuity.Interrupted(e, b.at)
 		}
 		p.mu.Lock()
