--- a/internal/topology/outage_simulation_test.go
+++ b/internal/topology/outage_simulation_test.go
@@ -82,6 +82,14 @@
 	simulatedViewInterval = 400 * time.Millisecond
 )
 
+func newSimulatedFleet(daemons int, seed uint64) *simulatedFleet {
+	store := &simulatedStore{}
+	for _, id := range []string{"stays", "lapses", "leaves"} {
+		store.write(id, 1)
+	}
+	return &simulatedFleet{store: store, zones: min(3, daemons), loss: 0.02, random: rand.New(rand.NewPCG(seed, uint64(daemons)))}
+}
+
 func (f *simulatedFleet) chance() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -195,20 +203,26 @@
 					}
 					t.Logf("out of use after %v, %d calls in the outage", latest, calls)
 					assert.LessOrEqual(t, latest, contactWindow)
+					assert.LessOrEqual(t, float64(calls), maxOutageCalls(daemons, outage))
 				})
 			}
 		}
 	}
 }
 
+// maxOutageCalls returns how many calls a fleet of three zones may make in an outage: the first ones of both topics at each daemon,
+// and then those at the longest interval.
+func maxOutageCalls(daemons int, outage time.Duration) float64 {
+	first := 2 * (fastRetries + 1) * daemons
+	return float64(first) + 2*float64(daemons)*outage.Seconds()/maxBackoffFor(daemons/min(3, daemons)).Seconds()
+}
+
 // simulateOutage returns the time from the end of an outage until no daemon uses a server that had left before, and the
 // number of calls in the outage.
 func simulateOutage(t *testing.T, daemons int, outage, reregistration time.Duration, hangs bool, seed uint64) (late time.Duration, calls int64) {
-	store := &simulatedStore{hangs: hangs}
-	fleet := &simulatedFleet{store: store, zones: min(3, daemons), loss: 0.02, random: rand.New(rand.NewPCG(seed, uint64(daemons)))}
-	for _, id := range []string{"stays", "lapses", "leaves"} {
-		store.write(id, 1)
-	}
+	fleet := newSimulatedFleet(daemons, seed)
+	store := fleet.store
+	store.hangs = hangs
 	ctx, cancel := context.WithCancel(t.Context())
 	running := fleet.run(ctx, daemons)
 	time.Sleep(3*time.Second + time.Duration(fleet.chance()*float64(time.Second)))
@@ -238,3 +252,42 @@
 	time.Sleep(time.Second) // for datagrams
 	return late, calls
 }
+
+// Guards against a grace period that counts from the first of two outages.
+func TestServersStayBehindTheSecondOfTwoOutages(t *testing.T) {
+	for _, daemons := range []int{1, 9, 30} {
+		for seed := range uint64(5) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newSimulatedFleet(daemons, seed)
+				ctx, cancel := context.WithCancel(t.Context())
+				running := fleet.run(ctx, daemons)
+				time.Sleep(4 * time.Second)
+				fleet.store.write("leaves", 0)
+				for _, pause := range []time.Duration{time.Duration(fleet.chance() * float64(2*time.Second)), 0} {
+					fleet.store.setDown(true)
+					time.Sleep(3500 * time.Millisecond)
+					fleet.store.write("lapses", 0)
+					fleet.store.setDown(false)
+					time.Sleep(pause)
+				}
+				end, late := time.Now(), time.Duration(0)
+				for time.Since(end) < 4*time.Second {
+					if fleet.holds("leaves") > 0 {
+						late = time.Since(end)
+					}
+					if at := time.Since(end); at >= 2*time.Second && at < 2010*time.Millisecond {
+						fleet.store.write("lapses", 2)
+					}
+					if !assert.Equal(t, daemons, fleet.holds("lapses"), "%d daemons, seed %d, %v", daemons, seed, time.Since(end)) {
+						break
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				assert.LessOrEqual(t, late, 3*time.Second, "%d daemons, seed %d", daemons, seed)
+				cancel()
+				running.Wait()
+				time.Sleep(time.Second) // for datagrams
+			})
+		}
+	}
+}
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -525,7 +526,7 @@
 	}
 	gracePeriod := time.Duration(0)
 	if now.Sub(recoveredAt) < recoveryGracePeriod {
-		gracePeriod = recoveryGracePeriod
+		gracePeriod = math.MaxInt64 // those that were missing before the outage may not have had the time to register again either
 	}
 	missing, removed := r.state.RemoveMissing(listed, buckets, gracePeriod, listedAt, now)
 	if gracePeriod > 0 && len(missing) > 0 {
