--- a/internal/topology/outage_simulation_test.go
+++ b/internal/topology/outage_simulation_test.go
@@ -253,6 +253,35 @@
 	return late, calls
 }
 
+// Guards against a grace period of a single daemon that was cut off from the store, while its peers have read it all the time.
+func TestDaemonThatWasCutOffFromTheStoreDelaysNoRemoval(t *testing.T) {
+	const drainTimeout = 2 * time.Second // DrainTimeoutMs of the platform
+	for _, cutOff := range []int{0, 1, 4, 8} {
+		for seed := range uint64(5) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newSimulatedFleet(9, seed)
+				ctx, cancel := context.WithCancel(t.Context())
+				running := fleet.run(ctx, 9)
+				time.Sleep(4 * time.Second)
+				reach := func(reaches func(int) bool) {
+					fleet.store.mu.Lock()
+					defer fleet.store.mu.Unlock()
+					fleet.store.reaches = reaches
+				}
+				reach(func(daemon int) bool { return daemon != cutOff })
+				time.Sleep(4*time.Second + time.Duration(fleet.chance()*float64(time.Second)))
+				reach(nil)
+				fleet.store.write("leaves", 0)
+				time.Sleep(drainTimeout)
+				assert.Zero(t, fleet.holds("leaves"), "daemon %d was cut off, seed %d", cutOff, seed)
+				cancel()
+				running.Wait()
+				time.Sleep(time.Second) // for datagrams
+			})
+		}
+	}
+}
+
 // Guards against a grace period that counts from the first of two outages.
 func TestServersStayBehindTheSecondOfTwoOutages(t *testing.T) {
 	for _, daemons := range []int{1, 9, 30} {
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -275,6 +275,7 @@
 func (r *Reader) follow(ctx context.Context, t Topic) {
 	storeDown := false
 	backoff := minBackoff // while the newest configuration can't be decoded
+	var failingSince time.Time
 	var listedAt time.Time
 	relist := false // at the end of the grace period
 	next := int64(-1)
@@ -303,6 +304,7 @@
 		if err != nil {
 			if !storeDown {
 				r.logger.Warn("Store is unreachable.", "topic", t, "error", err)
+				failingSince = started
 			}
 			storeDown = true
 			r.lastCallFailed.Store(true)
@@ -328,7 +330,7 @@
 		if storeDown {
 			r.logger.Info("Store is reachable again.", "topic", t, "end", end)
 			storeDown = false
-			r.returned(t, monotonic.Time(r.failedAt[t].Load()), now)
+			r.returned(t, failingSince, monotonic.Time(r.failedAt[t].Load()), now)
 		}
 		if t == Servers {
 			r.seeList(started)
--- a/internal/topology/recovery.go
+++ b/internal/topology/recovery.go
@@ -44,14 +44,17 @@
 
 // returned records that a call has succeeded after the last one of its topic failed. It tells peers, unless one of them or the other
 // topic has noticed it before.
-func (r *Reader) returned(t Topic, failedAt, now time.Time) {
+//
+// A daemon whose own calls failed for long while lists of peers stayed current was turned away alone. The store was up, so that it
+// keeps no servers that are missing.
+func (r *Reader) returned(t Topic, failingSince, failedAt, now time.Time) {
 	if r.recoveredAt.Load() > monotonic.UnixNano(failedAt) {
 		return
 	}
 	outage := time.Duration(monotonic.UnixNano(now)-r.lastCurrent()) > unreachableAfter
 	r.seeList(now)
-	// After an outage that only this daemon has seen, or a short one, servers are kept by its own lists alone.
-	if t == Servers && !outage && now.Sub(failedAt) < recoveryGracePeriod+unreachableAfter {
+	// After a short outage servers are kept by this daemon's own lists alone.
+	if t == Servers && !outage && now.Sub(failingSince) <= 2*unreachableAfter {
 		r.raiseRecovered(now)
 	}
 	r.wakeAll()
