--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,7 @@
 		OnReturn:      g.tellReturn,
 		OnGone:        g.tellGone,
 		ReaderCount:   func() int { return zoneSize(g.settings.Zone, g.exchange.Members()) },
+		ReaderRank:    func() int { return zoneRank(g.member(), g.exchange.Members()) },
 		StateInterval: func() time.Duration { return g.exchange.ReceiveInterval() },
 		Logger:        logging.For(logging.Config),
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -101,6 +101,17 @@
 	return size
 }
 
+// zoneRank returns the number of live daemons of the zone whose IDs come before this one's.
+func zoneRank(self *pb.Member, peers []*pb.Member) int {
+	rank := 0
+	for _, m := range peers {
+		if m.Zone == self.Zone && m.Id < self.Id {
+			rank++
+		}
+	}
+	return rank
+}
+
 // viewMessage returns the view that is sent to peers, with the placements of the last placementAge.
 func (g *Gateway) viewMessage(placementAge time.Duration) *pb.View {
 	now := time.Now()
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -54,3 +54,13 @@
 	require.Len(t, got, 1)
 	assert.InDelta(t, 3, time.Since(got[0].FirstSeen).Seconds(), 1)
 }
+
+// Guards against all daemons of a zone calling a store that has just returned.
+func TestOneDaemonOfAZoneReadsTheStoreFirst(t *testing.T) {
+	members := []*pb.Member{{Id: "a1", Zone: "a", StoreLost: true}, {Id: "a2", Zone: "a", StoreLost: true}, {Id: "b1", Zone: "b", StoreLost: true}}
+	first := func(i int) bool {
+		return isFirstReader(members[i], append(append([]*pb.Member{}, members[:i]...), members[i+1:]...))
+	}
+	assert.Equal(t, []bool{true, false, true}, []bool{first(0), first(1), first(2)})
+	assert.True(t, members[0].StoreLost)
+}
--- a/internal/topology/outage_simulation_test.go
+++ b/internal/topology/outage_simulation_test.go
@@ -112,7 +112,7 @@
 		f.readers = append(f.readers, NewReader(ReaderOptions{
 			Store: simulatedCalls{f.store, i}, State: state,
 			ReadsStore: func() bool { return reads(true) }, ReadsFirst: func() bool { return reads(false) },
-			ReaderCount:   func() int { return daemons / f.zones },
+			ReaderCount: func() int { return daemons / f.zones }, ReaderRank: func() int { return i / f.zones },
 			StateInterval: func() time.Duration { return usualStateInterval },
 			OnReturn: func(at time.Time) {
 				f.tell(func(to int) { f.readers[to].HearReturn(at, time.Now()) })
--- a/internal/topology/probe.go
+++ b/internal/topology/probe.go
@@ -15,7 +15,7 @@
 	// fastRetries is the number of failures after which a topic is called at the longest interval.
 	fastRetries = 2
 	// backoffJitter is the part of a backoff by which it is longer or shorter at random.
-	backoffJitter = 0.1
+	backoffJitter = 0.02
 )
 
 // maxBackoffFor returns the upper bound of the time between two failing calls of one daemon. It
@@ -25,7 +25,7 @@
 }
 
 // probeSchedule plans the calls of a daemon to a store that is down. Those of the two topics alternate, since either of them
-// shows that the store is back. Daemons notice an outage together, so that the phase of their calls is drawn at random: otherwise
+// shows that the store is back. Daemons notice an outage together, so that each has a phase of its own by its rank: otherwise
 // they would all wait at the same time. Its methods are safe for concurrent use.
 type probeSchedule struct {
 	mu       sync.Mutex
@@ -33,8 +33,9 @@
 	planned  time.Time
 }
 
-// failed returns when to call the topic again after a call failed. random returns a number in [0, 1).
-func (p *probeSchedule) failed(t Topic, now time.Time, readers int, random func() float64) time.Time {
+// failed returns when to call the topic again after a call failed. rank is that of the daemon among the readers, from 0 on, and random
+// returns a number in [0, 1).
+func (p *probeSchedule) failed(t Topic, now time.Time, rank, readers int, random func() float64) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := maxBackoffFor(readers)
@@ -44,7 +45,8 @@
 	case n <= fastRetries:
 		return now.Add(time.Duration(float64(minBackoff<<(n-1)) * (0.5 + random())))
 	case n == fastRetries+1:
-		backoff = time.Duration(float64(limit) * random())
+		phase := (float64(rank) + random()) / float64(readers)
+		backoff = time.Duration(float64(limit) / 2 * phase)
 	}
 	next := now.Add(backoff)
 	if alternate := p.planned.Add(limit / 2); alternate.After(next) {
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -96,6 +96,8 @@
 	// ReaderCount returns the number of daemons, this one included, that may call the store at
 	// the same time and send each other the results.
 	ReaderCount func() int
+	// ReaderRank returns the number of these daemons that come before this one. It is 0 if it is nil.
+	ReaderRank func() int
 	// StateInterval returns the time between two states that peers send.
 	StateInterval func() time.Duration
 	// OnReturn is called with the time at which a call was answered for the first time after an outage of the store, unless
@@ -115,6 +117,7 @@
 	onReturn       func(time.Time)
 	onGone         func([]Withdrawal)
 	readerCount    func() int
+	readerRank     func() int
 	stateInterval  func() time.Duration
 	logger         *slog.Logger
 	asOf           [2]atomic.Int64 // by topic: time as of which the state was complete, as monotonic.UnixNano
@@ -134,12 +137,15 @@
 
 // NewReader returns a reader. Run starts it.
 func NewReader(o ReaderOptions) *Reader {
+	if o.ReaderRank == nil {
+		o.ReaderRank = func() int { return 0 }
+	}
 	if o.ReadsFirst == nil {
 		o.ReadsFirst = o.ReadsStore
 	}
 	r := &Reader{
 		store: o.Store, state: o.State, readsStore: o.ReadsStore, readsFirst: o.ReadsFirst, onReturn: o.OnReturn, onGone: o.OnGone,
-		readerCount: o.ReaderCount, stateInterval: o.StateInterval, logger: o.Logger,
+		readerCount: o.ReaderCount, readerRank: o.ReaderRank, stateInterval: o.StateInterval, logger: o.Logger,
 	}
 	for t := range r.wake {
 		r.wake[t] = make(chan struct{}, 1)
@@ -307,7 +313,7 @@
 			r.lastCallFailed.Store(true)
 			r.failedAt[t].Store(monotonic.UnixNano(started))
 			next = -1 // reads may have been stale or truncated: list again
-			r.awaitProbe(ctx, t, r.probes.failed(t, time.Now(), r.readerCount(), rand.Float64))
+			r.awaitProbe(ctx, t, r.probes.failed(t, time.Now(), r.readerRank(), max(r.readerCount(), 1), rand.Float64))
 			continue
 		}
 		now := time.Now()
