--- a/internal/topology/probe.go
+++ b/internal/topology/probe.go
@@ -63,8 +63,8 @@
 	return p.failures[t] > fastRetries
 }
 
-// succeeded records that a call of the topic was answered.
-func (p *probeSchedule) succeeded(t Topic) {
+// reset ends a series of failures: a call of the topic was answered, or peers read it.
+func (p *probeSchedule) reset(t Topic) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failures[t] = 0
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -290,6 +290,7 @@
 		relistDue := relist && !started.Before(graceEnd)
 		if !relistDue && r.peersRead(t, started) {
 			next = -1
+			r.probes.reset(t)
 			pause := roleCheckInterval
 			if relist {
 				pause = min(pause, graceEnd.Sub(started))
@@ -342,7 +343,7 @@
 		if t == Servers && now.Sub(recoveredAt) < recoveryGracePeriod {
 			relist = true // servers that leave now are kept
 		}
-		r.probes.succeeded(t)
+		r.probes.reset(t)
 		r.lastCallFailed.Store(false)
 		r.lastSuccess.Store(monotonic.UnixNano(now))
 		if full && t == Servers {
