--- a/internal/topology/probe.go
+++ b/internal/topology/probe.go
@@ -68,4 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failures[t] = 0
+	if p.failures == [2]int{} {
+		p.planned = time.Time{} // calls that the end of the outage has overtaken
+	}
 }
