--- a/internal/topology/recovery.go
+++ b/internal/topology/recovery.go
@@ -49,6 +49,7 @@
 // keeps no servers that are missing.
 func (r *Reader) returned(t Topic, failingSince, failedAt, now time.Time) {
 	if r.recoveredAt.Load() > monotonic.UnixNano(failedAt) {
+		r.wakeAll() // the other topic may have failed in a later outage
 		return
 	}
 	outage := time.Duration(monotonic.UnixNano(now)-r.lastCurrent()) > unreachableAfter
