--- a/internal/topology/outage_simulation_test.go
+++ b/internal/topology/outage_simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -211,10 +212,11 @@
 }
 
 // maxOutageCalls returns how many calls a fleet of three zones may make in an outage: the first ones of both topics at each daemon,
-// and then those at the longest interval.
+// and then one in each longest interval that has begun.
 func maxOutageCalls(daemons int, outage time.Duration) float64 {
 	first := 2 * (fastRetries + 1) * daemons
-	return float64(first) + 2*float64(daemons)*outage.Seconds()/maxBackoffFor(daemons/min(3, daemons)).Seconds()
+	shortest := maxBackoffFor(daemons/min(3, daemons)).Seconds() * (1 - backoffJitter)
+	return float64(first) + 2*float64(daemons)*math.Ceil(outage.Seconds()/shortest)
 }
 
 // simulateOutage returns the time from the end of an outage until no daemon uses a server that had left before, and the
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -286,18 +286,14 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		graceEnd := monotonic.Time(r.recoveredAt.Load()).Add(recoveryGracePeriod)
-		// A daemon that has read a store which had just returned lists it again even if it is no reader any more.
-		relistDue := relist && !started.Before(graceEnd)
-		if !relistDue && r.peersRead(t, started) {
-			next = -1
+		if r.peersRead(t, started) {
+			// Only those that have read all the time know of a further outage, and so whether a server that is missing has left.
+			next, relist = -1, false
 			r.probes.reset(t)
-			pause := roleCheckInterval
-			if relist {
-				pause = min(pause, graceEnd.Sub(started))
-			}
-			r.sleep(ctx, pause)
+			r.sleep(ctx, roleCheckInterval)
 			continue
 		}
+		relistDue := relist && !started.Before(graceEnd)
 		full := next < 0 || t == Servers && started.Sub(listedAt) > relistInterval || relistDue
 		records, end, err := r.call(ctx, t, next, full)
 		if errors.Is(err, ErrTruncated) {
@@ -314,7 +310,7 @@
 			r.lastCallFailed.Store(true)
 			r.failedAt[t].Store(monotonic.UnixNano(started))
 			next = -1 // reads may have been stale or truncated: list again
-			r.awaitProbe(ctx, t, r.probes.failed(t, time.Now(), r.readerRank(), max(r.readerCount(), 1), rand.Float64))
+			r.awaitProbe(ctx, t, r.probes.failed(t, started, r.readerRank(), max(r.readerCount(), 1), rand.Float64))
 			continue
 		}
 		now := time.Now()
