--- a/internal/gateway/version_keeper.go
+++ b/internal/gateway/version_keeper.go
@@ -47,6 +47,9 @@
 	loadAfter time.Time    // earliest time at which what is saved may be loaded
 	nextLoad  time.Time    // earliest time of another load by a daemon that lacks versions
 
+	listed    *listedVersions // what the log of the store held in listedEra, nil if it was not read
+	listedEra uint64
+
 	removeAfter time.Time // earliest time of the next removal; zero if end is not known
 	end         int64     // see VersionStore.RemoveVersion
 }
@@ -155,7 +158,10 @@
 	blank, listed := wholeEra == 0 && len(keys) == 0, false // a new store, or one that took no writes
 	var uses []origin.Use
 	if takesOver && blank && g.platform.Store != nil {
-		if uses, listed, err = readListedVersions(ctx, g.platform.Store, started); err != nil {
+		if k.listed == nil || k.listedEra != era {
+			k.listed, k.listedEra = newListedVersions(), era
+		}
+		if uses, listed, err = k.listed.read(ctx, g.platform.Store, started); err != nil {
 			return err
 		}
 	}
@@ -190,6 +196,7 @@
 		k.nextLoad = now.Add(reloadInterval)
 	}
 	g.origins.mergeVersions(uses, whole, now)
+	k.listed = nil
 	if takesOver {
 		k.saved, k.removeAfter = saved, time.Time{}
 		g.origins.setAllSaved(saved)
