--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -279,6 +279,7 @@
 	storeDown := false
 	backoff := minBackoff // while the newest configuration can't be decoded
 	var failingSince time.Time
+	peersRead := false // since the last failed call
 	var listedAt time.Time
 	relist := false // at the end of the grace period
 	next := int64(-1)
@@ -288,7 +289,7 @@
 		graceEnd := monotonic.Time(r.recoveredAt.Load()).Add(recoveryGracePeriod)
 		if r.peersRead(t, started) {
 			// Only those that have read all the time know of a further outage, and so whether a server that is missing has left.
-			next, relist = -1, false
+			next, relist, peersRead = -1, false, true
 			r.probes.reset(t)
 			r.sleep(ctx, roleCheckInterval)
 			continue
@@ -304,9 +305,11 @@
 		if err != nil {
 			if !storeDown {
 				r.logger.Warn("Store is unreachable.", "topic", t, "error", err)
-				failingSince = started
 			}
-			storeDown = true
+			if !storeDown || peersRead {
+				failingSince = started // not in a former outage
+			}
+			storeDown, peersRead = true, false
 			r.lastCallFailed.Store(true)
 			r.failedAt[t].Store(monotonic.UnixNano(started))
 			next = -1 // reads may have been stale or truncated: list again
