--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -130,6 +130,7 @@
 	currentSince   atomic.Int64     // start of the time since when lists were current without a gap, as monotonic.UnixNano
 	heard          atomic.Int64     // last return of the store that a peer has reported, as monotonic.UnixNano
 	failedAt       [2]atomic.Int64  // by topic: time of the last failed call, as monotonic.UnixNano
+	answeredAt     atomic.Int64     // see noteAnswered, as monotonic.UnixNano
 	wake           [2]chan struct{} // by topic, see wakeAll
 	probes         probeSchedule
 	loggedChanges  atomic.Int64 // changed servers in the list that is being applied
@@ -229,6 +230,7 @@
 func (r *Reader) Confirm(t Topic, at time.Time) {
 	if t == Servers {
 		r.seeList(at)
+		r.noteAnswered(at)
 	}
 	for {
 		old := r.asOf[t].Load()
--- a/internal/topology/recovery.go
+++ b/internal/topology/recovery.go
@@ -56,7 +56,11 @@
 	r.seeList(now)
 	// After a short outage servers are kept by this daemon's own lists alone.
 	if t == Servers && !outage && now.Sub(failingSince) <= 2*unreachableAfter {
-		r.raiseRecovered(now)
+		if answered := monotonic.Time(r.answeredAt.Load()); answered.After(failedAt) {
+			r.raiseRecovered(answered)
+		} else {
+			r.raiseRecovered(now)
+		}
 	}
 	r.wakeAll()
 	if r.onReturn != nil && (outage || r.probes.backsOff(t)) {
@@ -64,6 +68,14 @@
 	}
 }
 
+// noteAnswered records the time of the first complete list behind the last failed call for servers, if this daemon or a peer has read one.
+func (r *Reader) noteAnswered(at time.Time) {
+	next, failed := monotonic.UnixNano(at), r.failedAt[Servers].Load()
+	if known := r.answeredAt.Load(); next > failed && known <= failed {
+		r.answeredAt.CompareAndSwap(known, next)
+	}
+}
+
 // Returned returns the time at which a daemon first had a call answered after the last outage of the store, zero if none is known.
 func (r *Reader) Returned() time.Time {
 	if at := r.returnedAt.Load(); at != 0 {
