--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -67,10 +69,19 @@
 	serverBroke     bool    // the server closed the connection before the answer was complete
 	requestLimit    float64 // see AnswerInfo; negative for none
 	paused          bool    // the server has turned the request away and asked for a pause
+	closedBy        string  // which side closed the connection before the answer was complete, and why; empty for neither
+	alternative     string  // why no attempt followed, or "chosen"; empty if none was looked for
 }
 
 // LogValue implements slog.LogValuer.
 func (a attemptRecord) LogValue() slog.Value {
+	var end strings.Builder
+	if a.closedBy != "" {
+		end.WriteString(" closed=" + strconv.Quote(a.closedBy))
+	}
+	if a.alternative != "" {
+		end.WriteString(" alternative=" + strconv.Quote(a.alternative))
+	}
 	return slog.StringValue(a.server +
 		" zone=" + a.zone +
 		" sent=" + strconv.FormatInt(a.sentBytes, 10) +
@@ -96,7 +107,7 @@
 		" status=" + strconv.Itoa(a.status) +
 		" paused=" + strconv.FormatBool(a.paused) +
 		" limit=" + strconv.FormatFloat(a.requestLimit, 'g', 4, 64) +
-		" took=" + a.duration.String())
+		" took=" + a.duration.String() + end.String())
 }
 
 // sendWithRetries is the last handler of the chain. It sends the request to the chosen server and,
@@ -124,35 +135,55 @@
 		if requestCanceled(c.request.Context()) {
 			return result.Wrap(err, result.CallerGone, "the caller closed its connection")
 		}
-		if unsentAttempts >= maxUnsentAttempts || !h.mayRetry(c, progress, sentAttempts) {
+		last := &c.attempts[len(c.attempts)-1]
+		if unsentAttempts >= maxUnsentAttempts {
+			last.alternative = "none: attempts without a connection are used up"
+			return finalResult(c, progress, err)
+		}
+		if obstacle := h.retryObstacle(c, progress, sentAttempts); obstacle != "" {
+			last.alternative = "none: " + obstacle
 			return finalResult(c, progress, err)
 		}
 		var ok, allowed bool
 		c.chosenAt = time.Now()
 		c.choice, ok, allowed = h.Scheduler.DecideRetry(h.schedulerRequest(c), tried, progress == notSent, c.chosenAt)
-		if !ok || !allowed {
+		if last.alternative = alternative(ok, allowed); !ok || !allowed {
 			return finalResult(c, progress, err)
 		}
 	}
 }
 
-// mayRetry reports whether another attempt may follow one that ended with the given progress.
+// alternative describes the result of Scheduler.DecideRetry for the log.
+func alternative(ok, allowed bool) string {
+	switch {
+	case !ok:
+		return "none: no other server"
+	case !allowed:
+		return "none: retry budget is used up"
+	}
+	return "chosen"
+}
+
+// retryObstacle returns why no other attempt may follow one that ended with the given progress, an empty text if one may.
 // sentAttempts is the number of attempts that have sent at least a byte.
-func (h *Handler) mayRetry(c *call, progress attemptProgress, sentAttempts int) bool {
-	if sentAttempts >= max(1, c.route.MaxAttempts) || time.Until(c.deadline) < minAttemptTime {
-		return false
-	}
-	switch progress {
-	case notSent, notRun:
-		return true
-	case maybeRun:
-		return h.repeatable(c)
-	case partlyForwarded:
-		return c.route.Kind == routing.Stream && !c.versionUnknown && c.events.Delivered() > 0 && h.repeatable(c)
-	case fullyForwarded:
-		return false
-	}
-	return false
+func (h *Handler) retryObstacle(c *call, progress attemptProgress, sentAttempts int) string {
+	switch {
+	case sentAttempts >= max(1, c.route.MaxAttempts):
+		return "attempts are used up"
+	case time.Until(c.deadline) < minAttemptTime:
+		return "deadline is near"
+	case progress == notSent || progress == notRun:
+		return ""
+	case progress == fullyForwarded:
+		return "answer is complete"
+	case progress == partlyForwarded && (c.route.Kind != routing.Stream || c.events.Delivered() == 0):
+		return "answer has begun"
+	case progress == partlyForwarded && c.versionUnknown:
+		return "version is unknown"
+	case !h.repeatable(c):
+		return "request may run once only"
+	}
+	return ""
 }
 
 // repeatable reports whether a request that may have run can be sent again, by the configuration of its arrival and by the one
@@ -263,6 +294,7 @@
 	h.countZoneTraffic(c, choice, record)
 	closedHere := !w.stop()
 	record.serverBroke = !closedHere && isConnectionBroken(err)
+	record.closedBy = w.closedBy(ctx, c, record.serverBroke, err)
 	if record.serverBroke {
 		h.Pool.RecordBroken(conn)
 	}
@@ -383,6 +415,7 @@
 	stopContextWatch func() bool
 	timer            *time.Timer // nil if the request may not be retried
 	tokenGapTimeout  time.Duration
+	silent           atomic.Bool // the timer has closed the connection
 }
 
 const (
@@ -400,7 +433,10 @@
 	w := &watchdog{conn: conn}
 	w.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if c.route.Repeatable() && len(c.attempts)+1 < c.route.MaxAttempts {
-		w.timer = time.AfterFunc(max(minSilenceTimeout, firstEventTimeoutFactor*c.route.Objective), func() { _ = conn.Close() })
+		w.timer = time.AfterFunc(max(minSilenceTimeout, firstEventTimeoutFactor*c.route.Objective), func() {
+			w.silent.Store(true)
+			_ = conn.Close()
+		})
 		w.tokenGapTimeout = defaultTokenGapTimeout
 		if c.route.MaxTokenGap > 0 {
 			w.tokenGapTimeout = max(minSilenceTimeout, tokenGapTimeoutFactor*c.route.MaxTokenGap)
@@ -417,6 +453,23 @@
 	}
 }
 
+// closedBy returns which side closed the connection of an attempt that ended with err, and why, an empty text if neither has.
+func (w *watchdog) closedBy(ctx context.Context, c *call, serverBroke bool, err error) string {
+	switch {
+	case w.silent.Load():
+		return "daemon: server is silent"
+	case requestCanceled(c.request.Context()):
+		return "daemon: caller has left"
+	case ctx.Err() != nil:
+		return "daemon: deadline"
+	case serverBroke:
+		return "server"
+	case err != nil:
+		return "daemon: answer is not usable"
+	}
+	return ""
+}
+
 // stop ends the watchdog. It returns false if the watchdog has closed the connection.
 func (w *watchdog) stop() bool {
 	stopped := w.stopContextWatch()
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -52,6 +52,14 @@
 	if c.config != nil {
 		attrs = append(attrs, slog.Uint64("config", c.config.Version))
 	}
+	if err != nil {
+		if !c.deadline.IsZero() {
+			attrs = append(attrs, slog.Duration("left", time.Until(c.deadline)))
+		}
+		if now := h.Config(); now != nil {
+			attrs = append(attrs, slog.Uint64("config_at_end", now.Version))
+		}
+	}
 	if c.admission != nil {
 		attrs = append(attrs, slog.Any("admission", c.admission))
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -67,7 +67,7 @@
 		return maybeRun, errors.Wrap(err, "read answer")
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
-	if failed && h.mayRetry(c, maybeRun, len(c.attempts)+1) {
+	if failed && h.retryObstacle(c, maybeRun, len(c.attempts)+1) == "" {
 		h.releaseFailure(c)
 		c.serverFailure = &failedAnswer{response: response, body: body, memory: cap(body) - answerBufferBytes}
 		kept = true
