--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,11 +65,12 @@
 	status          int // HTTP status of the answer; 0 for none
 	duration        time.Duration
 	reusedConn      bool
-	serverBroke     bool    // the server closed the connection before the answer was complete
-	requestLimit    float64 // see AnswerInfo; negative for none
-	paused          bool    // the server has turned the request away and asked for a pause
-	closedBy        string  // which side closed the connection before the answer was complete, and why; empty for neither
-	alternative     string  // why no attempt followed, or "chosen"; empty if none was looked for
+	serverBroke     bool          // the server closed the connection before the answer was complete
+	requestLimit    float64       // see AnswerInfo; negative for none
+	startedAfter    time.Duration // since the arrival of the request
+	paused          bool          // the server has turned the request away and asked for a pause
+	closedBy        string        // which side closed the connection before the answer was complete, and why; empty for neither
+	alternative     string        // why no attempt followed, or "chosen"; empty if none was looked for
 }
 
 // LogValue implements slog.LogValuer.
@@ -107,6 +107,7 @@
 		" status=" + strconv.Itoa(a.status) +
 		" paused=" + strconv.FormatBool(a.paused) +
 		" limit=" + strconv.FormatFloat(a.requestLimit, 'g', 4, 64) +
+		" started=" + a.startedAfter.String() +
 		" took=" + a.duration.String() + end.String())
 }
 
@@ -116,54 +117,27 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	defer h.releaseFailure(c)
-	tried := make(map[string]bool, 2)
-	sentAttempts, unsentAttempts := 0, 0
+	g := newHedger(ctx, h, c)
+	defer g.close()
+	a := h.newAttempt(c, c.choice, c.chosenAt)
 	for {
 		if callerDisconnected(c.request.Context()) {
+			g.discard(a)
 			return result.New(result.CallerGone, "the caller closed its connection")
 		}
-		progress, err := h.tryServer(ctx, c, c.choice)
-		if progress == notSent {
-			unsentAttempts++
-		} else {
-			sentAttempts++
-		}
+		err := g.run(a)
 		if err == nil {
 			return nil
 		}
-		tried[c.choice.Server.ID] = true
 		if requestCanceled(c.request.Context()) {
 			return result.Wrap(err, result.CallerGone, "the caller closed its connection")
 		}
-		last := &c.attempts[len(c.attempts)-1]
-		if unsentAttempts >= maxUnsentAttempts {
-			last.alternative = "none: attempts without a connection are used up"
-			return finalResult(c, progress, err)
-		}
-		if obstacle := h.retryObstacle(c, progress, sentAttempts); obstacle != "" {
-			last.alternative = "none: " + obstacle
-			return finalResult(c, progress, err)
-		}
-		var ok, allowed bool
-		c.chosenAt = time.Now()
-		c.choice, ok, allowed = h.Scheduler.DecideRetry(h.schedulerRequest(c), tried, progress == notSent, c.chosenAt)
-		if last.alternative = alternative(ok, allowed); !ok || !allowed {
-			return finalResult(c, progress, err)
+		if a = g.next(); a == nil {
+			return finalResult(c, g.progress(), err)
 		}
 	}
 }
 
-// alternative describes the result of Scheduler.DecideRetry for the log.
-func alternative(ok, allowed bool) string {
-	switch {
-	case !ok:
-		return "none: no other server"
-	case !allowed:
-		return "none: retry budget is used up"
-	}
-	return "chosen"
-}
-
 // retryObstacle returns why no other attempt may follow one that ended with the given progress, an empty text if one may.
 // sentAttempts is the number of attempts that have sent at least a byte.
 func (h *Handler) retryObstacle(c *call, progress attemptProgress, sentAttempts int) string {
@@ -193,7 +167,7 @@
 	return c.route.Repeatable() && now != nil && now.Kind == c.route.Kind && now.Repeatable()
 }
 
-// finalResult ends a request whose last attempt failed with the given progress. It writes the
+// finalResult ends a request whose attempts got as far as progress, and failed. It writes the
 // stored answer of a server that failed, if there is one, and otherwise returns the error for the
 // caller. The error says that the request did not run only if that holds for every attempt.
 func finalResult(c *call, progress attemptProgress, err error) error {
@@ -217,92 +191,182 @@
 	}
 }
 
-// tryServer makes one attempt: it sends the request to the chosen server, forwards the answer and
-// records the outcome.
-func (h *Handler) tryServer(ctx context.Context, c *call, choice placement.Choice) (attemptProgress, error) {
-	started := time.Now()
-	record := attemptRecord{
-		server:          choice.Server.ID,
-		zone:            choice.Server.Zone,
-		version:         choice.Server.Version,
-		predicted:       choice.Predicted,
-		uncachedTokens:  choice.UncachedTokens,
-		runningRequests: choice.Load.Running,
-		pendingTokens:   choice.Load.PendingTokens,
-		home:            choice.Home,
-		fetchSource:     choice.Source.ID,
-		fetchedTokens:   choice.FetchedTokens,
-		requestLimit:    -1,
-	}
-	attempt := h.Scheduler.Start(h.schedulerRequest(c), choice, started)
-	progress, err := h.sendOnPooledConn(ctx, c, choice, attempt, &record)
-	outcome := placement.Served
-	if err != nil {
-		outcome = placement.Failed
-		if ctx.Err() != nil || record.paused {
-			outcome = placement.Abandoned
-		}
+// attempt is one attempt of a call at a server. While it is opened, it may be used by another goroutine than the call's.
+type attempt struct {
+	choice    placement.Choice
+	chosenAt  time.Time
+	startedAt time.Time
+	scheduled *placement.Attempt
+	request   ServerRequest // its TimeToDeadline is set when it is sent
+	resumes   bool          // see call
+	begins    bool          // see call
+
+	endpoint         upstream.Endpoint
+	conn             *upstream.Conn // nil before there is one
+	stopContextWatch func() bool
+	sentBefore       int64 // bytes on the connection before the attempt
+	receivedBefore   int64
+	versionUnknown   bool // see call
+
+	opened   bool // the fields below are set
+	response *http.Response
+	progress attemptProgress // if err is not nil
+	err      error
+
+	superseded bool // given up for another attempt
+	canceled   bool // not needed any more
+	record     attemptRecord
+}
+
+// newAttempt returns an attempt at the chosen server.
+func (h *Handler) newAttempt(c *call, choice placement.Choice, chosenAt time.Time) *attempt {
+	lastEventID := c.envelope.LastEventID
+	if c.events.Delivered() > 0 {
+		lastEventID = c.events.LastEventID()
+	}
+	now := time.Now()
+	return &attempt{
+		choice: choice, chosenAt: chosenAt, startedAt: now,
+		scheduled: h.Scheduler.Start(h.schedulerRequest(c), choice, now),
+		resumes:   c.resumes(),
+		begins:    c.begins(),
+		endpoint:  upstream.Endpoint{Address: choice.Server.Address, ID: choice.Server.ID, Incarnation: choice.Server.Incarnation},
+		request: ServerRequest{
+			Request:             c.request,
+			Envelope:            c.envelope,
+			Account:             c.account,
+			Server:              choice.Server,
+			PrefixSourceAddress: choice.Source.Address,
+			LastEventID:         lastEventID,
+			BodyBytes:           len(c.body),
+		},
+		record: attemptRecord{
+			server:          choice.Server.ID,
+			zone:            choice.Server.Zone,
+			version:         choice.Server.Version,
+			startedAfter:    now.Sub(c.arrivedAt),
+			predicted:       choice.Predicted,
+			uncachedTokens:  choice.UncachedTokens,
+			runningRequests: choice.Load.Running,
+			pendingTokens:   choice.Load.PendingTokens,
+			home:            choice.Home,
+			fetchSource:     choice.Source.ID,
+			fetchedTokens:   choice.FetchedTokens,
+			requestLimit:    -1,
+		},
 	}
-	if record.serverBroke && ctx.Err() == nil && progress != notSent {
-		h.Scheduler.RecordBroken(h.schedulerRequest(c), attempt, record.status/100 == 2, time.Now())
+}
+
+// openHooks are called by the goroutine that opens an attempt. They may be nil.
+type openHooks struct {
+	connected func() // the attempt has a connection
+	sent      func() // the request was sent
+}
+
+// open sends the request to the chosen server and reads the head of the answer. Of the call it uses only what does not change after
+// the choice of the first server.
+func (h *Handler) open(ctx context.Context, c *call, a *attempt, hooks openHooks) {
+	a.progress, a.err = h.connect(ctx, c, a)
+	if a.err == nil {
+		if hooks.connected != nil {
+			hooks.connected()
+		}
+		a.progress, a.err = h.exchangeHeads(c, a, hooks.sent)
 	}
-	h.Scheduler.End(attempt, outcome, time.Now())
-	record.progress, record.duration = progress, time.Since(started)
-	c.attempts = append(c.attempts, record)
-	return progress, err
+	a.opened = true
 }
 
-// sendOnPooledConn takes a connection to the server from the pool for one round trip.
-func (h *Handler) sendOnPooledConn(ctx context.Context, c *call, choice placement.Choice, a *placement.Attempt, record *attemptRecord) (attemptProgress, error) {
-	server := choice.Server
-	endpoint := upstream.Endpoint{Address: server.Address, ID: server.ID, Incarnation: server.Incarnation}
-	maxConns := upstream.ConnectionLimit(c.service.MaxConnections, h.Scheduler.Shares(), record.runningRequests)
-	conn, err := h.Pool.Get(ctx, endpoint, maxConns)
+// connect takes a connection to the server from the pool.
+func (h *Handler) connect(ctx context.Context, c *call, a *attempt) (attemptProgress, error) {
+	maxConns := upstream.ConnectionLimit(c.service.MaxConnections, h.Scheduler.Shares(), a.record.runningRequests)
+	conn, err := h.Pool.Get(ctx, a.endpoint, maxConns)
 	if err != nil {
 		return notSent, err
 	}
-	record.reusedConn = conn.Reused()
+	a.record.reusedConn = conn.Reused()
 	if callerDisconnected(c.request.Context()) {
-		h.Pool.Put(endpoint, conn) // unused, so that another request can use it
+		h.Pool.Put(a.endpoint, conn) // unused, so that another request can use it
 		return notSent, errors.New("the caller closed its connection before the request was sent")
 	}
 	now := time.Now()
 	if h.ServerKnowledge != nil {
-		record.knowledge, record.listAge = h.ServerKnowledge(server.ID, now)
+		a.record.knowledge, a.record.listAge = h.ServerKnowledge(a.choice.Server.ID, now)
 	}
-	record.choiceAge, record.connAge = now.Sub(c.chosenAt), conn.Age(now)
-	if record.choiceAge > maxChoiceAge && !h.Scheduler.TakesRequests(choice, now) { // a connection may take a second to open
-		h.Pool.Put(endpoint, conn)
+	a.record.choiceAge, a.record.connAge = now.Sub(a.chosenAt), conn.Age(now)
+	if a.record.choiceAge > maxChoiceAge && !h.Scheduler.TakesRequests(a.choice, now) { // a connection may take a second to open
+		h.Pool.Put(a.endpoint, conn)
 		return notSent, errors.New("the server stopped to take requests while the connection opened")
 	}
-	if err := h.checkVersion(c, server, now); err != nil {
-		h.Pool.Put(endpoint, conn)
+	if err := h.checkVersion(a, now); err != nil {
+		h.Pool.Put(a.endpoint, conn)
 		return notSent, err
 	}
-	sentBefore, receivedBefore := conn.Traffic()
-	w := newWatchdog(ctx, conn, c)
+	a.conn = conn
+	a.sentBefore, a.receivedBefore = conn.Traffic()
+	a.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	conn.ReserveHeads(h.answerMemory.reserveHead)
-	earlierFailure := c.serverFailure
-	progress, err := h.roundTrip(c, choice, conn, a, w, record)
-	if headMemory := conn.ReleaseHeads(); c.serverFailure != earlierFailure {
+	return notSent, nil
+}
+
+// finish ends an attempt whose answer was forwarded, or that ended with err, and adds its record to the call.
+func (h *Handler) finish(ctx context.Context, c *call, a *attempt, progress attemptProgress, err error) {
+	if a.conn != nil {
+		h.releaseConn(ctx, c, a, err)
+	}
+	outcome := placement.Served
+	if err != nil {
+		outcome = placement.Failed
+		if ctx.Err() != nil || a.record.paused || a.canceled {
+			outcome = placement.Abandoned
+		}
+	}
+	if a.record.serverBroke && ctx.Err() == nil && progress != notSent {
+		h.Scheduler.RecordBroken(h.schedulerRequest(c), a.scheduled, a.record.status/100 == 2, time.Now())
+	}
+	h.Scheduler.End(a.scheduled, outcome, time.Now())
+	a.record.progress, a.record.duration = progress, time.Since(a.startedAt)
+	c.attempts = append(c.attempts, a.record)
+}
+
+// releaseConn returns the connection of an attempt to the pool.
+func (h *Handler) releaseConn(ctx context.Context, c *call, a *attempt, err error) {
+	if headMemory := a.conn.ReleaseHeads(); c.serverFailure != nil && c.serverFailure.response == a.response {
 		c.serverFailure.memory += headMemory
 	} else {
 		h.answerMemory.release(headMemory)
 	}
-	sent, received := conn.Traffic()
-	record.sentBytes, record.receivedBytes = sent-sentBefore, received-receivedBefore
-	h.countZoneTraffic(c, choice, record)
-	closedHere := !w.stop()
-	record.serverBroke = !closedHere && isConnectionBroken(err)
-	record.closedBy = w.closedBy(ctx, c, record.serverBroke, err)
-	if record.serverBroke {
-		h.Pool.RecordBroken(conn)
+	sent, received := a.conn.Traffic()
+	a.record.sentBytes, a.record.receivedBytes = sent-a.sentBefore, received-a.receivedBefore
+	h.countZoneTraffic(c, a.choice, &a.record)
+	closedHere := !a.stopContextWatch()
+	a.record.serverBroke = !closedHere && !a.superseded && !a.canceled && isConnectionBroken(err)
+	a.record.closedBy = a.closedBy(ctx, c, err)
+	if a.record.serverBroke {
+		h.Pool.RecordBroken(a.conn)
 	}
 	if closedHere || err != nil {
-		conn.DisableReuse()
+		a.conn.DisableReuse()
 	}
-	h.Pool.Put(endpoint, conn)
-	return progress, err
+	h.Pool.Put(a.endpoint, a.conn)
+}
+
+// closedBy returns which side closed the connection of an attempt that ended with err, and why, an empty text if neither has.
+func (a *attempt) closedBy(ctx context.Context, c *call, err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case requestCanceled(c.request.Context()):
+		return "daemon: caller has left"
+	case a.superseded:
+		return "daemon: server is silent, another attempt takes over"
+	case ctx.Err() != nil:
+		return "daemon: deadline"
+	case a.canceled:
+		return "daemon: another attempt has gone on"
+	case a.record.serverBroke:
+		return "server"
+	}
+	return "daemon: answer is not usable"
 }
 
 // isConnectionBroken reports whether err is the end of a connection that the other side has closed or reset.
@@ -310,66 +374,63 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
 }
 
-// roundTrip sends the request over the connection and forwards the answer.
-func (h *Handler) roundTrip(c *call, choice placement.Choice, conn *upstream.Conn, a *placement.Attempt, w *watchdog, record *attemptRecord) (attemptProgress, error) {
-	lastEventID := c.envelope.LastEventID
-	if c.events.Delivered() > 0 {
-		lastEventID = c.events.LastEventID()
-	}
-	header := h.Protocol.EncodeRequestHeader(ServerRequest{
-		Request:             c.request,
-		Envelope:            c.envelope,
-		Account:             c.account,
-		Server:              choice.Server,
-		PrefixSourceAddress: choice.Source.Address,
-		TimeToDeadline:      time.Until(c.deadline),
-		LastEventID:         lastEventID,
-		BodyBytes:           len(c.body),
-	})
-	sent, sendErr := conn.Send(header, c.body)
+// exchangeHeads sends the request over the connection, reads the head of the answer and stores it in the attempt.
+func (h *Handler) exchangeHeads(c *call, a *attempt, onSent func()) (attemptProgress, error) {
+	a.request.TimeToDeadline = time.Until(c.deadline)
+	sent, sendErr := a.conn.Send(h.Protocol.EncodeRequestHeader(a.request), c.body)
 	if !sent {
 		return notSent, sendErr
 	}
+	if onSent != nil {
+		onSent()
+	}
 	// A server may answer before it has read the whole body.
-	response, answer, err := h.receiveAnswer(c, conn)
+	response, answer, err := h.receiveAnswer(c, a.conn)
 	if err != nil {
 		return maybeRun, errors.CombineErrors(err, sendErr)
 	}
 	if sendErr != nil {
-		conn.DisableReuse()
+		a.conn.DisableReuse()
 	}
-	record.status = response.StatusCode
+	a.record.status = response.StatusCode
 	if answer.Leaving {
-		h.Scheduler.RecordLeaving(a, time.Now())
+		h.Scheduler.RecordLeaving(a.scheduled, time.Now())
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && answer.Pause > 0 {
-		record.paused = true
-		h.Scheduler.RecordPause(a, answer.Pause, time.Now())
+		a.record.paused = true
+		h.Scheduler.RecordPause(a.scheduled, answer.Pause, time.Now())
 	}
 	switch {
 	case answer.HasRequestLimit:
-		record.requestLimit = answer.RequestLimit
-		h.Scheduler.RecordLimit(a, answer.RequestLimit, time.Now())
+		a.record.requestLimit = answer.RequestLimit
+		h.Scheduler.RecordLimit(a.scheduled, answer.RequestLimit, time.Now())
 	case response.StatusCode/100 == 2:
-		h.Scheduler.RecordNoLimit(a, time.Now())
+		h.Scheduler.RecordNoLimit(a.scheduled, time.Now())
 	}
 	switch {
-	case answer.ID == "" && conn.Reused():
-		conn.DisableReuse()
+	case answer.ID == "" && a.conn.Reused():
+		a.conn.DisableReuse()
 		return maybeRun, errors.Newf("answer with status %d names no request and may belong to an earlier one", response.StatusCode)
 	case answer.NotRun, response.StatusCode == http.StatusMisdirectedRequest:
-		discardBody(conn, response)
+		discardBody(a.conn, response)
 		return notRun, errors.Newf("server reports that it did not run the request, status %d", response.StatusCode)
 	case response.Header.Get("Content-Encoding") != "":
-		conn.DisableReuse()
+		a.conn.DisableReuse()
 		return maybeRun, errors.New("answer has a Content-Encoding, which was not requested")
 	case response.StatusCode/100 == 2 && !answer.Signed:
-		conn.DisableReuse()
+		a.conn.DisableReuse()
 		return maybeRun, errors.New("answer is not signed by the server")
-	case response.StatusCode/100 == 2 && c.route.Kind == routing.Stream:
-		return h.relayEvents(c, conn, response, a, w)
 	}
-	return h.relayBuffered(c, conn, response, a)
+	a.response = response
+	return maybeRun, nil
+}
+
+// relay forwards the answer of an attempt that is open.
+func (h *Handler) relay(c *call, a *attempt, g *hedger) (attemptProgress, error) {
+	if a.response.StatusCode/100 == 2 && c.route.Kind == routing.Stream {
+		return h.relayEvents(c, a, g)
+	}
+	return h.relayBuffered(c, a, g)
 }
 
 // receiveAnswer reads the header of the answer to this request. It skips up to maxForeignAnswers
@@ -406,75 +467,3 @@
 		conn.DisableReuse()
 	}
 }
-
-// watchdog closes a connection when the request's context ends. If the request may be retried on
-// another server, it also closes the connection when the server takes too long for its first or
-// next event.
-type watchdog struct {
-	conn             *upstream.Conn
-	stopContextWatch func() bool
-	timer            *time.Timer // nil if the request may not be retried
-	tokenGapTimeout  time.Duration
-	silent           atomic.Bool // the timer has closed the connection
-}
-
-const (
-	// firstEventTimeoutFactor and tokenGapTimeoutFactor are the multiples of the route's
-	// objective and of its MaxTokenGap after which an attempt at a silent server is aborted.
-	firstEventTimeoutFactor = 3
-	tokenGapTimeoutFactor   = 3
-	// minSilenceTimeout is the lower bound of both timeouts.
-	minSilenceTimeout = 300 * time.Millisecond
-	// defaultTokenGapTimeout applies to routes without a MaxTokenGap. Callers wait for two seconds.
-	defaultTokenGapTimeout = 2 * time.Second
-)
-
-func newWatchdog(ctx context.Context, conn *upstream.Conn, c *call) *watchdog {
-	w := &watchdog{conn: conn}
-	w.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	if c.route.Repeatable() && len(c.attempts)+1 < c.route.MaxAttempts {
-		w.timer = time.AfterFunc(max(minSilenceTimeout, firstEventTimeoutFactor*c.route.Objective), func() {
-			w.silent.Store(true)
-			_ = conn.Close()
-		})
-		w.tokenGapTimeout = defaultTokenGapTimeout
-		if c.route.MaxTokenGap > 0 {
-			w.tokenGapTimeout = max(minSilenceTimeout, tokenGapTimeoutFactor*c.route.MaxTokenGap)
-		}
-	}
-	return w
-}
-
-// eventReceived restarts the timeout for the next event. It is called for complete events with data
-// only: a stalled server may still send a byte now and then.
-func (w *watchdog) eventReceived() {
-	if w.timer != nil {
-		w.timer.Reset(w.tokenGapTimeout)
-	}
-}
-
-// closedBy returns which side closed the connection of an attempt that ended with err, and why, an empty text if neither has.
-func (w *watchdog) closedBy(ctx context.Context, c *call, serverBroke bool, err error) string {
-	switch {
-	case w.silent.Load():
-		return "daemon: server is silent"
-	case requestCanceled(c.request.Context()):
-		return "daemon: caller has left"
-	case ctx.Err() != nil:
-		return "daemon: deadline"
-	case serverBroke:
-		return "server"
-	case err != nil:
-		return "daemon: answer is not usable"
-	}
-	return ""
-}
-
-// stop ends the watchdog. It returns false if the watchdog has closed the connection.
-func (w *watchdog) stop() bool {
-	stopped := w.stopContextWatch()
-	if w.timer != nil {
-		stopped = w.timer.Stop() && stopped
-	}
-	return stopped
-}
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -87,12 +87,12 @@
 
 // checkVersion returns an error if another process than the registered one may answer at the chosen server, which was not known at
 // the choice. It is called when the connection is open.
-func (h *Handler) checkVersion(c *call, server routing.Server, now time.Time) error {
-	if !c.resumes() && !c.begins() {
+func (h *Handler) checkVersion(a *attempt, now time.Time) error {
+	if !a.resumes && !a.begins {
 		return nil
 	}
-	c.versionUnknown = h.Scheduler.MayHaveChanged(server, now)
-	if c.versionUnknown && (c.resumes() || !c.choice.Uncertain) {
+	a.versionUnknown = h.Scheduler.MayHaveChanged(a.choice.Server, now)
+	if a.versionUnknown && (a.resumes || !a.choice.Uncertain) {
 		return errors.New("another process than the registered one may answer at the server")
 	}
 	return nil
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/eventstream"
-	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
 	"github.com/filbertrill/filbertrill/internal/upstream"
@@ -51,7 +51,8 @@
 
 // relayBuffered reads the complete answer and then forwards it. An answer with a server error is
 // stored in the call instead if the request may be retried.
-func (h *Handler) relayBuffered(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt) (attemptProgress, error) {
+func (h *Handler) relayBuffered(c *call, a *attempt, g *hedger) (attemptProgress, error) {
+	response := a.response
 	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
 	kept := false
 	defer func() {
@@ -60,24 +61,22 @@
 		}
 	}()
 	if err == nil {
-		err = h.confirmEnd(c, conn, response)
+		err = h.confirmEnd(c, a, g)
 	}
 	if err != nil {
-		conn.DisableReuse()
 		return maybeRun, errors.Wrap(err, "read answer")
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
-	if failed && h.retryObstacle(c, maybeRun, len(c.attempts)+1) == "" {
-		h.releaseFailure(c)
-		c.serverFailure = &failedAnswer{response: response, body: body, memory: cap(body) - answerBufferBytes}
+	if failed && (len(g.pending) > 0 || h.retryObstacle(c, maybeRun, g.sentAttempts()) == "") {
+		h.storeFailure(c, response, body)
 		kept = true
 		return maybeRun, errors.Newf("server failed with status %d", response.StatusCode)
 	}
 	if c.answerStarted {
 		return partlyForwarded, errors.Newf("server did not resume the stream, status %d", response.StatusCode)
 	}
-	h.Scheduler.RecordFirstEvent(a, time.Now())
-	h.Scheduler.RecordComplete(h.schedulerRequest(c), a, response.StatusCode, time.Now())
+	h.Scheduler.RecordFirstEvent(a.scheduled, time.Now())
+	h.Scheduler.RecordComplete(h.schedulerRequest(c), a.scheduled, response.StatusCode, time.Now())
 	c.timeToFirstEvent = time.Since(c.arrivedAt)
 	c.writeAnswer(response, body)
 	return fullyForwarded, nil
@@ -90,6 +89,12 @@
 	memory   int // reserved for both
 }
 
+// storeFailure stores a complete answer with a server error, whose body is in a buffer of answerMemory.
+func (h *Handler) storeFailure(c *call, response *http.Response, body []byte) {
+	h.releaseFailure(c)
+	c.serverFailure = &failedAnswer{response: response, body: body, memory: cap(body) - answerBufferBytes}
+}
+
 // releaseFailure drops the stored answer with a server error, if there is one.
 func (h *Handler) releaseFailure(c *call) {
 	if c.serverFailure != nil {
@@ -108,7 +113,8 @@
 }
 
 // relayEvents forwards the events of a stream as they arrive, each only when it is complete.
-func (h *Handler) relayEvents(c *call, conn *upstream.Conn, response *http.Response, a *placement.Attempt, w *watchdog) (attemptProgress, error) {
+func (h *Handler) relayEvents(c *call, a *attempt, g *hedger) (attemptProgress, error) {
+	response := a.response
 	buffer := make([]byte, 0, answerBufferBytes)
 	defer func() { h.answerMemory.releaseBuffer(buffer) }()
 	flusher := http.NewResponseController(c.writer)
@@ -117,7 +123,6 @@
 		if len(buffer) == cap(buffer) {
 			var err error
 			if buffer, err = h.answerMemory.grow(buffer); err != nil {
-				conn.DisableReuse()
 				return c.brokenStreamProgress(), err
 			}
 		}
@@ -129,11 +134,10 @@
 				streamErr = forwardErr
 			}
 			if batch.Events > 0 {
-				w.eventReceived()
-				h.Scheduler.RecordEvents(a, c.events.DeliveredOfAnswer(), time.Now())
+				g.eventReceived()
+				h.Scheduler.RecordEvents(a.scheduled, c.events.DeliveredOfAnswer(), time.Now())
 			}
 			if streamErr != nil {
-				conn.DisableReuse()
 				return c.brokenStreamProgress(), streamErr
 			}
 			buffer = append(buffer[:0], buffer[batch.Consumed:]...)
@@ -143,32 +147,30 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return h.finishEvents(c, conn, response, buffer, a)
+			return h.finishEvents(c, a, buffer, g)
 		case err != nil:
-			conn.DisableReuse()
 			return c.brokenStreamProgress(), errors.Wrap(err, "read stream")
 		case len(buffer) > maxEventBytes:
-			conn.DisableReuse()
 			return c.brokenStreamProgress(), errors.Newf("event is longer than %d bytes", maxEventBytes)
 		}
 	}
 }
 
 // finishEvents handles the end of a stream, if it can be complete. rest is the data after the last complete event.
-func (h *Handler) finishEvents(c *call, conn *upstream.Conn, response *http.Response, rest []byte, a *placement.Attempt) (attemptProgress, error) {
+func (h *Handler) finishEvents(c *call, a *attempt, rest []byte, g *hedger) (attemptProgress, error) {
+	response := a.response
 	err := c.events.EndAnswer(rest)
 	if err != nil && (endsWithConnection(response) || !errors.Is(err, eventstream.ErrNoEvent)) {
 		err = errors.Mark(err, io.ErrUnexpectedEOF)
 	}
 	if err == nil {
-		err = h.confirmEnd(c, conn, response)
+		err = h.confirmEnd(c, a, g)
 	}
 	if err != nil {
-		conn.DisableReuse()
 		return c.brokenStreamProgress(), err
 	}
 	if !endsWithConnection(response) {
-		h.Scheduler.RecordComplete(h.schedulerRequest(c), a, response.StatusCode, time.Now())
+		h.Scheduler.RecordComplete(h.schedulerRequest(c), a.scheduled, response.StatusCode, time.Now())
 	}
 	return fullyForwarded, nil
 }
@@ -178,38 +180,54 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
-// probeTimeout is the longest time that a server has to answer a question for its health after an answer that ends with its
-// connection.
-const probeTimeout = time.Second
-
-// confirmEnd returns an error if the answer ends with its connection and the server doesn't answer another request, or, for services without
-// a health check, doesn't accept another connection. When a process is killed, its connections end like those of a complete answer.
-func (h *Handler) confirmEnd(c *call, conn *upstream.Conn, response *http.Response) error {
-	if !endsWithConnection(response) {
+// confirmEnd returns an error if the answer ends with its connection and the server has ended. When a process is killed, its
+// connections end like those of a complete answer. A server that is silent has not ended: confirmEnd waits for it until the deadline, or
+// until another attempt is answered.
+func (h *Handler) confirmEnd(c *call, a *attempt, g *hedger) error {
+	if !endsWithConnection(a.response) {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	ctx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
-	var err error
-	if c.service != nil && c.service.HealthPath != "" {
-		err = h.probe(ctx, c, conn.Endpoint())
-	} else {
-		err = h.Pool.Check(ctx, conn.Endpoint())
-	}
+	ended := make(chan error, 1)
+	go func() {
+		defer func() {
+			if p := recovery.NewPanic(recover()); p != nil {
+				ended <- p
+			}
+		}()
+		ended <- h.checkAlive(ctx, c, a.endpoint)
+	}()
+	err := g.awaitEnd(ended)
 	return errors.Mark(errors.Wrap(err, "server has ended with its answer"), io.ErrUnexpectedEOF)
 }
 
-// probe returns an error unless the server of the endpoint answers a health check. Any status proves that it lives, except that
+// checkAlive returns an error if the server of the endpoint has ended: it doesn't answer a health check or, for services without
+// one, doesn't accept another connection. It waits for a silent server until the context ends.
+func (h *Handler) checkAlive(ctx context.Context, c *call, e upstream.Endpoint) error {
+	for {
+		var err error
+		if c.service != nil && c.service.HealthPath != "" {
+			err = h.probe(ctx, c, e)
+		} else {
+			err = h.Pool.Check(ctx, e)
+		}
+		var timeout interface{ Timeout() bool }
+		if err == nil || ctx.Err() != nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return err
+		}
+	}
+}
+
+// probe returns an error unless the server of the endpoint answers a health check before the context ends. Any status proves that it lives, except that
 // of another server at its address.
 func (h *Handler) probe(ctx context.Context, c *call, e upstream.Endpoint) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+c.service.HealthPath, nil)
 	if err != nil {
 		return errors.Wrap(err, "build health check")
 	}
 	head := h.Protocol.EncodeRequestHeader(ServerRequest{
-		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: probeTimeout,
+		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: time.Until(c.deadline),
 	})
 	return h.Pool.Probe(ctx, e, request.Method, head, func(r *http.Response) error {
 		server := h.Protocol.DecodeAnswer(r.Header).Server
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,6 +52,7 @@
 	idleTimeout   time.Duration // from the server's Keep-Alive header; 0 if it sent none
 	reused        bool
 	reuseDisabled bool
+	watch         *Watch // of the request in progress; nil for none
 }
 
 func newConn(netConn net.Conn) (*Conn, error) {
@@ -71,13 +72,31 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
-	c := &Conn{Conn: netConn, received: countingReader{reader: netConn}, rawConn: rawConn, openedAt: time.Now()}
+	c := &Conn{Conn: netConn, rawConn: rawConn, openedAt: time.Now()}
+	c.received.reader = watchedReader{c}
 	c.heads.reader = &c.received
 	c.limited = &io.LimitedReader{R: &c.heads, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
 	return c, nil
 }
 
+// watchedReader reads from the connection. It goes on after interruptions of its Watch.
+type watchedReader struct{ conn *Conn }
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	for {
+		n, err := r.conn.Conn.Read(p)
+		if n > 0 || err == nil {
+			return n, err
+		}
+		goOn, err := r.conn.watch.resume(err)
+		if !goOn {
+			return 0, err
+		}
+	}
+}
+
 // countingReader counts the bytes that are read through it.
 type countingReader struct {
 	reader io.Reader
@@ -139,9 +158,18 @@
 	if len(body) > 0 {
 		buffers = append(buffers, body)
 	}
-	n, err := buffers.WriteTo(c.Conn)
-	c.sentBytes += n
-	return n > 0, errors.Wrap(err, "send request")
+	for {
+		n, err := buffers.WriteTo(c.Conn)
+		c.sentBytes += n
+		sent = sent || n > 0
+		goOn := false
+		if err != nil {
+			goOn, err = c.watch.resume(err)
+		}
+		if !goOn {
+			return sent, errors.Wrap(err, "send request")
+		}
+	}
 }
 
 // Receive reads the head of the final answer to a request with the given method. It skips informational responses (RFC 9110,
