--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -162,7 +162,12 @@
 	if c.answerStarted || result.CodeOf(err) == result.CallerGone {
 		panic(http.ErrAbortHandler) // a truncated answer must not look complete
 	}
-	h.writeError(w, result.From(err))
+	e := result.From(err)
+	if e.Code == result.Internal {
+		clear(w.Header()) // a panic may have left those of an answer that was not written
+		w.Header().Set("Connection", "close")
+	}
+	h.writeError(w, e)
 }
 
 // writeError writes the error as the answer.
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -10,23 +10,42 @@
 
 	"github.com/filbertrill/filbertrill/internal/chain"
 	"github.com/filbertrill/filbertrill/internal/placement"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
+	"github.com/filbertrill/filbertrill/internal/telemetry"
 )
 
-// record is the outermost filter. It logs the result of the request and updates the metrics.
+// record is the outermost filter. It logs the result of the request and updates the metrics, and turns a panic of the next handler
+// into an error.
 func (h *Handler) record(next chain.Handler[*call]) chain.Handler[*call] {
 	return chain.HandlerFunc[*call](func(ctx context.Context, c *call) error {
-		err := next.Handle(ctx, c)
+		err := h.handleRecovered(ctx, c, next)
 		h.logResult(c, err)
 		return err
 	})
 }
 
-// logResult writes the log line and the metrics of a request that has ended.
-func (h *Handler) logResult(c *call, err error) {
-	duration := time.Since(c.arrivedAt)
-	code := result.CodeOf(err)
-	service, id, route := "", "", ""
+// handleRecovered passes the request to the next handler. It returns an error after a panic: the request may have run.
+func (h *Handler) handleRecovered(ctx context.Context, c *call, next chain.Handler[*call]) (err error) {
+	defer func() {
+		if p := recovery.NewPanic(recover()); p != nil {
+			h.recordPanic(c, p)
+			err = result.Wrap(p, result.Internal, "the daemon failed")
+		}
+	}()
+	return next.Handle(ctx, c)
+}
+
+// recordPanic logs and counts a panic.
+func (h *Handler) recordPanic(c *call, p *recovery.Panic) {
+	h.Metrics.CountPanic(telemetry.Callers)
+	_, id, route := c.names()
+	h.Logger.Error("Panic while handling a request.", "request", id, "route", route, "account", c.account,
+		"caller", c.request.RemoteAddr, "begun", c.answerStarted, "panic", p.Value, "stack", p.Stack)
+}
+
+// names returns the service, the ID and the route of the request as far as they are known.
+func (c *call) names() (service, id, route string) {
 	if c.service != nil {
 		service = c.service.Name
 	}
@@ -36,6 +55,19 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
+	return service, id, route
+}
+
+// logResult writes the log line and the metrics of a request that has ended. A panic of its own doesn't change the result.
+func (h *Handler) logResult(c *call, err error) {
+	defer func() {
+		if p := recovery.NewPanic(recover()); p != nil {
+			h.recordPanic(c, p)
+		}
+	}()
+	duration := time.Since(c.arrivedAt)
+	code := result.CodeOf(err)
+	service, id, route := c.names()
 	h.Metrics.CountResult(code, service)
 	h.Metrics.ObserveAnswer(c.account, service, duration)
 	if c.timeToFirstEvent > 0 {
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -96,3 +96,11 @@
 func (m *Metrics) CountTakeUp(basis string) {
 	m.scope.Tagged(map[string]string{"basis": basis}).Counter("stream_take_ups_total").Inc(1)
 }
+
+// Callers is the interface of callers for CountPanic.
+const Callers = "callers"
+
+// CountPanic counts a panic of an HTTP handler by the interface that it serves.
+func (m *Metrics) CountPanic(httpInterface string) {
+	m.scope.Tagged(map[string]string{"interface": httpInterface}).Counter("panics_total").Inc(1)
+}
