--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,6 +17,7 @@
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
 	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/logging"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/scheduler"
@@ -257,9 +256,9 @@
 	callerServer.ConnState = g.connLimiter.connStateChanged
 	g.serve(callerListener, callerServer)
 	otherHandlers := map[string]http.Handler{
-		g.settings.DirectoryAddress: g.platform.Directory(g.entries),
-		g.settings.ReadinessAddress: g.platform.Readiness(g.readyToBegin),
-		g.settings.MetricsAddress:   g.metricsHandler,
+		g.settings.DirectoryAddress: g.withRecovery(telemetry.Directory, g.platform.Directory(g.entries)),
+		g.settings.ReadinessAddress: g.withRecovery(telemetry.Readiness, g.platform.Readiness(g.readyToBegin)),
+		g.settings.MetricsAddress:   g.withRecovery(telemetry.Scrapes, g.metricsHandler),
 	}
 	for address, handler := range otherHandlers {
 		if address == "" {
@@ -274,6 +273,15 @@
 	return nil
 }
 
+// withRecovery returns a handler that logs, counts and answers the panics of next, which serves the named interface.
+func (g *Gateway) withRecovery(name string, next http.Handler) http.Handler {
+	return recovery.HTTPHandler(next, func(r *http.Request, p *recovery.Panic, begun bool) {
+		g.metrics.CountPanic(name)
+		g.logger.Error("Panic while handling a request.", "interface", name, "method", r.Method, "path", r.URL.Path,
+			"caller", r.RemoteAddr, "begun", begun, "panic", p.Value, "stack", p.Stack)
+	}, func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) })
+}
+
 func (g *Gateway) serve(listener net.Listener, server *http.Server) {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -288,7 +296,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0), // aborted answers are logged by the handler
+		ErrorLog:          logging.NewServerLog(g.logger),
 	}
 }
 
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -97,8 +97,13 @@
 	m.scope.Tagged(map[string]string{"basis": basis}).Counter("stream_take_ups_total").Inc(1)
 }
 
-// Callers is the interface of callers for CountPanic.
-const Callers = "callers"
+// Interfaces that CountPanic counts by.
+const (
+	Callers   = "callers"
+	Directory = "directory"
+	Readiness = "readiness"
+	Scrapes   = "metrics"
+)
 
 // CountPanic counts a panic of an HTTP handler by the interface that it serves.
 func (m *Metrics) CountPanic(httpInterface string) {
