--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,7 +179,8 @@
 		Keys:    d.keys,
 		Logger:  logging.For(logging.Entry),
 
-		Lifetime: d.settings.EntriesLifetime,
+		Lifetime:   d.settings.EntriesLifetime,
+		CountPanic: func() { d.metrics.CountPanic(telemetry.Callers) },
 	})
 	d.entry = server
 	return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -23,7 +23,9 @@
 	"github.com/filbertrill/filbertrill/internal/filter/decode"
 	"github.com/filbertrill/filbertrill/internal/filter/idempotency"
 	"github.com/filbertrill/filbertrill/internal/filter/identify"
+	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/peer/pb"
+	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
@@ -51,7 +53,9 @@
 	Resume  filter.Handler // handles GET /v1/resume
 	Metrics http.Handler
 	Keys    KeyIssuer
-	Logger  *slog.Logger
+	Logger  *slog.Logger // may be nil
+	// CountPanic counts a panic of a handler outside of the chains. It may be nil.
+	CountPanic func()
 	// Lifetime is how long callers may cache a response of /v1/entries.
 	Lifetime time.Duration
 }
@@ -68,6 +72,9 @@
 
 // NewServer returns a server that does not yet listen.
 func NewServer(opts Options) (*Server, error) {
+	if opts.Logger == nil {
+		opts.Logger = slog.New(slog.DiscardHandler)
+	}
 	s := &Server{opts: opts, boundAddress: make(chan net.Addr, 1)}
 	restConfig := rest.RestConf{Host: opts.Host, Port: opts.Port}
 	restConfig.Name = "filbertrilld"
@@ -80,7 +87,7 @@
 	routes := &servicesRouter{Router: router.NewRouter(), keepAlivesDisabled: &s.keepAlivesDisabled, services: http.HandlerFunc(s.serveChain)}
 	routes.SetNotFoundHandler(http.HandlerFunc(notFound))
 	routes.SetNotAllowedHandler(http.HandlerFunc(notFound))
-	server, err := rest.NewServer(restConfig, rest.WithRouter(routes))
+	server, err := rest.NewServer(restConfig, rest.WithRouter(&recoveringRouter{routes, recovery.HTTPHandler(routes, s.recordPanic, writePanic)}))
 	if err != nil {
 		return nil, errors.Wrap(err, "set up the HTTP server")
 	}
@@ -118,6 +125,29 @@
 	r.Router.ServeHTTP(w, req)
 }
 
+// recoveringRouter handles requests with a handler that ends panics of the router.
+type recoveringRouter struct {
+	httpx.Router
+	handler http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (r *recoveringRouter) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.handler.ServeHTTP(w, req)
+}
+
+func (s *Server) recordPanic(r *http.Request, p *recovery.Panic, begun bool) {
+	if s.opts.CountPanic != nil {
+		s.opts.CountPanic()
+	}
+	s.opts.Logger.Error("Panic while handling a request.", "method", r.Method, "path", r.URL.Path, "caller", r.RemoteAddr,
+		"begun", begun, "panic", p.Value, "stack", p.Stack)
+}
+
+func writePanic(w http.ResponseWriter) {
+	result.WriteHTTP(w, result.New(result.Internal, "the daemon failed"))
+}
+
 // Start listens in the background and returns the bound address. It returns an error if the
 // port cannot be bound.
 func (s *Server) Start() (net.Addr, error) {
@@ -127,6 +157,7 @@
 		s.rest.StartWithOpts(func(server *http.Server) {
 			server.ReadHeaderTimeout = 10 * time.Second
 			server.ConnContext = callerconn.With
+			server.ErrorLog = logging.NewServerLog(s.opts.Logger)
 			server.BaseContext = func(lis net.Listener) context.Context {
 				s.server = server
 				s.boundAddress <- lis.Addr()
--- a/internal/filter/writer.go
+++ b/internal/filter/writer.go
@@ -53,8 +53,8 @@
 
 // WriteHeader sends the status and the header.
 func (w *Writer) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status) // panics for an invalid status, without an answer
 	w.started = true
-	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write writes a part of the body, after the header if that has not been sent.
@@ -88,6 +88,16 @@
 // mistake the answer for a complete one.
 func (w *Writer) Abort() { panic(http.ErrAbortHandler) }
 
+// PrepareFailure makes the writer ready for the error of a panic: it drops the header of an answer that has not started, and aborts
+// one that has, as a part of an event may have been written.
+func (w *Writer) PrepareFailure() {
+	if w.started {
+		w.Abort()
+	}
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+}
+
 // WriteError writes err to the caller: as a complete answer if the answer has not started, as an
 // error event in a stream of server-sent events. It aborts any other answer that has started.
 func (w *Writer) WriteError(err error) {
