--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -274,3 +275,70 @@
 	assert.Equal(t, events(1, lastEvent), string(body))
 	assert.Equal(t, 1, s.requests())
 }
+
+// Guards against attempts at silent servers that are given up for an answer that then breaks, stops or can't be used.
+func TestSilentServerIsNotGivenUpForAnswerThatDoesNotArrive(t *testing.T) {
+	const partialHead = "HTTP/1.1 200 OK\r\nId: id\r\nContent-Length: 100\r\n\r\n"
+	never := 10 * time.Second
+	for name, alternative := range map[string][]any{
+		"stops within its body":  {partialHead + "part", never},
+		"breaks within its body": {partialHead + "part"},
+	} {
+		t.Run("plain/"+name, func(t *testing.T) {
+			t.Parallel()
+			s := &pausingServers{steps: [][]any{{silence, soundAnswer}, alternative}}
+			status, _, complete, took := s.ask(t, routing.Route{Kind: routing.Idempotent})
+			assert.Equal(t, http.StatusOK, status)
+			assert.True(t, complete)
+			assert.Less(t, took, silence+time.Second)
+			assert.Equal(t, 2, s.requests())
+		})
+	}
+	notFound := "HTTP/1.1 404 Not Found\r\nId: id\r\nContent-Length: 0\r\n\r\n"
+	inChunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for name, alternative := range map[string][]any{
+		"can't go on":               {notFound},
+		"sends a comment":           {chunkedHead + inChunk(": wait\n\n"), never},
+		"sends a part of an event":  {chunkedHead + inChunk("id: 4\nda"), never},
+		"breaks within an event":    {chunkedHead + inChunk("id: 4\nda")},
+		"sends an earlier event":    {chunkedHead + inChunk(events(2, 3)), never},
+		"leaves an event out":       {chunkedHead + inChunk(events(5, lastEvent)) + "0\r\n\r\n"},
+		"sends no event of its own": {chunkedHead + inChunk("data: x\n\n"), never},
+	} {
+		t.Run("stream/"+name, func(t *testing.T) {
+			t.Parallel()
+			writes := streamAnswer(events(1, 3), events(4, lastEvent))
+			s := &pausingServers{steps: [][]any{{writes[0], writes[1], 450 * time.Millisecond, writes[2], writes[3]}, alternative}}
+			_, body, complete, took := s.ask(t, routing.Route{Kind: routing.Stream, Resumable: true, MaxTokenGap: 50 * time.Millisecond})
+			assert.True(t, complete)
+			assert.Equal(t, events(1, lastEvent), body)
+			assert.Less(t, took, silence+time.Second)
+		})
+		if name == "can't go on" || name == "sends an earlier event" {
+			continue
+		}
+		t.Run("stream without events/"+name, func(t *testing.T) {
+			t.Parallel()
+			s := &pausingServers{steps: [][]any{append([]any{silence}, asSteps(streamAnswer(events(1, lastEvent)))...), alternative}}
+			_, body, complete, took := s.ask(t, routing.Route{Kind: routing.Stream, Resumable: true})
+			assert.True(t, complete)
+			assert.Equal(t, events(1, lastEvent), body)
+			assert.Less(t, took, silence+time.Second)
+		})
+	}
+}
+
+// Guards against refusals that promise that nothing ran while an attempt that was sent is in progress.
+func TestRequestIsNotRefusedWhileAnAttemptMayRun(t *testing.T) {
+	s := &pausingServers{steps: [][]any{{500 * time.Millisecond, notRunAnswer}, {20 * time.Second}}}
+	gateway := startGateway(t, routing.Route{Kind: routing.Idempotent, Timeout: 1500 * time.Millisecond}, s.serve)
+	gateway.Config.Handler.(*Handler).Config().Match("h", "/").Objective = 100 * time.Millisecond
+	request, err := http.NewRequest(http.MethodGet, gateway.URL, nil)
+	require.NoError(t, err)
+	request.Host = "h"
+	response, err := gateway.Client().Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+	assert.Equal(t, 2, s.requests())
+}
