--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -212,6 +212,9 @@
 	response *http.Response
 	progress attemptProgress // if err is not nil
 	err      error
+	// read is what was read of the body before the attempt was chosen, in a buffer of answerMemory; nil for nothing.
+	read         []byte
+	endConfirmed bool // see confirmEnd
 
 	superseded bool // given up for another attempt
 	canceled   bool // not needed any more
@@ -313,6 +316,9 @@
 	if a.conn != nil {
 		h.releaseConn(ctx, c, a, err)
 	}
+	if a.read != nil {
+		h.answerMemory.releaseBuffer(a.read)
+	}
 	outcome := placement.Served
 	if err != nil {
 		outcome = placement.Failed
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -73,6 +73,7 @@
 	cancel context.CancelFunc
 	sentAt atomic.Pointer[time.Time] // nil before
 	done   chan struct{}             // closed when the attempt is open
+	events eventstream.Tracker       // the caller's position
 	// answer is the body of an answer with a server error.
 	answer []byte
 }
@@ -268,7 +269,7 @@
 		return obstacle
 	}
 	ctx, cancel := context.WithCancel(g.ctx)
-	e := &hedge{attempt: g.h.newAttempt(g.call, choice, now), cancel: cancel, done: make(chan struct{})}
+	e := &hedge{attempt: g.h.newAttempt(g.call, choice, now), cancel: cancel, done: make(chan struct{}), events: g.call.events}
 	g.pending = append(g.pending, e)
 	g.tried[choice.Server.ID] = true
 	go func() {
@@ -285,7 +286,7 @@
 			g.notify()
 		}})
 		if e.err == nil {
-			e.err = g.h.awaitAnswer(g.call, e)
+			e.err = g.h.awaitAnswer(ctx, g.call, e)
 		}
 	}()
 	return ""
@@ -313,31 +314,65 @@
 	return choice, ""
 }
 
-// awaitAnswer waits until the answer of an open attempt can replace that of another one: an answer with a server error is read to its end,
-// and an error returned for it, a stream until it has data.
-func (h *Handler) awaitAnswer(c *call, e *hedge) error {
+// awaitAnswer waits until the answer of an open attempt can replace that of another one: a stream has an event that the caller lacks, any
+// other answer is complete. An error is returned for answers with a server error, and for those that can't go on with a stream.
+func (h *Handler) awaitAnswer(ctx context.Context, c *call, e *hedge) error {
 	response := e.response
-	switch {
-	case response.StatusCode >= http.StatusInternalServerError:
-		body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
+	if response.StatusCode/100 == 2 && c.route.Kind == routing.Stream {
+		return h.awaitEvent(e)
+	}
+	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
+	if response.StatusCode >= http.StatusInternalServerError {
 		if err != nil || endsWithConnection(response) {
 			h.answerMemory.releaseBuffer(body)
 			return errors.CombineErrors(err, errors.Newf("server failed with status %d", response.StatusCode))
 		}
 		e.answer = body
 		return errors.Newf("server failed with status %d", response.StatusCode)
-	case response.StatusCode/100 == 2 && c.route.Kind == routing.Stream:
-		begin := make([]byte, answerBufferBytes/4)
-		n, err := io.ReadAtLeast(response.Body, begin, 1)
-		if errors.Is(err, io.EOF) {
-			return eventstream.ErrNoEvent
+	}
+	e.read = body
+	if err == nil && e.events.Delivered() > 0 {
+		err = errors.Newf("server did not resume the stream, status %d", response.StatusCode)
+	}
+	if err == nil && endsWithConnection(response) {
+		err = h.checkAlive(ctx, c, e.endpoint)
+		e.endConfirmed = true
+	}
+	return errors.Wrap(err, "read answer")
+}
+
+// awaitEvent reads a stream until it has an event that the caller lacks.
+func (h *Handler) awaitEvent(e *hedge) error {
+	body := e.response.Body
+	buffer := make([]byte, 0, answerBufferBytes)
+	defer func() { e.read = buffer }()
+	e.events.StartAnswer()
+	for {
+		if len(buffer) == cap(buffer) {
+			var err error
+			if buffer, err = h.answerMemory.grow(buffer); err != nil {
+				return err
+			}
 		}
-		if err != nil {
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		batch, eventErr := e.events.Accept(buffer)
+		switch {
+		case eventErr != nil:
+			return eventErr
+		case e.events.DeliveredOfAnswer() > 0:
+			e.response.Body = io.NopCloser(io.MultiReader(bytes.NewReader(buffer), body))
+			return nil
+		case errors.Is(err, io.EOF):
+			return e.events.EndAnswer(buffer[batch.Consumed:])
+		case err != nil:
 			return errors.Wrap(err, "read stream")
 		}
-		response.Body = io.NopCloser(io.MultiReader(bytes.NewReader(begin[:n]), response.Body))
+		buffer = append(buffer[:0], buffer[batch.Consumed:]...)
+		if len(buffer) > maxEventBytes {
+			return errors.Newf("event is longer than %d bytes", maxEventBytes)
+		}
 	}
-	return nil
 }
 
 // notify wakes the goroutine of the call.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -53,7 +53,10 @@
 // stored in the call instead if the request may be retried.
 func (h *Handler) relayBuffered(c *call, a *attempt, g *hedger) (attemptProgress, error) {
 	response := a.response
-	body, err := h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
+	body, err := a.read, error(nil)
+	if a.read = nil; body == nil {
+		body, err = h.answerMemory.readAll(response.Body, maxBufferedAnswerBytes)
+	}
 	kept := false
 	defer func() {
 		if !kept {
@@ -184,7 +187,7 @@
 // connections end like those of a complete answer. A server that is silent has not ended: confirmEnd waits for it until the deadline, or
 // until another attempt is answered.
 func (h *Handler) confirmEnd(c *call, a *attempt, g *hedger) error {
-	if !endsWithConnection(a.response) {
+	if !endsWithConnection(a.response) || a.endConfirmed {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(g.ctx)
