--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -453,8 +453,9 @@
 		g.winner = nil
 		return a
 	}
-	if len(g.pending) > 0 {
-		return nil // the deadline has passed
+	if len(g.pending) > 0 { // the deadline has passed
+		g.cancelPending()
+		return nil
 	}
 	now := time.Now()
 	choice, obstacle := g.decide(g.progress(), now)
