--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -209,10 +209,12 @@
 		g.unread = true
 		g.nextStart = now.Add(readGracePeriod)
 	}
-	if !now.Before(g.nextStart) && g.mayOverlap() {
+	if !now.Before(g.nextStart) {
 		g.nextStart = now.Add(hedgeRetryInterval)
-		if g.alternative = g.start(now); g.alternative == "" {
-			g.nextStart = now.Add(g.firstEventTimeout())
+		if g.mayOverlap() {
+			if g.alternative = g.start(now); g.alternative == "" {
+				g.nextStart = now.Add(g.firstEventTimeout())
+			}
 		}
 	}
 	end, ok := g.overlapEnd()
