--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -52,6 +54,7 @@
 	call *call
 
 	tried       map[string]bool // servers, by ID
+	slow        map[string]bool // those of them that accepted no connection in time, and may later
 	sent        int             // attempts that have ended and may have reached a server
 	unsent      int             // those that have not
 	budgeted    int             // attempts that may reach a server without a further one of the retry budget
@@ -79,7 +82,7 @@
 }
 
 func newHedger(ctx context.Context, h *Handler, c *call) *hedger {
-	return &hedger{ctx: ctx, h: h, call: c, budgeted: 1, tried: make(map[string]bool, 2), wake: make(chan struct{}, 1)}
+	return &hedger{ctx: ctx, h: h, call: c, budgeted: 1, tried: make(map[string]bool, 2), slow: make(map[string]bool), wake: make(chan struct{}, 1)}
 }
 
 // run makes an attempt, or goes on with one that is open. It returns nil once a complete answer was forwarded.
@@ -116,6 +119,9 @@
 	}
 	if progress == notSent {
 		g.unsent++
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			g.slow[a.choice.Server.ID] = true
+		}
 	} else {
 		g.sent++
 	}
@@ -304,6 +310,11 @@
 	}
 	free := g.sentAttempts() < g.budgeted
 	choice, ok, allowed := g.h.Scheduler.DecideRetry(g.h.schedulerRequest(g.call), g.tried, free, now)
+	if !ok && len(g.slow) > 0 {
+		maps.DeleteFunc(g.tried, func(id string, _ bool) bool { return g.slow[id] })
+		clear(g.slow)
+		choice, ok, allowed = g.h.Scheduler.DecideRetry(g.h.schedulerRequest(g.call), g.tried, free, now)
+	}
 	switch {
 	case !ok:
 		return choice, "none: no other server"
