--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -9,8 +9,6 @@
 const (
 	// slowdownGain is the weight of the newest observation in server.slowdown.
 	slowdownGain = 0.08
-	// plainLatencyGain is the weight of the newest observation in server.plainLatency.
-	plainLatencyGain = 0.1
 	// failureGain is the weight of the newest outcome in a server's failure rate.
 	failureGain = 0.2
 	// failureDecay is the time constant by which a server's failure rate decays, so that a server
@@ -111,10 +109,7 @@
 	}
 	took := now.Sub(a.sentAt).Seconds()
 	if !a.request.Engine {
-		if s.plainLatency == 0 {
-			s.plainLatency = took
-		}
-		s.plainLatency += plainLatencyGain * (took - s.plainLatency)
+		s.plain.observe(took)
 		return
 	}
 	m := b.regression(s.Service)
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -126,8 +126,8 @@
 	identity           uint64 // see ServerIdentity
 	ownLoad            Load   // of this daemon
 	cache              *promptCache
-	slowdown           float64   // moving average of observed over predicted time
-	plainLatency       float64   // moving average in seconds; 0 before the first plain request
+	slowdown           float64 // moving average of observed over predicted time
+	plain              plainTiming
 	lastFailureRate    float64   // at lastOutcome, see failureRate
 	lastOutcome        time.Time // time of the last success or failure
 	awaitingFirstEvent map[*Attempt]struct{}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -67,7 +67,11 @@
 		c.Load.Running = s.ownLoad.Running + int(math.Round(peerRunning*float64(max(1, s.Slots))))
 		waiting := max(0, c.Load.Running+1-s.Slots)
 		rounds := 1 + float64(waiting)/float64(max(1, s.Slots))
-		c.Predicted = seconds(s.plainLatency * rounds)
+		c.Predicted = seconds(s.plain.average * rounds)
+		c.PredictedIdle = seconds(min(s.plain.idle, s.plain.average))
+		if c.Load.Running == 0 {
+			c.PredictedIdle = c.Predicted // only requests that are sent can correct it
+		}
 		return c
 	}
 	c.UncachedTokens = s.uncachedTokens(r, home, now)
@@ -92,9 +96,7 @@
 	if s.Zone != b.zone {
 		score += crossZonePenalty.Seconds() + crossZoneByteCost*float64(r.BodyBytes)
 	}
-	if s.plainLatency > 0 {
-		score += s.plainLatency * float64(c.Load.Running) / float64(max(1, s.Slots))
-	}
+	score += s.plain.average * float64(c.Load.Running) / float64(max(1, s.Slots))
 	score += failurePenalty.Seconds() * s.failureRate(now)
 	score += s.overdue(now).Seconds()
 	return score
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -2,6 +2,33 @@
 
 import "iter"
 
+const (
+	// plainGain is the weight of the newest time in plainTiming.average.
+	plainGain = 0.1
+	// plainIdleGain is the weight of a longer time in plainTiming.idle.
+	plainIdleGain = 0.01
+	// maxPlainRatio bounds the influence of a single request: a time counts as at most so many times the average, or the time that is
+	// assumed for idle servers.
+	maxPlainRatio = 4
+)
+
+// plainTiming is what is known of the times of a plain server, in seconds. The zero value knows nothing.
+type plainTiming struct {
+	known   bool
+	average float64 // moving average
+	idle    float64 // on the idle server: about the least of late
+}
+
+// observe records the time that a request has taken.
+func (p *plainTiming) observe(took float64) {
+	if !p.known {
+		*p = plainTiming{true, took, took}
+	}
+	took = min(took, maxPlainRatio*max(p.average, priorBaseSeconds))
+	p.average += plainGain * (took - p.average)
+	p.idle = min(took, p.idle+plainIdleGain*(took-p.idle))
+}
+
 // rotate returns an iterator over the servers that starts at the next one with each call (round robin): of servers with
 // equal scores the first one is chosen.
 func (b *Balancer) rotate(list []*server) iter.Seq[*server] {
