--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -33,6 +33,7 @@
 	sentCold       bool // the server was cold at the start
 	firstEventSeen bool
 	sound          bool // see SetSound
+	broken         bool // see SetBroken
 	ended          bool
 }
 
@@ -60,6 +61,9 @@
 			b.recentPlacements = append(b.recentPlacements, Placement{Server: s.hash, Part: part, Tokens: tokens, sentAt: now})
 		}
 	}
+	if s.ownLoad.Running == 0 {
+		s.heardAt = now
+	}
 	s.ownLoad = s.ownLoad.Plus(a.load)
 	b.loaded[s] = true
 	s.awaitingFirstEvent[a] = struct{}{}
@@ -90,23 +94,34 @@
 // Sound reports whether SetSound was called.
 func (a *Attempt) Sound() bool { return a.sound }
 
+// SetBroken records that the server has closed the connection.
+func (a *Attempt) SetBroken() { a.broken = true }
+
 // SentAt returns the time of the start.
 func (a *Attempt) SentAt() time.Time { return a.sentAt }
 
 // RecordFirstEvent records the first event of the attempt, or the answer of a plain service.
-// Further calls have no effect.
+// Further calls record that the server still answers.
 func (b *Balancer) RecordFirstEvent(a *Attempt, now time.Time) {
-	if a.firstEventSeen || a.ended {
+	if a.ended {
 		return
 	}
-	a.firstEventSeen = true
 	s := a.server
+	endedSilence := s.recordHeard(now)
+	if a.firstEventSeen {
+		return
+	}
+	a.firstEventSeen = true
 	delete(s.awaitingFirstEvent, a)
 	s.ownLoad.PendingTokens -= a.load.PendingTokens
 	a.load.PendingTokens = 0
 	if b.overloaded {
 		return
 	}
+	heldUp := a.heldUp(now)
+	if heldUp && !endedSilence {
+		return
+	}
 	took := now.Sub(a.sentAt).Seconds()
 	if !a.request.Engine {
 		s.plain.observe(took)
@@ -120,7 +135,7 @@
 		if !s.wasCold {
 			return // the server has become warm since
 		}
-	default:
+	case !heldUp: // the model is that of all servers
 		m.observe(a.prefillTokens, a.running, took/s.slowdown)
 	}
 	s.slowdown += slowdownGain * (clamp(took/expected, 0.5, maxSlowdown) - s.slowdown)
@@ -153,11 +168,9 @@
 	}
 	switch o {
 	case Served:
-		s.lastFailureRate = s.failureRate(now) * (1 - failureGain)
-		s.lastOutcome = now
+		s.recordOutcome(false, false, now)
 	case Failed:
-		s.lastFailureRate = s.failureRate(now)*(1-failureGain) + failureGain
-		s.lastOutcome = now
+		s.recordOutcome(true, !a.broken && s.isSilent(a, now), now)
 		s.cache.removeLast(a.request.Parts)
 	case Abandoned:
 	}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -129,11 +129,14 @@
 	slowdown           float64 // moving average of observed over predicted time
 	plain              plainTiming
 	lastFailureRate    float64   // at lastOutcome, see failureRate
+	silentFailureRate  float64   // the same of failures for silence, until the server is heard from
 	lastOutcome        time.Time // time of the last success or failure
 	awaitingFirstEvent map[*Attempt]struct{}
 	interruptedAt      time.Time // when the process may last have ended, see RecordInterrupted; zero if it never may
 	refusedAt          time.Time // when it last refused a connection of this daemon
 	longPromptAt       time.Time // when it was last known to process a long prompt, see stallPenalty
+	heardAt            time.Time // last sign of life, or when the first of the requests in flight was sent
+	silence            silence   // the last one
 	wasCold            bool      // slowdown is that of the cold server, see warmUp
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -134,21 +134,12 @@
 	return max(0, r.PromptTokens-cached)
 }
 
-// failureRate returns the moving average of failures in [0, 1]. It decays while no request is
-// sent, so that the server is tried again.
-func (s *server) failureRate(now time.Time) float64 {
-	if s.lastFailureRate == 0 {
-		return 0
-	}
-	return s.lastFailureRate * math.Exp(-now.Sub(s.lastOutcome).Seconds()/failureDecay.Seconds())
-}
-
 // overdue returns by how much the most overdue attempt exceeds twice its predicted time to the
 // first event plus overdueSlack, or 0 if none does.
 func (s *server) overdue(now time.Time) time.Duration {
 	var longest time.Duration
 	for a := range s.awaitingFirstEvent {
-		if overdue := now.Sub(a.sentAt) - 2*a.predicted - overdueSlack; overdue > longest {
+		if overdue := now.Sub(a.sentAt) - overdueTime(a.predicted); overdue > longest {
 			longest = overdue
 		}
 	}
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -79,6 +79,7 @@
 func (s *Scheduler) RecordBroken(r Request, a *placement.Attempt, begun bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a.SetBroken()
 	server, ok := a.Server()
 	if !ok || a.Draining() {
 		return
