--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -55,6 +55,7 @@
 
 	tried       map[string]bool // servers, by ID
 	slow        map[string]bool // those of them that accepted no connection in time, and may later
+	slowRetried bool            // these were tried again
 	sent        int             // attempts that have ended and may have reached a server
 	unsent      int             // those that have not
 	budgeted    int             // attempts that may reach a server without a further one of the retry budget
@@ -310,9 +311,9 @@
 	}
 	free := g.sentAttempts() < g.budgeted
 	choice, ok, allowed := g.h.Scheduler.DecideRetry(g.h.schedulerRequest(g.call), g.tried, free, now)
-	if !ok && len(g.slow) > 0 {
+	if !ok && len(g.slow) > 0 && !g.slowRetried {
+		g.slowRetried = true
 		maps.DeleteFunc(g.tried, func(id string, _ bool) bool { return g.slow[id] })
-		clear(g.slow)
 		choice, ok, allowed = g.h.Scheduler.DecideRetry(g.h.schedulerRequest(g.call), g.tried, free, now)
 	}
 	switch {
