--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -116,6 +116,7 @@
 func (h *Handler) sendWithRetries(ctx context.Context, c *call) error {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.exit, cancel)()
 	defer h.releaseFailure(c)
 	g := newHedger(ctx, h, c)
 	defer g.close()
@@ -146,6 +147,8 @@
 		return "attempts are used up"
 	case time.Until(c.deadline) < minAttemptTime:
 		return "deadline is near"
+	case h.exit.Err() != nil:
+		return "daemon exits"
 	case progress == notSent || progress == notRun:
 		return ""
 	case progress == fullyForwarded:
@@ -365,6 +368,8 @@
 		return "daemon: caller has left"
 	case a.superseded:
 		return "daemon: server is silent, another attempt takes over"
+	case ctx.Err() != nil && time.Now().Before(c.deadline):
+		return "daemon: exits"
 	case ctx.Err() != nil:
 		return "daemon: deadline"
 	case a.canceled:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -56,6 +56,8 @@
 	refuseRequests   atomic.Bool // see RefuseRequests
 	bodyMemory       bodyMemory
 	answerMemory     answerMemory
+	exit             context.Context // see EndRequests
+	endRequests      context.CancelFunc
 	activeRequests   atomic.Int64
 	requests         atomic.Int64 // that have arrived
 }
@@ -65,6 +67,7 @@
 	h := &Handler{Options: o, started: time.Now()}
 	h.bodyMemory.limit = cmp.Or(o.BodyMemory, defaultBodyMemory)
 	h.answerMemory.limit = o.AnswerMemory
+	h.exit, h.endRequests = context.WithCancel(context.Background())
 	h.chain = chain.Link[*call](chain.HandlerFunc[*call](h.sendWithRetries),
 		h.record,
 		h.refuseWhenStopping,
@@ -88,6 +91,9 @@
 // RefuseRequests makes the handler refuse all further requests with result.Draining.
 func (h *Handler) RefuseRequests() { h.refuseRequests.Store(true) }
 
+// EndRequests ends the requests that were passed on to servers, before the daemon exits. Callers to which nothing was forwarded get an answer.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 // call is a request in progress and its state. The filters of the chain fill it in.
 type call struct {
 	request   *http.Request
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -16,6 +16,8 @@
 	idleExitDelay = 250 * time.Millisecond
 	// drainPollInterval is the time between two checks for active requests.
 	drainPollInterval = 50 * time.Millisecond
+	// lastAnswersTime is the time for the answers to requests that are still in progress at the end of the grace period.
+	lastAnswersTime = 100 * time.Millisecond
 	// lastRequestDelay is the time without requests, after the daemon has stopped to accept
 	// connections, after which it exits. A request on a connection that was accepted before is
 	// on its way for no longer.
@@ -34,7 +36,7 @@
 // with their next answer, refuses new requests and waits for active ones to finish. The
 // listener and idle connections stay open meanwhile, so that requests in transit get a
 // refusal. Callers may keep sending until the end, so the daemon then stops to accept
-// connections and answers the requests of those that it has accepted. http.Server.Shutdown
+// connections and answers the requests of those that it has accepted, also those whose servers have not answered. http.Server.Shutdown
 // would close a connection whose request has just been read.
 func (g *Gateway) drain() {
 	started := time.Now()
@@ -54,8 +56,19 @@
 			lastActive = time.Now()
 		}
 	}
-	g.answerAccepted(min(exitMargin, timeUntil(1)) - drainPollInterval)
-	g.logger.Info("Stopped.", "took", time.Since(started), "unfinished", g.handler.ActiveRequests())
+	g.answerAccepted(min(exitMargin, timeUntil(1)) - drainPollInterval - lastAnswersTime)
+	unfinished := g.handler.ActiveRequests()
+	g.endRequests(max(lastAnswersTime, timeUntil(1)-drainPollInterval))
+	g.logger.Info("Stopped.", "took", time.Since(started), "unfinished", unfinished)
+}
+
+// endRequests ends the requests that are in progress, and returns when they have ended, at the latest after the timeout.
+func (g *Gateway) endRequests(timeout time.Duration) {
+	const pollInterval = lastAnswersTime / 10
+	g.handler.EndRequests()
+	for end := time.Now().Add(timeout); time.Now().Before(end) && g.handler.ActiveRequests() > 0; {
+		time.Sleep(pollInterval)
+	}
 }
 
 // answerAccepted stops to accept connections and returns when no request has come for
