--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -342,3 +342,12 @@
 	assert.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
 	assert.Equal(t, 2, s.requests())
 }
+
+// Guards against streams that are cut because the server that could go on with them refuses late.
+func TestSilentStreamIsNotLostToServerThatRefusesLate(t *testing.T) {
+	writes := streamAnswer(events(1, 3), events(4, lastEvent))
+	s := &pausingServers{steps: [][]any{{writes[0], writes[1], silence, writes[2], writes[3]}, {maxStreamOverlap + 150*time.Millisecond, notRunAnswer}, asSteps(streamAnswer(events(4, lastEvent)))}}
+	_, body, complete, _ := s.ask(t, routing.Route{Kind: routing.Stream, Resumable: true, MaxTokenGap: 50 * time.Millisecond})
+	assert.True(t, complete)
+	assert.Equal(t, events(1, lastEvent), body)
+}
