--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -29,9 +29,13 @@
 	ownRepeatDelay = 1500 * time.Millisecond
 	// originAsked is how many daemons are asked for it. The fleet may have changed since it was recorded.
 	originAsked = 6
-	// originAttemptTimeout is the time until they are asked again, originAttempts how often.
+	// originAttemptTimeout is the time until they are asked again for the first time. It doubles with each attempt.
 	originAttemptTimeout = 60 * time.Millisecond
-	originAttempts       = 2
+	// maxOriginWait bounds the wait for answers: a daemon may be silent for a second. It is also bounded to a part of the time that the
+	// request has left, as its caller may know more daemons, but not to less than minOriginWait.
+	minOriginWait  = 120 * time.Millisecond
+	maxOriginWait  = 1200 * time.Millisecond
+	originWaitPart = 4
 	// originBatch is the number of streams that one datagram tells of, and versionBatch that of versions.
 	originBatch  = 100
 	versionBatch = 500
@@ -243,18 +247,29 @@
 	}
 	q := o.startQuery(id, asked)
 	defer o.endQuery(id, q)
-	for range originAttempts {
+	ctx, cancel := context.WithTimeout(ctx, originWait(ctx))
+	defer cancel()
+	for timeout := originAttemptTimeout; ; timeout *= 2 {
 		o.options.send(&pb.Origins{Queries: []uint64{id}}, asked...)
 		select {
 		case <-q.ended:
 			return
 		case <-ctx.Done():
 			return
-		case <-time.After(originAttemptTimeout):
+		case <-time.After(timeout):
 		}
 	}
 }
 
+// originWait returns the longest time for which a request with the context waits for answers.
+func originWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxOriginWait
+	}
+	return min(max(time.Until(deadline)/originWaitPart, minOriginWait), maxOriginWait)
+}
+
 func (o *streamOrigins) startQuery(id uint64, asked []string) *originQuery {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -313,19 +328,19 @@
 
 // handleAnswer applies the answer of a peer to a query. The caller holds the lock.
 func (o *streamOrigins) handleAnswer(from string, a *pb.StreamOrigin, now time.Time) {
-	q, ok := o.waiting[a.Stream]
-	if !ok {
-		return // an answer to the repeat of a query that has ended
-	}
-	if _, ok := q.asked[from]; ok {
-		q.asked[from] = true
-	}
 	switch {
 	case a.Conflicting:
 		o.table.RecordConflict(a.Stream, now)
 	case a.Known:
 		o.table.Record(a.Stream, decodeOrigin(a), now)
 	}
+	q, ok := o.waiting[a.Stream]
+	if !ok {
+		return // its caller sends the request again
+	}
+	if _, ok := q.asked[from]; ok {
+		q.asked[from] = true
+	}
 	if a.Known || q.answered() {
 		select {
 		case <-q.ended:
