--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -39,13 +39,24 @@
 func (m *Metrics) ObserveCost(account, service string, tokens int64) {
 	for _, s := range []*series{m.accounts.seriesFor(account), m.services.seriesFor(service)} {
 		s.cost().RecordValue(float64(tokens))
-		s.servedTokens().Inc(tokens)
+		addTokens(s.servedTokens(), float64(tokens))
 	}
 }
 
 // CountAdmission counts the tokens that a request to an engine asks for, by the check against the limit of its account.
 func (m *Metrics) CountAdmission(account, check string, admitted bool, tokens float64) {
-	m.accounts.seriesFor(account).admission().get(admissionKey{check, admitted}).Inc(int64(tokens))
+	addTokens(m.accounts.seriesFor(account).admission().get(admissionKey{check, admitted}), tokens)
+}
+
+// maxCountedTokens bounds the tokens of one request, so that no sum overflows.
+const maxCountedTokens = 1 << 40
+
+// addTokens adds the tokens of one request to a counter. The numbers come from callers and servers, and a counter that decreases
+// ends the process: the Prometheus client panics in a goroutine of its reporter.
+func addTokens(counter tally.Counter, tokens float64) {
+	if tokens > 0 {
+		counter.Inc(int64(min(tokens, maxCountedTokens)))
+	}
 }
 
 // ObserveResumePause records the time from the interruption of an answer's stream to the next
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -114,3 +115,17 @@
 		return strings.Contains(scrape(t, handler), "filbertrill_members_live 5\n")
 	}, 10*time.Second, 5*time.Millisecond)
 }
+
+// Guards against numbers of callers and servers that let a counter decrease, which ends the process.
+func TestOddNumbersOfTokensAreNotFatal(t *testing.T) {
+	for _, tokens := range []float64{-2, math.MinInt64, math.NaN(), math.Inf(1), math.Inf(-1), math.MaxFloat64} {
+		m, handler, closer := New(Options{Interval: time.Hour})
+		m.SetConfigured([]string{"acme"}, []string{"m"})
+		for range 3 {
+			m.CountAdmission("acme", "fair", true, tokens)
+			m.ObserveCost("acme", "m", int64(tokens))
+		}
+		require.NotPanics(t, func() { require.NoError(t, closer.Close()) }, tokens)
+		assert.NotContains(t, scrape(t, handler), "tokens_total{account=\"acme\"} -")
+	}
+}
