--- /dev/null
+++ b/test/integration/answers/silence_test.go
@@ -0,0 +1,192 @@
+package answers
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/ticket"
+	"github.com/filbertrill/filbertrill/test/cluster"
+	"github.com/filbertrill/filbertrill/test/standin/runs"
+)
+
+// silences are times for which a sound engine may send nothing and then go on. Both are longer than an idle limit of the
+// tests, and the second is longer than all that a running answer may be silent.
+var silences = []time.Duration{800 * time.Millisecond, 1300 * time.Millisecond}
+
+// shortIdleLimit is an idle limit that a silent engine exceeds several times before it goes on.
+const shortIdleLimit = 300 * time.Millisecond
+
+// addModel adds a service with its own engines to the next ticket and returns the engines.
+func addModel(t *testing.T, f *cluster.Fleet, id string, repeatable bool, engines int) []*cluster.Process {
+	t.Helper()
+	f.NextTicket.Services = append(f.NextTicket.Services, ticket.Service{
+		ID: id, Kind: ticket.ServiceModel, Repeatable: repeatable, IdleLimit: ticket.Duration(shortIdleLimit),
+	})
+	var added []*cluster.Process
+	for i := range engines {
+		serverID := fmt.Sprintf("%s-%d", id, i+1)
+		p, err := f.StartServer(serverID, "engine", "--model", id, "--slots", "4", "--token-interval", "20ms")
+		require.NoError(t, err)
+		f.NextTicket.Servers = append(f.NextTicket.Servers, ticket.Server{
+			ID: serverID, Service: id, Address: p.Address, Zone: "z1", Slots: 4, State: ticket.ServerJoined,
+		})
+		added = append(added, p)
+	}
+	return added
+}
+
+// requireNoRunLeft checks that the engines end all runs.
+func requireNoRunLeft(t *testing.T, engines ...*cluster.Process) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, run := range listRuns(t, engines...) {
+			if run.Outcome == runs.Running {
+				return false
+			}
+		}
+		return true
+	}, cluster.WaitTimeout, 50*time.Millisecond, "a run goes on for nobody")
+}
+
+// Guards against a request that is given up, or run again at the same engine, because the only engine falls silent before
+// its answer begins.
+func TestOnlyEngineIsWaitedForBeforeTheAnswer(t *testing.T) {
+	f := startFleet(t, 1)
+	engines := map[bool][]*cluster.Process{
+		true:  addModel(t, f, "repeatable", true, 1),
+		false: addModel(t, f, "once", false, 1),
+	}
+	f.SubmitNext()
+	for _, repeatable := range []bool{true, false} {
+		for _, stream := range []bool{true, false} {
+			for _, silence := range silences {
+				t.Run(fmt.Sprintf("repeatable %t, stream %t, %s", repeatable, stream, silence), func(t *testing.T) {
+					engine := engines[repeatable][0]
+					before := len(listRuns(t, engine))
+					engine.Pause()
+					defer engine.Resume()
+					time.AfterFunc(silence, engine.Resume)
+					a, err := send(newChatRequest(t, f.Daemons[0].Address, bodyFor(serviceName(repeatable), 20, stream)))
+					require.NoError(t, err)
+					require.Empty(t, a.mismatch(20))
+					require.Len(t, listRuns(t, engine), before+1, "%+v", listRuns(t, engine))
+				})
+			}
+		}
+	}
+}
+
+func serviceName(repeatable bool) string {
+	if repeatable {
+		return "repeatable"
+	}
+	return "once"
+}
+
+func bodyFor(service string, tokens int, stream bool) string {
+	return strings.Replace(chatBody(tokens, stream), "drafter", service, 1)
+}
+
+// Guards against a run that is cancelled, or begun a second time, at the only engine that falls silent behind the first tokens
+// of an answer that the caller has nothing of.
+func TestOnlyEngineIsWaitedForInBufferedAnswer(t *testing.T) {
+	f := startFleet(t, 1)
+	engine := addModel(t, f, "repeatable", true, 1)[0]
+	f.SubmitNext()
+	for _, silence := range silences {
+		t.Run(silence.String(), func(t *testing.T) {
+			before := len(listRuns(t, engine))
+			time.AfterFunc(200*time.Millisecond, func() {
+				engine.Pause()
+				time.AfterFunc(silence, engine.Resume)
+			})
+			a, err := send(newChatRequest(t, f.Daemons[0].Address, bodyFor("repeatable", 60, false)))
+			require.NoError(t, err)
+			require.Empty(t, a.mismatch(60))
+			require.Len(t, listRuns(t, engine), before+1, "%+v", listRuns(t, engine))
+		})
+	}
+}
+
+// Guards against a request that waits for a silent engine while another one could answer, and against runs that go on for
+// nobody.
+func TestAnotherEngineTakesOverFromSilentOne(t *testing.T) {
+	f := startFleet(t, 1)
+	engines := addModel(t, f, "repeatable", true, 3)
+	f.SubmitNext()
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			for _, engine := range engines[:2] {
+				engine.Pause()
+				defer engine.Resume()
+			}
+			for range 4 {
+				a, err := send(newChatRequest(t, f.Daemons[0].Address, bodyFor("repeatable", 20, stream)))
+				require.NoError(t, err)
+				require.Empty(t, a.mismatch(20))
+			}
+			for _, engine := range engines[:2] {
+				engine.Resume()
+			}
+			requireNoRunLeft(t, engines...)
+		})
+	}
+}
+
+// Guards against a request that is refused because all engines of its service fall silent at once.
+func TestAllEnginesFallSilent(t *testing.T) {
+	f := startFleet(t, 1)
+	engines := addModel(t, f, "repeatable", true, 3)
+	f.SubmitNext()
+	for _, stream := range []bool{true, false} {
+		for _, silence := range silences {
+			t.Run(fmt.Sprintf("stream %t, %s", stream, silence), func(t *testing.T) {
+				for _, engine := range engines {
+					engine.Pause()
+					defer engine.Resume()
+					time.AfterFunc(silence, engine.Resume)
+				}
+				a, err := send(newChatRequest(t, f.Daemons[0].Address, bodyFor("repeatable", 20, stream)))
+				require.NoError(t, err)
+				require.Empty(t, a.mismatch(20))
+				requireNoRunLeft(t, engines...)
+			})
+		}
+	}
+}
+
+// Guards against a request that is lost where a ticket takes away all other engines while the one that runs it is silent.
+func TestTicketTakesAlternativesAwayFromSilentEngine(t *testing.T) {
+	f := startFleet(t, 1)
+	engines := addModel(t, f, "repeatable", true, 2)
+	f.SubmitNext()
+	resp, err := http.DefaultClient.Do(newChatRequest(t, f.Daemons[0].Address, bodyFor("repeatable", 1, true)))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	for _, engine := range engines {
+		engine.Pause()
+		defer engine.Resume()
+	}
+	done := make(chan answer, 1)
+	go func() {
+		a, _ := send(newChatRequest(t, f.Daemons[0].Address, bodyFor("repeatable", 20, true)))
+		done <- a
+	}()
+	time.Sleep(100 * time.Millisecond)
+	for i := range f.NextTicket.Servers {
+		f.NextTicket.Servers[i].State = ticket.ServerLeaving
+	}
+	f.SubmitNext()
+	time.Sleep(1300 * time.Millisecond)
+	for _, engine := range engines {
+		engine.Resume()
+	}
+	a := <-done
+	require.Empty(t, a.mismatch(20))
+	requireNoRunLeft(t, engines...)
+}
