--- a/internal/answer/event.go
+++ b/internal/answer/event.go
@@ -37,6 +37,9 @@
 // IdleTimeout means that the connection received no data for the idle limit.
 type IdleTimeout struct{}
 
+// Replaced means that another backend server has accepted the request, and nothing of this attempt is forwarded any more.
+type Replaced struct{}
+
 // AttemptUnknown means that the engine does not know the attempt to resume.
 type AttemptUnknown struct{}
 
@@ -63,6 +66,7 @@
 func (Connected) isEvent()        {}
 func (ConnectionLost) isEvent()   {}
 func (IdleTimeout) isEvent()      {}
+func (Replaced) isEvent()         {}
 func (AttemptUnknown) isEvent()   {}
 func (EngineError) isEvent()      {}
 func (ErrorStatus) isEvent()      {}
@@ -79,7 +83,7 @@
 	Ignore  ActionKind = iota // drop the event and continue reading
 	Forward                   // forward the event to the caller
 	Finish                    // complete the answer to the caller
-	Resume                    // close the connection and resume after the delay
+	Resume                    // resume on a new connection after the delay
 	Retry                     // retry on another backend server; fail with Code if that is not possible
 	Fail                      // fail the answer with Code
 	Stop                      // end without a reply, because the caller is gone or does not read
@@ -90,6 +94,7 @@
 	Kind       ActionKind
 	Delay      time.Duration // for Resume
 	LastOffset int           // for Resume: offset of the last forwarded event, NoOffset if there is none
+	Seek       bool          // for Resume: pass Replaced when another backend server has accepted the request
 	Code       result.Code   // for Retry and Fail
 	Cancel     bool          // cancel the attempt at the engine, which may still run it
 }
--- a/internal/answer/machine.go
+++ b/internal/answer/machine.go
@@ -9,7 +9,7 @@
 // Limits on resuming a stream. The counts restart with each new event.
 const (
 	MaxConnectionLosses = 8 // successive lost connections before giving up
-	MaxIdleTimeouts     = 2 // successive idle timeouts before giving up
+	MaxIdleTimeouts     = 2 // successive idle timeouts before giving up, or seeking another backend server
 
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 1600 * time.Millisecond
@@ -85,6 +85,8 @@
 		return m.handleConnectionLost(now)
 	case IdleTimeout:
 		return m.handleIdleTimeout(now)
+	case Replaced:
+		return m.retryOrFail(now, result.ServerFailed, result.ServerSilent, true)
 	case AttemptUnknown:
 		return m.retryOrFail(now, result.ServerFailed, result.AnswerLost, false)
 	case EngineError:
@@ -149,12 +151,20 @@
 	return m.resume(resumeBackoff(m.connectionLosses))
 }
 
+// handleIdleTimeout resumes the stream. The idle limit ends a running answer only: until the answer starts, or while another
+// server may still take over, the engine is given up for another one that has accepted the request, or at the deadline.
 func (m *Machine) handleIdleTimeout(now time.Time) Action {
 	m.idleTimeouts++
-	if m.idleTimeouts > MaxIdleTimeouts {
+	if m.idleTimeouts <= MaxIdleTimeouts {
+		return m.resume(0)
+	}
+	mayMove := m.opts.Repeatable && now.Before(m.opts.Deadline) && (m.opts.Buffered || !m.Started())
+	if m.Started() && !mayMove {
 		return m.retryOrFail(now, result.AnswerIdleLimit, result.ServerSilent, true)
 	}
-	return m.resume(0)
+	a := m.resume(0)
+	a.Seek = mayMove
+	return a
 }
 
 func (m *Machine) handleDeadlineExceeded() Action {
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// Close closes a stream whose events are not read.
+func (s *Stream) Close() { _ = s.body.Close() }
+
 // discardTrailer reads up to maxTrailerBytes of the response after the end marker, so that the
 // connection can be reused.
 func (s *Stream) discardTrailer(last Message) {
--- a/internal/filter/attempt/chat.go
+++ b/internal/filter/attempt/chat.go
@@ -27,18 +27,25 @@
 	h.serverState.recordRequest(r.Service.ID, time.Now())
 	s := h.newSuspects(r)
 	sent := false
-	for number := 1; ; number++ {
-		lease, err := s.acquireChecked(ctx, r, h.acquireAdmitted)
-		if err != nil {
-			return reclassifyNotRun(err, sent)
+	number := 0 // of the last attempt
+	var next *alternative
+	for {
+		if next == nil {
+			lease, err := s.acquireChecked(ctx, r, h.acquireAdmitted)
+			if err != nil {
+				return reclassifyNotRun(err, sent)
+			}
+			number++
+			next = &alternative{attempt: h.newAttempt(r, lease, number, body), lease: lease}
+			next.attempt.suspects = s
 		}
-		a := h.newAttempt(r, lease, number, body)
-		a.suspects = s
-		retryable, err := h.runAttempt(ctx, r, a, lease)
+		r.Cost = 0
+		retryable, alt, err := h.runAttempt(ctx, r, next.attempt, next.lease, &number)
 		if err == nil || !retryable {
 			return reclassifyNotRun(err, sent)
 		}
 		sent = sent || result.From(err).Class() != result.NotRun
+		next = alt
 	}
 }
 
@@ -64,10 +71,26 @@
 }
 
 // runAttempt runs an attempt and ends its lease. It reports whether the request may be retried on
-// another server.
-func (h *handler) runAttempt(ctx context.Context, r *filter.Request, a *chatAttempt, lease *dispatch.Lease) (bool, error) {
+// another server, and returns the attempt there if it has begun. number is that of the last attempt.
+func (h *handler) runAttempt(ctx context.Context, r *filter.Request, a *chatAttempt, lease *dispatch.Lease, number *int) (bool, *alternative, error) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a.seeker = h.newSeeker(ctx, r, a, number, func() { cancel(errReplaced) })
+	action := a.run(attemptCtx)
+	a.seeker.stop()
+	next := a.seeker.found
+	if next != nil && action.Kind != answer.Retry {
+		next.discard()
+		next = nil
+	}
+	retryable, err := h.endAttempt(r, a, lease, action, next != nil)
+	return retryable, next, err
+}
+
+// endAttempt ends the lease of an attempt that ended with the action. It reports whether the request may be retried on another
+// server. replaced says that another server has accepted the request.
+func (h *handler) endAttempt(r *filter.Request, a *chatAttempt, lease *dispatch.Lease, action answer.Action, replaced bool) (bool, error) {
 	defer func() { lease.Release(r.Cost) }()
-	action := a.run(ctx)
 	if a.rejection != nil {
 		h.serverState.recordSuccess(a.server.ID)
 		a.suspects.recordSound(a.server.ID, a.startedAt)
@@ -86,7 +109,7 @@
 		a.suspects.recordEnd(a.server.ID, a.connected, a.machine.NextOffset() > 1)
 	}
 	err := result.Wrap(a.err, action.Code, "%s", errorMessage(action.Code, a.server.ID))
-	retryable := action.Kind == answer.Retry && h.serverState.takeRetry(r.Service.ID, time.Now())
+	retryable := replaced || (action.Kind == answer.Retry && h.serverState.takeRetry(r.Service.ID, time.Now()))
 	if retryable {
 		h.opts.Metrics.CountRetry(r.Service.ID)
 		h.opts.Logger.Info("Retrying the request on another backend server.", "request", r.ID, "server", a.server.ID, "error", errorText(a.err))
@@ -98,8 +121,15 @@
 // dispatcher, and in serverState.
 func (h *handler) recordFailure(a *chatAttempt, lease *dispatch.Lease) {
 	lease.MarkFailed()
-	if h.serverState.recordFailure(a.server.ID, time.Now()) {
-		h.opts.Logger.Warn("Backend server ejected.", "server", a.server.ID, "error", errorText(a.err))
+	if !a.silent {
+		h.recordServerFailure(a.server.ID, a.err)
+	}
+}
+
+// recordServerFailure records a failure of the server, caused by err, in serverState.
+func (h *handler) recordServerFailure(server string, err error) {
+	if h.serverState.recordFailure(server, time.Now()) {
+		h.opts.Logger.Warn("Backend server ejected.", "server", server, "error", errorText(err))
 	}
 }
 
@@ -109,7 +139,6 @@
 	if number > 1 {
 		attemptID = fmt.Sprintf("%s-%d", r.ID, number)
 	}
-	r.Cost = 0
 	machine := answer.New(answer.Options{
 		AttemptID:  attemptID,
 		Buffered:   !r.Chat.Stream,
--- a/internal/filter/attempt/chat_attempt.go
+++ b/internal/filter/attempt/chat_attempt.go
@@ -21,13 +21,16 @@
 	startedAt time.Time
 	suspects  *suspects // nil if the attempt resumes an answer that another daemon started
 	connected bool      // the header of the answer was received
+	silent    bool      // a failure was recorded for the silence of the engine; written by the seeker's search
 	broken    bool      // the engine broke a connection
 	body      []byte    // nil if the attempt resumes an answer that another daemon started
 	machine   *answer.Machine
 	sink      sink
 	watchdog  *watchdog
 	meter     *meter
-	err       error // last error of a connection
+	seeker    *seeker // nil if the attempt can't be replaced
+	accepted  *opened // the header of the answer, if it was received before run
+	err       error   // last error of a connection
 	// rejection is the engine's answer if it rejected the request as invalid, otherwise nil.
 	rejection *backend.StatusError
 }
@@ -37,10 +40,11 @@
 func (a *chatAttempt) run(ctx context.Context) answer.Action {
 	action := a.connectFirst(ctx)
 	for action.Kind == answer.Resume {
+		a.seekIf(action)
 		a.meter.recordInterruption()
 		a.logger.Debug("Resuming the answer stream.", "attempt", a.attemptID, "server", a.server.ID, "last", action.LastOffset, "error", errorText(a.err))
 		if !sleep(ctx, action.Delay) {
-			action = a.step(answer.CallerGone{})
+			action = a.step(eventForEnd(ctx))
 			break
 		}
 		action = a.resume(ctx, action.LastOffset)
@@ -55,9 +59,7 @@
 	if a.body == nil {
 		return a.resume(ctx, a.machine.LastOffset())
 	}
-	return a.connect(ctx, true, func(ctx context.Context) (*backend.Stream, error) {
-		return a.engine.Start(ctx, a.server.Address, a.attemptID, a.body)
-	})
+	return a.connect(ctx, true, a.start)
 }
 
 func (a *chatAttempt) resume(ctx context.Context, last int) answer.Action {
@@ -73,14 +75,20 @@
 func (a *chatAttempt) connect(ctx context.Context, starting bool, open func(context.Context) (*backend.Stream, error)) answer.Action {
 	connCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	a.watchdog.starting = starting
 	defer a.watchdog.watch(cancel)()
 	stream, err := open(connCtx)
 	if starting && a.recordRejection(err) {
 		return answer.Action{Kind: answer.Stop}
 	}
 	if err != nil {
-		return a.endConnection(eventForError(ctx, connCtx, err, starting), err)
+		action := a.endConnection(eventForError(ctx, connCtx, err, starting), err)
+		// The engine may read the request after it has said that it doesn't know it.
+		action.Cancel = action.Cancel || (starting && errors.Is(err, backend.ErrAttemptUnknown))
+		return action
 	}
+	a.watchdog.starting = false
+	a.watchdog.recordEvent()
 	a.step(answer.Connected{})
 	a.connected = true
 	for message, err := range stream.Events(a.watchdog) {
@@ -99,7 +107,7 @@
 // it does.
 func (a *chatAttempt) recordRejection(err error) bool {
 	var status *backend.StatusError
-	if !errors.As(err, &status) || !isClientError(status) {
+	if !errors.As(err, &status) || !isClientError(status) || errors.Is(err, backend.ErrAttemptUnknown) {
 		return false
 	}
 	a.rejection = status
@@ -120,6 +128,9 @@
 
 // handleMessage passes a message to the machine, carries out its action and returns it.
 func (a *chatAttempt) handleMessage(message backend.Message) answer.Action {
+	if a.seeker != nil && !a.seeker.stop() {
+		return a.step(answer.Replaced{})
+	}
 	offset := a.machine.NextOffset()
 	action := a.step(message.Event)
 	switch action.Kind {
--- a/internal/filter/attempt/watchdog.go
+++ b/internal/filter/attempt/watchdog.go
@@ -19,6 +19,8 @@
 var (
 	errSilent = errors.New("connection received no data for the idle limit")
 	errLate   = errors.New("answer did not start before its deadline")
+	// errReplaced cancels the context of an attempt.
+	errReplaced = errors.New("another backend server has accepted the request")
 )
 
 // callerError is an error of a write to the caller.
@@ -37,6 +39,7 @@
 type watchdog struct {
 	idleLimit     time.Duration
 	deadline      time.Time // of the first event; zero if there is none
+	starting      bool      // the header is awaited: only the deadline applies
 	flush         func() error
 	timer         *time.Timer
 	lastEvent     time.Time   // or begin of the connection; time in which the caller was slow does not count
@@ -70,8 +73,10 @@
 	deadlineFirst := false
 	if !w.deadline.IsZero() {
 		remaining := time.Until(w.deadline)
-		deadlineFirst = remaining < timeout
-		timeout = min(timeout, remaining)
+		deadlineFirst = w.starting || remaining < timeout
+		if deadlineFirst {
+			timeout = remaining
+		}
 	}
 	w.deadlineFirst.Store(deadlineFirst)
 	w.timer.Reset(timeout)
@@ -101,7 +106,7 @@
 	case errors.As(err, &caller):
 		return eventForCallerError(err)
 	case ctx.Err() != nil:
-		return answer.CallerGone{}
+		return eventForEnd(ctx)
 	case starting && errors.Is(err, backend.ErrNotSent):
 		return answer.NotSent{}
 	case errors.Is(cause, errLate):
@@ -115,3 +120,11 @@
 	}
 	return answer.ConnectionLost{}
 }
+
+// eventForEnd returns the answer event for the end of the context of an attempt.
+func eventForEnd(ctx context.Context) answer.Event {
+	if errors.Is(context.Cause(ctx), errReplaced) {
+		return answer.Replaced{}
+	}
+	return answer.CallerGone{}
+}
