--- a/test/integration/answers/silence_test.go
+++ b/test/integration/answers/silence_test.go
@@ -190,3 +190,24 @@
 	require.Empty(t, a.mismatch(20))
 	requireNoRunLeft(t, engines...)
 }
+
+// Guards against a second run of a request whose engine never answers on its connection and stands still when it is resumed.
+func TestAnswerThatIsResumedAtStalledEngineRunsOnce(t *testing.T) {
+	f := startFleet(t, 1)
+	engine := f.AddEngine("z1", 4, "--token-interval", "5ms")
+	f.SubmitNext()
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			before := len(listRuns(t, engine))
+			setFault(t, engine, `{"mode":"silent","count":1}`)
+			defer setFault(t, engine, `{}`)
+			time.AfterFunc(idleLimit/2, func() {
+				engine.Pause()
+				time.AfterFunc(4*idleLimit, engine.Resume)
+			})
+			a := sendChat(t, f, 0, 40, stream)
+			require.Empty(t, a.mismatch(40))
+			require.Len(t, listRuns(t, engine), before+1, "%+v", listRuns(t, engine))
+		})
+	}
+}
