--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -54,7 +54,7 @@
 	call *call
 
 	tried       map[string]bool // servers, by ID
-	slow        map[string]bool // those of them that accepted no connection in time, and may later
+	slow        map[string]bool // those of them that accepted no connection or answered no health check in time, and may later
 	slowRetried bool            // these were tried again
 	sent        int             // attempts that have ended and may have reached a server
 	unsent      int             // those that have not
@@ -212,6 +212,7 @@
 		return time.Time{}, errSuperseded
 	}
 	now := time.Now()
+	g.cancelUnsent(now)
 	if !now.Before(g.nextStart) && g.hasUnread() {
 		g.unread = true
 		g.nextStart = now.Add(readGracePeriod)
@@ -227,7 +228,11 @@
 	end, ok := g.overlapEnd()
 	switch {
 	case !ok:
-		return g.nextStart, nil
+		next = g.nextStart
+		if e := g.unsentHedge(); e != nil && e.dueAt().Before(next) {
+			next = e.dueAt()
+		}
+		return next, nil
 	case now.Before(end):
 		return end, nil
 	case g.current != nil && !g.ending:
@@ -238,6 +243,34 @@
 	return g.nextStart, nil
 }
 
+// unsentHedge returns the newest attempt beside others if its server has not shown that it isn't silent, and the request waits for that; nil
+// if there is none.
+func (g *hedger) unsentHedge() *hedge {
+	if !g.overlapLimited() || len(g.pending) == 0 {
+		return nil
+	}
+	e := g.pending[len(g.pending)-1]
+	if e.sentAt.Load() != nil {
+		return nil
+	}
+	return e
+}
+
+// dueAt returns the time until which the request of the attempt must be sent.
+func (e *hedge) dueAt() time.Time { return e.startedAt.Add(hedgeRetryInterval) }
+
+// cancelUnsent ends an attempt whose server is silent, too, so that another one can be made.
+func (g *hedger) cancelUnsent(now time.Time) {
+	e := g.unsentHedge()
+	if e == nil || now.Before(e.dueAt()) {
+		return
+	}
+	g.pending = g.pending[:len(g.pending)-1]
+	g.cancel(e)
+	g.slow[e.choice.Server.ID] = true
+	g.nextStart = now
+}
+
 // hasUnread reports whether something of the current server has arrived while the daemon did not run. It reports that once for each
 // time-out: a stalled server may send a byte now and then.
 func (g *hedger) hasUnread() bool {
@@ -281,6 +314,8 @@
 	e := &hedge{attempt: g.h.newAttempt(g.call, choice, now), cancel: cancel, done: make(chan struct{}), events: g.call.events}
 	g.pending = append(g.pending, e)
 	g.tried[choice.Server.ID] = true
+	// What goes on behind the begin of a stream is soon given up for this attempt: its server must not be silent, too.
+	mustLive := g.overlapLimited() && !g.ending && g.call.service.HealthPath != ""
 	go func() {
 		defer g.notify()
 		defer close(e.done)
@@ -289,6 +324,11 @@
 				e.progress, e.err = maybeRun, p
 			}
 		}()
+		if mustLive {
+			if e.err = g.h.checkAlive(ctx, g.call, e.endpoint); e.err != nil {
+				return
+			}
+		}
 		g.h.open(ctx, g.call, e.attempt, openHooks{sent: func() {
 			sentAt := time.Now()
 			e.sentAt.Store(&sentAt)
