--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -351,3 +351,18 @@
 	assert.True(t, complete)
 	assert.Equal(t, events(1, lastEvent), body)
 }
+
+// Guards against the answer of a process that is not the chosen server, and is taken for that of the other attempt.
+func TestSilentServerIsNotGivenUpForAnswerThatNamesNoRequest(t *testing.T) {
+	foreign := "HTTP/1.1 404 Not Found\r\nContent-Length: 6\r\n\r\nabsent"
+	s := &pausingServers{steps: [][]any{{silence, soundAnswer}, {foreign}}}
+	status, body, complete, _ := s.ask(t, routing.Route{Kind: routing.Idempotent})
+	assert.Equal(t, http.StatusOK, status, body)
+	assert.True(t, complete)
+	assert.Equal(t, 2, s.requests())
+
+	s = &pausingServers{steps: [][]any{append([]any{silence}, asSteps(streamAnswer(events(1, lastEvent)))...), {foreign}}}
+	_, body, complete, _ = s.ask(t, routing.Route{Kind: routing.Stream, Resumable: true})
+	assert.Equal(t, events(1, lastEvent), body)
+	assert.True(t, complete)
+}
