--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -218,6 +218,7 @@
 	// read is what was read of the body before the attempt was chosen, in a buffer of answerMemory; nil for nothing.
 	read         []byte
 	endConfirmed bool // see confirmEnd
+	unnamed      bool // the answer names no request
 
 	superseded bool // given up for another attempt
 	canceled   bool // not needed any more
@@ -432,7 +433,7 @@
 		a.conn.DisableReuse()
 		return maybeRun, errors.New("answer is not signed by the server")
 	}
-	a.response = response
+	a.response, a.unnamed = response, answer.ID == ""
 	return maybeRun, nil
 }
 
