--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -71,7 +71,7 @@
 	return stream, err
 }
 
-// Cancel cancels the attempt at the engine. It returns no error if the engine does not run the attempt.
+// Cancel cancels the attempt at the engine. It returns ErrAttemptUnknown if the engine does not run the attempt.
 func (e *EngineClient) Cancel(ctx context.Context, address, attemptID string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, attemptURL(address, attemptID), nil)
 	if err != nil {
@@ -82,8 +82,11 @@
 		return errors.Wrap(err, "cancel")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case resp.StatusCode >= http.StatusInternalServerError:
 		return readStatusError(resp)
+	case resp.StatusCode >= http.StatusBadRequest:
+		return ErrAttemptUnknown
 	}
 	return nil
 }
--- a/internal/filter/attempt/chat_attempt.go
+++ b/internal/filter/attempt/chat_attempt.go
@@ -166,15 +166,21 @@
 	return a.step(answer.EngineError{})
 }
 
-// cancel cancels the attempt at the engine to free its slot. It retries failed calls.
+// cancel cancels the attempt at the engine to free its slot. It retries failed calls. An engine that has not answered the request
+// may read it after it has said that it doesn't know the attempt, so cancel asks it again.
 func (a *chatAttempt) cancel() {
 	for range maxCancelAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		err := a.engine.Cancel(ctx, a.server.Address, a.attemptID)
 		cancel()
-		if err == nil {
+		unknown := errors.Is(err, backend.ErrAttemptUnknown)
+		if err == nil || (unknown && a.connected) {
 			return
 		}
+		if unknown {
+			time.Sleep(recancelDelay)
+			continue
+		}
 		a.logger.Debug("Failed to cancel the attempt at the engine.", "attempt", a.attemptID, "server", a.server.ID, "error", errorText(err))
 	}
 }
@@ -183,6 +189,7 @@
 const (
 	maxCancelAttempts = 3
 	cancelTimeout     = 2 * time.Second
+	recancelDelay     = 300 * time.Millisecond
 )
 
 // sleep waits for d. It reports false if ctx ends first.
--- a/test/integration/answers/silence_test.go
+++ b/test/integration/answers/silence_test.go
@@ -1,6 +1,7 @@
 package answers
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -40,7 +41,7 @@
 	return added
 }
 
-// requireNoRunLeft checks that the engines end all runs.
+// requireNoRunLeft checks that all runs at the engines finish or are cancelled, before the engines' resume window of 30 s ends them.
 func requireNoRunLeft(t *testing.T, engines ...*cluster.Process) {
 	t.Helper()
 	require.Eventually(t, func() bool {
@@ -51,6 +52,9 @@
 		}
 		return true
 	}, cluster.WaitTimeout, 50*time.Millisecond, "a run goes on for nobody")
+	for _, run := range listRuns(t, engines...) {
+		require.NotEqual(t, runs.Abandoned, run.Outcome, "a run went on for nobody: %+v", run)
+	}
 }
 
 // Guards against a request that is given up, or run again at the same engine, because the only engine falls silent before
@@ -248,3 +252,23 @@
 		})
 	}
 }
+
+// Guards against a run for nobody at an engine that reads the request after its caller has gone.
+func TestRunOfGoneCallerIsCancelledAtSilentEngine(t *testing.T) {
+	f := startFleet(t, 1)
+	engine := f.AddEngine("z1", 8, "--token-interval", "20ms")
+	f.SubmitNext()
+	engine.Pause()
+	defer engine.Resume()
+	for range 8 {
+		ctx, disconnect := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer disconnect()
+		resp, err := http.DefaultClient.Do(newChatRequest(t, f.Daemons[0].Address, chatBody(100_000, true)).WithContext(ctx))
+		if err == nil { // the engine stopped late
+			require.NoError(t, resp.Body.Close())
+		}
+	}
+	engine.Resume()
+	time.Sleep(time.Second)
+	requireNoRunLeft(t, engine)
+}
