--- a/test/integration/answers/silence_test.go
+++ b/test/integration/answers/silence_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertrill/filbertrill/internal/ticket"
@@ -272,3 +274,47 @@
 	time.Sleep(time.Second)
 	requireNoRunLeft(t, engine)
 }
+
+// Guards against requests that are refused, or cut, because the log, or another daemon of the fleet, falls silent.
+func TestRequestsOutlastSilentLogAndDaemons(t *testing.T) {
+	f := startFleet(t, 3, "--claim-timeout", "10s")
+	f.AddEngine("z1", 16, "--token-interval", "20ms")
+	f.AddPlainServer("z1", 4)
+	f.SubmitNext()
+	for name, process := range map[string]*cluster.Process{"log": f.LogService, "second daemon": f.Daemons[1], "third daemon": f.Daemons[2]} {
+		for _, silence := range silences {
+			t.Run(name+", "+silence.String(), func(t *testing.T) {
+				time.AfterFunc(200*time.Millisecond, func() {
+					process.Pause()
+					time.AfterFunc(silence, process.Resume)
+				})
+				answers := make(chan answer)
+				const requests = 8
+				for i := range requests {
+					go func() {
+						time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+						a, err := send(newChatRequest(t, f.Daemons[0].Address, chatBody(40, i%2 == 0)))
+						assert.NoError(t, err)
+						answers <- a
+					}()
+				}
+				for range requests / 2 {
+					key := uuid.Must(uuid.NewV7()).String()
+					req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Daemons[0].Address+"/v1/services/registry/stamps", strings.NewReader("{}"))
+					require.NoError(t, err)
+					req.Header.Set("Authorization", "Bearer key-small")
+					req.Header.Set("Idempotency-Key", key)
+					resp, err := http.DefaultClient.Do(req)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusCreated, resp.StatusCode, resp.Header.Get("X-Result-Code"))
+					require.NoError(t, resp.Body.Close())
+					time.Sleep(200 * time.Millisecond)
+				}
+				for range requests {
+					a := <-answers
+					require.Empty(t, a.mismatch(40))
+				}
+			})
+		}
+	}
+}
