--- a/test/integration/answers/silence_test.go
+++ b/test/integration/answers/silence_test.go
@@ -1,12 +1,15 @@
 package answers
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertrill/filbertrill/internal/ticket"
@@ -40,7 +43,7 @@
 	return added
 }
 
-// requireNoRunLeft checks that the engines end all runs.
+// requireNoRunLeft checks that all runs at the engines finish or are cancelled, before the engines' resume window of 30 s ends them.
 func requireNoRunLeft(t *testing.T, engines ...*cluster.Process) {
 	t.Helper()
 	require.Eventually(t, func() bool {
@@ -51,6 +54,9 @@
 		}
 		return true
 	}, cluster.WaitTimeout, 50*time.Millisecond, "a run goes on for nobody")
+	for _, run := range listRuns(t, engines...) {
+		require.NotEqual(t, runs.Abandoned, run.Outcome, "a run went on for nobody: %+v", run)
+	}
 }
 
 // Guards against a request that is given up, or run again at the same engine, because the only engine falls silent before
@@ -248,3 +254,67 @@
 		})
 	}
 }
+
+// Guards against a run for nobody at an engine that reads the request after its caller has gone.
+func TestRunOfGoneCallerIsCancelledAtSilentEngine(t *testing.T) {
+	f := startFleet(t, 1)
+	engine := f.AddEngine("z1", 8, "--token-interval", "20ms")
+	f.SubmitNext()
+	engine.Pause()
+	defer engine.Resume()
+	for range 8 {
+		ctx, disconnect := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer disconnect()
+		resp, err := http.DefaultClient.Do(newChatRequest(t, f.Daemons[0].Address, chatBody(100_000, true)).WithContext(ctx))
+		if err == nil { // the engine stopped late
+			require.NoError(t, resp.Body.Close())
+		}
+	}
+	engine.Resume()
+	time.Sleep(time.Second)
+	requireNoRunLeft(t, engine)
+}
+
+// Guards against requests that are refused, or cut, because the log, or another daemon of the fleet, falls silent.
+func TestRequestsOutlastSilentLogAndDaemons(t *testing.T) {
+	f := startFleet(t, 3, "--claim-timeout", "10s")
+	f.AddEngine("z1", 16, "--token-interval", "20ms")
+	f.AddPlainServer("z1", 4)
+	f.SubmitNext()
+	for name, process := range map[string]*cluster.Process{"log": f.LogService, "second daemon": f.Daemons[1], "third daemon": f.Daemons[2]} {
+		for _, silence := range silences {
+			t.Run(name+", "+silence.String(), func(t *testing.T) {
+				time.AfterFunc(200*time.Millisecond, func() {
+					process.Pause()
+					time.AfterFunc(silence, process.Resume)
+				})
+				answers := make(chan answer)
+				const requests = 8
+				for i := range requests {
+					go func() {
+						time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+						a, err := send(newChatRequest(t, f.Daemons[0].Address, chatBody(40, i%2 == 0)))
+						assert.NoError(t, err)
+						answers <- a
+					}()
+				}
+				for range requests / 2 {
+					key := uuid.Must(uuid.NewV7()).String()
+					req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Daemons[0].Address+"/v1/services/registry/stamps", strings.NewReader("{}"))
+					require.NoError(t, err)
+					req.Header.Set("Authorization", "Bearer key-small")
+					req.Header.Set("Idempotency-Key", key)
+					resp, err := http.DefaultClient.Do(req)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusCreated, resp.StatusCode, resp.Header.Get("X-Result-Code"))
+					require.NoError(t, resp.Body.Close())
+					time.Sleep(200 * time.Millisecond)
+				}
+				for range requests {
+					a := <-answers
+					require.Empty(t, a.mismatch(40))
+				}
+			})
+		}
+	}
+}
