--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -149,7 +149,7 @@
 const (
 	Served    Outcome = iota
 	Failed            // the server broke the connection, failed or refused
-	Abandoned         // the caller left, or the deadline passed before the server could be judged
+	Abandoned         // the caller left, or the deadline passed: the server is judged by its silence alone
 )
 
 // End records the end of the attempt. Further calls have no effect.
@@ -173,6 +173,9 @@
 		s.recordOutcome(true, !a.broken && s.isSilent(a, now), now)
 		s.cache.removeLast(a.request.Parts)
 	case Abandoned:
+		if a.wasOverdue(now) {
+			s.recordOutcome(true, true, now)
+		}
 	}
 }
 
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -57,6 +57,23 @@
 	return now.Sub(since) > overdueSlack
 }
 
+// wasOverdue reports whether the attempt, which ends, has waited for its first event, or its next one, for so long that the server
+// counts as silent.
+func (a *Attempt) wasOverdue(now time.Time) bool {
+	expected := a.predicted
+	if a.firstEventSeen {
+		expected = a.request.MaxGap
+		if expected == 0 { // streams may pause
+			return false
+		}
+	}
+	since := a.server.heardAt
+	if a.sentAt.After(since) {
+		since = a.sentAt
+	}
+	return now.Sub(since) > overdueTime(expected)
+}
+
 // heldUp reports whether the attempt has waited through a silence of the server.
 func (a *Attempt) heldUp(now time.Time) bool {
 	return a.server.silence.overlap(a.sentAt, now) > overdueSlack
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -93,3 +93,28 @@
 		})
 	}
 }
+
+func TestServerIsAvoidedWhenRequestsHaveEndedAtTheirDeadlinesThere(t *testing.T) {
+	b := newBalancer(2)
+	r := prompt(7, 1)
+	home, _ := b.Choose(r, nil, epoch)
+	_, attempts := fallSilent(b, r, home, epoch)
+	end := epoch.Add(4 * time.Second)
+	for _, a := range attempts {
+		b.End(a, Abandoned, end)
+	}
+	got, _ := b.Choose(r, nil, end)
+	assert.NotEqual(t, home.Server.ID, got.Server.ID)
+}
+
+func TestServerIsNotAvoidedForCallersThatLeaveEarly(t *testing.T) {
+	b := newBalancer(2)
+	r := prompt(7, 1)
+	home, _ := b.Choose(r, nil, epoch)
+	_, attempts := fallSilent(b, r, home, epoch)
+	for _, a := range attempts {
+		b.End(a, Abandoned, a.SentAt().Add(200*time.Millisecond))
+	}
+	got, _ := b.Choose(r, nil, epoch.Add(time.Second))
+	assert.Equal(t, home.Server.ID, got.Server.ID)
+}
