--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,8 +90,18 @@
 		return result.Wrap(err, result.DaemonFull, "request body can't be read").WithRetryAfter(defaultRetryAfter)
 	case errors.As(err, &tooLarge):
 		return result.Wrap(err, result.BodyTooLarge, "request body is longer than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.Wrap(err, result.DeadlineUnmeetable, "request body has not arrived at the deadline").WithRetryAfter(defaultRetryAfter)
+	case err != nil && !isConnectionFailure(err):
+		return result.Wrap(err, result.BodyMalformed, "request body can't be decoded")
 	case err != nil:
 		return result.Wrap(err, result.CallerGone, "read request body")
 	}
 	return nil
 }
+
+// isConnectionFailure reports whether err is the end or a failure of a connection, other than a malformed encoding.
+func isConnectionFailure(err error) bool {
+	var failure net.Error
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, http.ErrBodyReadAfterClose) || errors.As(err, &failure)
+}
