--- a/internal/forward/panic_test.go
+++ b/internal/forward/panic_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +186,69 @@
 	}
 	return f.Handler.Handle(ctx, r)
 }
+
+// Guards against loads, connections and memory that requests keep when they end by a panic.
+func TestPanicReleasesWhatTheRequestHeld(t *testing.T) {
+	for _, step := range []string{"send", "answer"} {
+		t.Run(step, func(t *testing.T) {
+			gateway := startGateway(t, routing.Route{Kind: routing.Unrepeatable}, (&strayServer{
+				stray: func(int) string { return "" }, answer: func(int) string { return soundAnswer },
+			}).serve)
+			h := gateway.Config.Handler.(*Handler)
+			config := *h.Config()
+			config.Services = []routing.Service{{Name: "llm", EngineSlots: 12, MemoryTokens: 372_402, MaxConnections: 5}}
+			limited, err := routing.Build(config)
+			require.NoError(t, err)
+			h.Config = func() *routing.Config { return limited }
+			recordPanics(t, gateway)
+			h.Protocol = panickingProtocol{step: step}
+			for range 20 {
+				status, _ := statusOf(t, gateway.URL)
+				assert.Equal(t, http.StatusInternalServerError, status)
+			}
+			for _, load := range h.Scheduler.View(0, time.Now()).Loads {
+				assert.Zero(t, load.Running)
+			}
+			assert.Zero(t, h.answerMemory.used.Load())
+			h.Protocol = panickingProtocol{}
+			for range 20 {
+				status, _ := statusOf(t, gateway.URL)
+				assert.Equal(t, http.StatusOK, status)
+			}
+		})
+	}
+}
+
+// secondPanics panics in the second attempt of each request.
+type secondPanics struct {
+	idServerProtocol
+	attempts *atomic.Int64
+}
+
+func (p secondPanics) EncodeRequestHeader(r ServerRequest) []byte {
+	if p.attempts.Add(1) == 2 {
+		panic("in the second attempt")
+	}
+	return p.idServerProtocol.EncodeRequestHeader(r)
+}
+
+// Guards against a process that ends by a panic in an attempt beside the one that waits, which has a goroutine of its own.
+func TestPanicInAttemptBesideAnotherLeavesTheOther(t *testing.T) {
+	s := &pausingServers{steps: [][]any{{700 * time.Millisecond, soundAnswer}}}
+	gateway := startGateway(t, routing.Route{Kind: routing.Idempotent}, s.serve)
+	h := gateway.Config.Handler.(*Handler)
+	h.Config().Match("h", "/").Objective = 100 * time.Millisecond
+	logged, _ := recordPanics(t, gateway)
+	h.Protocol = secondPanics{attempts: &atomic.Int64{}}
+	status, _ := statusOf(t, gateway.URL)
+	assert.Equal(t, http.StatusOK, status)
+	assert.Contains(t, logged.String(), "in the second attempt")
+	assert.Eventually(t, func() bool { // the attempt ends behind its answer
+		for _, load := range h.Scheduler.View(0, time.Now()).Loads {
+			if load.Running > 0 {
+				return false
+			}
+		}
+		return h.answerMemory.used.Load() == 0
+	}, 5*time.Second, 10*time.Millisecond)
+}
