--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -115,16 +115,18 @@
 	delete(s.awaitingFirstEvent, a)
 	s.ownLoad.PendingTokens -= a.load.PendingTokens
 	a.load.PendingTokens = 0
-	if b.overloaded {
-		return
-	}
 	heldUp := a.heldUp(now)
 	if heldUp && !endedSilence {
 		return
 	}
 	took := now.Sub(a.sentAt).Seconds()
 	if !a.request.Engine {
-		s.plain.observe(took)
+		if !b.overloaded || took < s.plain.average { // its own delay makes no answer faster
+			s.plain.observe(took)
+		}
+		return
+	}
+	if b.overloaded {
 		return
 	}
 	m := b.regression(s.Service)
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -31,3 +31,17 @@
 	busy, _ := b.Choose(r, nil, now)
 	assert.Greater(t, busy.Predicted-busy.PredictedIdle, 200*time.Millisecond)
 }
+
+func TestOverloadedDaemonLearnsThatPlainServersAreFastAgain(t *testing.T) {
+	b := newBalancer(1)
+	r := Request{Service: "llm"}
+	now := serve(b, r, 40, 40*time.Millisecond, epoch)
+	now = serve(b, r, 40, 600*time.Millisecond, now)
+	b.SetOverloaded(true)
+	now = serve(b, r, 40, 40*time.Millisecond, now)
+	fast, _ := b.Choose(r, nil, now)
+	assert.Less(t, fast.Predicted, 100*time.Millisecond)
+	now = serve(b, r, 40, 600*time.Millisecond, now)
+	own, _ := b.Choose(r, nil, now)
+	assert.Equal(t, fast.Predicted, own.Predicted, "the delay may be the daemon's own")
+}
