--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -153,8 +153,11 @@
 	return nil
 }
 
-// maxProbeBytes limits what Probe reads of a body, so that its connection can be kept.
-const maxProbeBytes = 4 << 10
+const (
+	// maxProbeBytes and probeBodyTimeout limit what Probe reads of a body, so that its connection can be kept.
+	maxProbeBytes    = 4 << 10
+	probeBodyTimeout = 50 * time.Millisecond
+)
 
 // Probe sends the head of a request on a new connection to the endpoint, and returns an error unless accept returns nil for the answer. An
 // answer proves that the process lives, other than an open connection: the kernel of a busy machine accepts connections to a
@@ -185,7 +188,10 @@
 		p.closeConn(e, c)
 		return err
 	}
-	if n, err := io.CopyN(io.Discard, response.Body, maxProbeBytes); !errors.Is(err, io.EOF) || n == maxProbeBytes || !stop() {
+	if err := c.SetDeadline(time.Now().Add(probeBodyTimeout)); err != nil {
+		c.DisableReuse()
+	}
+	if n, err := io.CopyN(io.Discard, response.Body, maxProbeBytes); !errors.Is(err, io.EOF) || n == maxProbeBytes || !stop() || c.SetDeadline(time.Time{}) != nil {
 		c.DisableReuse()
 	}
 	p.Put(e, c)
