--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -88,3 +88,27 @@
 	require.NoError(t, err)
 	assert.Equal(t, "ok", string(body))
 }
+
+// Guards against a sign of life that is waited for as long as the body of the answer goes on.
+func TestProbeDoesNotWaitForBodyThatNeverEnds(t *testing.T) {
+	for name, trickle := range map[string]string{"bytes": "1\r\nx\r\n", "silence": ""} {
+		t.Run(name, func(t *testing.T) {
+			address := serveRaw(t, func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for end := time.Now().Add(10 * time.Second); err == nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					_, err = io.WriteString(conn, trickle)
+				}
+			})
+			pool, e := NewPool(), Endpoint{Address: address}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			started := time.Now()
+			require.NoError(t, pool.Probe(ctx, e, http.MethodGet, []byte("GET /health HTTP/1.1\r\nHost: a\r\n\r\n"), func(*http.Response) error { return nil }))
+			assert.Less(t, time.Since(started), time.Second)
+			assert.Empty(t, pool.endpoints, "the connection is closed")
+		})
+	}
+}
