--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -69,6 +70,11 @@
 	requestLimit    float64       // see AnswerInfo; negative for none
 	startedAfter    time.Duration // since the arrival of the request
 	paused          bool          // the server has turned the request away and asked for a pause
+	framing         string        // how the body of the answer ends: "length", "chunks", "connection" or "none"; empty without an answer
+	uploaded        bool          // the whole request was written
+	end             http1.End     // of the connection, as far as it was read
+	endCall         http1.Call    // the call that met it
+	endBasis        string        // why an answer that ends with its connection was taken for complete; empty if it was not
 	closedBy        string        // which side closed the connection before the answer was complete, and why; empty for neither
 	alternative     string        // why no attempt followed, or "chosen"; empty if none was looked for
 }
@@ -76,6 +82,18 @@
 // LogValue implements slog.LogValuer.
 func (a attemptRecord) LogValue() slog.Value {
 	var end strings.Builder
+	if a.sentBytes > 0 {
+		end.WriteString(" uploaded=" + strconv.FormatBool(a.uploaded) + " end=" + a.end.String())
+	}
+	if a.endCall != http1.NoCall {
+		end.WriteString(" end_call=" + string(a.endCall))
+	}
+	if a.framing != "" {
+		end.WriteString(" framing=" + a.framing)
+	}
+	if a.endBasis != "" {
+		end.WriteString(" end_basis=" + strconv.Quote(a.endBasis))
+	}
 	if a.closedBy != "" {
 		end.WriteString(" closed=" + strconv.Quote(a.closedBy))
 	}
@@ -347,6 +365,7 @@
 	}
 	sent, received := a.conn.Traffic()
 	a.record.sentBytes, a.record.receivedBytes = sent-a.sentBefore, received-a.receivedBefore
+	a.record.end, a.record.endCall = a.conn.End()
 	h.countZoneTraffic(c, a.choice, &a.record)
 	closedHere := !a.stopContextWatch()
 	a.record.serverBroke = !closedHere && !a.superseded && !a.canceled && isConnectionBroken(err)
@@ -393,6 +412,7 @@
 	if !sent {
 		return notSent, sendErr
 	}
+	a.record.uploaded = sendErr == nil
 	if onSent != nil {
 		onSent()
 	}
@@ -404,7 +424,7 @@
 	if sendErr != nil {
 		a.conn.DisableReuse()
 	}
-	a.record.status = response.StatusCode
+	a.record.status, a.record.framing = response.StatusCode, framing(response)
 	if answer.Leaving {
 		h.Scheduler.RecordLeaving(a.scheduled, time.Now())
 	}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -394,6 +394,9 @@
 	if err == nil && endsWithConnection(response) {
 		err = h.checkAlive(ctx, c, e.endpoint)
 		e.endConfirmed = true
+		if err == nil {
+			e.record.endBasis = endBasis(c)
+		}
 	}
 	return errors.Wrap(err, "read answer")
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -178,9 +178,25 @@
 	return fullyForwarded, nil
 }
 
+// framedByConnection is the framing of a body that ends with its connection.
+const framedByConnection = "connection"
+
+// framing returns how the body of an answer ends.
+func framing(response *http.Response) string {
+	switch {
+	case response.Body == http.NoBody:
+		return "none"
+	case response.ContentLength >= 0:
+		return "length"
+	case len(response.TransferEncoding) > 0:
+		return "chunks"
+	}
+	return framedByConnection
+}
+
 // endsWithConnection reports whether the end of the answer is that of its connection: it has neither a length nor chunks.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+	return framing(response) == framedByConnection
 }
 
 // confirmEnd returns an error if the answer ends with its connection and the server has ended. When a process is killed, its
@@ -202,15 +218,29 @@
 		ended <- h.checkAlive(ctx, c, a.endpoint)
 	}()
 	err := g.awaitEnd(ended)
+	if err == nil {
+		a.record.endBasis = endBasis(c)
+	}
 	return errors.Mark(errors.Wrap(err, "server has ended with its answer"), io.ErrUnexpectedEOF)
 }
 
+// endBasis returns what checkAlive concludes from.
+func endBasis(c *call) string {
+	if c.hasHealthCheck() {
+		return "health check"
+	}
+	return "new connection"
+}
+
+// hasHealthCheck reports whether the servers of the call's service can be asked for their health.
+func (c *call) hasHealthCheck() bool { return c.service != nil && c.service.HealthPath != "" }
+
 // checkAlive returns an error if the server of the endpoint has ended: it doesn't answer a health check or, for services without
 // one, doesn't accept another connection. It waits for a silent server until the context ends.
 func (h *Handler) checkAlive(ctx context.Context, c *call, e upstream.Endpoint) error {
 	for {
 		var err error
-		if c.service != nil && c.service.HealthPath != "" {
+		if c.hasHealthCheck() {
 			err = h.probe(ctx, c, e)
 		} else {
 			err = h.Pool.Check(ctx, e)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of the receiving side of a socket.
@@ -19,24 +20,49 @@
 
 // Peek returns the state of a socket. It never blocks, even while another goroutine is reading:
 // unlike RawConn.Read, RawConn.Control takes no read lock. It returns an error when the file
-// descriptor is closed.
+// descriptor is closed. It may take a pending error of the socket, after which reads return the end of the data.
 func Peek(raw syscall.RawConn) (State, error) {
+	state, _, err := PeekError(raw)
+	return state, err
+}
+
+// PeekError is Peek, and returns the pending error of the socket, which the kernel reports to no later call.
+func PeekError(raw syscall.RawConn) (state State, pending, err error) {
 	var n int
 	var peekErr error
-	err := raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	switch {
 	case err != nil:
-		return Closed, errors.Wrap(err, "peek at socket")
+		return Closed, nil, errors.Wrap(err, "peek at socket")
 	case errors.Is(peekErr, syscall.EAGAIN):
-		return Idle, nil
-	case peekErr != nil || n == 0:
-		return Closed, nil
+		return Idle, nil, nil
+	case peekErr != nil:
+		return Closed, errors.Wrap(peekErr, "peek at socket"), nil
+	case n == 0:
+		return Closed, nil, nil
 	default:
-		return Readable, nil
+		return Readable, nil, nil
+	}
+}
+
+// tcpStateClosed is Linux's TCP_CLOSE. The state after the other side has closed its sending side is another one.
+const tcpStateClosed = 7
+
+// Aborted reports whether a TCP connection that this side has not closed has ended in both directions: it was reset or timed out. Other than
+// errors of the socket, the kernel reports that as often as it is asked. It returns an error when the file descriptor is closed.
+func Aborted(raw syscall.RawConn) (bool, error) {
+	var info *unix.TCPInfo
+	var infoErr error
+	err := raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err = errors.CombineErrors(err, infoErr); err != nil {
+		return false, errors.Wrap(err, "get state of TCP connection")
 	}
+	return info.State == tcpStateClosed, nil
 }
 
 // SetResetOnClose sets whether the connection is reset when it is closed, also when the kernel closes it because the process has
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/socket"
 )
 
@@ -39,12 +40,11 @@
 
 // Conn is a connection to one backend server. It serves one request at a time.
 type Conn struct {
-	net.Conn
+	*http1.Conn
 	endpoint      Endpoint
 	heads         headReader        // of the connection
 	limited       *io.LimitedReader // of heads, limits them
 	reader        *bufio.Reader     // of limited
-	rawConn       syscall.RawConn
 	openedAt      time.Time
 	sentBytes     int64
 	received      countingReader
@@ -56,15 +56,11 @@
 }
 
 func newConn(netConn net.Conn) (*Conn, error) {
-	syscallConn, ok := netConn.(syscall.Conn)
-	if !ok {
-		return nil, errors.Newf("connection of type %T has no file descriptor", netConn)
-	}
-	rawConn, err := syscallConn.SyscallConn()
+	conn, err := http1.NewConn(netConn)
 	if err != nil {
-		return nil, errors.Wrap(err, "get raw connection")
+		return nil, err
 	}
-	err = rawConn.Control(func(fd uintptr) {
+	err = conn.Raw().Control(func(fd uintptr) {
 		// The error is ignored: without the option the connection works, but failures are
 		// detected later.
 		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, tcpUserTimeoutMillis)
@@ -72,7 +68,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
-	c := &Conn{Conn: netConn, rawConn: rawConn, openedAt: time.Now()}
+	c := &Conn{Conn: conn, openedAt: time.Now()}
 	c.received.reader = watchedReader{c}
 	c.heads.reader = &c.received
 	c.limited = &io.LimitedReader{R: &c.heads, N: math.MaxInt64}
@@ -135,7 +131,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	state, err := socket.Peek(c.rawConn)
+	state, err := c.Peek()
 	return err == nil && state == socket.Idle
 }
 
@@ -159,7 +155,7 @@
 		buffers = append(buffers, body)
 	}
 	for {
-		n, err := buffers.WriteTo(c.Conn)
+		n, err := c.WriteBuffers(&buffers)
 		c.sentBytes += n
 		sent = sent || n > 0
 		goOn := false
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/http1"
 )
 
 // serveRaw accepts connections and calls write with each. It returns the address.
@@ -75,7 +77,7 @@
 // The pool's users charge requests and answers to links between zones.
 func TestTrafficCountsBytesOfRequestsAndAnswers(t *testing.T) {
 	client, server := net.Pipe()
-	c := &Conn{Conn: client, received: countingReader{reader: client}}
+	c := &Conn{Conn: &http1.Conn{Conn: client}, received: countingReader{reader: client}}
 	c.limited = &io.LimitedReader{R: &c.received, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
 	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -45,7 +45,7 @@
 	if c.idleTimeout <= 0 || c.idleExpired(now) {
 		return false
 	}
-	state, err := socket.Peek(c.rawConn)
+	state, err := c.Peek()
 	return err == nil && state == socket.Closed
 }
 
@@ -157,7 +157,7 @@
 		if !c.openedAt.Before(before) {
 			continue
 		}
-		if state, err := socket.Peek(c.rawConn); err == nil && state == socket.Idle {
+		if state, err := c.Peek(); err == nil && state == socket.Idle {
 			return true
 		}
 	}
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -84,6 +84,6 @@
 	if c.reader.Buffered() > 0 {
 		return true
 	}
-	state, err := socket.Peek(c.rawConn)
+	state, err := c.Peek()
 	return err == nil && state != socket.Idle
 }
