--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -40,7 +40,11 @@
 	Peek   Call = "peek"
 )
 
-// Conn is a connection on which answers arrive. Its methods may be called by several goroutines.
+// errAborted stands for the error of an aborted connection that no call of Conn has met.
+var errAborted = errors.Wrap(syscall.ECONNRESET, "connection has ended in both directions")
+
+// Conn is a connection on which answers arrive. The kernel reports an error of a socket to one call, and to later reads the end of the
+// data. Conn keeps the error, and its reads report that instead. Its methods may be called by several goroutines.
 type Conn struct {
 	net.Conn
 	raw syscall.RawConn
@@ -70,30 +74,25 @@
 // Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.met(Read, err)
-	}
-	return n, err
+	return n, c.met(Read, err)
 }
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.met(Write, err)
-	return n, err
+	return n, c.met(Write, err)
 }
 
 // WriteBuffers writes the buffers with as few system calls as possible, and consumes what was written.
 func (c *Conn) WriteBuffers(buffers *net.Buffers) (int64, error) {
 	n, err := buffers.WriteTo(c.Conn)
-	c.met(Write, err)
-	return n, err
+	return n, c.met(Write, err)
 }
 
 // Peek returns the state of the socket. It never blocks. It returns an error when the connection was closed by this side.
 func (c *Conn) Peek() (socket.State, error) {
 	state, pending, err := socket.PeekError(c.raw)
-	c.met(Peek, pending)
+	_ = c.met(Peek, pending)
 	return state, err
 }
 
@@ -104,23 +103,28 @@
 	return c.end, c.endCall
 }
 
-// met records the end of the connection if err is one, and it is the first.
-func (c *Conn) met(call Call, err error) {
+// met records the end of the connection if err is one, and returns the error to report: the end of the data is that of an aborted connection
+// if any call has met an error, or the socket has ended in both directions.
+func (c *Conn) met(call Call, err error) error {
 	if err == nil || errors.IsAny(err, os.ErrDeadlineExceeded, net.ErrClosed) {
-		return
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.end == Aborted || errors.Is(err, io.EOF) && c.end != Open {
-		return
-	}
-	c.endCall = call
 	if !errors.Is(err, io.EOF) {
-		c.end, c.failure = Aborted, err
-		return
+		if c.end != Aborted {
+			c.end, c.endCall, c.failure = Aborted, call, err
+		}
+		return err
+	}
+	if c.end == Open {
+		c.end, c.endCall = Closed, call
+	}
+	if aborted, stateErr := socket.Aborted(c.raw); c.end == Closed && stateErr == nil && aborted {
+		c.end, c.endCall, c.failure = Aborted, NoCall, errAborted // another call meets the error now, or met it behind the end
 	}
-	c.end = Closed
-	if aborted, err := socket.Aborted(c.raw); err == nil && aborted {
-		c.end, c.endCall = Aborted, NoCall
+	if c.end == Aborted {
+		return c.failure
 	}
+	return err
 }
