--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -170,7 +170,7 @@
 
 // Receive reads the head of the final answer to a request with the given method. It skips informational responses (RFC 9110,
 // section 15.2). The caller reads the body from the returned answer. It returns ErrHeadTooLong if all heads together have no
-// end, and an error for a status that is no final one. After an error, or if the server closes the connection after this answer,
+// end, and an error marked http1.ErrInvalidHead for a head that is not that of an answer. After an error, or if the server closes the connection after this answer,
 // the connection is not reused.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	c.limited.N = maxHeadBytes
@@ -185,15 +185,14 @@
 		}
 		return nil, errors.Wrap(err, "read answer")
 	}
-	if response.Close || !response.ProtoAtLeast(1, 1) {
+	if response.Close || !response.ProtoAtLeast(1, 1) || announcesBodyWithoutHaving(response) {
 		c.reuseDisabled = true
 	}
 	c.idleTimeout = keepAliveTimeout(response.Header.Get("Keep-Alive"))
 	return response, nil
 }
 
-// receiveFinal reads heads up to the first one that is not an informational response. No request asks for another protocol, so
-// 101 (Switching Protocols) is an error.
+// receiveFinal reads heads up to the first one that is not an informational response.
 func (c *Conn) receiveFinal(method string) (*http.Response, error) {
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered()) // as many can be peeked
@@ -204,15 +203,19 @@
 		if err != nil {
 			return nil, err
 		}
-		switch status := response.StatusCode; {
-		case status < 100 || status == http.StatusSwitchingProtocols:
-			return nil, errors.Newf("server answers with status %d", status)
-		case status >= 200:
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
 
+// announcesBodyWithoutHaving reports whether the head of an answer that has no body by its status announces one. What follows is then
+// not known.
+func announcesBodyWithoutHaving(response *http.Response) bool {
+	status, length := response.StatusCode, response.Header.Get("Content-Length")
+	return status == http.StatusNoContent && (length != "" && length != "0" || len(response.TransferEncoding) > 0)
+}
+
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive header, 0 if there is none.
 func keepAliveTimeout(header string) time.Duration {
 	for field := range strings.SplitSeq(header, ",") {
--- a/internal/upstream/head_memory.go
+++ b/internal/upstream/head_memory.go
@@ -1,6 +1,11 @@
 package upstream
 
-import "io"
+import (
+	"bytes"
+	"io"
+
+	"github.com/filbertrill/filbertrill/internal/http1"
+)
 
 const (
 	// headFieldBytes is the memory of a header field beside its name and value while an answer is in progress. The decoded
@@ -10,14 +15,14 @@
 	freeHeadBytes = 12 << 10
 )
 
-// headReader reads from a connection and reserves the memory of heads while they are read.
+// headReader reads from a connection. While it reads heads it checks them and reserves their memory.
 type headReader struct {
-	reader    io.Reader
-	reserve   func(bytes int) error // nil for no limit
-	inHead    bool
-	lineBytes int // of the current line, without its end
-	bytes     int // memory of all heads since ReserveHeads
-	reserved  int
+	reader   io.Reader
+	reserve  func(bytes int) error // nil for no limit
+	inHead   bool
+	checker  http1.HeadChecker
+	bytes    int // memory of all heads since ReserveHeads
+	reserved int
 }
 
 // ReserveHeads makes Receive call reserve for the memory of heads beyond 12 KiB while it reads them, and fail with its error.
@@ -33,7 +38,7 @@
 
 // begin starts the next head, which begins with the buffered bytes.
 func (r *headReader) begin(buffered []byte) error {
-	r.inHead, r.lineBytes = true, 0
+	r.inHead, r.checker = true, http1.HeadChecker{}
 	return r.count(buffered)
 }
 
@@ -46,23 +51,17 @@
 	return n, err
 }
 
-// count reserves the memory of the part of data that belongs to the head.
+// count checks the part of data that belongs to the head, and reserves its memory.
 func (r *headReader) count(data []byte) error {
-	for _, b := range data {
-		if !r.inHead {
-			break
-		}
-		r.bytes++
-		switch b {
-		case '\n':
-			r.bytes += headFieldBytes
-			r.inHead = r.lineBytes > 0
-			r.lineBytes = 0
-		case '\r':
-		default:
-			r.lineBytes++
-		}
+	if !r.inHead {
+		return nil
+	}
+	n, complete, err := r.checker.Check(data)
+	if err != nil {
+		return err
 	}
+	r.inHead = !complete
+	r.bytes += n + headFieldBytes*bytes.Count(data[:n], []byte("\n"))
 	missing := r.bytes - freeHeadBytes - r.reserved
 	if r.reserve == nil || missing <= 0 {
 		return nil
