--- a/internal/backend/order.go
+++ b/internal/backend/order.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/http1"
 )
 
 // orderTimeout is the timeout for sending one order and receiving the response.
@@ -45,7 +48,7 @@
 		return errors.Wrap(err, "encode order")
 	}
 	dialer := net.Dialer{}
-	transport := &http.Transport{
+	transport := http1.NewTransport(&http.Transport{
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -55,7 +58,7 @@
 			}
 			return &leasedConn{Conn: conn, leaseExpired: leaseExpired}, nil
 		},
-	}
+	})
 	defer transport.CloseIdleConnections()
 	// The transport cannot resend a body without GetBody.
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/admin/order", io.NopCloser(bytes.NewReader(body)))
@@ -91,6 +94,15 @@
 	leaseExpired func() bool // may be nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *leasedConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("connection of type %T has no file descriptor", c.Conn)
+	}
+	return conn.SyscallConn()
+}
+
 // Write implements net.Conn. It returns ErrOrderLeaseExpired once the lease has expired.
 func (c *leasedConn) Write(p []byte) (int, error) {
 	if c.leaseExpired != nil && c.leaseExpired() {
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/http1"
 )
 
 // HeaderRequestID carries the id of an attempt. Engines return it in the ids of their events.
@@ -35,7 +37,9 @@
 
 // NewTransport returns a transport for connections to backend servers. It marks dial errors ErrNotSent.
 // It does not use httpc of go-zero, whose circuit breaker would reject requests that a server could run.
-func NewTransport() *http.Transport {
+func NewTransport() *http1.Transport { return http1.NewTransport(newTransport()) }
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -49,10 +49,13 @@
 	net.Conn
 	raw syscall.RawConn
 
-	mu      sync.Mutex
-	end     End
-	endCall Call  // that met the end
-	failure error // of an aborted connection
+	mu        sync.Mutex
+	end       End
+	endCall   Call         // that met the end
+	failure   error        // of an aborted connection
+	head      *HeadChecker // of the answer that is expected; nil for none
+	headBegun bool         // a part of it was read
+	invalid   error        // of a head, for the next read; only the goroutine that reads uses it
 }
 
 // NewConn returns a Conn that owns the connection. It returns an error if that has no file descriptor.
@@ -73,8 +76,55 @@
 
 // Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.invalid != nil {
+		return 0, c.invalid
+	}
 	n, err := c.Conn.Read(p)
-	return n, c.met(Read, err)
+	begun, headErr := c.checkHead(p[:n])
+	switch {
+	case headErr == nil:
+		return n, c.met(Read, err)
+	case begun:
+		return 0, headErr
+	}
+	c.invalid = headErr
+	return 1, nil // net/http sends some requests again if the first read of an answer fails
+}
+
+// expectHead makes Read check the head of the next answer, and informational responses before it.
+func (c *Conn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.headBegun = &HeadChecker{}, false
+}
+
+// expectsHead reports whether the head of the expected answer has not arrived yet.
+func (c *Conn) expectsHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head != nil
+}
+
+// checkHead checks the part of p that belongs to an expected head. begun reports whether a part of that was read before.
+func (c *Conn) checkHead(p []byte) (begun bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun = c.headBegun
+	c.headBegun = c.headBegun || c.head != nil && len(p) > 0
+	for c.head != nil && len(p) > 0 {
+		n, complete, err := c.head.Check(p)
+		if err != nil {
+			return begun, err
+		}
+		p = p[n:]
+		switch {
+		case complete && c.head.Status() >= firstFinalStatus:
+			c.head = nil
+		case complete:
+			c.head = &HeadChecker{}
+		}
+	}
+	return begun, nil
 }
 
 // Write implements io.Writer.
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/filbertrill/filbertrill/internal/bounded"
+	"github.com/filbertrill/filbertrill/internal/http1"
 )
 
 // Limits of one response of a platform service.
@@ -48,7 +49,7 @@
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
 	transport.MaxResponseHeaderBytes = maxHeadBytes
 	client := &http.Client{
-		Transport:     transport,
+		Transport:     http1.NewTransport(transport),
 		Timeout:       timeout,
 		CheckRedirect: returnRedirect,
 	}
