--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -49,13 +50,19 @@
 	net.Conn
 	raw syscall.RawConn
 
-	mu        sync.Mutex
-	end       End
-	endCall   Call         // that met the end
-	failure   error        // of an aborted connection
-	head      *HeadChecker // of the answer that is expected; nil for none
-	headBegun bool         // a part of it was read
-	invalid   error        // of a head, for the next read; only the goroutine that reads uses it
+	mu      sync.Mutex
+	end     End
+	endCall Call          // that met the end
+	failure error         // of an aborted connection
+	head    *expectedHead // of the next answer; nil for none
+	invalid error         // of a head, for the next read; only the goroutine that reads uses it
+}
+
+// expectedHead is the head of the answer to one request.
+type expectedHead struct {
+	checker HeadChecker // of the next informational response or the final head
+	begun   bool        // a part was read
+	arrived atomic.Bool // the final head was read
 }
 
 // NewConn returns a Conn that owns the connection. It returns an error if that has no file descriptor.
@@ -91,37 +98,37 @@
 	return 1, nil // net/http sends some requests again if the first read of an answer fails
 }
 
-// expectHead makes Read check the head of the next answer, and informational responses before it.
-func (c *Conn) expectHead() {
+// expectHead makes Read check the head of the next answer, and informational responses before it. The connection may expect that of another
+// answer as soon as this one has arrived.
+func (c *Conn) expectHead() *expectedHead {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.headBegun = &HeadChecker{}, false
-}
-
-// expectsHead reports whether the head of the expected answer has not arrived yet.
-func (c *Conn) expectsHead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head != nil
+	c.head = &expectedHead{}
+	return c.head
 }
 
 // checkHead checks the part of p that belongs to an expected head. begun reports whether a part of that was read before.
 func (c *Conn) checkHead(p []byte) (begun bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	begun = c.headBegun
-	c.headBegun = c.headBegun || c.head != nil && len(p) > 0
-	for c.head != nil && len(p) > 0 {
-		n, complete, err := c.head.Check(p)
+	head := c.head
+	if head == nil || len(p) == 0 {
+		return false, nil
+	}
+	begun, head.begun = head.begun, true
+	for len(p) > 0 {
+		n, complete, err := head.checker.Check(p)
 		if err != nil {
 			return begun, err
 		}
 		p = p[n:]
 		switch {
-		case complete && c.head.Status() >= firstFinalStatus:
+		case complete && head.checker.Status() >= firstFinalStatus:
+			head.arrived.Store(true)
 			c.head = nil
+			return begun, nil
 		case complete:
-			c.head = &HeadChecker{}
+			head.checker = HeadChecker{}
 		}
 	}
 	return begun, nil
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -37,18 +37,17 @@
 
 // RoundTrip implements http.RoundTripper. Errors for heads that are not those of an answer are marked ErrInvalidHead.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[Conn]
+	var head atomic.Pointer[expectedHead]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok { // not TLS
-			c.expectHead()
-			conn.Store(c)
+			head.Store(c.expectHead())
 		}
 	}}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if c := conn.Load(); c != nil && c.expectsHead() {
+	if h := head.Load(); h != nil && !h.arrived.Load() {
 		_ = response.Body.Close()
 		return nil, errors.Wrap(ErrInvalidHead, "answer has arrived before its request was sent")
 	}
