--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -161,7 +161,7 @@
 }
 
 // met records the end of the connection if err is one, and returns the error to report: the end of the data is that of an aborted connection
-// if any call has met an error, or the socket has ended in both directions.
+// if any call has met an error, or the socket has ended in both directions, and an error if the state of the socket can't be read.
 func (c *Conn) met(call Call, err error) error {
 	if err == nil || errors.IsAny(err, os.ErrDeadlineExceeded, net.ErrClosed) {
 		return err
@@ -174,11 +174,16 @@
 		}
 		return err
 	}
-	if c.end == Open {
-		c.end, c.endCall = Closed, call
-	}
-	if aborted, stateErr := socket.Aborted(c.raw); c.end == Closed && stateErr == nil && aborted {
-		c.end, c.endCall, c.failure = Aborted, NoCall, errAborted // another call meets the error now, or met it behind the end
+	if c.end != Aborted {
+		aborted, stateErr := socket.Aborted(c.raw)
+		switch {
+		case stateErr != nil: // not a TCP connection, or closed by this side meanwhile
+			return errors.Wrap(stateErr, "read the end of the data")
+		case aborted:
+			c.end, c.endCall, c.failure = Aborted, NoCall, errAborted // another call meets the error now, or met it behind the end
+		case c.end == Open:
+			c.end, c.endCall = Closed, call
+		}
 	}
 	if c.end == Aborted {
 		return c.failure
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -292,3 +292,20 @@
 	assert.Equal(t, Aborted, end)
 	assert.Equal(t, Read, call)
 }
+
+// Guards against an end that is believed though the state of its connection can't be seen.
+func TestEndOfDataIsNotBelievedWithoutStateOfConnection(t *testing.T) {
+	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	file := os.NewFile(uintptr(pair[0]), "")
+	netConn, err := net.FileConn(file)
+	require.NoError(t, err)
+	require.NoError(t, file.Close())
+	conn, err := NewConn(netConn)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, syscall.Close(pair[1]))
+	_, err = conn.Read(make([]byte, 1))
+	assert.False(t, errors.Is(err, io.EOF), "%v", err)
+	assert.Error(t, err)
+}
