--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -55,7 +55,7 @@
 	endCall Call          // that met the end
 	failure error         // of an aborted connection
 	head    *expectedHead // of the next answer; nil for none
-	invalid error         // of a head, for the next read; only the goroutine that reads uses it
+	invalid error         // of a head, for all further reads; only the goroutine that reads uses it
 }
 
 // expectedHead is the head of the answer to one request.
@@ -88,13 +88,13 @@
 	}
 	n, err := c.Conn.Read(p)
 	begun, headErr := c.checkHead(p[:n])
-	switch {
-	case headErr == nil:
+	if headErr == nil {
 		return n, c.met(Read, err)
-	case begun:
+	}
+	c.invalid = headErr // a bufio.Reader drops an error that it gets within a line, and reads on
+	if begun {
 		return 0, headErr
 	}
-	c.invalid = headErr
 	return 1, nil // net/http sends some requests again if the first read of an answer fails
 }
 
--- a/internal/upstream/head_memory.go
+++ b/internal/upstream/head_memory.go
@@ -21,7 +21,8 @@
 	reserve  func(bytes int) error // nil for no limit
 	inHead   bool
 	checker  http1.HeadChecker
-	bytes    int // memory of all heads since ReserveHeads
+	bytes    int   // memory of all heads since ReserveHeads
+	err      error // of a head, for all further reads: a bufio.Reader drops an error that it gets within a line, and reads on
 	reserved int
 }
 
@@ -44,9 +45,12 @@
 
 // Read implements io.Reader.
 func (r *headReader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
 	n, err := r.reader.Read(p)
-	if countErr := r.count(p[:n]); countErr != nil {
-		return 0, countErr
+	if r.err = r.count(p[:n]); r.err != nil {
+		return 0, r.err
 	}
 	return n, err
 }
