--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -63,6 +63,7 @@
 	checker HeadChecker // of the next informational response or the final head
 	begun   bool        // a part was read
 	arrived atomic.Bool // the final head was read
+	invalid atomic.Pointer[error]
 }
 
 // NewConn returns a Conn that owns the connection. It returns an error if that has no file descriptor.
@@ -119,6 +120,7 @@
 	for len(p) > 0 {
 		n, complete, err := head.checker.Check(p)
 		if err != nil {
+			head.invalid.Store(&err)
 			return begun, err
 		}
 		p = p[n:]
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -44,10 +44,14 @@
 		}
 	}}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	h := head.Load()
 	if err != nil {
+		if h != nil && h.invalid.Load() != nil { // net/http reports what it makes of the bytes before the error
+			return nil, errors.Wrap(*h.invalid.Load(), "read answer")
+		}
 		return nil, err
 	}
-	if h := head.Load(); h != nil && !h.arrived.Load() {
+	if h != nil && !h.arrived.Load() {
 		_ = response.Body.Close()
 		return nil, errors.Wrap(ErrInvalidHead, "answer has arrived before its request was sent")
 	}
