--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -82,10 +82,13 @@
 		return errors.Wrap(err, "cancel")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	switch {
-	case resp.StatusCode >= http.StatusInternalServerError:
+	if resp.StatusCode >= http.StatusInternalServerError {
 		return readStatusError(resp)
-	case resp.StatusCode >= http.StatusBadRequest:
+	}
+	if err := discardBody(resp.Body); err != nil {
+		return errors.Wrap(err, "cancel")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
 		return ErrAttemptUnknown
 	}
 	return nil
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/bounded"
 )
 
 // maxLoadBytes is the maximum number of bytes read of a load report.
@@ -31,7 +32,11 @@
 		return 0, errors.Wrapf(ErrLoadNotReported, "status %d", resp.StatusCode)
 	}
 	var load struct{ Running, Waiting int }
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load); err != nil {
+	body, err := bounded.ReadAll(resp.Body, maxLoadBytes)
+	if err == nil {
+		err = json.Unmarshal(body, &load)
+	}
+	if err != nil {
 		return 0, errors.Mark(errors.Wrap(err, "decode load of engine"), ErrLoadNotReported)
 	}
 	return load.Running + load.Waiting, nil
--- a/internal/backend/order.go
+++ b/internal/backend/order.go
@@ -38,8 +38,8 @@
 
 // SendOrder sends the order to the server at the address, at most once and on a new connection. It
 // writes nothing once leaseExpired returns true; nil stands for no lease. It returns ErrOrderSuperseded for status
-// 409, ErrOrdersUnsupported for 404 and 405, and an error that wraps ErrOrderLeaseExpired if the lease
-// expired.
+// 409, ErrOrdersUnsupported for 404 and 405, an error that wraps ErrOrderLeaseExpired if the lease
+// expired, and another error if the answer is not whole.
 func SendOrder(ctx context.Context, address string, o Order, leaseExpired func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -72,6 +72,9 @@
 		return errors.Wrap(err, "send order")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := discardBody(resp.Body); err != nil {
+		return errors.Wrap(err, "send order")
+	}
 	return orderStatusError(resp.StatusCode)
 }
 
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,7 @@
 	dialTimeout           = 2 * time.Second
 	maxResponseBytes      = 8 << 20
 	maxResponseHeadBytes  = 64 << 10
+	maxDiscardedBytes     = 4 << 10 // of a body that is not used
 	maxIdleConnsPerServer = 256
 	idleConnTimeout       = 30 * time.Second
 	// writeBufferBytes is allocated for each open connection, so it is smaller than the default of 4 KiB.
@@ -67,3 +69,12 @@
 
 // Error returns a message with the status.
 func (e *StatusError) Error() string { return "server returned status " + strconv.Itoa(e.Status) }
+
+// discardBody reads a body that is not used, up to maxDiscardedBytes. It returns an error if the body is cut before that: the answer, with its
+// status, is then not whole.
+func discardBody(body io.Reader) error {
+	if _, err := io.CopyN(io.Discard, body, maxDiscardedBytes); !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "read body")
+	}
+	return nil
+}
