--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -474,6 +474,9 @@
 			return nil, AnswerInfo{}, err
 		}
 		answer := h.Protocol.DecodeAnswer(response.Header)
+		if answer.Ambiguous {
+			return nil, AnswerInfo{}, errors.New("answer names several requests or has several signatures")
+		}
 		if answer.ID == c.envelope.ID || (answer.ID == "" && response.StatusCode/100 != 2) {
 			return response, answer, nil
 		}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -42,6 +42,8 @@
 	Server string // ID of the server; only answers to health checks have it
 	NotRun bool   // the server did not run the request and never will
 	Signed bool
+	// Ambiguous reports that it names several requests, or has several signatures. It is no answer to any request.
+	Ambiguous bool
 	// RequestLimit is how many requests per second the server takes from the whole fleet. HasRequestLimit is false if it
 	// names no limit.
 	RequestLimit    float64
