--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -37,18 +37,21 @@
 
 // RoundTrip implements http.RoundTripper. Errors for heads that are not those of an answer are marked ErrInvalidHead.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[Conn]
+	var head atomic.Pointer[expectedHead]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok { // not TLS
-			c.expectHead()
-			conn.Store(c)
+			head.Store(c.expectHead())
 		}
 	}}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	h := head.Load()
 	if err != nil {
+		if h != nil && h.invalid.Load() != nil { // net/http reports what it makes of the bytes before the error
+			return nil, errors.Wrap(*h.invalid.Load(), "read answer")
+		}
 		return nil, err
 	}
-	if c := conn.Load(); c != nil && c.expectsHead() {
+	if h != nil && !h.arrived.Load() {
 		_ = response.Body.Close()
 		return nil, errors.Wrap(ErrInvalidHead, "answer has arrived before its request was sent")
 	}
