--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -103,7 +103,7 @@
 	}
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
-		if !isNumber(value) || c.contentLength != "" && c.contentLength != string(value) {
+		if !isLength(value) || c.contentLength != "" && c.contentLength != string(value) {
 			return errors.Newf("content length %.64q is not valid", value)
 		}
 		c.contentLength = string(value)
@@ -129,14 +129,15 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isNumber reports whether the text has digits only.
-func isNumber(text []byte) bool {
+// isLength reports whether the text has digits only, for a number of 63 bits.
+func isLength(text []byte) bool {
 	for _, b := range text {
 		if !isDigit(b) {
 			return false
 		}
 	}
-	return len(text) > 0
+	_, err := strconv.ParseInt(string(text), 10, 64)
+	return err == nil
 }
 
 // isToken reports whether the text is a token (RFC 9110, section 5.6.2).
