--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -182,7 +182,10 @@
 		case stateErr != nil: // not a TCP connection, or closed by this side meanwhile
 			return errors.Wrap(stateErr, "read the end of the data")
 		case aborted:
-			c.end, c.endCall, c.failure = Aborted, NoCall, errAborted // another call meets the error now, or met it behind the end
+			c.end, c.endCall, c.failure = Aborted, NoCall, errAborted
+			if pending, _ := socket.TakeError(c.raw); pending != nil { // none if another call has taken it and not recorded it yet
+				c.failure = pending
+			}
 		case c.end == Open:
 			c.end, c.endCall = Closed, call
 		}
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -150,7 +150,7 @@
 	awaitState(t, conn, stateClosed)
 	got, err := io.ReadAll(conn)
 	assert.Equal(t, "part", string(got))
-	assert.Error(t, err)
+	assert.ErrorIs(t, err, syscall.EPIPE)
 	end, _ := conn.End()
 	assert.Equal(t, Aborted, end)
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -65,6 +65,23 @@
 	return info.State == tcpStateClosed, nil
 }
 
+// TakeError returns the pending error of the socket, which the kernel reports to no later call; nil for none. That of a reset is EPIPE if the
+// other side had closed its sending side before, ECONNRESET else. It returns an error when the file descriptor is closed.
+func TakeError(raw syscall.RawConn) (pending, err error) {
+	var number int
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		number, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	})
+	if err = errors.CombineErrors(err, optionErr); err != nil {
+		return nil, errors.Wrap(err, "get error of socket")
+	}
+	if number == 0 {
+		return nil, nil
+	}
+	return errors.Wrap(syscall.Errno(number), "socket has failed"), nil
+}
+
 // SetResetOnClose sets whether the connection is reset when it is closed, also when the kernel closes it because the process has
 // ended. Bytes that were not sent yet are then lost. It returns an error when the file descriptor is closed.
 func SetResetOnClose(raw syscall.RawConn, on bool) error {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -55,3 +55,21 @@
 		})
 	}
 }
+
+// Guards against a server that closes its connections, and is taken for one that lives and resets those beyond its limit.
+func TestConnectionThatIsClosedBeforeProbeIsNotOneThatWasReset(t *testing.T) {
+	address := serveRaw(t, func(conn net.Conn) { _ = conn.Close() })
+	conn, err := NewPool().Get(t.Context(), Endpoint{Address: address}, 0)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.Eventually(t, conn.HasArrived, 5*time.Second, time.Millisecond)
+	_, err = conn.Send([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), nil)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		aborted, err := socket.Aborted(conn.Conn.Raw())
+		return err == nil && aborted
+	}, 5*time.Second, time.Millisecond)
+	_, err = conn.Receive(http.MethodGet)
+	require.Error(t, err)
+	assert.NotErrorIs(t, err, syscall.ECONNRESET)
+}
