--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -34,6 +34,9 @@
 // Status returns the status of the head, 0 before its first line is complete.
 func (c *HeadChecker) Status() int { return c.status }
 
+// Buffered returns the bytes of memory of an incomplete line.
+func (c *HeadChecker) Buffered() int { return cap(c.partial) }
+
 // Check reads the next bytes of a head. It returns how many of them belong to the head, and whether the head is complete. Errors are
 // marked ErrInvalidHead.
 func (c *HeadChecker) Check(p []byte) (n int, complete bool, err error) {
--- a/internal/upstream/head_memory.go
+++ b/internal/upstream/head_memory.go
@@ -66,7 +66,7 @@
 	}
 	r.inHead = !complete
 	r.bytes += n + headFieldBytes*bytes.Count(data[:n], []byte("\n"))
-	missing := r.bytes - freeHeadBytes - r.reserved
+	missing := r.bytes + r.checker.Buffered() - freeHeadBytes - r.reserved
 	if r.reserve == nil || missing <= 0 {
 		return nil
 	}
--- a/internal/upstream/head_parts_test.go
+++ b/internal/upstream/head_parts_test.go
@@ -69,3 +69,19 @@
 	response, err := conn.Receive(http.MethodGet)
 	assert.ErrorIs(t, err, noMemory, "%v", response)
 }
+
+// Guards against memory of incomplete lines that no limit counts: net/http and the check of the head each keep such a line.
+func TestIncompleteLineReservesItsMemoryTwice(t *testing.T) {
+	const lineBytes = 15 << 10
+	address := serveRaw(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nA: "+strings.Repeat("b", lineBytes))
+		_ = conn.Close()
+	})
+	conn, err := NewPool().Get(t.Context(), Endpoint{Address: address}, 0)
+	require.NoError(t, err)
+	defer conn.Close()
+	conn.ReserveHeads(func(int) error { return nil })
+	_, err = conn.Receive(http.MethodGet)
+	require.Error(t, err)
+	assert.GreaterOrEqual(t, conn.ReleaseHeads(), 2*lineBytes-freeHeadBytes)
+}
