--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -34,6 +34,9 @@
 // Status returns the status of the head, 0 before its first line is complete.
 func (c *HeadChecker) Status() int { return c.status }
 
+// Buffered returns the bytes of memory of an incomplete line.
+func (c *HeadChecker) Buffered() int { return cap(c.partial) }
+
 // Check reads the next bytes of a head. It returns how many of them belong to the head, and whether the head is complete. Errors are
 // marked ErrInvalidHead.
 func (c *HeadChecker) Check(p []byte) (n int, complete bool, err error) {
@@ -103,7 +106,7 @@
 	}
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
-		if !isNumber(value) || c.contentLength != "" && c.contentLength != string(value) {
+		if !isLength(value) || c.contentLength != "" && c.contentLength != string(value) {
 			return errors.Newf("content length %.64q is not valid", value)
 		}
 		c.contentLength = string(value)
@@ -129,14 +132,15 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isNumber reports whether the text has digits only.
-func isNumber(text []byte) bool {
+// isLength reports whether the text has digits only, for a number of 63 bits.
+func isLength(text []byte) bool {
 	for _, b := range text {
 		if !isDigit(b) {
 			return false
 		}
 	}
-	return len(text) > 0
+	_, err := strconv.ParseInt(string(text), 10, 64)
+	return err == nil
 }
 
 // isToken reports whether the text is a token (RFC 9110, section 5.6.2).
