--- a/internal/logservice/log.go
+++ b/internal/logservice/log.go
@@ -261,7 +261,7 @@
 }
 
 // do sends the request, and calls decode with the body of the response if its status is 200. Any other status is an error. It returns
-// the status, 0 if there is no response.
+// the status, 0 if there is no response or the body of an error is cut.
 func (l *HTTPLog) do(req *http.Request, decode func(body io.Reader) error) (int, error) {
 	resp, err := l.service.DoRequest(req)
 	if err != nil {
@@ -271,7 +271,10 @@
 	if resp.StatusCode == http.StatusOK {
 		return resp.StatusCode, decode(resp.Body)
 	}
-	data, _ := bounded.ReadAll(resp.Body, maxErrorBytes) // what was read is decoded
+	data, err := bounded.ReadAll(resp.Body, maxErrorBytes)
+	if err != nil && !errors.Is(err, bounded.ErrTooLong) { // of a long body, what was read is decoded
+		return 0, errors.Wrapf(err, "read body of status %d", resp.StatusCode)
+	}
 	return resp.StatusCode, statusError(resp.StatusCode, data)
 }
 
