--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -2,12 +2,18 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/http1"
 )
 
 // PlainClient is an HTTP client for plain services. It is safe for concurrent use.
@@ -51,14 +57,16 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// EndConfirmed is set if the body ends with its connection, and the server was seen to run behind it.
+	EndConfirmed bool
 }
 
 // forwardedHeaders are the headers of a caller's request that are sent to plain services.
 var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "Idempotency-Key"}
 
 // Call sends the request to the backend server and returns the complete response, whatever its status.
-// A response of more than 8 MiB is an error. The error is marked ErrNotSent if no byte of the request can have reached the server,
-// and ErrSilent if a limit of the request ended the call.
+// A response of more than 8 MiB, or without a length of a server that has ended with it, is an error. The error is marked ErrNotSent if no
+// byte of the request can have reached the server, and ErrSilent if a limit of the request ended the call.
 func (p *PlainClient) Call(ctx context.Context, address string, r PlainRequest) (*PlainResponse, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -102,7 +110,70 @@
 	if len(body) > maxResponseBytes {
 		return nil, errors.Newf("response of plain service is longer than %d bytes", maxResponseBytes)
 	}
-	return &PlainResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	response := &PlainResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if http1.Framing(resp) == http1.FramedByConnection {
+		timer.Reset(cmp.Or(r.IdleLimit, maxConfirmTime))
+		if err := confirmEnd(ctx, address); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "plain service has ended with its response"), io.ErrUnexpectedEOF)
+		}
+		response.EndConfirmed = true
+	}
+	return response, nil
+}
+
+const (
+	// maxConfirmTime limits confirmEnd for a request without an idle limit.
+	maxConfirmTime = 30 * time.Second
+	// processEndTime is longer than the kernel takes to close the connections and then the listener of a process that ends, as in
+	// package upstream.
+	processEndTime = 50 * time.Millisecond
+)
+
+// confirmEnd returns an error if the process at the address has ended or ends, as far as new connections to it show that. When a process
+// is killed, its connections end like those of a complete response without a length. confirmEnd takes processEndTime, or until the context
+// ends if no connection is accepted or refused.
+func confirmEnd(ctx context.Context, address string) error {
+	for {
+		err := checkProcess(ctx, address)
+		var netErr net.Error
+		if err == nil || ctx.Err() != nil || !errors.As(err, &netErr) || !netErr.Timeout() {
+			return err
+		}
+	}
+}
+
+// checkProcess is one try of confirmEnd.
+func checkProcess(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		ends := endsWithin(conn, processEndTime)
+		_ = conn.Close()
+		if !ends {
+			return nil
+		}
+		err = syscall.ECONNRESET
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		return err
+	}
+	// The listener was closed and refuses the next connection, or the server closes connections beyond its limit.
+	if conn, err = dialer.DialContext(ctx, "tcp", address); errors.Is(err, syscall.ECONNRESET) {
+		return nil
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err
+}
+
+// endsWithin reports whether the other side closes or resets the connection within d. It reads from the connection.
+func endsWithin(conn net.Conn, d time.Duration) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return true
+	}
+	n, err := conn.Read(make([]byte, 1))
+	return n == 0 && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // idleReader resets a timer to the limit before each read, unless the limit is 0.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -424,7 +424,7 @@
 	if sendErr != nil {
 		a.conn.DisableReuse()
 	}
-	a.record.status, a.record.framing = response.StatusCode, framing(response)
+	a.record.status, a.record.framing = response.StatusCode, http1.Framing(response)
 	if answer.Leaving {
 		h.Scheduler.RecordLeaving(a.scheduled, time.Now())
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/eventstream"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -178,25 +179,9 @@
 	return fullyForwarded, nil
 }
 
-// framedByConnection is the framing of a body that ends with its connection.
-const framedByConnection = "connection"
-
-// framing returns how the body of an answer ends.
-func framing(response *http.Response) string {
-	switch {
-	case response.Body == http.NoBody:
-		return "none"
-	case response.ContentLength >= 0:
-		return "length"
-	case len(response.TransferEncoding) > 0:
-		return "chunks"
-	}
-	return framedByConnection
-}
-
 // endsWithConnection reports whether the end of the answer is that of its connection: it has neither a length nor chunks.
 func endsWithConnection(response *http.Response) bool {
-	return framing(response) == framedByConnection
+	return http1.Framing(response) == http1.FramedByConnection
 }
 
 // confirmEnd returns an error if the answer ends with its connection and the server has ended. When a process is killed, its
