--- a/internal/filter/attempt/chat_attempt.go
+++ b/internal/filter/attempt/chat_attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertrill/filbertrill/internal/answer"
 	"github.com/filbertrill/filbertrill/internal/backend"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -31,6 +32,7 @@
 	seeker    *seeker // nil if the attempt can't be replaced
 	accepted  *opened // the header of the answer, if it was received before run
 	err       error   // last error of a connection
+	exchange  http1.Exchange
 	// rejection is the engine's answer if it rejected the request as invalid, otherwise nil.
 	rejection *backend.StatusError
 }
@@ -42,6 +44,7 @@
 	for action.Kind == answer.Resume {
 		a.seekIf(action)
 		a.meter.recordInterruption()
+		a.logEnd(action)
 		a.logger.Debug("Resuming the answer stream.", "attempt", a.attemptID, "server", a.server.ID, "last", action.LastOffset, "error", errorText(a.err))
 		if !sleep(ctx, action.Delay) {
 			action = a.step(eventForEnd(ctx))
@@ -49,12 +52,22 @@
 		}
 		action = a.resume(ctx, action.LastOffset)
 	}
+	a.logEnd(action)
 	if action.Cancel {
 		go a.cancel()
 	}
 	return action
 }
 
+// logEnd logs the end of a connection, to which the action belongs.
+func (a *chatAttempt) logEnd(action answer.Action) {
+	endBasis, err := "", a.err
+	if action.Kind == answer.Finish {
+		endBasis, err = "end marker", nil
+	}
+	logAttempt(a.logger, a.attemptID, a.server.ID, &a.exchange, endBasis, err)
+}
+
 func (a *chatAttempt) connectFirst(ctx context.Context) answer.Action {
 	if a.body == nil {
 		return a.resume(ctx, a.machine.LastOffset())
@@ -77,7 +90,7 @@
 	defer cancel(nil)
 	a.watchdog.starting = starting
 	defer a.watchdog.watch(cancel)()
-	stream, err := open(connCtx)
+	stream, err := open(http1.WithExchange(connCtx, &a.exchange))
 	if starting && a.recordRejection(err) {
 		return answer.Action{Kind: answer.Stop}
 	}
--- a/internal/filter/attempt/errors.go
+++ b/internal/filter/attempt/errors.go
@@ -1,12 +1,15 @@
 package attempt
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
@@ -57,6 +60,17 @@
 	return err.Error()
 }
 
+// logAttempt logs how the answer to an attempt has ended, and why its end is believed beyond its framing; endBasis is empty for no other
+// reason. Whole answers whose framing shows the end are logged at the debug level.
+func logAttempt(logger *slog.Logger, id, server string, exchange *http1.Exchange, endBasis string, err error) {
+	level := slog.LevelDebug
+	if err != nil || exchange.Framing() == http1.FramedByConnection {
+		level = slog.LevelInfo
+	}
+	logger.Log(context.Background(), level, "Attempt ended.",
+		"attempt", id, "server", server, "exchange", exchange, "end_basis", endBasis, "error", errorText(err))
+}
+
 // backendError wraps an error of the backend client with its result code.
 func backendError(err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
--- a/internal/filter/attempt/plain.go
+++ b/internal/filter/attempt/plain.go
@@ -11,6 +11,7 @@
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/cost"
 	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
 
@@ -63,7 +64,8 @@
 	if atLeast := time.Now().Add(idleLimit); startBy.Before(atLeast) {
 		startBy = atLeast
 	}
-	answer, err := h.opts.Plain.Call(ctx, lease.Server.Address, backend.PlainRequest{
+	var exchange http1.Exchange
+	answer, err := h.opts.Plain.Call(http1.WithExchange(ctx, &exchange), lease.Server.Address, backend.PlainRequest{
 		Method:    r.HTTP.Method,
 		Path:      r.Path,
 		Header:    r.HTTP.Header,
@@ -72,6 +74,11 @@
 		StartBy:   startBy,
 		IdleLimit: idleLimit,
 	})
+	endBasis := ""
+	if err == nil && answer.EndConfirmed {
+		endBasis = "new connection"
+	}
+	logAttempt(h.opts.Logger, r.ID, lease.Server.ID, &exchange, endBasis, err)
 	if err != nil {
 		return plainError(err)
 	}
--- a/internal/filter/attempt/seeker.go
+++ b/internal/filter/attempt/seeker.go
@@ -11,6 +11,7 @@
 	"github.com/filbertrill/filbertrill/internal/backend"
 	"github.com/filbertrill/filbertrill/internal/controller/dispatch"
 	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
 
@@ -151,7 +152,7 @@
 // awaitAccepted sends the request of the attempt, and reports whether its server has accepted or rejected it before ctx ends and
 // within the time after which a silent server would be replaced.
 func (h *handler) awaitAccepted(ctx context.Context, a *chatAttempt) bool {
-	posted, cancel := openAsync(context.WithoutCancel(ctx), a.post)
+	posted, cancel := openAsync(http1.WithExchange(context.WithoutCancel(ctx), &a.exchange), a.post)
 	timer := time.NewTimer((answer.MaxIdleTimeouts + 1) * a.watchdog.idleLimit)
 	defer timer.Stop()
 	var o opened
@@ -173,6 +174,7 @@
 	}
 	a.err = o.err
 	o.close()
+	a.logEnd(answer.Action{})
 	if !errors.Is(o.err, backend.ErrNotSent) && status == nil {
 		go a.cancel()
 	}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -37,12 +37,17 @@
 
 // RoundTrip implements http.RoundTripper. Errors for heads that are not those of an answer are marked ErrInvalidHead.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	transfer := newTransfer(r.Context())
 	var head atomic.Pointer[expectedHead]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok { // not TLS
-			head.Store(c.expectHead())
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok { // not TLS
+				head.Store(c.expectHead())
+				transfer.conn.Store(c)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { transfer.uploaded.Store(info.Err == nil) },
+	}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	h := head.Load()
 	if err != nil {
@@ -51,6 +56,7 @@
 		}
 		return nil, err
 	}
+	transfer.answered(response)
 	if h != nil && !h.arrived.Load() {
 		_ = response.Body.Close()
 		return nil, errors.Wrap(ErrInvalidHead, "answer has arrived before its request was sent")
