--- a/test/rawserver/rawserver.go
+++ b/test/rawserver/rawserver.go
@@ -35,9 +35,10 @@
 	ResetBeforeUpload End = "reset before the upload is read"
 	ResetInUpload     End = "reset while the upload is read"
 	ResetAfterUpload  End = "reset after the upload"
+	ServerEnds        End = "closed early with the listener" // as when the process is killed
 )
 
-// Ends are all ends.
+// Ends are the ends at which the server goes on.
 var Ends = []End{Whole, Closed, ResetBeforeUpload, ResetInUpload, ResetAfterUpload}
 
 // pause is the time between the last byte of an answer and the reset of its connection, in which the client reads the answer.
@@ -92,7 +93,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
 	_, _ = io.WriteString(conn, a.text())
-	if a.End == Whole || a.End == Closed {
+	if a.End == Whole || a.End == Closed || a.End == ServerEnds {
 		return
 	}
 	if a.End == ResetInUpload {
@@ -118,8 +119,14 @@
 			}
 			go func() {
 				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(r).send(conn.(*net.TCPConn), r)
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				a := answer(r)
+				a.send(conn.(*net.TCPConn), r)
+				if a.End == ServerEnds {
+					_ = listener.Close()
 				}
 			}()
 		}
