--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -109,7 +109,11 @@
 // writeAnswer writes a complete answer to the caller.
 func (c *call) writeAnswer(response *http.Response, body []byte) {
 	copyHeader(c.writer.Header(), response.Header)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if c.request.Method != http.MethodHead {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	} else if length := response.Header.Get("Content-Length"); length != "" { // of the body that is not sent
+		c.writer.Header().Set("Content-Length", length)
+	}
 	c.answerStarted = true
 	c.writer.WriteHeader(response.StatusCode)
 	_, _ = c.writer.Write(body) // a caller that has disconnected needs no answer
