--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -425,6 +425,10 @@
 		a.conn.DisableReuse()
 	}
 	a.record.status, a.record.framing = response.StatusCode, framing(response)
+	if answer.Ambiguous {
+		a.conn.DisableReuse()
+		return maybeRun, errors.Newf("answer with status %d names several requests, signatures or servers", response.StatusCode)
+	}
 	if answer.Leaving {
 		h.Scheduler.RecordLeaving(a.scheduled, time.Now())
 	}
@@ -474,7 +478,7 @@
 			return nil, AnswerInfo{}, err
 		}
 		answer := h.Protocol.DecodeAnswer(response.Header)
-		if answer.ID == c.envelope.ID || (answer.ID == "" && response.StatusCode/100 != 2) {
+		if answer.Ambiguous || answer.ID == c.envelope.ID || (answer.ID == "" && response.StatusCode/100 != 2) {
 			return response, answer, nil
 		}
 		conn.DisableReuse()
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -42,6 +42,9 @@
 	Server string // ID of the server; only answers to health checks have it
 	NotRun bool   // the server did not run the request and never will
 	Signed bool
+	// Ambiguous is set if the header has different values for the ID of the request, the signature or the server. The other fields are not
+	// set then.
+	Ambiguous bool
 	// RequestLimit is how many requests per second the server takes from the whole fleet. HasRequestLimit is false if it
 	// names no limit.
 	RequestLimit    float64
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -267,8 +267,8 @@
 		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: time.Until(c.deadline),
 	})
 	return h.Pool.Probe(ctx, e, request.Method, head, func(r *http.Response) error {
-		server := h.Protocol.DecodeAnswer(r.Header).Server
-		if r.StatusCode == http.StatusMisdirectedRequest || server != "" && server != e.ID {
+		answer := h.Protocol.DecodeAnswer(r.Header)
+		if r.StatusCode == http.StatusMisdirectedRequest || answer.Ambiguous || answer.Server != "" && answer.Server != e.ID {
 			return errors.Newf("another server answers at %s", e.Address)
 		}
 		return nil
