--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -425,9 +425,9 @@
 		a.conn.DisableReuse()
 	}
 	a.record.status, a.record.framing = response.StatusCode, framing(response)
-	if answer.Ambiguous {
+	if err := checkUsable(c.request, response, answer); err != nil {
 		a.conn.DisableReuse()
-		return maybeRun, errors.Newf("answer with status %d names several requests, signatures or servers", response.StatusCode)
+		return maybeRun, err
 	}
 	if answer.Leaving {
 		h.Scheduler.RecordLeaving(a.scheduled, time.Now())
@@ -461,6 +461,17 @@
 	return maybeRun, nil
 }
 
+// checkUsable returns an error if nothing of an answer with a valid head may be believed: it contradicts itself or its request.
+func checkUsable(request *http.Request, response *http.Response, answer AnswerInfo) error {
+	switch {
+	case answer.Ambiguous:
+		return errors.Newf("answer with status %d names several requests, signatures or servers", response.StatusCode)
+	case response.StatusCode == http.StatusPartialContent && request.Header.Get("Range") == "":
+		return errors.New("answer is a part that was not requested")
+	}
+	return nil
+}
+
 // relay forwards the answer of an attempt that is open.
 func (h *Handler) relay(c *call, a *attempt, g *hedger) (attemptProgress, error) {
 	if a.response.StatusCode/100 == 2 && c.route.Kind == routing.Stream {
