--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -461,13 +461,20 @@
 	return maybeRun, nil
 }
 
-// checkUsable returns an error if nothing of an answer with a valid head may be believed: it contradicts itself or its request.
+// checkUsable returns an error if nothing of an answer with a valid head may be believed: it contradicts itself or its request. It reads the body
+// of an answer that must have none.
 func checkUsable(request *http.Request, response *http.Response, answer AnswerInfo) error {
 	switch {
 	case answer.Ambiguous:
 		return errors.Newf("answer with status %d names several requests, signatures or servers", response.StatusCode)
 	case response.StatusCode == http.StatusPartialContent && request.Header.Get("Range") == "":
 		return errors.New("answer is a part that was not requested")
+	case response.StatusCode == http.StatusResetContent: // RFC 9110, section 15.3.6
+		if _, err := io.ReadFull(response.Body, make([]byte, 1)); err == nil {
+			return errors.New("answer with status 205 has a body")
+		} else if !errors.Is(err, io.EOF) {
+			return errors.Wrap(err, "read answer")
+		}
 	}
 	return nil
 }
