--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -34,6 +34,9 @@
 // Status returns the status of the head, 0 before its first line is complete.
 func (c *HeadChecker) Status() int { return c.status }
 
+// Chunked reports whether the head announces a body in chunks.
+func (c *HeadChecker) Chunked() bool { return c.chunked }
+
 // Check reads the next bytes of a head. It returns how many of them belong to the head, and whether the head is complete. Errors are
 // marked ErrInvalidHead.
 func (c *HeadChecker) Check(p []byte) (n int, complete bool, err error) {
@@ -93,13 +96,9 @@
 
 // checkField checks a field line.
 func (c *HeadChecker) checkField(line []byte) error {
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !isToken(name) { // a folded line begins with a space
-		return errors.Newf("field line %.64q has no valid name", line)
-	}
-	value = bytes.Trim(value, " \t")
-	if !isFieldText(value) {
-		return errors.Newf("value of field %.64q has control characters", name)
+	name, value, err := parseField(line)
+	if err != nil {
+		return err
 	}
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
@@ -127,6 +126,18 @@
 	return nil
 }
 
+// parseField returns the name and the value of a field line, or an error if the line is none.
+func parseField(line []byte) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) { // a folded line begins with a space
+		return nil, nil, errors.Newf("field line %.64q has no valid name", line)
+	}
+	if value = bytes.Trim(value, " \t"); !isFieldText(value) {
+		return nil, nil, errors.Newf("value of field %.64q has control characters", name)
+	}
+	return name, value, nil
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
 // isNumber reports whether the text has digits only.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -194,6 +194,7 @@
 
 // receiveFinal reads heads up to the first one that is not an informational response.
 func (c *Conn) receiveFinal(method string) (*http.Response, error) {
+	c.heads.method = method
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered()) // as many can be peeked
 		if err := c.heads.begin(buffered); err != nil {
--- a/internal/upstream/head_memory.go
+++ b/internal/upstream/head_memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 
 	"github.com/filbertrill/filbertrill/internal/http1"
 )
@@ -15,13 +16,15 @@
 	freeHeadBytes = 12 << 10
 )
 
-// headReader reads from a connection. While it reads heads it checks them and reserves their memory.
+// headReader reads from a connection. While it reads heads it checks them and reserves their memory. It checks the chunks of bodies behind them.
 type headReader struct {
 	reader   io.Reader
 	reserve  func(bytes int) error // nil for no limit
+	method   string                // of the request
 	inHead   bool
 	checker  http1.HeadChecker
-	bytes    int // memory of all heads since ReserveHeads
+	chunks   *http1.ChunkChecker // of the body; nil if it has none
+	bytes    int                 // memory of all heads since ReserveHeads
 	reserved int
 }
 
@@ -38,7 +41,7 @@
 
 // begin starts the next head, which begins with the buffered bytes.
 func (r *headReader) begin(buffered []byte) error {
-	r.inHead, r.checker = true, http1.HeadChecker{}
+	r.inHead, r.checker, r.chunks = true, http1.HeadChecker{}, nil
 	return r.count(buffered)
 }
 
@@ -54,13 +57,18 @@
 // count checks the part of data that belongs to the head, and reserves its memory.
 func (r *headReader) count(data []byte) error {
 	if !r.inHead {
-		return nil
+		return r.checkBody(data)
 	}
 	n, complete, err := r.checker.Check(data)
 	if err != nil {
 		return err
 	}
-	r.inHead = !complete
+	if r.inHead = !complete; complete && r.checker.Chunked() && mayHaveBody(r.method, r.checker.Status()) {
+		r.chunks = &http1.ChunkChecker{}
+		if err := r.checkBody(data[n:]); err != nil {
+			return err
+		}
+	}
 	r.bytes += n + headFieldBytes*bytes.Count(data[:n], []byte("\n"))
 	missing := r.bytes - freeHeadBytes - r.reserved
 	if r.reserve == nil || missing <= 0 {
@@ -72,3 +80,16 @@
 	r.reserved += missing
 	return nil
 }
+
+// checkBody checks data behind a head.
+func (r *headReader) checkBody(data []byte) error {
+	if r.chunks == nil {
+		return nil
+	}
+	return r.chunks.Check(data)
+}
+
+// mayHaveBody reports whether a final answer with the status to a request with the method has a body, if its head announces one.
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
