--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -110,7 +110,11 @@
 // writeAnswer writes a complete answer to the caller.
 func (c *call) writeAnswer(response *http.Response, body []byte) {
 	copyHeader(c.writer.Header(), response.Header)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if c.request.Method != http.MethodHead {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	} else if length := response.Header.Get("Content-Length"); length != "" { // of the body that is not sent
+		c.writer.Header().Set("Content-Length", length)
+	}
 	c.answerStarted = true
 	c.writer.WriteHeader(response.StatusCode)
 	_, _ = c.writer.Write(body) // a caller that has disconnected needs no answer
@@ -248,8 +252,8 @@
 		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: time.Until(c.deadline),
 	})
 	return h.Pool.Probe(ctx, e, request.Method, head, func(r *http.Response) error {
-		server := h.Protocol.DecodeAnswer(r.Header).Server
-		if r.StatusCode == http.StatusMisdirectedRequest || server != "" && server != e.ID {
+		answer := h.Protocol.DecodeAnswer(r.Header)
+		if r.StatusCode == http.StatusMisdirectedRequest || answer.Ambiguous || answer.Server != "" && answer.Server != e.ID {
 			return errors.Newf("another server answers at %s", e.Address)
 		}
 		return nil
