--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -55,11 +55,13 @@
 	endCall Call          // that met the end
 	failure error         // of an aborted connection
 	head    *expectedHead // of the next answer; nil for none
-	invalid error         // of a head, for all further reads; only the goroutine that reads uses it
+	chunks  *ChunkChecker // of the body behind the last head; nil if it has none
+	invalid error         // of a head or of chunks, for all further reads; only the goroutine that reads uses it
 }
 
 // expectedHead is the head of the answer to one request.
 type expectedHead struct {
+	method  string      // of the request
 	checker HeadChecker // of the next informational response or the final head
 	begun   bool        // a part was read
 	arrived atomic.Bool // the final head was read
@@ -88,32 +90,37 @@
 		return 0, c.invalid
 	}
 	n, err := c.Conn.Read(p)
-	begun, headErr := c.checkHead(p[:n])
-	if headErr == nil {
+	begun, checkErr := c.check(p[:n])
+	if checkErr == nil {
 		return n, c.met(Read, err)
 	}
-	c.invalid = headErr // a bufio.Reader drops an error that it gets within a line, and reads on
+	c.invalid = checkErr // a bufio.Reader drops an error that it gets within a line, and reads on
 	if begun {
-		return 0, headErr
+		return 0, checkErr
 	}
 	return 1, nil // net/http sends some requests again if the first read of an answer fails
 }
 
-// expectHead makes Read check the head of the next answer, and informational responses before it. The connection may expect that of another
-// answer as soon as this one has arrived.
-func (c *Conn) expectHead() *expectedHead {
+// expectHead makes Read check the head of the next answer, informational responses before it and chunks behind it. method is that of the
+// request. The connection may expect the head of another answer as soon as this one has arrived.
+func (c *Conn) expectHead(method string) *expectedHead {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = &expectedHead{}
+	c.head, c.chunks = &expectedHead{method: method}, nil
 	return c.head
 }
 
-// checkHead checks the part of p that belongs to an expected head. begun reports whether a part of that was read before.
-func (c *Conn) checkHead(p []byte) (begun bool, err error) {
+// check checks the part of p that belongs to an expected head or to chunks. begun reports whether a part of the answer was read before.
+func (c *Conn) check(p []byte) (begun bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	head := c.head
-	if head == nil || len(p) == 0 {
+	switch {
+	case len(p) == 0:
+		return false, nil
+	case head == nil && c.chunks != nil:
+		return true, c.chunks.Check(p)
+	case head == nil:
 		return false, nil
 	}
 	begun, head.begun = head.begun, true
@@ -128,6 +135,14 @@
 		case complete && head.checker.Status() >= firstFinalStatus:
 			head.arrived.Store(true)
 			c.head = nil
+			if !head.checker.Chunked() || !MayHaveBody(head.method, head.checker.Status()) {
+				return begun, nil
+			}
+			c.chunks = &ChunkChecker{}
+			if err := c.chunks.Check(p); err != nil {
+				head.invalid.Store(&err)
+				return begun, err
+			}
 			return begun, nil
 		case complete:
 			head.checker = HeadChecker{}
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -17,3 +17,9 @@
 	}
 	return FramedByConnection
 }
+
+// MayHaveBody reports whether a final answer with the status to a request with the method has a body, if its head announces one (RFC 9112,
+// section 6.3).
+func MayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Transport is an http.RoundTripper of which each answer has a valid head, and a body that ends without an error of its connection.
-// Heads are checked on connections without TLS.
+// Transport is an http.RoundTripper of which each answer has a valid head, valid chunks, and a body that ends without an error of its
+// connection. Heads and chunks are checked on connections without TLS.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that uses base, whose dial function it replaces by one that calls it.
@@ -35,14 +35,15 @@
 	return &Transport{base}
 }
 
-// RoundTrip implements http.RoundTripper. Errors for heads that are not those of an answer are marked ErrInvalidHead.
+// RoundTrip implements http.RoundTripper. Errors for heads that are not those of an answer are marked ErrInvalidHead, errors for chunks
+// ErrInvalidChunks.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	transfer := newTransfer(r.Context())
 	var head atomic.Pointer[expectedHead]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*Conn); ok { // not TLS
-				head.Store(c.expectHead())
+				head.Store(c.expectHead(r.Method))
 				transfer.conn.Store(c)
 			}
 		},
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -279,3 +279,46 @@
 		assert.Less(t, time.Since(start), 3*time.Second, name)
 	}
 }
+
+func TestInvalidChunksAreAnError(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, body := range map[string]string{
+		"size":      "4\x01\r\nbody\r\n0\r\n\r\n",
+		"extension": "4;\x01\r\nbody\r\n0\r\n\r\n",
+		"trailer":   "4\r\nbody\r\n0\r\nX Odd: 1\r\n\r\n",
+		"folded":    "4\r\nbody\r\n0\r\nX-Odd: 1\r\n 2\r\n\r\n",
+	} {
+		for _, parts := range [][]string{{head + body}, {head, body}, {head + body[:5], body[5:]}} {
+			address := listen(t, func(conn *net.TCPConn, _ int) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				for _, part := range parts {
+					_, _ = io.WriteString(conn, part)
+					time.Sleep(time.Millisecond)
+				}
+				_, _ = io.Copy(io.Discard, conn) // until the client closes
+			})
+			status, answer, err := call(newClient(t, &http.Transport{}), http.MethodGet, address, "")
+			assert.True(t, errors.Is(err, ErrInvalidChunks), "%s in %d parts: %d %q, %v", name, len(parts), status, answer, err)
+		}
+	}
+}
+
+func TestChunksAreNotExpectedBehindAnswersWithoutBody(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	for method, answer := range map[string]string{
+		http.MethodHead: "HTTP/1.1 200 OK\r\n" + chunked,
+		http.MethodGet:  "HTTP/1.1 304 Not Modified\r\n" + chunked,
+	} {
+		requests := &atomic.Int32{}
+		address := listen(t, func(conn *net.TCPConn, _ int) { answerEach(conn, requests, answer, answer, answer) })
+		client := newClient(t, &http.Transport{})
+		for range 3 {
+			_, body, err := call(client, method, address, "")
+			assert.NoError(t, err, method)
+			assert.Empty(t, body, method)
+		}
+		assert.EqualValues(t, 3, requests.Load())
+	}
+}
--- a/internal/upstream/head_memory.go
+++ b/internal/upstream/head_memory.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net/http"
 
 	"github.com/filbertrill/filbertrill/internal/http1"
 )
@@ -25,7 +24,7 @@
 	checker  http1.HeadChecker
 	chunks   *http1.ChunkChecker // of the body; nil if it has none
 	bytes    int                 // memory of all heads since ReserveHeads
-	err      error               // of a head, for all further reads: a bufio.Reader drops an error that it gets within a line, and reads on
+	err      error               // of a head or of chunks, for all further reads: a bufio.Reader drops an error that it gets within a line, and reads on
 	reserved int
 }
 
@@ -67,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	if r.inHead = !complete; complete && r.checker.Chunked() && mayHaveBody(r.method, r.checker.Status()) {
+	if r.inHead = !complete; complete && r.checker.Chunked() && http1.MayHaveBody(r.method, r.checker.Status()) {
 		r.chunks = &http1.ChunkChecker{}
 		if err := r.checkBody(data[n:]); err != nil {
 			return err
@@ -92,8 +91,3 @@
 	}
 	return r.chunks.Check(data)
 }
-
-// mayHaveBody reports whether a final answer with the status to a request with the method has a body, if its head announces one.
-func mayHaveBody(method string, status int) bool {
-	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
-}
