--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -424,7 +424,11 @@
 	if sendErr != nil {
 		a.conn.DisableReuse()
 	}
-	a.record.status, a.record.framing = response.StatusCode, framing(response)
+	a.record.status, a.record.framing = response.StatusCode, http1.Framing(response)
+	if err := checkUsable(c.request, response, answer); err != nil {
+		a.conn.DisableReuse()
+		return maybeRun, err
+	}
 	if answer.Leaving {
 		h.Scheduler.RecordLeaving(a.scheduled, time.Now())
 	}
@@ -457,6 +461,24 @@
 	return maybeRun, nil
 }
 
+// checkUsable returns an error if nothing of an answer with a valid head may be believed: it contradicts itself or its request. It reads the body
+// of an answer that must have none.
+func checkUsable(request *http.Request, response *http.Response, answer AnswerInfo) error {
+	switch {
+	case answer.Ambiguous:
+		return errors.Newf("answer with status %d names several requests, signatures or servers", response.StatusCode)
+	case response.StatusCode == http.StatusPartialContent && request.Header.Get("Range") == "":
+		return errors.New("answer is a part that was not requested")
+	case response.StatusCode == http.StatusResetContent: // RFC 9110, section 15.3.6
+		if _, err := io.ReadFull(response.Body, make([]byte, 1)); err == nil {
+			return errors.New("answer with status 205 has a body")
+		} else if !errors.Is(err, io.EOF) {
+			return errors.Wrap(err, "read answer")
+		}
+	}
+	return nil
+}
+
 // relay forwards the answer of an attempt that is open.
 func (h *Handler) relay(c *call, a *attempt, g *hedger) (attemptProgress, error) {
 	if a.response.StatusCode/100 == 2 && c.route.Kind == routing.Stream {
@@ -474,10 +496,7 @@
 			return nil, AnswerInfo{}, err
 		}
 		answer := h.Protocol.DecodeAnswer(response.Header)
-		if answer.Ambiguous {
-			return nil, AnswerInfo{}, errors.New("answer names several requests or has several signatures")
-		}
-		if answer.ID == c.envelope.ID || (answer.ID == "" && response.StatusCode/100 != 2) {
+		if answer.Ambiguous || answer.ID == c.envelope.ID || (answer.ID == "" && response.StatusCode/100 != 2) {
 			return response, answer, nil
 		}
 		conn.DisableReuse()
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -42,7 +42,8 @@
 	Server string // ID of the server; only answers to health checks have it
 	NotRun bool   // the server did not run the request and never will
 	Signed bool
-	// Ambiguous reports that it names several requests, or has several signatures. It is no answer to any request.
+	// Ambiguous is set if the header has different values for the ID of the request, the signature or the server. The other fields are not
+	// set then.
 	Ambiguous bool
 	// RequestLimit is how many requests per second the server takes from the whole fleet. HasRequestLimit is false if it
 	// names no limit.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/eventstream"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -109,7 +110,11 @@
 // writeAnswer writes a complete answer to the caller.
 func (c *call) writeAnswer(response *http.Response, body []byte) {
 	copyHeader(c.writer.Header(), response.Header)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if c.request.Method != http.MethodHead {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	} else if length := response.Header.Get("Content-Length"); length != "" { // of the body that is not sent
+		c.writer.Header().Set("Content-Length", length)
+	}
 	c.answerStarted = true
 	c.writer.WriteHeader(response.StatusCode)
 	_, _ = c.writer.Write(body) // a caller that has disconnected needs no answer
@@ -178,25 +183,9 @@
 	return fullyForwarded, nil
 }
 
-// framedByConnection is the framing of a body that ends with its connection.
-const framedByConnection = "connection"
-
-// framing returns how the body of an answer ends.
-func framing(response *http.Response) string {
-	switch {
-	case response.Body == http.NoBody:
-		return "none"
-	case response.ContentLength >= 0:
-		return "length"
-	case len(response.TransferEncoding) > 0:
-		return "chunks"
-	}
-	return framedByConnection
-}
-
 // endsWithConnection reports whether the end of the answer is that of its connection: it has neither a length nor chunks.
 func endsWithConnection(response *http.Response) bool {
-	return framing(response) == framedByConnection
+	return http1.Framing(response) == http1.FramedByConnection
 }
 
 // confirmEnd returns an error if the answer ends with its connection and the server has ended. When a process is killed, its
@@ -263,8 +252,8 @@
 		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: time.Until(c.deadline),
 	})
 	return h.Pool.Probe(ctx, e, request.Method, head, func(r *http.Response) error {
-		server := h.Protocol.DecodeAnswer(r.Header).Server
-		if r.StatusCode == http.StatusMisdirectedRequest || server != "" && server != e.ID {
+		answer := h.Protocol.DecodeAnswer(r.Header)
+		if r.StatusCode == http.StatusMisdirectedRequest || answer.Ambiguous || answer.Server != "" && answer.Server != e.ID {
 			return errors.Newf("another server answers at %s", e.Address)
 		}
 		return nil
