--- a/internal/filter/decode/decode.go
+++ b/internal/filter/decode/decode.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/filter"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/ticket"
 )
@@ -43,6 +44,10 @@
 }
 
 func readBody(r *filter.Request, maxBytes int64) ([]byte, error) {
+	if http1.LacksLength(r.HTTP) {
+		r.Writer.Header().Set("Connection", "close")
+		return nil, result.New(result.BodyMalformed, "the body has no length")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(r.Writer, r.HTTP.Body, maxBytes))
 	if err == nil {
 		return body, nil
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/chain"
+	"github.com/filbertrill/filbertrill/internal/http1"
 	"github.com/filbertrill/filbertrill/internal/quarantine"
 	"github.com/filbertrill/filbertrill/internal/result"
 )
@@ -67,6 +68,10 @@
 // deadline to send it.
 func (h *Handler) readBody(c *call, reservation *bodyReservation) error {
 	limit := c.config.Limits.MaxBodyBytes
+	if http1.LacksLength(c.request) {
+		c.writer.Header().Set("Connection", "close")
+		return result.New(result.BodyMalformed, "request body has no length")
+	}
 	if c.request.ContentLength == 0 || c.request.Body == nil {
 		return nil
 	}
