--- a/internal/gateway/incoming_conn.go
+++ b/internal/gateway/incoming_conn.go
@@ -62,7 +62,7 @@
 func (c fdConn) peek(buffer []byte) []byte {
 	n, _, err := syscall.Recvfrom(int(c), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	if err != nil {
-		return nil // nothing has arrived, or the connection failed: a later read returns the error
+		return nil // nothing has arrived, or the connection failed: a later read ends, with the error or the end of the data
 	}
 	return buffer[:max(n, 0)]
 }
