--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -366,6 +366,7 @@
 	sent, received := a.conn.Traffic()
 	a.record.sentBytes, a.record.receivedBytes = sent-a.sentBefore, received-a.receivedBefore
 	a.record.end, a.record.endCall = a.conn.End()
+	a.record.uploaded = a.record.uploaded && a.conn.Uploaded()
 	h.countZoneTraffic(c, a.choice, &a.record)
 	closedHere := !a.stopContextWatch()
 	a.record.serverBroke = !closedHere && !a.superseded && !a.canceled && isConnectionBroken(err)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,7 +47,8 @@
 	limited       *io.LimitedReader // of heads, limits them
 	reader        *bufio.Reader     // of limited
 	openedAt      time.Time
-	sentBytes     int64
+	sentBytes     atomic.Int64
+	upload        *upload // of the request in progress; nil if Send has written all of it
 	received      countingReader
 	lastUsed      time.Time     // end of the last request
 	idleTimeout   time.Duration // from the server's Keep-Alive header; 0 if it sent none
@@ -60,13 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	err = conn.Raw().Control(func(fd uintptr) {
-		// The error is ignored: without the option the connection works, but failures are
-		// detected later.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, tcpUserTimeoutMillis)
-	})
-	if err != nil {
-		return nil, errors.Wrap(err, "set TCP_USER_TIMEOUT")
+	if err := setUserTimeout(conn, tcpUserTimeoutMillis); err != nil {
+		return nil, err
 	}
 	c := &Conn{Conn: conn, openedAt: time.Now()}
 	c.received.reader = watchedReader{c}
@@ -76,6 +73,16 @@
 	return c, nil
 }
 
+// setUserTimeout sets TCP_USER_TIMEOUT, 0 for none. It returns an error if the connection was closed.
+func setUserTimeout(conn *http1.Conn, millis int) error {
+	err := conn.Raw().Control(func(fd uintptr) {
+		// The error is ignored: without the option the connection works, but failures are
+		// detected later.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, millis)
+	})
+	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+}
+
 // watchedReader reads from the connection. It goes on after interruptions of its Watch.
 type watchedReader struct{ conn *Conn }
 
@@ -111,7 +118,7 @@
 }
 
 // Traffic returns the bytes of all requests and answers on the connection so far.
-func (c *Conn) Traffic() (sent, received int64) { return c.sentBytes, c.received.bytes }
+func (c *Conn) Traffic() (sent, received int64) { return c.sentBytes.Load(), c.received.bytes }
 
 // Endpoint returns the server that the connection leads to.
 func (c *Conn) Endpoint() Endpoint { return c.endpoint }
@@ -148,18 +155,29 @@
 }
 
 // Send writes the head and the body of a request. It reports whether at least one byte
-// was written, also when it returns an error.
+// was written, also when it returns an error. If data of the server arrives before a long body is written, Send returns, and the rest is written
+// while the answer is read: the server may read it behind its answer, or never.
 func (c *Conn) Send(head, body []byte) (sent bool, err error) {
 	buffers := net.Buffers{head}
 	if len(body) > 0 {
 		buffers = append(buffers, body)
 	}
+	answered := func() bool { return false }
+	if len(body) > minInterruptedBytes {
+		var stop func()
+		answered, stop = c.interruptOnArrival()
+		defer stop()
+	}
 	for {
 		n, err := c.WriteBuffers(&buffers)
-		c.sentBytes += n
+		c.sentBytes.Add(n)
 		sent = sent || n > 0
 		goOn := false
-		if err != nil {
+		switch {
+		case sent && errors.Is(err, os.ErrDeadlineExceeded) && answered():
+			c.continueUpload(buffers)
+			return true, nil
+		case err != nil:
 			goOn, err = c.watch.resume(err)
 		}
 		if !goOn {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -220,11 +220,11 @@
 // Put returns a connection to the pool after a request. It closes the connection if reuse
 // is disabled, if it has unread bytes or if the endpoint has enough idle connections.
 func (p *Pool) Put(e Endpoint, c *Conn) {
-	if c.reuseDisabled || c.reader.Buffered() > 0 {
+	if !c.endUpload() || c.reuseDisabled || c.reader.Buffered() > 0 {
 		p.closeConn(e, c)
 		return
 	}
-	c.lastUsed, c.reused = time.Now(), c.sentBytes > 0
+	c.lastUsed, c.reused = time.Now(), c.sentBytes.Load() > 0
 	p.mu.Lock()
 	conns, known := p.endpoints[e]
 	discard := !known || len(conns.idle) >= maxIdlePerEndpoint
--- /dev/null
+++ b/internal/upstream/upload.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/filbertrill/filbertrill/internal/socket"
+)
+
+const (
+	// minInterruptedBytes is the size of the smallest body during which Send looks for an answer. Buffers of connections hold smaller ones.
+	minInterruptedBytes = 64 << 10
+	// arrivalInterval is the time between two looks.
+	arrivalInterval = 10 * time.Millisecond
+)
+
+// upload is the rest of a request, which is written while its answer is read.
+type upload struct {
+	done chan struct{} // closed at its end
+	err  error         // set before
+}
+
+// interruptOnArrival interrupts writes once data of the server has arrived. answered reports whether it has. stop ends that.
+func (c *Conn) interruptOnArrival() (answered func() bool, stop func()) {
+	var arrived atomic.Bool
+	done := make(chan struct{})
+	var looking sync.WaitGroup
+	looking.Go(func() {
+		ticker := time.NewTicker(arrivalInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			state, err := c.Peek()
+			if err != nil {
+				return
+			}
+			if state == socket.Readable {
+				arrived.Store(true)
+				_ = c.SetWriteDeadline(longAgo) // fails on closed connections only
+				return
+			}
+		}
+	})
+	stop = func() {
+		close(done)
+		looking.Wait()
+		if arrived.Load() {
+			_ = c.SetWriteDeadline(time.Time{}) // fails on closed connections only
+		}
+	}
+	return arrived.Load, stop
+}
+
+// continueUpload writes the buffers while the answer is read. A server that doesn't read them may go on with its answer for longer
+// than tcpUserTimeoutMillis.
+func (c *Conn) continueUpload(buffers net.Buffers) {
+	u := &upload{done: make(chan struct{})}
+	c.upload = u
+	_ = setUserTimeout(c.Conn, 0) // fails on closed connections only
+	go func() {
+		defer close(u.done)
+		for {
+			n, err := c.WriteBuffers(&buffers)
+			c.sentBytes.Add(n)
+			if !errors.Is(err, os.ErrDeadlineExceeded) { // which interrupts the read of the answer
+				u.err = err
+				return
+			}
+			if u.err = c.SetWriteDeadline(time.Time{}); u.err != nil {
+				return
+			}
+		}
+	}()
+}
+
+// Uploaded reports whether the request that was sent last was written to its end, if Send has returned no error.
+func (c *Conn) Uploaded() bool {
+	if c.upload == nil {
+		return true
+	}
+	select {
+	case <-c.upload.done:
+		return c.upload.err == nil
+	default:
+		return false
+	}
+}
+
+// endUpload ends the request, and returns false if the connection can't be used for another one.
+func (c *Conn) endUpload() bool {
+	if c.upload == nil {
+		return true
+	}
+	_ = setUserTimeout(c.Conn, tcpUserTimeoutMillis) // fails on closed connections only
+	if !c.Uploaded() {
+		return false
+	}
+	c.upload = nil
+	return c.SetWriteDeadline(time.Time{}) == nil
+}
