--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -376,6 +376,8 @@
 	}
 	if closedHere || err != nil {
 		a.conn.DisableReuse()
+	} else if c.bodyReservation != nil {
+		a.conn.FinishUpload(c.deadline, c.bodyReservation.hold())
 	}
 	h.Pool.Put(a.endpoint, a.conn)
 }
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -27,6 +27,7 @@
 	return chain.HandlerFunc[*call](func(ctx context.Context, c *call) error {
 		reservation := &bodyReservation{memory: &h.bodyMemory}
 		defer reservation.release()
+		c.bodyReservation = reservation
 		if err := h.readBody(c, reservation); err != nil {
 			return err
 		}
--- a/internal/forward/body_memory.go
+++ b/internal/forward/body_memory.go
@@ -32,8 +32,10 @@
 
 // bodyReservation is the memory of one body.
 type bodyReservation struct {
-	memory *bodyMemory
-	bytes  int64
+	memory  *bodyMemory
+	bytes   int64
+	holders int  // beside the request, guarded by the lock of memory
+	ended   bool // the request has
 }
 
 // grow reserves memory for a body of up to so many bytes in all. It returns errBodyMemory if they are not available; nothing is
@@ -57,10 +59,32 @@
 	return nil
 }
 
-// release ends the reservation.
+// hold keeps the reservation until the function that it returns is called, once, and release was called.
+func (r *bodyReservation) hold() (release func()) {
+	r.memory.mu.Lock()
+	defer r.memory.mu.Unlock()
+	r.holders++
+	return func() {
+		r.memory.mu.Lock()
+		defer r.memory.mu.Unlock()
+		r.holders--
+		r.releaseUnused()
+	}
+}
+
+// release ends the reservation, unless it is held.
 func (r *bodyReservation) release() {
 	r.memory.mu.Lock()
 	defer r.memory.mu.Unlock()
+	r.ended = true
+	r.releaseUnused()
+}
+
+// releaseUnused ends a reservation that nobody holds. The caller holds the lock.
+func (r *bodyReservation) releaseUnused() {
+	if !r.ended || r.holders > 0 {
+		return
+	}
 	r.memory.used -= r.bytes
 	r.memory.large -= r.largeBytes()
 	r.bytes = 0
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -96,19 +96,20 @@
 
 // call is a request in progress and its state. The filters of the chain fill it in.
 type call struct {
-	request   *http.Request
-	writer    http.ResponseWriter
-	envelope  *Envelope
-	route     *routing.Route
-	service   *routing.Service
-	account   string
-	body      []byte
-	bodyRead  bool
-	arrivedAt time.Time
-	deadline  time.Time // the earlier of the caller's deadline and the route's timeout
-	config    *routing.Config
-	rank      int      // see routing.Config.Rank
-	regions   []string // in which the request may be processed; nil for all
+	request         *http.Request
+	writer          http.ResponseWriter
+	envelope        *Envelope
+	route           *routing.Route
+	service         *routing.Service
+	account         string
+	body            []byte
+	bodyReservation *bodyReservation // nil before the body is read
+	bodyRead        bool
+	arrivedAt       time.Time
+	deadline        time.Time // the earlier of the caller's deadline and the route's timeout
+	config          *routing.Config
+	rank            int      // see routing.Config.Rank
+	regions         []string // in which the request may be processed; nil for all
 
 	version          *string          // the only version that may serve the request; nil for any
 	versionUnknown   bool             // of the server that the last request of a resumable stream was sent to
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -220,6 +220,10 @@
 // Put returns a connection to the pool after a request. It closes the connection if reuse
 // is disabled, if it has unread bytes or if the endpoint has enough idle connections.
 func (p *Pool) Put(e Endpoint, c *Conn) {
+	if c.upload != nil && !c.upload.finishBy.IsZero() {
+		go p.finishUpload(e, c)
+		return
+	}
 	if !c.endUpload() || c.reuseDisabled || c.reader.Buffered() > 0 {
 		p.closeConn(e, c)
 		return
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -23,6 +23,9 @@
 type upload struct {
 	done chan struct{} // closed at its end
 	err  error         // set before
+
+	finishBy time.Time // see FinishUpload; zero if Put ends the upload
+	ended    func()
 }
 
 // interruptOnArrival interrupts writes once data of the server has arrived. answered reports whether it has. stop ends that.
@@ -95,6 +98,31 @@
 	}
 }
 
+// FinishUpload makes Put leave an unfinished upload the time until then, as the server may read it behind its answer. Put returns at once. ended
+// is called when the body of the request is not used any more. It must not block.
+func (c *Conn) FinishUpload(by time.Time, ended func()) {
+	if c.Uploaded() {
+		ended()
+		return
+	}
+	c.upload.finishBy, c.upload.ended = by, ended
+}
+
+// finishUpload waits for the end of the upload, and returns the connection to the pool.
+func (p *Pool) finishUpload(e Endpoint, c *Conn) {
+	u := c.upload
+	timer := time.NewTimer(time.Until(u.finishBy))
+	defer timer.Stop()
+	select {
+	case <-u.done:
+	case <-timer.C:
+	}
+	u.finishBy = time.Time{}
+	p.Put(e, c) // closes it if the upload has not ended
+	<-u.done
+	u.ended()
+}
+
 // endUpload ends the request, and returns false if the connection can't be used for another one.
 func (c *Conn) endUpload() bool {
 	if c.upload == nil {
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -126,3 +126,48 @@
 	assert.Equal(t, len(body), <-uploaded)
 	assert.Greater(t, wakes, 5)
 }
+
+// Guards against uploads that are cut behind their answer, and against connections that wait for them for ever.
+func TestUploadGoesOnBehindItsAnswer(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		uploaded, closed := make(chan []byte, 1), make(chan struct{})
+		address := serveRaw(t, func(conn net.Conn) {
+			defer conn.Close() // not before the end of the test
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, earlyAnswer)
+			if !reads {
+				<-closed
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			data, _ := io.ReadAll(request.Body)
+			uploaded <- data
+			<-closed
+		})
+		pool, e := NewPool(), Endpoint{Address: address}
+		conn, body, _ := sendLong(t, pool, e)
+		ended := make(chan struct{})
+		start, limit := time.Now(), 500*time.Millisecond
+		if reads {
+			limit = 10 * time.Second
+		}
+		conn.FinishUpload(start.Add(limit), func() { close(ended) })
+		pool.Put(e, conn)
+		assert.Less(t, time.Since(start), 100*time.Millisecond)
+		if reads {
+			assert.True(t, bytes.Equal(body, <-uploaded))
+		}
+		<-ended
+		if reads {
+			assert.True(t, conn.healthy(), "the connection is kept")
+		} else {
+			assert.GreaterOrEqual(t, time.Since(start), limit)
+			_, err := conn.Write([]byte("x"))
+			assert.ErrorIs(t, err, net.ErrClosed)
+		}
+		close(closed)
+	}
+}
