--- a/internal/topology/outage_simulation_test.go
+++ b/internal/topology/outage_simulation_test.go
@@ -284,6 +284,40 @@
 	}
 }
 
+// Guards against a grace period that a single daemon prolongs, as it was cut off from the store behind an outage.
+func TestDaemonThatIsCutOffBehindAnOutageDelaysNoRemoval(t *testing.T) {
+	const contactWindow = 3 * time.Second
+	for _, cutOff := range []int{0, 1, 4, 8} {
+		for seed := range uint64(5) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newSimulatedFleet(9, seed)
+				ctx, cancel := context.WithCancel(t.Context())
+				running := fleet.run(ctx, 9)
+				time.Sleep(4 * time.Second)
+				fleet.store.write("leaves", 0)
+				fleet.store.setDown(true)
+				time.Sleep(3500 * time.Millisecond)
+				fleet.store.setDown(false)
+				end := time.Now()
+				time.Sleep(500 * time.Millisecond)
+				reach := func(reaches func(int) bool) {
+					fleet.store.mu.Lock()
+					defer fleet.store.mu.Unlock()
+					fleet.store.reaches = reaches
+				}
+				reach(func(daemon int) bool { return daemon != cutOff })
+				time.Sleep(800*time.Millisecond + time.Duration(fleet.chance()*float64(time.Second)))
+				reach(nil)
+				time.Sleep(time.Until(end.Add(contactWindow)))
+				assert.Zero(t, fleet.holds("leaves"), "daemon %d was cut off, seed %d", cutOff, seed)
+				cancel()
+				running.Wait()
+				time.Sleep(time.Second) // for datagrams
+			})
+		}
+	}
+}
+
 // Guards against a grace period that counts from the first of two outages.
 func TestServersStayBehindTheSecondOfTwoOutages(t *testing.T) {
 	for _, daemons := range []int{1, 9, 30} {
--- a/internal/topology/probe.go
+++ b/internal/topology/probe.go
@@ -63,6 +63,13 @@
 	return p.failures[t] > fastRetries
 }
 
+// failing reports whether a series of failures of a topic goes on.
+func (p *probeSchedule) failing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures != [2]int{}
+}
+
 // reset ends a series of failures: a call of the topic was answered, or peers read it.
 func (p *probeSchedule) reset(t Topic) {
 	p.mu.Lock()
--- a/internal/topology/reader.go
+++ b/internal/topology/reader.go
@@ -127,6 +127,7 @@
 	era            atomic.Uint64    // highest one that this daemon or a peer has seen
 	recoveredAt    atomic.Int64     // time at which the store was last seen to be back or restored, as monotonic.UnixNano
 	returnedAt     atomic.Int64     // see Returned, as monotonic.UnixNano
+	reportedAt     atomic.Int64     // last return that a peer has reported in or right behind a grace period, as monotonic.UnixNano
 	currentSince   atomic.Int64     // start of the time since when lists were current without a gap, as monotonic.UnixNano
 	heard          atomic.Int64     // last return of the store that a peer has reported, as monotonic.UnixNano
 	failedAt       [2]atomic.Int64  // by topic: time of the last failed call, as monotonic.UnixNano
@@ -281,17 +282,18 @@
 	storeDown := false
 	backoff := minBackoff // while the newest configuration can't be decoded
 	var failingSince time.Time
-	peersRead := false // since the last failed call
+	peersRead := false         // since the last failed call
+	var readingSince time.Time // zero while peers read
 	var listedAt time.Time
 	relist := false // at the end of the grace period
 	next := int64(-1)
 	var era uint64 // at the last listing
 	for ctx.Err() == nil {
 		started := time.Now()
-		graceEnd := monotonic.Time(r.recoveredAt.Load()).Add(recoveryGracePeriod)
+		graceEnd := r.recoveredFor(readingSince).Add(recoveryGracePeriod)
 		if r.peersRead(t, started) {
 			// Only those that have read all the time know of a further outage, and so whether a server that is missing has left.
-			next, relist, peersRead = -1, false, true
+			next, relist, peersRead, readingSince = -1, false, true, time.Time{}
 			r.probes.reset(t)
 			r.sleep(ctx, roleCheckInterval)
 			continue
@@ -340,7 +342,10 @@
 		if t == Servers {
 			r.seeList(started)
 		}
-		recoveredAt := monotonic.Time(r.recoveredAt.Load())
+		if readingSince.IsZero() {
+			readingSince = started
+		}
+		recoveredAt := r.recoveredFor(readingSince)
 		if t == Servers && now.Sub(recoveredAt) < recoveryGracePeriod {
 			relist = true // servers that leave now are kept
 		}
--- a/internal/topology/recovery.go
+++ b/internal/topology/recovery.go
@@ -52,28 +52,42 @@
 		r.wakeAll() // the other topic may have failed in a later outage
 		return
 	}
+	if reported := r.reportedAt.Load(); reported > monotonic.UnixNano(failedAt) {
+		r.raiseRecovered(monotonic.Time(reported)) // the peer was not cut off alone
+		r.wakeAll()
+		return
+	}
 	outage := time.Duration(monotonic.UnixNano(now)-r.lastCurrent()) > unreachableAfter
+	before := monotonic.Time(r.recoveredAt.Load())
+	// Servers that were kept behind the outage before need as long again, which daemons that made no call in this one don't know.
+	again := t == Servers && failingSince.Before(before.Add(recoveryGracePeriod))
+	if before.After(failingSince) {
+		failingSince = before // calls failed in both outages
+	}
 	r.seeList(now)
-	// After a short outage servers are kept by this daemon's own lists alone.
-	if t == Servers && !outage && now.Sub(failingSince) <= 2*unreachableAfter {
+	// After a short outage servers are kept by this daemon's own lists alone, and by those that know of it by report alone.
+	if t == Servers && !outage && now.Sub(failingSince) <= maxShortOutage {
 		if answered := monotonic.Time(r.answeredAt.Load()); answered.After(failedAt) {
-			r.raiseRecovered(answered)
-		} else {
-			r.raiseRecovered(now)
+			now = answered
 		}
+		r.raiseRecovered(now)
 	}
 	r.wakeAll()
-	if r.onReturn != nil && (outage || r.probes.backsOff(t)) {
+	if r.onReturn != nil && (outage || again || r.probes.backsOff(t)) {
 		r.onReturn(now)
 	}
 }
 
-// noteAnswered records the time of the first complete list behind the last failed call for servers, if this daemon or a peer has read one.
+// noteAnswered records the time of the first complete list behind the last failed call for servers, if this daemon or a peer has read
+// one. Such a list shows that the store answers again, also if no peer reports its return.
 func (r *Reader) noteAnswered(at time.Time) {
 	next, failed := monotonic.UnixNano(at), r.failedAt[Servers].Load()
 	if known := r.answeredAt.Load(); next > failed && known <= failed {
 		r.answeredAt.CompareAndSwap(known, next)
 	}
+	if r.probes.failing() {
+		r.endBackoff(at)
+	}
 }
 
 // Returned returns the time at which a daemon first had a call answered after the last outage of the store, zero if none is known.
@@ -97,10 +111,34 @@
 			r.logger.Info("Store has returned, reported by a peer.", "age", now.Sub(at))
 		}
 	}
+	if next-r.recoveredAt.Load() <= int64(recoveryGracePeriod+unreachableAfter) {
+		for known := r.reportedAt.Load(); next > known && !r.reportedAt.CompareAndSwap(known, next); known = r.reportedAt.Load() {
+		}
+	}
+	r.endBackoff(at)
+}
+
+// maxShortOutage bounds the outages that a daemon counts by its own failed calls alone, from the first of them on.
+const maxShortOutage = 2 * unreachableAfter
+
+// recoveredFor returns the time from which the grace period counts for a daemon that has read the store since the given time, zero
+// if it doesn't. One that has not read it all through a short outage has the word of a peer for that outage alone.
+func (r *Reader) recoveredFor(readingSince time.Time) time.Time {
+	recoveredAt, reportedAt := monotonic.Time(r.recoveredAt.Load()), monotonic.Time(r.reportedAt.Load())
+	if reportedAt.After(recoveredAt) && (readingSince.IsZero() || reportedAt.Sub(readingSince) < maxShortOutage) {
+		return reportedAt
+	}
+	return recoveredAt
+}
+
+// endBackoff ends the waits of both topics if their calls have failed and the store has answered a peer at the given time, behind them.
+// Further answers within minTakeoverAge change nothing: the calls of a daemon that is cut off alone go on failing.
+func (r *Reader) endBackoff(at time.Time) {
+	next := monotonic.UnixNano(at)
 	if !r.lastCallFailed.Load() || next <= max(r.failedAt[Configs].Load(), r.failedAt[Servers].Load()) {
 		return
 	}
-	for known := r.heard.Load(); next-known > int64(unreachableAfter); known = r.heard.Load() {
+	for known := r.heard.Load(); next-known > int64(minTakeoverAge); known = r.heard.Load() {
 		if r.heard.CompareAndSwap(known, next) {
 			r.wakeAll()
 		}
--- a/internal/topology/two_outages_test.go
+++ b/internal/topology/two_outages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -15,7 +16,7 @@
 func TestServersThatLapsedAreKeptThroughASecondOutage(t *testing.T) {
 	for _, daemons := range []int{9, 30, 100} {
 		for _, gap := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond} {
-			for _, second := range []time.Duration{900 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
+			for _, second := range []time.Duration{600 * time.Millisecond, 900 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
 				t.Run(fmt.Sprintf("%d daemons, gap %v, second %v", daemons, gap, second), func(t *testing.T) {
 					for seed := range uint64(5) {
 						synctest.Test(t, func(t *testing.T) {
@@ -67,3 +68,57 @@
 	time.Sleep(time.Second) // for datagrams
 	return late, lost
 }
+
+// Guards against removals by a daemon that takes over behind a second outage, in which it made no call.
+func TestDaemonThatTakesOverBehindASecondOutageKeepsServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, state := &simulatedStore{}, NewState(func() {})
+		store.write("stays", 1)
+		reader := NewReader(ReaderOptions{
+			Store: simulatedCalls{store, 0}, State: state, ReadsStore: func() bool { return false }, ReaderCount: func() int { return 9 },
+			StateInterval: func() time.Duration { return usualStateInterval }, Logger: slog.New(slog.DiscardHandler),
+		})
+		known := []Record{{Key: "stays", Value: []byte("1")}, {Key: "lapses", Value: []byte("1")}}
+		reader.ApplyServerList(known, nil, false, time.Now(), time.Now())
+		time.Sleep(4 * time.Second)
+		reader.HearReturn(time.Now(), time.Now())
+		time.Sleep(300 * time.Millisecond)
+		reader.ApplyServerList(known, nil, false, time.Now(), time.Now())
+		time.Sleep(900 * time.Millisecond)
+		again := time.Now()
+		reader.HearReturn(again, again)
+		reader.ApplyServerList(known, nil, false, again, again)
+		time.Sleep(time.Second) // the grace period behind the first outage ends
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go reader.follow(ctx, Servers)
+		time.Sleep(time.Until(again.Add(recoveryGracePeriod - 10*time.Millisecond)))
+		assert.True(t, state.Knows("lapses"))
+		time.Sleep(time.Second)
+		assert.False(t, state.Knows("lapses"))
+	})
+}
+
+// Guards against a reader that waits for seconds behind a short outage while others read the store for it.
+func TestReaderOfZoneReadsAgainOnceAPeerHasAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &simulatedStore{}
+		store.write("stays", 1)
+		reader := NewReader(ReaderOptions{
+			Store: simulatedCalls{store, 0}, State: NewState(func() {}), ReadsStore: func() bool { return true }, ReaderCount: func() int { return 33 },
+			StateInterval: func() time.Duration { return usualStateInterval }, Logger: slog.New(slog.DiscardHandler),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go reader.follow(ctx, Servers)
+		time.Sleep(3 * time.Second)
+		store.setDown(true)
+		time.Sleep(1400 * time.Millisecond)
+		store.setDown(false)
+		time.Sleep(10 * time.Millisecond)
+		reader.Confirm(Servers, time.Now())
+		before := store.calls.Load()
+		time.Sleep(100 * time.Millisecond)
+		assert.Greater(t, store.calls.Load(), before)
+	})
+}
