--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,6 +93,9 @@
 	// MayTry reports whether this daemon is one of those that make the trials of a suspect, see quarantine.New. If it is
 	// nil, it is.
 	MayTry func(suspect uint64, triers int) bool
+	// Random returns a number in [0, 1), by which admission draws requests. It is called by one goroutine at a time. If it is nil,
+	// rand.Float64 is used.
+	Random func() float64
 }
 
 // New returns a scheduler without servers.
@@ -103,6 +106,9 @@
 	if options.Shares == nil {
 		options.Shares = options.Daemons
 	}
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
 	if options.ListAsOf == nil {
 		options.ListAsOf = func(now time.Time) time.Time { return now }
 	}
@@ -271,7 +277,7 @@
 		d.PauseEnd, _ = s.firstPauseEnd(r.Service, now)
 		return d
 	}
-	draw := rand.Float64()
+	draw := s.options.Random()
 	d := s.checkAdmission(r, account, cost, choice, draw, now)
 	if d.Verdict.Reason != admission.Admitted && choice.Server.Zone == s.options.Zone {
 		if elsewhere, found := s.chooseElsewhere(r, d.Verdict.Reason, now); found {
@@ -330,7 +336,7 @@
 		Levels:         s.shares.Levels(now),
 		Window:         s.options.FairWindow,
 		ReportAge:      s.shares.ReportAge(now),
-		Jitter:         rand.Float64(),
+		Jitter:         s.options.Random(),
 		Draw:           draw,
 	}
 	if r.Engine {
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -28,6 +28,8 @@
 	viewDelay    = 8 * time.Millisecond
 	// fairWindow is the window over which accounts receive their shares of capacity.
 	fairWindow = 4 * time.Second
+	// firstDaemonStream is the stream of random numbers of the first daemon, with the seed of the simulation.
+	firstDaemonStream = 16
 	// outputTokens is the number of tokens of each answer.
 	outputTokens = 200
 	// minRetryDelay is the shortest delay of a retry, used when a refusal gives no delay.
@@ -170,6 +172,7 @@
 		sched := scheduler.New(scheduler.Options{
 			Zone: s.zone(i), FairWindow: fairWindow, Daemons: func() int { return o.Daemons },
 			RetryBudget: retry.WindowOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+			Random:      rand.New(rand.NewPCG(o.Seed, firstDaemonStream+uint64(i))).Float64,
 		})
 		sched.SetServers(s.readyServers, s.config)
 		s.schedulers = append(s.schedulers, sched)
