--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -66,6 +66,7 @@
 	nextStart   time.Time       // of another attempt
 	unread      bool            // see hasUnread; until the next event
 	alternative string          // why no other attempt was made when it was last due
+	givenUp     string          // ID of the server that was given up for others, none of which has run the request; empty for none
 
 	watch atomic.Pointer[upstream.Watch] // of the current attempt; nil for none
 	wake  chan struct{}                  // with capacity 1, for the time without a current attempt
@@ -106,6 +107,9 @@
 	g.current = nil
 	a.superseded = errors.Is(err, errSuperseded)
 	g.end(a, progress, err)
+	if a.superseded && g.winner == nil {
+		g.givenUp = a.choice.Server.ID
+	}
 	return err
 }
 
@@ -126,6 +130,9 @@
 	} else {
 		g.sent++
 	}
+	if progress > notRun {
+		g.givenUp = ""
+	}
 	g.h.finish(g.ctx, g.call, a, progress, err)
 }
 
@@ -343,6 +350,21 @@
 
 // decide chooses the server of an attempt behind others that got as far as progress, or returns why there can't be one.
 func (g *hedger) decide(progress attemptProgress, now time.Time) (choice placement.Choice, obstacle string) {
+	choice, obstacle = g.decideOther(progress, now)
+	if obstacle == "" || g.givenUp == "" || g.current != nil || len(g.pending) > 0 || g.h.retryObstacle(g.call, progress, 0) != "" {
+		return choice, obstacle
+	}
+	// That one has received the request already, and so does not count among the servers that it may be sent to.
+	choice, ok, allowed := g.h.Scheduler.DecideReturn(g.h.schedulerRequest(g.call), g.givenUp, now)
+	if !ok || !allowed {
+		return choice, obstacle
+	}
+	g.givenUp = ""
+	return choice, ""
+}
+
+// decideOther is decide for a server that was not tried yet.
+func (g *hedger) decideOther(progress attemptProgress, now time.Time) (choice placement.Choice, obstacle string) {
 	if g.unsent >= maxUnsentAttempts {
 		return choice, "none: attempts without a connection are used up"
 	}
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -352,6 +352,28 @@
 	assert.Equal(t, events(1, lastEvent), body)
 }
 
+// Guards against returns without end, and against returns to a server that was given up for one that may have run the stream.
+func TestStreamReturnsOnceToServerThatWasGivenUp(t *testing.T) {
+	writes := streamAnswer(events(1, 3), events(4, lastEvent))
+	begun, refused := []any{writes[0], writes[1], 20 * time.Second}, []any{maxStreamOverlap + 150*time.Millisecond, notRunAnswer}
+	for name, c := range map[string]struct {
+		steps    [][]any
+		requests int
+	}{
+		"refused again": {[][]any{begun, refused, {notRunAnswer}}, 3},
+		"may have run":  {[][]any{begun, {maxStreamOverlap + 150*time.Millisecond, failedAnswer500}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &pausingServers{steps: c.steps}
+			_, body, complete, _ := s.ask(t, routing.Route{Kind: routing.Stream, Resumable: true, MaxTokenGap: 50 * time.Millisecond})
+			assert.False(t, complete)
+			assert.Equal(t, events(1, 3), body)
+			assert.Equal(t, c.requests, s.requests())
+		})
+	}
+}
+
 // Guards against the answer of a process that is not the chosen server, and is taken for that of the other attempt.
 func TestSilentServerIsNotGivenUpForAnswerThatNamesNoRequest(t *testing.T) {
 	foreign := "HTTP/1.1 404 Not Found\r\nContent-Length: 6\r\n\r\nabsent"
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,6 +11,11 @@
 	return b.chooseIf(r, func(s *server) bool { return !excluded[s.ID] }, prefillWeight, now)
 }
 
+// ChooseServer is like Choose for the server with the ID alone.
+func (b *Balancer) ChooseServer(r Request, id string, now time.Time) (Choice, bool) {
+	return b.chooseIf(r, func(s *server) bool { return s.ID == id }, prefillWeight, now)
+}
+
 // ChooseElsewhere is like Choose among the servers of other zones, without the cost of bytes between
 // zones.
 func (b *Balancer) ChooseElsewhere(r Request, now time.Time) (Choice, bool) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -369,11 +369,24 @@
 func (s *Scheduler) DecideRetry(r Request, tried map[string]bool, free bool, now time.Time) (choice placement.Choice, ok, allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.decideRetry(r, free, now, func() (placement.Choice, bool) { return s.balancer.Choose(r.Request, tried, now) })
+}
+
+// DecideReturn decides on a further attempt at the server with the ID. It reports whether the server takes the request, and whether the
+// retry budget allows the attempt.
+func (s *Scheduler) DecideReturn(r Request, id string, now time.Time) (choice placement.Choice, ok, allowed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decideRetry(r, false, now, func() (placement.Choice, bool) { return s.balancer.ChooseServer(r.Request, id, now) })
+}
+
+// decideRetry decides on a further attempt at the server that choose returns. The caller holds the lock.
+func (s *Scheduler) decideRetry(r Request, free bool, now time.Time, choose func() (placement.Choice, bool)) (choice placement.Choice, ok, allowed bool) {
 	s.balancer.SetListAsOf(s.options.ListAsOf(now))
 	if _, held := s.held(r); held {
 		return choice, false, false
 	}
-	choice, ok = s.balancer.Choose(r.Request, tried, now)
+	choice, ok = choose()
 	if !ok {
 		return choice, false, false
 	}
