--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -48,8 +48,7 @@
 			}
 			if state == socket.Readable {
 				arrived.Store(true)
-				_ = c.SetWriteDeadline(longAgo) // fails on closed connections only
-				return
+				_ = c.SetWriteDeadline(longAgo) // at each look, as a Watch may set another one meanwhile
 			}
 		}
 	})
