--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -54,15 +54,33 @@
 // Aborted reports whether a TCP connection that this side has not closed has ended in both directions: it was reset or timed out. Other than
 // errors of the socket, the kernel reports that as often as it is asked. It returns an error when the file descriptor is closed.
 func Aborted(raw syscall.RawConn) (bool, error) {
+	info, err := tcpInfo(raw)
+	if err != nil {
+		return false, err
+	}
+	return info.State == tcpStateClosed, nil
+}
+
+// Acknowledged reports whether the other side's kernel has acknowledged all bytes that were written to a TCP connection. It returns an error
+// when the connection has ended in both directions, or the file descriptor is closed.
+func Acknowledged(raw syscall.RawConn) (bool, error) {
+	info, err := tcpInfo(raw)
+	switch {
+	case err != nil:
+		return false, err
+	case info.State == tcpStateClosed:
+		return false, errors.Wrap(syscall.ECONNRESET, "connection has ended")
+	}
+	return info.Unacked == 0 && info.Notsent_bytes == 0, nil
+}
+
+func tcpInfo(raw syscall.RawConn) (*unix.TCPInfo, error) {
 	var info *unix.TCPInfo
 	var infoErr error
 	err := raw.Control(func(fd uintptr) {
 		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err = errors.CombineErrors(err, infoErr); err != nil {
-		return false, errors.Wrap(err, "get state of TCP connection")
-	}
-	return info.State == tcpStateClosed, nil
+	return info, errors.Wrap(errors.CombineErrors(err, infoErr), "get state of TCP connection")
 }
 
 // TakeError returns the pending error of the socket, which the kernel reports to no later call; nil for none. That of a reset is EPIPE if the
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,7 +48,8 @@
 	reader        *bufio.Reader     // of limited
 	openedAt      time.Time
 	sentBytes     atomic.Int64
-	upload        *upload // of the request in progress; nil if Send has written all of it
+	long          bool    // the body of the request in progress is
+	upload        *upload // of the request in progress; nil if all of it was written before its answer
 	received      countingReader
 	lastUsed      time.Time     // end of the last request
 	idleTimeout   time.Duration // from the server's Keep-Alive header; 0 if it sent none
@@ -163,7 +164,7 @@
 		buffers = append(buffers, body)
 	}
 	answered := func() bool { return false }
-	if len(body) > minInterruptedBytes {
+	if c.long = len(body) > minInterruptedBytes; c.long {
 		var stop func()
 		answered, stop = c.interruptOnArrival()
 		defer stop()
@@ -203,6 +204,7 @@
 		}
 		return nil, errors.Wrap(err, "read answer")
 	}
+	c.continueBuffered()
 	if response.Close || !response.ProtoAtLeast(1, 1) || announcesBodyWithoutHaving(response) {
 		c.reuseDisabled = true
 	}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -74,7 +74,9 @@
 			n, err := c.WriteBuffers(&buffers)
 			c.sentBytes.Add(n)
 			if !errors.Is(err, os.ErrDeadlineExceeded) { // which interrupts the read of the answer
-				u.err = err
+				if u.err = err; err == nil {
+					u.err = c.awaitAcknowledged()
+				}
 				return
 			}
 			if u.err = c.SetWriteDeadline(time.Time{}); u.err != nil {
@@ -84,7 +86,33 @@
 	}()
 }
 
-// Uploaded reports whether the request that was sent last was written to its end, if Send has returned no error.
+// awaitAcknowledged waits until all that was written is acknowledged, and limits the time of that for what follows.
+func (c *Conn) awaitAcknowledged() error {
+	for {
+		acknowledged, err := socket.Acknowledged(c.Raw())
+		if err != nil {
+			return err
+		}
+		if acknowledged {
+			return setUserTimeout(c.Conn, tcpUserTimeoutMillis)
+		}
+		time.Sleep(arrivalInterval)
+	}
+}
+
+// continueBuffered is continueUpload for a long request that buffers of the connection hold, and that its server has not read at its answer. The
+// kernel would end the connection during a long answer, or during the next request.
+func (c *Conn) continueBuffered() {
+	if !c.long || c.upload != nil {
+		return
+	}
+	if acknowledged, err := socket.Acknowledged(c.Raw()); err == nil && !acknowledged {
+		c.continueUpload(nil)
+	}
+}
+
+// Uploaded reports whether the request that was sent last was written to its end, if Send has returned no error. What was not written before its
+// answer must be acknowledged, too.
 func (c *Conn) Uploaded() bool {
 	if c.upload == nil {
 		return true
--- a/internal/upstream/upload_review_test.go
+++ b/internal/upstream/upload_review_test.go
@@ -46,3 +46,33 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// Guards against answers that the kernel cuts, and connections that are used again, because of a request that it holds and no server reads.
+func TestBufferedUploadIsNoneThatWasRead(t *testing.T) {
+	t.Parallel()
+	ended := make(chan struct{})
+	defer close(ended)
+	address := serveRaw(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+		time.Sleep(tcpUserTimeoutMillis*time.Millisecond + 2*time.Second)
+		_, _ = io.WriteString(conn, "early")
+		<-ended
+	})
+	pool, e := NewPool(), Endpoint{Address: address}
+	conn, err := pool.Get(context.Background(), e, 0)
+	require.NoError(t, err)
+	body := make([]byte, 1<<20)
+	_, err = conn.Send([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"), body)
+	require.NoError(t, err)
+	response, err := conn.Receive(http.MethodPost)
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "early", string(text))
+	assert.False(t, conn.Uploaded())
+	pool.Put(e, conn)
+	next, err := pool.Get(context.Background(), e, 0)
+	require.NoError(t, err)
+	defer next.Close()
+	assert.NotSame(t, conn, next)
+}
