--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -12,7 +12,9 @@
 const (
 	// maxChunkLineBytes limits the size line of a chunk, and a line of a trailer. net/http reads no longer size lines.
 	maxChunkLineBytes = 4 << 10
-	// maxSizeDigits is what a chunk's size has, with leading zeros. Sizes fit into an int64.
+	// maxPaddedDigits is what a chunk's size has, with leading zeros. net/http reads no more.
+	maxPaddedDigits = 16
+	// maxSizeDigits is what it has without them. Sizes fit into an int64.
 	maxSizeDigits = 15
 )
 
@@ -93,7 +95,7 @@
 	if extended {
 		digits = bytes.TrimRight(digits, " \t")
 	}
-	if len(digits) == 0 || len(digits) > maxSizeDigits || !isFieldText(extension) {
+	if len(digits) == 0 || len(digits) > maxPaddedDigits || len(bytes.TrimLeft(digits, "0")) > maxSizeDigits || !isFieldText(extension) {
 		return errors.Newf("line %.64q has no valid size of a chunk", line)
 	}
 	size := int64(0)
