--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,5 +1,5 @@
 // Package http1 keeps what the kernel and net/http would pass over in answers of HTTP/1.1 servers: errors of a connection that are
-// reported once, and heads that are not valid (RFC 9112).
+// reported once, and heads, chunks and trailers that are not valid (RFC 9112).
 package http1
 
 import (
