--- a/review/harness-2/case_reborn.go
+++ b/review/harness-2/case_reborn.go
@@ -27,6 +27,7 @@
 }
 
 func (c *client) stream(path, id, key string, deadline time.Duration) streamResult {
+	c.rec.logf("client sends POST %s %s to %s", path, id, c.entry)
 	q, err := http.NewRequest("POST", "http://"+c.entry+path, strings.NewReader("prompt"))
 	check(err)
 	q.Host = "host.example"
@@ -75,7 +76,7 @@
 	for i := range streamsOut {
 		clients.Go(func() {
 			id := newID()
-			result := newClient(f.daemons[i%len(f.daemons)].entry).stream("/query/x", id, "key-1", 12*time.Second)
+			result := newClient(rec, f.daemons[i%len(f.daemons)].entry).stream("/query/x", id, "key-1", 12*time.Second)
 			mu.Lock()
 			defer mu.Unlock()
 			rec.logf("%s: status %d, signature %q, %d of %d events, ended as complete: %v (%v)", id, result.status, result.runner, result.events, streamEvents, result.complete, result.err)
--- a/review/harness-2/case_stray.go
+++ b/review/harness-2/case_stray.go
@@ -43,7 +43,7 @@
 	var clients sync.WaitGroup
 	for i := range 6 {
 		clients.Go(func() {
-			c := newClient(f.daemons[i%len(f.daemons)].entry)
+			c := newClient(rec, f.daemons[i%len(f.daemons)].entry)
 			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 				id := newID()
 				a := c.send("POST", "/serial/x", id, "key-1", 1500*time.Millisecond)
--- a/review/harness-2/case_torn.go
+++ b/review/harness-2/case_torn.go
@@ -44,7 +44,7 @@
 	var clients sync.WaitGroup
 	for i := range 6 {
 		clients.Go(func() {
-			c := newClient(f.daemons[i%len(f.daemons)].entry)
+			c := newClient(rec, f.daemons[i%len(f.daemons)].entry)
 			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 				id := newID()
 				check(id, c.send(method, "/serial/x", id, "key-1", 1500*time.Millisecond), runners)
--- a/review/harness-2/daemon.go
+++ b/review/harness-2/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -22,16 +23,30 @@
 	bootstrap                            bool
 }
 
-// addresses returns n free loopback addresses.
+// firstPort and portCount are a range below that from which the kernel takes ports of its own choice.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// taken are the addresses that addresses has returned.
+var taken = make(map[string]bool)
+
+// addresses returns n free loopback addresses, other ones each time. Nothing else takes them before they are used, but another run of this
+// program.
 func addresses(n int) (out []string) {
-	var listeners []net.Listener
-	for range n {
-		l := listen()
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
+	for tries := 0; len(out) < n && tries < 1000; tries++ {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			if !taken[address] {
+				taken[address] = true
+				out = append(out, address)
+			}
+		}
 	}
-	for _, l := range listeners {
-		l.Close()
+	if len(out) < n {
+		check(fmt.Errorf("only %d of %d free ports were found", len(out), n))
 	}
 	return out
 }
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -78,26 +78,6 @@
 	err    error
 }
 
-// send sends a request on a new connection.
-func send(entry, method, path, id, key string, deadline time.Duration) answer {
-	q, err := http.NewRequest(method, "http://"+entry+path, nil)
-	check(err)
-	q.Host = "host.example"
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	if key != "" {
-		q.Header.Set("Api-Key", key)
-	}
-	client := &http.Client{Timeout: deadline + 500*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	r, err := client.Do(q)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer r.Body.Close()
-	body, err := io.ReadAll(r.Body)
-	return answer{r.StatusCode, r.Header, string(body), err}
-}
-
 func main() {
 	if len(os.Args) == 4 && os.Args[1] == runnerCommand {
 		runStreamRunner(os.Args[2], os.Args[3])
@@ -126,6 +106,11 @@
 	defer func() {
 		if p := recover(); p != nil {
 			rec.logf("the case could not run: %v", p)
+			fmt.Printf("the case could not run: %v\n", p)
+			for _, d := range f.daemons {
+				log, _ := os.ReadFile(filepath.Join(dir, d.id+".log"))
+				rec.logf("log of %s:\n%s", d.id, log[max(0, len(log)-2000):])
+			}
 			status = 2
 		}
 		f.end()
@@ -169,6 +154,7 @@
 	"torn-answer":  tornAnswer,
 	"reborn":       reborn,
 	"stray-entry":  strayEntry,
+	"last-tenant":  lastTenant,
 }
 
 // startDaemons starts a daemon in each of three zones, with the store's address, and waits until they are ready.
@@ -195,14 +181,17 @@
 // client keeps a connection for many requests.
 type client struct {
 	entry string
+	rec   *recorder
 	http  *http.Client
 }
 
-func newClient(entry string) *client {
-	return &client{entry, &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}}
+func newClient(rec *recorder, entry string) *client {
+	return &client{entry, rec, &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}}
 }
 
-func (c *client) send(method, path, id, key string, deadline time.Duration) answer {
+func (c *client) send(method, path, id, key string, deadline time.Duration) (a answer) {
+	c.rec.logf("client sends %s %s %s to %s", method, path, id, c.entry)
+	defer func() { c.rec.logf("client of %s gets %d %q (%v)", id, a.status, a.body, a.err) }()
 	q, err := http.NewRequest(method, "http://"+c.entry+path, nil)
 	check(err)
 	q.Host = "host.example"
