--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -154,7 +154,7 @@
 	"torn-answer":  tornAnswer,
 	"reborn":       reborn,
 	"stray-entry":  strayEntry,
-	"last-tenant":  lastTenant,
+	"silent-end":   silentEnd,
 }
 
 // startDaemons starts a daemon in each of three zones, with the store's address, and waits until they are ready.
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -29,14 +29,24 @@
 }
 
 func startRunner(rec *recorder, s *store, id, service, zone string, work time.Duration) *runner {
-	r := &runner{id: id, service: service, zone: zone, version: "v1", rec: rec, store: s, work: work, slots: 16, state: "ready", born: time.Now().UnixMilli()}
+	r := newRunner(rec, s, id, service, zone)
+	r.work = work
+	r.start()
+	return r
+}
+
+// newRunner returns a runner that start starts.
+func newRunner(rec *recorder, s *store, id, service, zone string) *runner {
+	return &runner{id: id, service: service, zone: zone, version: "v1", rec: rec, store: s, slots: 16, state: "ready", born: time.Now().UnixMilli()}
+}
+
+func (r *runner) start() {
 	l := listen()
 	r.addr = l.Addr().String()
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), IdleTimeout: 30 * time.Second}
 	go r.server.Serve(l)
 	r.beat()
 	go r.keepBeating()
-	return r
 }
 
 func (r *runner) keepBeating() {
