--- a/review/harness-2/case_reborn.go
+++ b/review/harness-2/case_reborn.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,7 +15,7 @@
 	cutFor     = 2 * time.Second
 	cutAt      = 1500 * time.Millisecond // after the streams have begun
 	rebornAt   = 500 * time.Millisecond  // after the cut
-	streamsOut = 6
+	streamsOut = 10
 )
 
 // streamResult is what a client got.
@@ -61,7 +62,7 @@
 	rec := f.rec
 	s := newStore()
 	var runners []*processRunner
-	for i, zone := range []string{"za", "zb", "zc"} {
+	for i, zone := range []string{"za", "zb", "zc", "za", "zb"} {
 		r := startProcessRunner(rec, s, fmt.Sprintf("i-%d", i+1), "drafting-llm", zone)
 		runners = append(runners, r)
 		f.runners = append(f.runners, r)
@@ -84,20 +85,22 @@
 		})
 	}
 	time.Sleep(cutAt)
+	// One runner of five: that with the most streams.
+	cut := slices.MaxFunc(runners, func(a, b *processRunner) int { return a.runCount() - b.runCount() })
 	if trouble {
-		for _, r := range runners[:1] {
+		for _, r := range []*processRunner{cut} {
 			rec.logf("runner %s is cut off from the daemons", r.id)
 			r.proxy.begin()
 		}
 		time.Sleep(rebornAt)
-		for _, r := range runners[:1] {
+		for _, r := range []*processRunner{cut} {
 			r.kill()
 			rec.logf("runner %s has crashed behind the cut", r.id)
 			r.start()
 			rec.logf("runner %s has started again", r.id)
 		}
 		time.Sleep(cutFor - rebornAt)
-		for _, r := range runners[:1] {
+		for _, r := range []*processRunner{cut} {
 			rec.logf("the cut of runner %s heals", r.id)
 			r.proxy.heal()
 		}
--- a/review/harness-2/case_silent_end.go
+++ b/review/harness-2/case_silent_end.go
@@ -41,7 +41,7 @@
 	return false
 }
 
-// silentEnd changes the configuration three times. Runners fall silent once in each stream that begins right behind a change, between its last
+// silentEnd changes the configuration twice. Runners fall silent once in each stream that begins right behind a change, between its last
 // event and its end, and then end it.
 func silentEnd(f *fleet) bool {
 	rec := f.rec
@@ -90,7 +90,7 @@
 	var mu sync.Mutex
 	var beside, cutBeside, otherwise, cutOtherwise int
 	var clients sync.WaitGroup
-	end := time.Now().Add(24 * time.Second)
+	end := time.Now().Add(18 * time.Second)
 	for i := range 12 {
 		clients.Go(func() {
 			c := newClient(rec, f.daemons[i%len(f.daemons)].entry)
@@ -117,7 +117,7 @@
 			}
 		})
 	}
-	for n := range 3 {
+	for n := range 2 {
 		time.Sleep(5 * time.Second)
 		acked := s.put("keyed.op", "config", config(9+2*n, 14500-500*n))
 		changes.add(acked)
--- a/review/harness-2/case_torn.go
+++ b/review/harness-2/case_torn.go
@@ -9,7 +9,13 @@
 )
 
 const (
-	garbledShare = 0.03 // of the answers of a faulty runner, the largest dose of the site file
+	// garbledShare of the answers of the faulty runner, garbledFor and one runner of three are within the doses of the site file.
+	garbledShare  = 0.03
+	garbledFor    = 5 * time.Second
+	garbledPause  = 2 * time.Second // before each of the garbledTimes
+	garbledTimes  = 3
+	tornClients   = 12
+	tornRequestMs = 20 // pause of a client between two requests
 	// shed is the answer of a runner that sheds a request, as the users' wire page shows it.
 	shed = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\r\n"
 )
@@ -20,6 +26,7 @@
 	rec := f.rec
 	s := newStore()
 	var runners []*rawRunner
+	begun := &startTime{}
 	for i, zone := range []string{"za", "zb", "zc"} {
 		r := startRawRunner(rec, s, fmt.Sprintf("i-%d", i+1), "cert-registry", zone, 15*time.Millisecond)
 		r.fails = fails
@@ -28,10 +35,18 @@
 	if trouble {
 		faulty := runners[0]
 		var mu sync.Mutex
-		answers, garbled := 0, 0
+		answers, garbled, window := 0, 0, -1
 		faulty.extra = func(string) string {
 			mu.Lock()
 			defer mu.Unlock()
+			since := time.Since(begun.get())
+			now := int(since / (garbledPause + garbledFor))
+			if now >= garbledTimes || since%(garbledPause+garbledFor) < garbledPause {
+				return ""
+			}
+			if now != window { // the share holds for each time
+				answers, garbled, window = 0, 0, now
+			}
 			if answers++; float64(garbled+1) > garbledShare*float64(answers) {
 				return ""
 			}
@@ -41,11 +56,12 @@
 	}
 	s.put("keyed.op", "config", configRecord(7, []map[string]any{route("serial", "/serial/", kind, "cert-registry", attempts, 800)}, []string{"cert-registry"}, "key-1"))
 	f.startDaemons(s)
+	begun.set()
 	var clients sync.WaitGroup
-	for i := range 6 {
+	for i := range tornClients {
 		clients.Go(func() {
 			c := newClient(rec, f.daemons[i%len(f.daemons)].entry)
-			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for end := time.Now().Add(garbledTimes * (garbledPause + garbledFor)); time.Now().Before(end); time.Sleep(tornRequestMs * time.Millisecond) {
 				id := newID()
 				check(id, c.send(method, "/serial/x", id, "key-1", 1500*time.Millisecond), runners)
 			}
@@ -116,3 +132,24 @@
 	rec.logf("%d requests, %d broke the rule", sent, broken)
 	return broken > 0
 }
+
+// startTime is the time at which the clients begin; far ahead before.
+type startTime struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (s *startTime) set() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at = time.Now()
+}
+
+func (s *startTime) get() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at.IsZero() {
+		return time.Now()
+	}
+	return s.at
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -10,7 +10,9 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -103,6 +105,14 @@
 	}
 	rec := newRecorder(filepath.Join(folder, "record.txt"))
 	f := &fleet{rec: rec, dir: dir}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() { // nothing that was started stays behind
+		<-stopped
+		f.end()
+		os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	defer func() {
 		if p := recover(); p != nil {
 			rec.logf("the case could not run: %v", p)
--- a/review/harness-2/streamrunner.go
+++ b/review/harness-2/streamrunner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"time"
 )
@@ -87,6 +88,13 @@
 	born     int64
 	sequence int
 	up       bool
+	runs     int
+}
+
+func (r *processRunner) runCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs
 }
 
 func startProcessRunner(rec *recorder, s *store, id, service, zone string) *processRunner {
@@ -114,6 +122,11 @@
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			r.rec.logf("runner %s: %s", r.id, lines.Text())
+			if strings.HasPrefix(lines.Text(), "run ") {
+				r.mu.Lock()
+				r.runs++
+				r.mu.Unlock()
+			}
 		}
 	}()
 	for {
