--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -74,6 +74,8 @@
 	uploaded        bool          // the whole request was written
 	end             http1.End     // of the connection, as far as it was read
 	endCall         http1.Call    // the call that met it
+	process         int64         // incarnation of the server's process as listed when the server was chosen
+	endProcess      int64         // as listed behind the end of an answer that ends with its connection; 0 for none
 	endBasis        string        // why an answer that ends with its connection was taken for complete; empty if it was not
 	closedBy        string        // which side closed the connection before the answer was complete, and why; empty for neither
 	alternative     string        // why no attempt followed, or "chosen"; empty if none was looked for
@@ -91,6 +93,9 @@
 	if a.framing != "" {
 		end.WriteString(" framing=" + a.framing)
 	}
+	if a.framing == http1.FramedByConnection {
+		end.WriteString(" process=" + strconv.FormatInt(a.process, 10) + " listed_process=" + strconv.FormatInt(a.endProcess, 10))
+	}
 	if a.endBasis != "" {
 		end.WriteString(" end_basis=" + strconv.Quote(a.endBasis))
 	}
@@ -267,6 +272,7 @@
 		},
 		record: attemptRecord{
 			server:          choice.Server.ID,
+			process:         choice.Server.Incarnation,
 			zone:            choice.Server.Zone,
 			version:         choice.Server.Version,
 			startedAfter:    now.Sub(c.arrivedAt),
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -207,6 +207,10 @@
 		ended <- h.checkAlive(ctx, c, a.endpoint)
 	}()
 	err := g.awaitEnd(ended)
+	if h.ServerKnowledge != nil {
+		knowledge, _ := h.ServerKnowledge(a.endpoint.ID, time.Now())
+		a.record.endProcess = knowledge.Process
+	}
 	if err == nil {
 		a.record.endBasis = endBasis(c)
 	}
@@ -216,7 +220,7 @@
 // endBasis returns what checkAlive concludes from.
 func endBasis(c *call) string {
 	if c.hasHealthCheck() {
-		return "health check"
+		return "health check on a new connection"
 	}
 	return "new connection"
 }
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -265,6 +265,7 @@
 // Knowledge describes what a daemon knows of a backend server, and since when.
 type Knowledge struct {
 	Listed   bool          // false if the list does not contain it
+	Process  int64         // incarnation of the listed process; 0 if none is known
 	Source   string        // ID of the peer that its entry came from; empty for the store
 	EntryAge time.Duration // since a daemon first received the entry
 	Missing  time.Duration // since a list lacked the server; 0 if none did
@@ -277,7 +278,7 @@
 	defer s.mu.Unlock()
 	var k Knowledge
 	if known, ok := s.servers[id]; ok {
-		k = Knowledge{Listed: true, Source: known.source, EntryAge: now.Sub(known.recordedAt)}
+		k = Knowledge{Listed: true, Process: known.Server.Incarnation, Source: known.source, EntryAge: now.Sub(known.recordedAt)}
 		if !known.missingSince.IsZero() {
 			k.Missing = now.Sub(known.missingSince)
 		}
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -336,7 +336,7 @@
 	state := NewState(func() {})
 	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
 	state.setServer(routing.Server{ID: "s", Incarnation: 2, Sequence: 7}, nil, "peer", at(0))
-	assert.Equal(t, Knowledge{Listed: true, Source: "peer", EntryAge: 3 * time.Second}, state.Knowledge("s", at(3)))
+	assert.Equal(t, Knowledge{Listed: true, Process: 2, Source: "peer", EntryAge: 3 * time.Second}, state.Knowledge("s", at(3)))
 
 	missing, removed := state.RemoveMissing(nil, nil, time.Minute, at(4), at(4))
 	assert.Equal(t, []string{"s"}, missing)
