--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/http1"
+	"github.com/filbertrill/filbertrill/internal/liveness"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -77,8 +78,10 @@
 	process         int64         // incarnation of the server's process as listed when the server was chosen
 	endProcess      int64         // as listed behind the end of an answer that ends with its connection; 0 for none
 	endBasis        string        // why an answer that ends with its connection was taken for complete; empty if it was not
-	closedBy        string        // which side closed the connection before the answer was complete, and why; empty for neither
-	alternative     string        // why no attempt followed, or "chosen"; empty if none was looked for
+	endEvidence     liveness.Evidence
+	endCheckedAt    time.Time // when the check of endEvidence began, behind the end
+	closedBy        string    // which side closed the connection before the answer was complete, and why; empty for neither
+	alternative     string    // why no attempt followed, or "chosen"; empty if none was looked for
 }
 
 // LogValue implements slog.LogValuer.
@@ -97,7 +100,8 @@
 		end.WriteString(" process=" + strconv.FormatInt(a.process, 10) + " listed_process=" + strconv.FormatInt(a.endProcess, 10))
 	}
 	if a.endBasis != "" {
-		end.WriteString(" end_basis=" + strconv.Quote(a.endBasis))
+		end.WriteString(" end_basis=" + strconv.Quote(a.endBasis) +
+			" process_since=" + a.endCheckedAt.Sub(a.endEvidence.Since).String() + " process_asked=" + a.endEvidence.Asked.Sub(a.endCheckedAt).String())
 	}
 	if a.closedBy != "" {
 		end.WriteString(" closed=" + strconv.Quote(a.closedBy))
@@ -227,6 +231,7 @@
 	resumes   bool          // see call
 	begins    bool          // see call
 
+	proof            *liveness.Proof // for an answer that ends with its connection; nil for none
 	endpoint         upstream.Endpoint
 	conn             *upstream.Conn // nil before there is one
 	stopContextWatch func() bool
@@ -314,6 +319,7 @@
 	if err != nil {
 		return notSent, err
 	}
+	h.beginProof(ctx, c, a)
 	a.record.reusedConn = conn.Reused()
 	if callerDisconnected(c.request.Context()) {
 		h.Pool.Put(a.endpoint, conn) // unused, so that another request can use it
@@ -344,6 +350,7 @@
 	if a.conn != nil {
 		h.releaseConn(ctx, c, a, err)
 	}
+	a.proof.End()
 	if a.read != nil {
 		h.answerMemory.releaseBuffer(a.read)
 	}
@@ -377,7 +384,10 @@
 	closedHere := !a.stopContextWatch()
 	a.record.serverBroke = !closedHere && !a.superseded && !a.canceled && isConnectionBroken(err)
 	a.record.closedBy = a.closedBy(ctx, c, err)
-	if a.record.serverBroke {
+	switch {
+	case errors.IsAny(err, liveness.ErrEnded, liveness.ErrUnknown):
+		h.Pool.RecordInterrupted(a.conn)
+	case a.record.serverBroke:
 		h.Pool.RecordBroken(a.conn)
 	}
 	if closedHere || err != nil {
@@ -434,6 +444,7 @@
 		a.conn.DisableReuse()
 	}
 	a.record.status, a.record.framing = response.StatusCode, http1.Framing(response)
+	a.keepProof()
 	if err := checkUsable(c.request, response, answer); err != nil {
 		a.conn.DisableReuse()
 		return maybeRun, err
@@ -466,6 +477,9 @@
 		a.conn.DisableReuse()
 		return maybeRun, errors.New("answer is not signed by the server")
 	}
+	if unframed := endsWithConnection(response); unframed || response.StatusCode/100 == 2 {
+		h.framings.Record(framingKind(c, a), unframed)
+	}
 	a.response, a.unnamed = response, answer.ID == ""
 	return maybeRun, nil
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/chain"
 	"github.com/filbertrill/filbertrill/internal/eventstream"
+	"github.com/filbertrill/filbertrill/internal/liveness"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -56,6 +57,8 @@
 	refuseRequests   atomic.Bool // see RefuseRequests
 	bodyMemory       bodyMemory
 	answerMemory     answerMemory
+	liveness         *liveness.Checker
+	framings         liveness.Framings
 	exit             context.Context // see EndRequests
 	endRequests      context.CancelFunc
 	activeRequests   atomic.Int64
@@ -64,7 +67,7 @@
 
 // NewHandler returns a handler for the dependencies.
 func NewHandler(o Options) *Handler {
-	h := &Handler{Options: o, started: time.Now()}
+	h := &Handler{Options: o, started: time.Now(), liveness: liveness.NewChecker()}
 	h.bodyMemory.limit = cmp.Or(o.BodyMemory, defaultBodyMemory)
 	h.answerMemory.limit = o.AnswerMemory
 	h.exit, h.endRequests = context.WithCancel(context.Background())
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/filbertrill/filbertrill/internal/eventstream"
+	"github.com/filbertrill/filbertrill/internal/liveness"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -332,7 +333,7 @@
 			}
 		}()
 		if mustLive {
-			if e.err = g.h.checkAlive(ctx, g.call, e.endpoint); e.err != nil {
+			if e.err = g.h.awaitSignOfLife(ctx, g.call, e.endpoint); e.err != nil {
 				return
 			}
 		}
@@ -414,11 +415,11 @@
 		err = errors.Newf("server did not resume the stream, status %d", response.StatusCode)
 	}
 	if err == nil && endsWithConnection(response) {
-		err = h.checkAlive(ctx, c, e.endpoint)
-		e.endConfirmed = true
-		if err == nil {
-			e.record.endBasis = endBasis(c)
+		checkedAt, evidence := time.Now(), liveness.Evidence{}
+		if evidence, err = e.confirmProcess(ctx); err == nil {
+			e.recordEnd(c, evidence, checkedAt)
 		}
+		h.recordListedProcess(e.attempt)
 	}
 	return errors.Wrap(err, "read answer")
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,10 +10,7 @@
 
 	"github.com/filbertrill/filbertrill/internal/eventstream"
 	"github.com/filbertrill/filbertrill/internal/http1"
-	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/result"
-	"github.com/filbertrill/filbertrill/internal/routing"
-	"github.com/filbertrill/filbertrill/internal/upstream"
 )
 
 // hopByHopHeaders are the header fields that apply to a single connection and are not forwarded.
@@ -188,82 +184,6 @@
 	return http1.Framing(response) == http1.FramedByConnection
 }
 
-// confirmEnd returns an error if the answer ends with its connection and the server has ended. When a process is killed, its
-// connections end like those of a complete answer. A server that is silent has not ended: confirmEnd waits for it until the deadline, or
-// until another attempt is answered.
-func (h *Handler) confirmEnd(c *call, a *attempt, g *hedger) error {
-	if !endsWithConnection(a.response) || a.endConfirmed {
-		return nil
-	}
-	ctx, cancel := context.WithCancel(g.ctx)
-	defer cancel()
-	ended := make(chan error, 1)
-	go func() {
-		defer func() {
-			if p := recovery.NewPanic(recover()); p != nil {
-				ended <- p
-			}
-		}()
-		ended <- h.checkAlive(ctx, c, a.endpoint)
-	}()
-	err := g.awaitEnd(ended)
-	if h.ServerKnowledge != nil {
-		knowledge, _ := h.ServerKnowledge(a.endpoint.ID, time.Now())
-		a.record.endProcess = knowledge.Process
-	}
-	if err == nil {
-		a.record.endBasis = endBasis(c)
-	}
-	return errors.Mark(errors.Wrap(err, "server has ended with its answer"), io.ErrUnexpectedEOF)
-}
-
-// endBasis returns what checkAlive concludes from.
-func endBasis(c *call) string {
-	if c.hasHealthCheck() {
-		return "health check on a new connection"
-	}
-	return "new connection"
-}
-
-// hasHealthCheck reports whether the servers of the call's service can be asked for their health.
-func (c *call) hasHealthCheck() bool { return c.service != nil && c.service.HealthPath != "" }
-
-// checkAlive returns an error if the server of the endpoint has ended: it doesn't answer a health check or, for services without
-// one, doesn't accept another connection. It waits for a silent server until the context ends.
-func (h *Handler) checkAlive(ctx context.Context, c *call, e upstream.Endpoint) error {
-	for {
-		var err error
-		if c.hasHealthCheck() {
-			err = h.probe(ctx, c, e)
-		} else {
-			err = h.Pool.Check(ctx, e)
-		}
-		var timeout interface{ Timeout() bool }
-		if err == nil || ctx.Err() != nil || !errors.As(err, &timeout) || !timeout.Timeout() {
-			return err
-		}
-	}
-}
-
-// probe returns an error unless the server of the endpoint answers a health check before the context ends. Any status proves that it lives, except that
-// of another server at its address.
-func (h *Handler) probe(ctx context.Context, c *call, e upstream.Endpoint) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+c.service.HealthPath, nil)
-	if err != nil {
-		return errors.Wrap(err, "build health check")
-	}
-	head := h.Protocol.EncodeRequestHeader(ServerRequest{
-		Request: request, Envelope: &Envelope{}, Server: routing.Server{ID: e.ID}, TimeToDeadline: time.Until(c.deadline),
-	})
-	return h.Pool.Probe(ctx, e, request.Method, head, func(r *http.Response) error {
-		answer := h.Protocol.DecodeAnswer(r.Header)
-		if r.StatusCode == http.StatusMisdirectedRequest || answer.Ambiguous || answer.Server != "" && answer.Server != e.ID {
-			return errors.Newf("another server answers at %s", e.Address)
-		}
-		return nil
-	})
-}
-
 // forwardEvents writes events to the caller, after the header of the answer if they are the first ones.
 func (h *Handler) forwardEvents(c *call, response *http.Response, events []byte, flusher *http.ResponseController) error {
 	if len(events) == 0 {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -97,6 +97,9 @@
 	if err != nil {
 		return
 	}
+	if answerPing(conn, request) {
+		return
+	}
 	after := request.Header.Get("Last-Event-Id")
 	s.mu.Lock()
 	var writes []string
@@ -117,6 +120,15 @@
 	}
 }
 
+// answerPing answers a request that asks whether the server runs, and returns false for others.
+func answerPing(conn net.Conn, request *http.Request) bool {
+	if request.Method != http.MethodOptions {
+		return false
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") // the daemon may have disconnected
+	return true
+}
+
 // streamOutcome is what a caller gets.
 type streamOutcome struct {
 	status   int
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"log"
 	"net"
@@ -15,20 +14,36 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertrill/filbertrill/internal/routing"
+	"github.com/filbertrill/filbertrill/test/rawserver"
 )
 
 // unframedHead is the head of an answer that ends with its connection.
 const unframedHead = "HTTP/1.1 200 OK\r\nId: id\r\n\r\n"
 
-// readUnframed sends a request to servers of which the first one writes the body without a length and closes the connection. If
-// ends is set its process has ended then: nothing listens at its address any more. The other server sends the rest.
-func readUnframed(t *testing.T, kind routing.Kind, body, rest string, ends bool) (status int, got string, complete bool, requests int) {
+// serverEnd is what happens to the process of a server when it has sent a part of an answer.
+type serverEnd string
+
+const (
+	runsOn       serverEnd = "runs on"
+	killed       serverEnd = "is killed"
+	startedAgain serverEnd = "is killed and started again at its address"
+)
+
+// readUnframed sends a request to servers of which the first one writes the body without a length and closes the connection. The other server
+// sends the rest.
+func readUnframed(t *testing.T, kind routing.Kind, body, rest string, end serverEnd) (status int, got string, complete bool, requests int) {
 	t.Helper()
 	var mu sync.Mutex
+	conns := map[string][]net.Conn{} // by address of the server
 	gateway := startGateway(t, routing.Route{Kind: kind, Resumable: kind == routing.Stream}, func(listener net.Listener, conn net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			_ = conn.Close()
-			return // a connection to see whether the server is there
+		defer conn.Close()
+		address := listener.Addr().String()
+		mu.Lock()
+		conns[address] = append(conns[address], conn)
+		mu.Unlock()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil || answerPing(conn, request) {
+			return
 		}
 		mu.Lock()
 		requests++
@@ -38,14 +53,30 @@
 			for _, text := range streamAnswer(rest) {
 				_, _ = io.WriteString(conn, text)
 			}
-			_ = conn.Close()
 			return
 		}
 		_, _ = io.WriteString(conn, unframedHead+body)
-		if ends {
-			_ = listener.Close()
+		if end == runsOn {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		_ = listener.Close()
+		for _, other := range conns[address] {
+			if other != conn {
+				_ = other.Close()
+			}
+		}
+		if end == startedAgain {
+			next := rawserver.StartProcess(t, address, func(conn *net.TCPConn, request *http.Request) bool {
+				if answerPing(conn, request) {
+					return false
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+				return true
+			})
+			assert.Equal(t, address, next.Address)
 		}
-		_ = conn.Close()
 	})
 	request, err := http.NewRequest(http.MethodGet, gateway.URL, nil)
 	require.NoError(t, err)
@@ -59,27 +90,28 @@
 	return response.StatusCode, string(data), err == nil, requests
 }
 
-// Guards against answers without a length that are taken for complete, although the process of their server was killed.
+// Guards against answers without a length that are taken for complete, although the process of their server was killed, and another one may
+// answer at its address.
 func TestAnswerWithoutLengthOfKilledServerIsNotComplete(t *testing.T) {
-	for _, ends := range []bool{false, true} {
-		t.Run(fmt.Sprintf("server ends %t", ends), func(t *testing.T) {
-			_, body, complete, requests := readUnframed(t, routing.Stream, events(1, 3), events(4, lastEvent), ends)
+	for _, end := range []serverEnd{runsOn, killed, startedAgain} {
+		t.Run("server "+string(end), func(t *testing.T) {
+			_, body, complete, requests := readUnframed(t, routing.Stream, events(1, 3), events(4, lastEvent), end)
 			assert.True(t, complete)
-			if ends {
-				assert.Equal(t, events(1, lastEvent), body, "continued by the other server")
-				assert.Equal(t, 2, requests)
-			} else {
+			if end == runsOn {
 				assert.Equal(t, events(1, 3), body)
 				assert.Equal(t, 1, requests)
+			} else {
+				assert.Equal(t, events(1, lastEvent), body, "continued by the other server")
+				assert.Equal(t, 2, requests)
 			}
-			status, body, complete, requests := readUnframed(t, routing.Unrepeatable, "part of the body", "", ends)
+			status, body, complete, requests := readUnframed(t, routing.Unrepeatable, "part of the body", "", end)
 			assert.Equal(t, 1, requests)
-			if ends {
-				assert.Equal(t, http.StatusBadGateway, status, body)
-			} else {
+			if end == runsOn {
 				assert.Equal(t, http.StatusOK, status)
 				assert.Equal(t, "part of the body", body)
 				assert.True(t, complete)
+			} else {
+				assert.Equal(t, http.StatusBadGateway, status, body)
 			}
 		})
 	}
--- /dev/null
+++ b/internal/liveness/liveness_test.go
@@ -0,0 +1,222 @@
+package liveness
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/internal/upstream"
+	"github.com/filbertrill/filbertrill/test/rawserver"
+)
+
+const (
+	wholeAnswer  = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	closedAnswer = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// answering returns a function that gives each request the answer.
+func answering(answer string) func(*net.TCPConn, *http.Request) bool {
+	return func(conn *net.TCPConn, _ *http.Request) bool {
+		_, err := io.WriteString(conn, answer)
+		return err == nil && answer != closedAnswer
+	}
+}
+
+func begin(t *testing.T, c *Checker, address string) *Proof {
+	t.Helper()
+	p := c.Begin(t.Context(), upstream.Endpoint{Address: address}, func() Question { return Ping(address) })
+	t.Cleanup(p.End)
+	return p
+}
+
+func confirm(t *testing.T, p *Proof) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, err := p.Confirm(ctx)
+	return err
+}
+
+// Guards against a process that answers at the address of one that was killed, and passes for it.
+func TestNextProcessAtTheAddressConfirmsNothing(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		first := rawserver.StartProcess(t, "", answering(wholeAnswer))
+		checker := NewChecker()
+		p := begin(t, checker, first.Address)
+		if kept {
+			p.Keep()
+			time.Sleep(2 * refreshInterval)
+		}
+		first.Kill()
+		next := rawserver.StartProcess(t, first.Address, answering(wholeAnswer))
+		if kept {
+			time.Sleep(2 * refreshInterval) // refreshes have reached the next process
+		}
+		require.ErrorIs(t, confirm(t, p), ErrEnded, "kept %t", kept)
+
+		later := begin(t, checker, next.Address)
+		require.NoError(t, confirm(t, later), "requests to the next process")
+		require.Error(t, confirm(t, p), "the answer of the first process, behind one of the next")
+	}
+}
+
+// Guards against answers of a sound server that are cut because it is silent, or asked for many answers at once.
+func TestProcessThatRunsOnConfirms(t *testing.T) {
+	silent := make(chan struct{})
+	server := rawserver.StartProcess(t, "", func(conn *net.TCPConn, _ *http.Request) bool {
+		<-silent
+		_, err := io.WriteString(conn, wholeAnswer)
+		return err == nil
+	})
+	time.AfterFunc(time.Second, func() { close(silent) })
+	checker := NewChecker()
+	var ends sync.WaitGroup
+	for range 20 {
+		p := begin(t, checker, server.Address)
+		ends.Go(func() {
+			p.Keep()
+			assert.NoError(t, confirm(t, p))
+		})
+	}
+	ends.Wait()
+	assert.LessOrEqual(t, server.Connections(), keptConns)
+}
+
+// Guards against answers that can't be confirmed because their server closes connections: idle ones, or each one behind an answer.
+func TestConnectionsThatAreClosedAreReplacedInTime(t *testing.T) {
+	for name, serve := range map[string]func(conn *net.TCPConn, r *http.Request) bool{
+		"behind each answer": answering(closedAnswer),
+		"idle for 1.5 s": func(conn *net.TCPConn, r *http.Request) bool {
+			ok := answering(wholeAnswer)(conn, r)
+			return ok && conn.SetReadDeadline(time.Now().Add(1500*time.Millisecond)) == nil
+		},
+		"idle for 2 s, named": func(conn *net.TCPConn, r *http.Request) bool {
+			ok := answering("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n")(conn, r)
+			return ok && conn.SetReadDeadline(time.Now().Add(2*time.Second)) == nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := rawserver.StartProcess(t, "", serve)
+			checker := NewChecker()
+			var ends sync.WaitGroup
+			for i := range 8 {
+				p := begin(t, checker, server.Address)
+				ends.Go(func() {
+					p.Keep()
+					time.Sleep(time.Duration(i) * 800 * time.Millisecond)
+					assert.NoError(t, confirm(t, p), "%d", i)
+					p.End()
+				})
+			}
+			ends.Wait()
+		})
+	}
+}
+
+// Guards against connections that stay open, or in memory, when nothing needs them.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	server := rawserver.StartProcess(t, "", answering(wholeAnswer))
+	checker := NewChecker()
+	p := begin(t, checker, server.Address)
+	p.Keep()
+	require.NoError(t, confirm(t, p))
+	p.End()
+	require.NoError(t, confirm(t, begin(t, checker, server.Address)), "a connection that is kept is used again")
+	assert.LessOrEqual(t, server.Connections(), keptConns)
+	checker.mu.Lock()
+	for _, s := range checker.servers { // the second proof
+		s.mu.Lock()
+		s.proofs--
+		s.mu.Unlock()
+		go checker.closeIdle(s)
+	}
+	checker.mu.Unlock()
+	require.Eventually(t, func() bool {
+		checker.mu.Lock()
+		defer checker.mu.Unlock()
+		return server.Connections() == 0 && len(checker.servers) == 0
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a server that is silent for good and holds what waits for it.
+func TestConfirmEndsWithItsContext(t *testing.T) {
+	server := rawserver.StartProcess(t, "", func(*net.TCPConn, *http.Request) bool { select {} })
+	p := begin(t, NewChecker(), server.Address)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := p.Confirm(ctx)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	other := p.checker.Begin(t.Context(), upstream.Endpoint{Address: server.Address}, p.ask)
+	p.End()
+	other.End()
+	require.Eventually(t, func() bool { return server.Connections() <= 1 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against answers of servers at their connection limit: one connection beside that of the request is enough, and without one nothing is
+// confirmed. A reset doesn't tell which process runs.
+func TestServerAtItsConnectionLimit(t *testing.T) {
+	for _, test := range []struct {
+		accepts int
+		want    error
+	}{{1, nil}, {0, ErrEnded}} {
+		var mu sync.Mutex
+		accepted := 0
+		server := rawserver.StartProcess(t, "", answering(wholeAnswer))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				accepted++
+				refused := accepted > test.accepts
+				mu.Unlock()
+				if refused {
+					_ = conn.(*net.TCPConn).SetLinger(0) // fails on closed connections only
+					_ = conn.Close()
+					continue
+				}
+				to, err := net.Dial("tcp", server.Address)
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(to, conn) }()
+				go func() { _, _ = io.Copy(conn, to) }()
+			}
+		}()
+		checker := NewChecker()
+		first, second := begin(t, checker, listener.Addr().String()), begin(t, checker, listener.Addr().String())
+		first.Keep()
+		second.Keep()
+		require.ErrorIs(t, confirm(t, first), test.want)
+		require.ErrorIs(t, confirm(t, second), test.want)
+	}
+}
+
+// Guards against proofs for servers whose answers show their end, which would cost each of them a connection.
+func TestFramingsAreKnownByTheFirstAnswer(t *testing.T) {
+	var f Framings
+	assert.True(t, f.MayEndWithConnection("a"), "unknown")
+	f.Record("a", false)
+	assert.False(t, f.MayEndWithConnection("a"))
+	assert.True(t, f.MayEndWithConnection("b"))
+	f.Record("a", true)
+	f.Record("a", false)
+	assert.True(t, f.MayEndWithConnection("a"), "one answer was enough")
+	for i := range 2 * maxFramings {
+		f.Record(string(rune(i)), true)
+	}
+	assert.LessOrEqual(t, len(f.kinds), maxFramings)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"math"
 	"net"
@@ -74,6 +75,24 @@
 	return c, nil
 }
 
+// Dial opens a connection that belongs to no pool. Other than those of a pool it is not closed because sent bytes stay unacknowledged for
+// seconds. Its errors are those of the network.
+func Dial(ctx context.Context, address string) (*Conn, error) {
+	netConn, err := newDialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	c, err := newConn(netConn)
+	if err == nil {
+		err = setUserTimeout(c.Conn, 0)
+	}
+	if err != nil {
+		_ = netConn.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT, 0 for none. It returns an error if the connection was closed.
 func setUserTimeout(conn *http1.Conn, millis int) error {
 	err := conn.Raw().Control(func(fd uintptr) {
@@ -143,6 +162,15 @@
 	return err == nil && state == socket.Idle
 }
 
+// Ended reports whether the server has closed or reset the connection, and all that it has sent was read.
+func (c *Conn) Ended() bool {
+	state, err := c.Peek()
+	return err != nil || state == socket.Closed
+}
+
+// Reusable reports whether another request can be sent behind an answer that was read to its end.
+func (c *Conn) Reusable() bool { return !c.reuseDisabled && c.reader.Buffered() == 0 }
+
 // closedUntil waits until the server closes the unused connection, and returns false if it has not at the given time.
 func (c *Conn) closedUntil(end time.Time) bool {
 	if err := c.SetReadDeadline(end); err != nil {
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -28,6 +28,13 @@
 // RecordBroken records that the server has closed or reset the connection while a request was in progress.
 func (p *Pool) RecordBroken(c *Conn) { p.broken(c, time.Since(c.lastAlive()) < maxSilence) }
 
+// RecordInterrupted records that the process that has held the connection may have ended.
+func (p *Pool) RecordInterrupted(c *Conn) {
+	if p.continuity != nil {
+		p.continuity.Interrupted(c.endpoint, time.Now())
+	}
+}
+
 // recordDialFailure records that the endpoint refused a connection, or that nothing answers there.
 func (p *Pool) recordDialFailure(e Endpoint, err error) {
 	var timeout interface{ Timeout() bool }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -55,7 +55,7 @@
 // Pool keeps open connections to backend servers, by endpoint. Its methods are safe for
 // concurrent use.
 type Pool struct {
-	dialer     net.Dialer
+	dialer     *net.Dialer
 	continuity Continuity // may be nil
 	mu         sync.Mutex
 	endpoints  map[Endpoint]*endpointConns
@@ -79,11 +79,13 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second},
+		dialer:    newDialer(),
 		endpoints: make(map[Endpoint]*endpointConns),
 	}
 }
 
+func newDialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second} }
+
 // Get returns the most recently used idle connection to the endpoint or dials a new one.
 // It returns ErrTooManyConnections if limit connections are open already; a limit of 0
 // means no limit.
@@ -127,32 +129,6 @@
 // closes the newest connections first, and a listener, which accepts connections until then, last: up to 27 ms later.
 const processEndTime = 50 * time.Millisecond
 
-// Check returns an error if the process at the endpoint has ended or ends, as far as connections to it show that. An answer
-// without a length that ends with its connection is complete only if its server has not ended. Check takes processEndTime, or
-// until the context ends. It keeps a connection for the next request.
-func (p *Pool) Check(ctx context.Context, e Endpoint) error {
-	end := time.Now().Add(processEndTime)
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(end) {
-		end = deadline
-	}
-	c, err := p.dialBeyondLimit(ctx, e)
-	if err == nil && c.closedUntil(end) {
-		p.closeConn(e, c)
-		err = syscall.ECONNRESET
-	}
-	if errors.Is(err, syscall.ECONNRESET) {
-		// The listener was closed and refuses the next connection, or the server resets connections beyond its limit.
-		if c, err = p.dialBeyondLimit(ctx, e); errors.Is(err, syscall.ECONNRESET) {
-			return nil
-		}
-	}
-	if err != nil {
-		return err
-	}
-	p.Put(e, c)
-	return nil
-}
-
 const (
 	// maxProbeBytes and probeBodyTimeout limit what Probe reads of a body, so that its connection can be kept.
 	maxProbeBytes    = 4 << 10
@@ -294,11 +270,15 @@
 
 // idleExpired reports whether the server may close the idle connection at any moment.
 func (c *Conn) idleExpired(now time.Time) bool {
-	timeout := defaultIdleTimeout
-	if c.idleTimeout > 0 {
-		timeout = max(c.idleTimeout-idleTimeoutMargin, c.idleTimeout/2)
+	return now.Sub(c.lastUsed) > c.IdleTime(defaultIdleTimeout)
+}
+
+// IdleTime returns the time for which the connection can be idle: less than the server's time-out, or unnamed if it names none.
+func (c *Conn) IdleTime(unnamed time.Duration) time.Duration {
+	if c.idleTimeout <= 0 {
+		return unnamed
 	}
-	return now.Sub(c.lastUsed) > timeout
+	return max(c.idleTimeout-idleTimeoutMargin, c.idleTimeout/2)
 }
 
 // connsOf returns the connections of the endpoint, and adds the endpoint if it is new. The
