--- a/internal/filter/attempt/plain.go
+++ b/internal/filter/attempt/plain.go
@@ -76,7 +76,7 @@
 	})
 	endBasis := ""
 	if err == nil && answer.EndConfirmed {
-		endBasis = "new connection"
+		endBasis = "ping on a connection from before the request"
 	}
 	logAttempt(h.opts.Logger, r.ID, lease.Server.ID, &exchange, endBasis, err)
 	if err != nil {
