--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -20,7 +21,8 @@
 
 // HeadChecker checks the head of an answer as it arrives. What net/http would drop, merge or pass on makes the head invalid: a status that is
 // no HTTP status, names that are no tokens, folded lines, control bytes, and fields that contradict each other about the length of the
-// body (RFC 9110, section 5; RFC 9112, sections 4 to 6). The zero value is at the start of a head. It keeps an incomplete line only.
+// body (RFC 9110, section 5; RFC 9112, sections 4 to 6). A line that holds a status line makes it invalid, too: a head that has broken off was
+// joined with the next one. The zero value is at the start of a head. It keeps an incomplete line only.
 type HeadChecker struct {
 	partial []byte // line without its end
 	lines   int
@@ -87,7 +89,7 @@
 	if err != nil || !isDigit(text[0]) || status < minStatus || status > maxStatus {
 		return errors.Newf("status %q is no HTTP status", text)
 	}
-	if len(reason) > 0 && (reason[0] != ' ' || !isFieldText(reason)) {
+	if len(reason) > 0 && (reason[0] != ' ' || !isFieldText(reason) || holdsStatusLine(reason)) {
 		return errors.Newf("status line %.64q is not that of an HTTP/1 answer", line)
 	}
 	if status == switchingProtocols {
@@ -138,11 +140,22 @@
 	if value = bytes.Trim(value, " \t"); !isFieldText(value) {
 		return nil, nil, errors.Newf("value of field %.64q has control characters", name)
 	}
+	if holdsStatusLine(value) {
+		return nil, nil, errors.Newf("field %.64q holds the status line of another answer", name)
+	}
 	return name, value, nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// statusLine is the begin of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}( |$)`)
+
+// holdsStatusLine reports whether the text of a line holds another answer's status line.
+func holdsStatusLine(text []byte) bool {
+	return bytes.Contains(text, []byte("HTTP/1.")) && statusLine.Match(text)
+}
+
 // isLength reports whether the text has digits only, for a number of 63 bits.
 func isLength(text []byte) bool {
 	for _, b := range text {
--- a/internal/http1/head_fuzz_test.go
+++ b/internal/http1/head_fuzz_test.go
@@ -24,6 +24,8 @@
 	statusLineSyntax = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9][0-9])(?: [\t \x21-\x7E\x{80}-\x{FF}]*)?$`)
 	// RFC 9112, section 5, and RFC 9110, sections 5.1, 5.5 and 5.6.2. No folded lines: RFC 9112, section 5.2.
 	fieldLineSyntax = regexp.MustCompile("^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*((?:[\\x21-\\x7E\\x{80}-\\x{FF}](?:[ \t\\x21-\\x7E\\x{80}-\\x{FF}]*[\\x21-\\x7E\\x{80}-\\x{FF}])?)?)[ \t]*$")
+	// The begin of another answer: RFC 9112, section 4.
+	joinedSyntax = regexp.MustCompile(`HTTP/1\.[0-9] [0-9][0-9][0-9](?: |$)`)
 	// RFC 9110, section 8.6.
 	lengthSyntax = regexp.MustCompile(`^[0-9]+$`)
 )
@@ -68,7 +70,7 @@
 		switch {
 		case number == 0:
 			match := statusLineSyntax.FindStringSubmatch(line)
-			if match == nil {
+			if match == nil || joinedSyntax.MatchString(line[len("HTTP/"):]) {
 				return head, false, false
 			}
 			head.minor, _ = strconv.Atoi(match[1])
@@ -81,7 +83,7 @@
 			return head, true, head.frame()
 		default:
 			match := fieldLineSyntax.FindStringSubmatch(line)
-			if match == nil {
+			if match == nil || joinedSyntax.MatchString(match[2]) {
 				return head, false, false
 			}
 			name := textproto.CanonicalMIMEHeaderKey(match[1])
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -77,3 +77,26 @@
 		assert.False(t, complete, "%q", head[:n])
 	}
 }
+
+// Guards against an answer that has broken off and is joined with the next one on its connection, so that its status or its fields count for that.
+func TestHeadThatHasBrokenOffIsNotJoinedWithTheNextOne(t *testing.T) {
+	const own = "X-Attempt-Id: b\r\nX-Runner-Signature: s\r\nContent-Length: 4\r\n\r\nbody"
+	for _, broken := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: a\r\nRetry-After: 1\r\nX-Not-Executed: 1\r\n\r\n",
+		"HTTP/1.1 204\r\nX-Attempt-Id:a \r\n\r\n",
+		"HTTP/1.0 200 OK\nServer-Limit: 3\n\n",
+	} {
+		for _, status := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 500 Internal Server Error\r\n", "HTTP/1.1 204\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"} {
+			for sent := 1; sent < len(broken)-1; sent++ { // the last byte of an end of a line may be missing: a bare LF ends one, too
+				for _, partBytes := range []int{1, 7, len(broken)} {
+					_, complete, err := check(broken[:sent]+status+own, partBytes)
+					assert.True(t, errors.Is(err, ErrInvalidHead) && !complete, "%q, %q: %v", broken[:sent], status, err)
+				}
+			}
+		}
+	}
+	for _, sound := range []string{"Via: HTTP/1.1 proxy", "Via: HTTP/1.1 200.example", "Server: x HTTP/1.1", "Upgrade: HTTP/1.1, HTTP/2.0", "X: HTTP/1.1 2000 x"} {
+		_, complete, err := check("HTTP/1.1 200 HTTP/1.1 spoken\r\n"+sound+"\r\n\r\n", 7)
+		assert.True(t, complete && err == nil, "%q: %v", sound, err)
+	}
+}
