--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -109,7 +109,7 @@
 	timer.Stop()
 	unframed := http1.Framing(resp) == http1.FramedByConnection
 	if unframed || resp.StatusCode/100 == 2 {
-		p.framings.Record(address, unframed)
+		p.framings.Record(address, address, unframed)
 	}
 	if unframed {
 		end.proof.Keep()
@@ -145,7 +145,7 @@
 // withConn returns a context for a request. The proof begins when the request has its connection.
 func (e *endProof) withConn(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		if e.p.framings.MayEndWithConnection(e.address) {
+		if e.p.framings.MayEndWithConnection(e.address, e.address) {
 			e.proof = e.p.liveness.Begin(ctx, upstream.Endpoint{Address: e.address}, func() liveness.Question { return liveness.Ping(e.address) })
 		}
 	}})
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -477,10 +477,10 @@
 		a.conn.DisableReuse()
 		return maybeRun, errors.New("answer is not signed by the server")
 	}
-	if unframed := endsWithConnection(response); unframed || response.StatusCode/100 == 2 {
-		h.framings.Record(framingKind(c, a), unframed)
-	}
 	a.response, a.unnamed = response, answer.ID == ""
+	if response.StatusCode/100 == 2 || endsWithConnection(response) {
+		h.recordFraming(c, a)
+	}
 	return maybeRun, nil
 }
 
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -17,14 +17,16 @@
 // minHealthCheckTime is the least time that a server is given for a health check: others than the request may wait for it.
 const minHealthCheckTime = time.Second
 
-// framingKind returns a key for answers that are taken to be framed alike.
-func framingKind(c *call, a *attempt) string {
-	return c.route.Name + "\x00" + c.service.Name + "\x00" + a.choice.Server.Version
+// recordFraming records how the answer of the attempt ends. Other versions of the server may differ.
+func (h *Handler) recordFraming(c *call, a *attempt) {
+	h.framings.Record(c.service.Name, framingKey(a), endsWithConnection(a.response))
 }
 
+func framingKey(a *attempt) string { return a.endpoint.ID + "\x00" + a.choice.Server.Version }
+
 // beginProof begins to show which process answers the attempt, if its answer may end with its connection. The attempt's connection is open.
 func (h *Handler) beginProof(ctx context.Context, c *call, a *attempt) {
-	if h.framings.MayEndWithConnection(framingKind(c, a)) {
+	if h.framings.MayEndWithConnection(c.service.Name, framingKey(a)) {
 		a.proof = h.liveness.Begin(ctx, a.endpoint, func() liveness.Question { return h.question(c, a.endpoint) })
 	}
 }
@@ -123,13 +125,10 @@
 	}
 }
 
-// probe returns an error unless the server of the endpoint answers a health check before the context ends.
+// probe returns an error unless the server of the endpoint answers a question before the context ends.
 func (h *Handler) probe(ctx context.Context, c *call, e upstream.Endpoint) error {
-	head, err := h.encodeHealthCheck(c, e)
-	if err != nil {
-		return err
-	}
-	return h.Pool.Probe(ctx, e, http.MethodGet, head, func(r *http.Response) error { return h.acceptHealth(e, r) })
+	q := h.question(c, e)
+	return h.Pool.Probe(ctx, e, q.Method, q.Head, q.Accept)
 }
 
 // encodeHealthCheck returns the head of a health check at the server.
--- a/internal/liveness/framing.go
+++ b/internal/liveness/framing.go
@@ -2,30 +2,34 @@
 
 import "sync"
 
-// maxFramings bounds the kinds that Framings knows. Beyond it all count as unknown again.
-const maxFramings = 4096
+// maxFramings bounds the servers that Framings knows. Beyond it all count as unknown again.
+const maxFramings = 16384
 
-// Framings knows which kinds of answers have neither a length nor chunks, so that proofs are begun for those only. The zero value knows none.
-// Its methods are safe for concurrent use.
+// Framings knows which servers send answers with neither a length nor chunks, so that proofs are begun for those only. The zero value knows
+// none. Its methods are safe for concurrent use.
 type Framings struct {
-	mu    sync.Mutex
-	kinds map[string]bool // whether an answer of the kind has ended with its connection
+	mu       sync.Mutex
+	services map[string]bool // that have sent an answer which ends with its connection
+	servers  map[string]bool // that have sent an answer
 }
 
-// MayEndWithConnection reports whether an answer of the kind may end with its connection: one has, or none is known.
-func (f *Framings) MayEndWithConnection(kind string) bool {
+// MayEndWithConnection reports whether an answer of the server may end with its connection: one of its service has, or none of the server is
+// known.
+func (f *Framings) MayEndWithConnection(service, server string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ends, known := f.kinds[kind]
-	return ends || !known
+	return f.services[service] || !f.servers[server]
 }
 
-// Record records an answer of the kind.
-func (f *Framings) Record(kind string, endsWithConnection bool) {
+// Record records an answer of the server.
+func (f *Framings) Record(service, server string, endsWithConnection bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.kinds == nil || len(f.kinds) >= maxFramings {
-		f.kinds = make(map[string]bool)
+	if f.servers == nil || len(f.servers) >= maxFramings || len(f.services) >= maxFramings {
+		f.services, f.servers = make(map[string]bool), make(map[string]bool)
+	}
+	f.servers[server] = true
+	if endsWithConnection {
+		f.services[service] = true
 	}
-	f.kinds[kind] = f.kinds[kind] || endsWithConnection
 }
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -208,15 +209,17 @@
 // Guards against proofs for servers whose answers show their end, which would cost each of them a connection.
 func TestFramingsAreKnownByTheFirstAnswer(t *testing.T) {
 	var f Framings
-	assert.True(t, f.MayEndWithConnection("a"), "unknown")
-	f.Record("a", false)
-	assert.False(t, f.MayEndWithConnection("a"))
-	assert.True(t, f.MayEndWithConnection("b"))
-	f.Record("a", true)
-	f.Record("a", false)
-	assert.True(t, f.MayEndWithConnection("a"), "one answer was enough")
+	assert.True(t, f.MayEndWithConnection("a", "a1"), "unknown")
+	f.Record("a", "a1", false)
+	assert.False(t, f.MayEndWithConnection("a", "a1"))
+	assert.True(t, f.MayEndWithConnection("a", "a2"), "unknown")
+	f.Record("a", "a2", true)
+	f.Record("a", "a2", false)
+	assert.True(t, f.MayEndWithConnection("a", "a2"), "one answer was enough")
+	assert.True(t, f.MayEndWithConnection("a", "a1"), "of the same service")
 	for i := range 2 * maxFramings {
-		f.Record(string(rune(i)), true)
+		f.Record(fmt.Sprint(i), fmt.Sprint(i), true)
 	}
-	assert.LessOrEqual(t, len(f.kinds), maxFramings)
+	assert.LessOrEqual(t, len(f.servers), maxFramings)
+	assert.LessOrEqual(t, len(f.services), maxFramings)
 }
