--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -65,6 +65,8 @@
 	winner      *attempt        // one of them that was answered
 	ending      bool            // the current attempt is complete but for the check that its server has not ended
 	nextStart   time.Time       // of another attempt
+	silentSince time.Time       // of the server of the current attempt, which has begun a stream; zero for none
+	question    *question       // in this silence; nil for none
 	unread      bool            // see hasUnread; until the next event
 	alternative string          // why no other attempt was made when it was last due
 	givenUp     string          // ID of the server that was given up for others, none of which has run the request; empty for none
@@ -186,6 +188,8 @@
 	if w := g.watch.Swap(nil); w != nil {
 		w.Stop()
 	}
+	g.endQuestion()
+	g.silentSince = time.Time{}
 }
 
 func (g *hedger) firstEventTimeout() time.Duration {
@@ -208,7 +212,7 @@
 	}
 	g.cancelPending()
 	g.unread = false
-	g.nextStart = time.Now().Add(g.tokenGapTimeout())
+	g.streamSilentSince(time.Now())
 	w.WakeAt(g.nextStart)
 }
 
@@ -220,12 +224,13 @@
 		return time.Time{}, errSuperseded
 	}
 	now := time.Now()
+	g.noticeAnswer(now)
 	g.cancelUnsent(now)
 	if !now.Before(g.nextStart) && g.hasUnread() {
 		g.unread = true
 		g.nextStart = now.Add(readGracePeriod)
 	}
-	if !now.Before(g.nextStart) {
+	if !now.Before(g.nextStart) && !g.waitsForServer(now) {
 		g.nextStart = now.Add(hedgeRetryInterval)
 		if g.mayOverlap() {
 			if g.alternative = g.start(now); g.alternative == "" {
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -25,6 +25,7 @@
 	received []http.Header // of the requests
 	at       []time.Time   // when they were received
 	closed   []time.Time   // when the daemon closed the connection of the request before the last step; zero if it did not
+	alive    bool          // they answer whether they run while they are silent
 }
 
 func (s *pausingServers) serve(_ net.Listener, conn net.Conn) {
@@ -33,6 +34,13 @@
 	if err != nil {
 		return
 	}
+	if request.Method == http.MethodOptions {
+		if s.alive {
+			answerPing(conn, request)
+		}
+		_, _ = conn.Read(make([]byte, 1)) // until the daemon disconnects
+		return
+	}
 	s.mu.Lock()
 	n := len(s.received)
 	s.received, s.closed, s.at = append(s.received, request.Header), append(s.closed, time.Time{}), append(s.at, time.Now())
--- a/internal/forward/silent_end_test.go
+++ b/internal/forward/silent_end_test.go
@@ -23,7 +23,7 @@
 func TestStreamIsNotCutWhenItsServersAreSilentBeforeItsEnd(t *testing.T) {
 	all := streamAnswer(events(1, lastEvent))
 	empty := streamAnswer()
-	s := &pausingServers{steps: [][]any{
+	s := &pausingServers{alive: true, steps: [][]any{
 		{all[0], all[1], 1200 * time.Millisecond, all[2]},
 		{800 * time.Millisecond, empty[0], empty[1]},
 	}}
@@ -32,6 +32,16 @@
 	assert.True(t, complete)
 }
 
+// Guards against streams that are lost because their server answers questions, but never goes on.
+func TestStalledStreamOfRunningServerGoesOnBeforeItsCallerLeaves(t *testing.T) {
+	begun := streamAnswer(events(1, 3))
+	s := &pausingServers{alive: true, steps: [][]any{{begun[0], begun[1], 20 * time.Second}, asSteps(streamAnswer(events(4, lastEvent)))}}
+	_, body, complete, took := s.ask(t, routing.Route{Kind: routing.Stream, Resumable: true, MaxTokenGap: 50 * time.Millisecond})
+	assert.True(t, complete)
+	assert.Equal(t, events(1, lastEvent), body)
+	assert.Less(t, took, minCallerPatience)
+}
+
 // Guards against streams that are cut when all servers are silent behind their events, of a service with a health check.
 func TestStreamIsNotGivenUpForServerThatIsSilentToo(t *testing.T) {
 	for _, last := range []int{3, lastEvent} {
