--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -246,7 +246,6 @@
 	// read is what was read of the body before the attempt was chosen, in a buffer of answerMemory; nil for nothing.
 	read         []byte
 	endConfirmed bool // see confirmEnd
-	unnamed      bool // the answer names no request
 
 	superseded bool // given up for another attempt
 	canceled   bool // not needed any more
@@ -463,11 +462,12 @@
 	case response.StatusCode/100 == 2:
 		h.Scheduler.RecordNoLimit(a.scheduled, time.Now())
 	}
+	refused := answer.NotRun || response.StatusCode == http.StatusMisdirectedRequest
 	switch {
-	case answer.ID == "" && a.conn.Reused():
+	case answer.ID == "" && (!refused || a.conn.Reused()):
 		a.conn.DisableReuse()
-		return maybeRun, errors.Newf("answer with status %d names no request and may belong to an earlier one", response.StatusCode)
-	case answer.NotRun, response.StatusCode == http.StatusMisdirectedRequest:
+		return maybeRun, errors.Newf("answer with status %d names no request: it may belong to an earlier one, or come from no server", response.StatusCode)
+	case refused:
 		discardBody(a.conn, response)
 		return notRun, errors.Newf("server reports that it did not run the request, status %d", response.StatusCode)
 	case response.Header.Get("Content-Encoding") != "":
@@ -477,7 +477,7 @@
 		a.conn.DisableReuse()
 		return maybeRun, errors.New("answer is not signed by the server")
 	}
-	a.response, a.unnamed = response, answer.ID == ""
+	a.response = response
 	if response.StatusCode/100 == 2 || endsWithConnection(response) {
 		h.recordFraming(c, a)
 	}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -397,7 +397,7 @@
 }
 
 // awaitAnswer waits until the answer of an open attempt can replace that of another one: a stream has an event that the caller lacks, any
-// other answer is complete and names the request. An error is returned for answers with a server error, and for those that can't go on with a stream.
+// other answer is complete. An error is returned for answers with a server error, and for those that can't go on with a stream.
 func (h *Handler) awaitAnswer(ctx context.Context, c *call, e *hedge) error {
 	response := e.response
 	if response.StatusCode/100 == 2 && c.route.Kind == routing.Stream {
@@ -413,9 +413,6 @@
 		return errors.Newf("server failed with status %d", response.StatusCode)
 	}
 	e.read = body
-	if err == nil && e.unnamed { // another process may have taken over the address
-		err = errors.Newf("answer with status %d names no request", response.StatusCode)
-	}
 	if err == nil && e.events.Delivered() > 0 {
 		err = errors.Newf("server did not resume the stream, status %d", response.StatusCode)
 	}
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -124,3 +124,31 @@
 	status, _ := statusOf(t, gateway.URL)
 	assert.Equal(t, http.StatusOK, status)
 }
+
+// Guards against answers of a program that is no server, which names no request, and that are passed on as those of the server.
+func TestAnswerThatNamesNoRequestIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"404 Not Found", "400 Bad Request", "301 Moved Permanently", "500 Internal Server Error", "503 Service Unavailable"} {
+		t.Run(status, func(t *testing.T) {
+			foreign := "HTTP/1.1 " + status + "\r\nContent-Length: 6\r\n\r\nabsent"
+			s := &strayServer{stray: func(int) string { return "" }, answer: func(int) string { return foreign }}
+			gateway := startGateway(t, routing.Route{Kind: routing.Unrepeatable}, s.serve)
+			got, _ := statusOf(t, gateway.URL)
+			assert.Equal(t, http.StatusBadGateway, got)
+			assert.Equal(t, 1, s.requests, "may have run")
+
+			s = &strayServer{stray: func(int) string { return "" }}
+			s.answer = func(int) string {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.requests == 1 {
+					return foreign
+				}
+				return soundAnswer
+			}
+			gateway = startGateway(t, routing.Route{Kind: routing.Idempotent}, s.serve)
+			got, _ = statusOf(t, gateway.URL)
+			assert.Equal(t, http.StatusOK, got)
+			assert.Equal(t, 2, s.requests)
+		})
+	}
+}
