--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -66,7 +66,7 @@
 	ending      bool            // the current attempt is complete but for the check that its server has not ended
 	nextStart   time.Time       // of another attempt
 	silentSince time.Time       // of the server of the current attempt, which has begun a stream; zero for none
-	question    *question       // in this silence; nil for none
+	check       *silenceCheck   // in this silence; nil for none
 	unread      bool            // see hasUnread; until the next event
 	alternative string          // why no other attempt was made when it was last due
 	givenUp     string          // ID of the server that was given up for others, none of which has run the request; empty for none
@@ -188,7 +188,7 @@
 	if w := g.watch.Swap(nil); w != nil {
 		w.Stop()
 	}
-	g.endQuestion()
+	g.endCheck()
 	g.silentSince = time.Time{}
 }
 
@@ -224,7 +224,7 @@
 		return time.Time{}, errSuperseded
 	}
 	now := time.Now()
-	g.noticeAnswer(now)
+	g.noticeCheck(now)
 	g.cancelUnsent(now)
 	if !now.Before(g.nextStart) && g.hasUnread() {
 		g.unread = true
--- a/internal/forward/patience.go
+++ b/internal/forward/patience.go
@@ -16,8 +16,8 @@
 	minCallerPatience        = 2 * time.Second
 	callerPatienceObjectives = 4
 	callerPatienceGaps       = 8
-	// questionTimeFraction is the part of the time until another attempt is due in which a silent server can show that it runs.
-	questionTimeFraction = 3
+	// checkTimeFraction is the part of the time until another attempt is due in which a silent server can show that it runs.
+	checkTimeFraction = 3
 )
 
 // callerPatience returns the time without an event after which callers abandon a stream of the route.
@@ -25,48 +25,48 @@
 	return max(minCallerPatience, callerPatienceObjectives*r.Objective, callerPatienceGaps*r.MaxTokenGap)
 }
 
-// question is a request that asks the silent server of a stream whether it runs.
-type question struct {
+// silenceCheck asks the silent server of a stream whether it runs.
+type silenceCheck struct {
 	cancel context.CancelFunc
 	done   chan struct{}
 	err    error // nil if the server has answered; set before done is closed
-	seen   bool  // by noticeAnswer
+	seen   bool  // by noticeCheck
 }
 
-// ask asks the server of the current attempt. It gives the server the time.
-func (g *hedger) ask(timeout time.Duration) *question {
+// startCheck asks the server of the current attempt, which has the given time to answer.
+func (g *hedger) startCheck(timeout time.Duration) *silenceCheck {
 	ctx, cancel := context.WithTimeout(g.ctx, timeout)
-	q, c, e := &question{cancel: cancel, done: make(chan struct{})}, g.call, g.current.endpoint
+	check, c, e := &silenceCheck{cancel: cancel, done: make(chan struct{})}, g.call, g.current.endpoint
 	go func() {
 		defer g.notify()
-		defer close(q.done)
+		defer close(check.done)
 		defer cancel()
 		defer func() {
 			if p := recovery.NewPanic(recover()); p != nil {
-				q.err = p
+				check.err = p
 			}
 		}()
-		q.err = g.h.probe(ctx, c, e)
+		check.err = g.h.probe(ctx, c, e)
 	}()
-	return q
+	return check
 }
 
-// questionTime returns how long the server of a stream has to answer the question before another attempt is due.
-func (g *hedger) questionTime() time.Duration {
-	return min(hedgeRetryInterval, g.tokenGapTimeout()/questionTimeFraction)
+// checkTime returns how long the server of a stream has to answer the check before another attempt is due.
+func (g *hedger) checkTime() time.Duration {
+	return min(hedgeRetryInterval, g.tokenGapTimeout()/checkTimeFraction)
 }
 
 // streamSilentSince states that the server of the current attempt, which has begun a stream, is silent from now on.
 func (g *hedger) streamSilentSince(now time.Time) {
-	g.endQuestion()
+	g.endCheck()
 	g.silentSince = now
-	g.nextStart = now.Add(g.tokenGapTimeout() - g.questionTime())
+	g.nextStart = now.Add(g.tokenGapTimeout() - g.checkTime())
 }
 
-func (g *hedger) endQuestion() {
-	if g.question != nil {
-		g.question.cancel()
-		g.question = nil
+func (g *hedger) endCheck() {
+	if g.check != nil {
+		g.check.cancel()
+		g.check = nil
 	}
 }
 
@@ -77,12 +77,12 @@
 	if g.current == nil || g.ending || !g.overlapLimited() || len(g.pending) > 0 || g.silentSince.IsZero() {
 		return false
 	}
-	if g.question == nil {
-		g.question = g.ask(g.questionTime())
-		g.nextStart = now.Add(g.questionTime())
+	if g.check == nil {
+		g.check = g.startCheck(g.checkTime())
+		g.nextStart = now.Add(g.checkTime())
 		return true
 	}
-	if !g.question.seen || g.question.err != nil {
+	if !g.check.seen || g.check.err != nil {
 		return false
 	}
 	end := g.silentSince.Add(callerPatience(g.call.route))
@@ -97,17 +97,17 @@
 	return true
 }
 
-// noticeAnswer makes the next decision due at once if the silent server has answered, or can't.
-func (g *hedger) noticeAnswer(now time.Time) {
-	q := g.question
-	if q == nil || q.seen {
+// noticeCheck makes the next decision due at once if the silent server has answered, or can't.
+func (g *hedger) noticeCheck(now time.Time) {
+	check := g.check
+	if check == nil || check.seen {
 		return
 	}
 	select {
-	case <-q.done:
-		q.seen = true
+	case <-check.done:
+		check.seen = true
 		var p *recovery.Panic
-		if errors.As(q.err, &p) {
+		if errors.As(check.err, &p) {
 			g.h.recordPanic(g.call, p)
 		}
 		g.nextStart = now
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -113,8 +113,8 @@
 // hasHealthCheck reports whether the servers of the call's service can be asked for their health.
 func (c *call) hasHealthCheck() bool { return c.service != nil && c.service.HealthPath != "" }
 
-// awaitSignOfLife returns once the server of the endpoint has answered a health check, by whichever process, and an error if it refuses connections. It waits for a
-// silent server until the context ends.
+// awaitSignOfLife returns once the server of the endpoint has answered a question, whichever of its processes does, and an error if it
+// refuses connections. It waits for a silent server until the context ends.
 func (h *Handler) awaitSignOfLife(ctx context.Context, c *call, e upstream.Endpoint) error {
 	for {
 		err := h.probe(ctx, c, e)
