--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -21,7 +21,7 @@
 
 const (
 	// maxConnDelay is the longest time for which Begin waits for a connection.
-	maxConnDelay = 100 * time.Millisecond
+	maxConnDelay = 300 * time.Millisecond
 	// refreshInterval is the time between two questions while an answer without a length is in progress, which keep connections from
 	// being closed as idle, and replace those that are closed.
 	refreshInterval = time.Second
@@ -83,7 +83,7 @@
 }
 
 // Begin returns a proof for a request to the endpoint, whose connection is open. The request must be sent behind Begin, which waits for a
-// connection of its own for 100 ms at most. ask returns the question for the server; it may be called until End and for a short time behind it.
+// connection of its own for 300 ms at most. ask returns the question for the server; it may be called until End and for a short time behind it.
 func (c *Checker) Begin(ctx context.Context, e upstream.Endpoint, ask func() Question) *Proof {
 	p := &Proof{checker: c, server: c.acquire(e), ask: ask}
 	ctx, cancel := context.WithTimeout(ctx, maxConnDelay)
