--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -46,7 +46,8 @@
 // hedger makes the attempts of a call. While a server is silent it makes further attempts beside the one that waits (hedged requests:
 // Dean and Barroso, The Tail at Scale), as far as the route, the attempts left, the retry budget and the servers allow. The attempt that
 // waits is given up only when another one is answered: a server may be silent for a while and go on. Only for streams behind their begin, which two
-// servers must not work on for long, another one that was sent and not refused for maxStreamOverlap is enough.
+// servers must not work on for long, another one that was sent and not refused for maxStreamOverlap is enough. So the silent server of such a stream is
+// asked before whether it runs (see waitsForServer).
 //
 // Its methods are called by the goroutine of the call, that of notify by any.
 type hedger struct {
