--- a/internal/forward/patience.go
+++ b/internal/forward/patience.go
@@ -16,7 +16,7 @@
 	minCallerPatience        = 2 * time.Second
 	callerPatienceObjectives = 4
 	callerPatienceGaps       = 8
-	// checkTimeFraction is the part of the time until another attempt is due in which a silent server can show that it runs.
+	// checkTimeFraction is the part of the time after which a server counts as silent that it has to show that it runs.
 	checkTimeFraction = 3
 )
 
@@ -51,7 +51,7 @@
 	return check
 }
 
-// checkTime returns how long the server of a stream has to answer the check before another attempt is due.
+// checkTime returns how long the silent server of a stream has to answer the check.
 func (g *hedger) checkTime() time.Duration {
 	return min(hedgeRetryInterval, g.tokenGapTimeout()/checkTimeFraction)
 }
@@ -60,7 +60,7 @@
 func (g *hedger) streamSilentSince(now time.Time) {
 	g.endCheck()
 	g.silentSince = now
-	g.nextStart = now.Add(g.tokenGapTimeout() - g.checkTime())
+	g.nextStart = now.Add(g.tokenGapTimeout())
 }
 
 func (g *hedger) endCheck() {
