--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -80,10 +80,10 @@
 
 // Guards against an answer that has broken off and is joined with the next one on its connection, so that its status or its fields count for that.
 func TestHeadThatHasBrokenOffIsNotJoinedWithTheNextOne(t *testing.T) {
-	const own = "X-Attempt-Id: b\r\nX-Runner-Signature: s\r\nContent-Length: 4\r\n\r\nbody"
+	const own = "Id: b\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody"
 	for _, broken := range []string{
-		"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: a\r\nRetry-After: 1\r\nX-Not-Executed: 1\r\n\r\n",
-		"HTTP/1.1 204\r\nX-Attempt-Id:a \r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nId: a\r\nRetry-After: 1\r\nNot-Run: 1\r\n\r\n",
+		"HTTP/1.1 204\r\nId:a \r\n\r\n",
 		"HTTP/1.0 200 OK\nServer-Limit: 3\n\n",
 	} {
 		for _, status := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 500 Internal Server Error\r\n", "HTTP/1.1 204\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"} {
