Liveness: the reason of an unconfirmed end is that of its own request

Cause: the Checker kept one flag a server, "a connection was closed", and an answer of the next process at the address cleared it. An end of the process before then counted as unknown (ErrUnknown) instead of closed (ErrEnded). Both fail the answer; the log named the wrong reason. Ruled out: a confirmed end. Both errors count as a cut answer in internal/forward and internal/backend. The server now keeps the time of the last closed connection, which is compared with the begin of the request.

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -34,7 +34,7 @@
 
 // Errors of Proof.Confirm.
 var (
-	// ErrEnded means that the process has ended, or has closed the connections that would show that it runs.
+	// ErrEnded means that no connection tells whether the process runs, and the server has closed one since the request was sent.
 	ErrEnded = errors.New("the process has ended, or closes connections")
 	// ErrUnknown means that no connection tells whether the process runs.
 	ErrUnknown = errors.New("no connection shows that the process runs on")
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -48,24 +48,27 @@
 
 // Guards against a process that answers at the address of one that was killed, and passes for it.
 func TestNextProcessAtTheAddressConfirmsNothing(t *testing.T) {
-	for _, kept := range []bool{false, true} {
-		first := rawserver.StartProcess(t, "", answering(wholeAnswer))
-		checker := NewChecker()
-		p := begin(t, checker, first.Address)
-		if kept {
-			p.Keep()
-			time.Sleep(2 * refreshInterval)
-		}
-		first.Kill()
-		next := rawserver.StartProcess(t, first.Address, answering(wholeAnswer))
-		if kept {
-			time.Sleep(2 * refreshInterval) // refreshes have reached the next process
-		}
-		require.ErrorIs(t, confirm(t, p), ErrEnded, "kept %t", kept)
+	for name, refreshes := range map[string]time.Duration{ // that reach the next process; negative for a proof that is not kept
+		"not kept": -1, "kept": 0, "kept, one refresh": 1, "kept, two refreshes": 2, "kept, four refreshes": 4,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := rawserver.StartProcess(t, "", answering(wholeAnswer))
+			checker := NewChecker()
+			p := begin(t, checker, first.Address)
+			if refreshes >= 0 {
+				p.Keep()
+				time.Sleep(2 * refreshInterval)
+			}
+			first.Kill()
+			next := rawserver.StartProcess(t, first.Address, answering(wholeAnswer))
+			time.Sleep(refreshes * refreshInterval)
+			require.ErrorIs(t, confirm(t, p), ErrEnded)
 
-		later := begin(t, checker, next.Address)
-		require.NoError(t, confirm(t, later), "requests to the next process")
-		require.Error(t, confirm(t, p), "the answer of the first process, behind one of the next")
+			later := begin(t, checker, next.Address)
+			require.NoError(t, confirm(t, later), "requests to the next process")
+			require.Error(t, confirm(t, p), "the answer of the first process, behind one of the next")
+		})
 	}
 }
 
--- a/internal/liveness/server.go
+++ b/internal/liveness/server.go
@@ -27,10 +27,10 @@
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced at each change
 	conns     []*conn
-	span      span // the last one that a connection has shown
-	closed    bool // a connection was closed by the other side since the last answer
-	proofs    int  // in progress
-	kept      int  // of those, see Proof.Keep
+	span      span      // the last one that a connection has shown
+	closedAt  time.Time // the last time at which a connection turned out to be closed by the other side
+	proofs    int       // in progress
+	kept      int       // of those, see Proof.Keep
 	dialing   bool
 	asking    *conn // with a question in progress; nil for none
 	ask       func() Question
@@ -98,7 +98,9 @@
 		switch ended := c.Ended(); {
 		case c == s.asking:
 		case ended, s.proofs <= 1 && now.Sub(c.lastUsed) > c.IdleTime(defaultIdleTime):
-			s.closed = s.closed || ended
+			if ended {
+				s.closedAt = now
+			}
 			s.dropLocked(c)
 		}
 	}
@@ -170,7 +172,7 @@
 		}
 		c := s.provingLocked(begun)
 		switch {
-		case c == nil && s.closed:
+		case c == nil && s.closedAt.After(begun):
 			return Evidence{}, ErrEnded
 		case c == nil:
 			return Evidence{}, ErrUnknown
@@ -206,11 +208,10 @@
 		defer s.mu.Unlock()
 		s.asking = nil
 		if err != nil {
-			s.closed = true
+			s.closedAt = time.Now()
 			s.dropLocked(c)
 			return
 		}
-		s.closed = false
 		s.recordLocked(c, asked)
 		if !keep {
 			s.dropLocked(c)
