Show which process runs on behind a broken connection before its version is believed

Behind a broken connection the pool took a new one that stayed open for 50 ms, or an older one that looked open, for a sign of the same process. A server that starts again at once under its ID, its entry later, was taken for the one before, and streams of two versions were joined. Now: streams that may be resumed have a check connection (internal/liveness). Behind a broken connection it is asked, then idle ones of the pool from before. A check connection that was accepted and is closed before the idle time-out that the server names counts as its end, and is told to the other daemons. HoldsFrom is gone, and with it its case in TestResetIsNotHiddenByLookAtConnection, which now looks with Ended. In TestPoolTellsWhenProcessMayHaveEnded, "one connection closed" expected that nothing is told where nothing shows the process; it is now told, and not told where another connection answers.

--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -146,7 +146,7 @@
 func (e *endProof) withConn(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		if e.p.framings.MayEndWithConnection(e.address, e.address) {
-			e.proof = e.p.liveness.Begin(ctx, upstream.Endpoint{Address: e.address}, func() liveness.Question { return liveness.Ping(e.address) })
+			e.proof = e.p.liveness.Begin(ctx, upstream.Endpoint{Address: e.address}, func() upstream.Question { return upstream.Ping(e.address) })
 		}
 	}})
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -318,8 +318,10 @@
 	if err != nil {
 		return notSent, err
 	}
+	if a.record.reusedConn = conn.Reused(); !a.record.reusedConn {
+		conn.SetQuestion(h.question(c, a.endpoint))
+	}
 	h.beginProof(ctx, c, a)
-	a.record.reusedConn = conn.Reused()
 	if callerDisconnected(c.request.Context()) {
 		h.Pool.Put(a.endpoint, conn) // unused, so that another request can use it
 		return notSent, errors.New("the caller closed its connection before the request was sent")
@@ -385,9 +387,9 @@
 	a.record.closedBy = a.closedBy(ctx, c, err)
 	switch {
 	case errors.IsAny(err, liveness.ErrEnded, liveness.ErrUnknown):
-		h.Pool.RecordInterrupted(a.conn)
+		h.Pool.RecordInterrupted(a.endpoint, time.Now())
 	case a.record.serverBroke:
-		h.Pool.RecordBroken(a.conn)
+		h.recordBroken(a)
 	}
 	if closedHere || err != nil {
 		a.conn.DisableReuse()
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -242,7 +242,7 @@
 	var attempts atomic.Int64
 	gateway := startGateway(t, routing.Route{Kind: routing.Idempotent}, func(_ net.Listener, conn net.Conn) {
 		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err != nil || answerPing(conn, request) {
 			return
 		}
 		if attempts.Add(1) == 1 {
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -17,6 +17,10 @@
 // minHealthCheckTime is the least time that a server is given for a health check: others than the request may wait for it.
 const minHealthCheckTime = time.Second
 
+// continuityTimeout is the time within which a server whose connection has broken must show that its process runs on. Until then its version
+// counts as known.
+const continuityTimeout = 50 * time.Millisecond
+
 // recordFraming records how the answer of the attempt ends. Other versions of the server may differ.
 func (h *Handler) recordFraming(c *call, a *attempt) {
 	h.framings.Record(c.service.Name, framingKey(a), endsWithConnection(a.response))
@@ -24,33 +28,64 @@
 
 func framingKey(a *attempt) string { return a.endpoint.ID + "\x00" + a.choice.Server.Version }
 
-// beginProof begins to show which process answers the attempt, if its answer may end with its connection. The attempt's connection is open.
+// beginProof begins to show which process answers the attempt, if its answer may end with its connection, or the version of its stream must be
+// known. The attempt's connection is open.
 func (h *Handler) beginProof(ctx context.Context, c *call, a *attempt) {
-	if h.framings.MayEndWithConnection(c.service.Name, framingKey(a)) {
-		a.proof = h.liveness.Begin(ctx, a.endpoint, func() liveness.Question { return h.question(c, a.endpoint) })
+	if h.framings.MayEndWithConnection(c.service.Name, framingKey(a)) || a.needsVersion() {
+		a.proof = h.liveness.Begin(ctx, a.endpoint, func() upstream.Question { return h.question(c, a.endpoint) })
+		if at := a.proof.EndedAt(); !at.IsZero() {
+			h.Pool.RecordInterrupted(a.endpoint, at)
+		}
 	}
 }
 
-// keepProof keeps the proof if the answer ends with its connection, and ends it if it doesn't.
+// needsVersion reports whether the attempt's answer goes on at servers of its version only.
+func (a *attempt) needsVersion() bool { return a.begins || a.resumes }
+
+// keepProof keeps the proof if the answer ends with its connection, and ends it if nothing needs it.
 func (a *attempt) keepProof() {
-	if a.record.framing == http1.FramedByConnection {
+	a.proof.SetIdleTimeout(a.conn.IdleTimeout())
+	switch {
+	case a.record.framing == http1.FramedByConnection:
 		a.proof.Keep()
+	case !a.needsVersion():
+		a.proof.End()
+		a.proof = nil
+	}
+}
+
+// recordBroken records that the server has closed or reset the attempt's connection. Its process may have ended, unless it answers behind that.
+func (h *Handler) recordBroken(a *attempt) {
+	if a.proof == nil {
+		h.Pool.RecordBroken(a.conn)
 		return
 	}
-	a.proof.End()
-	a.proof = nil
+	proof, conn, alive := a.proof, a.conn, a.conn.AliveAt()
+	a.proof = nil // ended below
+	go func() {
+		defer proof.End()
+		ctx, cancel := context.WithTimeout(context.Background(), continuityTimeout)
+		defer cancel()
+		switch _, err := proof.ConfirmSince(ctx, alive); {
+		case err == nil:
+		case proof.EndedAt().After(alive):
+			h.Pool.RecordEnded(conn)
+		default:
+			h.Pool.RecordBroken(conn)
+		}
+	}()
 }
 
 // question returns the request by which the server shows that it runs.
-func (h *Handler) question(c *call, e upstream.Endpoint) liveness.Question {
+func (h *Handler) question(c *call, e upstream.Endpoint) upstream.Question {
 	if !c.hasHealthCheck() {
-		return liveness.Ping(e.Address)
+		return upstream.Ping(e.Address)
 	}
 	head, err := h.encodeHealthCheck(c, e)
 	if err != nil { // the path is not one of a URL
-		return liveness.Ping(e.Address)
+		return upstream.Ping(e.Address)
 	}
-	return liveness.Question{Method: http.MethodGet, Head: head, Accept: func(r *http.Response) error { return h.acceptHealth(e, r) }}
+	return upstream.Question{Method: http.MethodGet, Head: head, Accept: func(r *http.Response) error { return h.acceptHealth(e, r) }}
 }
 
 // confirmEnd returns an error unless the process that has sent an answer runs on behind it, if the answer ends with its connection. When a
@@ -127,8 +162,7 @@
 
 // probe returns an error unless the server of the endpoint answers a question before the context ends.
 func (h *Handler) probe(ctx context.Context, c *call, e upstream.Endpoint) error {
-	q := h.question(c, e)
-	return h.Pool.Probe(ctx, e, q.Method, q.Head, q.Accept)
+	return h.Pool.Probe(ctx, e, h.question(c, e))
 }
 
 // encodeHealthCheck returns the head of a health check at the server.
--- a/internal/gateway/continuity.go
+++ b/internal/gateway/continuity.go
@@ -45,7 +45,7 @@
 	return messages
 }
 
-// receiveRefusals applies which servers have refused connections of peers, unless a connection of this daemon from before is open.
+// receiveRefusals applies which servers have refused connections of peers, unless one answers on a connection of this daemon from before.
 func (g *Gateway) receiveRefusals(messages []*pb.RefusedServer, now time.Time) {
 	for _, m := range messages {
 		at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
@@ -54,9 +54,7 @@
 			continue
 		}
 		e := upstream.Endpoint{Address: server.Address, ID: server.ID, Incarnation: server.Incarnation}
-		if !g.pool.HoldsFrom(e, at.Add(-maxViewDelay)) {
-			g.scheduler.RecordInterrupted(server, at)
-		}
+		g.pool.Doubt(e, at.Add(-maxViewDelay), at)
 	}
 }
 
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -40,23 +39,6 @@
 	ErrUnknown = errors.New("no connection shows that the process runs on")
 )
 
-// Question is a request that any server answers without effect.
-type Question struct {
-	Method string
-	Head   []byte // request line and header
-	// Accept returns an error if the answer is not one of the server. Any status counts.
-	Accept func(*http.Response) error
-}
-
-// Ping returns the question for servers without a health check (RFC 9110, section 9.3.7).
-func Ping(address string) Question {
-	return Question{
-		Method: http.MethodOptions,
-		Head:   []byte("OPTIONS * HTTP/1.1\r\nHost: " + address + "\r\n\r\n"),
-		Accept: func(*http.Response) error { return nil },
-	}
-}
-
 // Evidence tells what a confirmation rests on.
 type Evidence struct {
 	Since time.Time // the process is known to run since then
@@ -76,7 +58,7 @@
 type Proof struct {
 	checker *Checker
 	server  *server
-	ask     func() Question
+	ask     func() upstream.Question
 	begun   time.Time // a connection was open then; zero for none
 	kept    bool
 	ended   bool
@@ -84,7 +66,7 @@
 
 // Begin returns a proof for a request to the endpoint, whose connection is open. The request must be sent behind Begin, which waits for a
 // connection of its own for 300 ms at most. ask returns the question for the server; it may be called until End and for a short time behind it.
-func (c *Checker) Begin(ctx context.Context, e upstream.Endpoint, ask func() Question) *Proof {
+func (c *Checker) Begin(ctx context.Context, e upstream.Endpoint, ask func() upstream.Question) *Proof {
 	p := &Proof{checker: c, server: c.acquire(e), ask: ask}
 	ctx, cancel := context.WithTimeout(ctx, maxConnDelay)
 	defer cancel()
@@ -94,6 +76,27 @@
 	return p
 }
 
+// EndedAt returns the last time at which the process of the server seemed to have ended, zero for none: its only connection was closed before the idle
+// time-out that the server names. A connection that was closed at once doesn't count, as the server may have reached its limit.
+func (p *Proof) EndedAt() time.Time {
+	if p == nil {
+		return time.Time{}
+	}
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	return p.server.endedAt
+}
+
+// SetIdleTimeout sets the time for which the server keeps idle connections open, 0 if it names none.
+func (p *Proof) SetIdleTimeout(d time.Duration) {
+	if p == nil {
+		return
+	}
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	p.server.idleLimit = d
+}
+
 // acquire returns the server with one more proof.
 func (c *Checker) acquire(e upstream.Endpoint) *server {
 	c.mu.Lock()
@@ -118,13 +121,18 @@
 	p.server.keep(p.ask)
 }
 
-// Confirm returns nil if the process that has accepted the request runs now, behind the end of its answer. A server that is silent is
+// Confirm returns nil if the process that has answered the request runs now, behind the end of its answer. A server that is silent is
 // asked until the context ends. ErrEnded and ErrUnknown are marked io.ErrUnexpectedEOF: the answer counts as cut. The proof may be nil.
 func (p *Proof) Confirm(ctx context.Context) (Evidence, error) {
 	if p == nil || p.begun.IsZero() {
 		return Evidence{}, errors.Mark(ErrUnknown, io.ErrUnexpectedEOF)
 	}
-	evidence, err := p.server.confirm(ctx, p.begun, time.Now(), p.ask)
+	return p.ConfirmSince(ctx, p.begun)
+}
+
+// ConfirmSince is Confirm for the process that is known to have run at the given time.
+func (p *Proof) ConfirmSince(ctx context.Context, alive time.Time) (Evidence, error) {
+	evidence, err := p.server.confirm(ctx, alive, time.Now(), p.ask)
 	if errors.IsAny(err, ErrEnded, ErrUnknown) {
 		err = errors.Mark(err, io.ErrUnexpectedEOF)
 	}
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -33,7 +33,7 @@
 
 func begin(t *testing.T, c *Checker, address string) *Proof {
 	t.Helper()
-	p := c.Begin(t.Context(), upstream.Endpoint{Address: address}, func() Question { return Ping(address) })
+	p := c.Begin(t.Context(), upstream.Endpoint{Address: address}, func() upstream.Question { return upstream.Ping(address) })
 	t.Cleanup(p.End)
 	return p
 }
@@ -232,3 +232,43 @@
 	assert.LessOrEqual(t, len(f.servers), maxFramings)
 	assert.LessOrEqual(t, len(f.services), maxFramings)
 }
+
+// Guards against processes whose end nobody tells of, as no request was in progress, and against sound ones that are taken for ended: at their
+// connection limit, at their idle time-out, without one that they name, or as a question was given up.
+func TestProcessThatClosesUnusedConnectionsEarlyHasEnded(t *testing.T) {
+	silent := func(conn *net.TCPConn, _ *http.Request) bool { select {} }
+	for name, test := range map[string]struct {
+		idleTimeout time.Duration
+		open        time.Duration // before the end
+		serve       func(*net.TCPConn, *http.Request) bool
+		kill        bool
+		ended       bool
+	}{
+		"killed":                       {time.Minute, 4 * acceptTime, answering(wholeAnswer), true, true},
+		"killed, names no time-out":    {0, 4 * acceptTime, answering(wholeAnswer), true, false},
+		"killed behind its time-out":   {acceptTime, 4 * acceptTime, answering(wholeAnswer), true, false},
+		"closes at once, at its limit": {time.Minute, 0, answering(wholeAnswer), true, false},
+		"runs on":                      {time.Minute, 4 * acceptTime, answering(wholeAnswer), false, false},
+		"does not answer in time":      {time.Minute, 4 * acceptTime, silent, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			process := rawserver.StartProcess(t, "", test.serve)
+			checker := NewChecker()
+			first := begin(t, checker, process.Address)
+			first.SetIdleTimeout(test.idleTimeout)
+			time.Sleep(test.open)
+			if test.kill {
+				process.Kill()
+				rawserver.StartProcess(t, process.Address, test.serve)
+			} else {
+				ctx, cancel := context.WithTimeout(t.Context(), acceptTime)
+				defer cancel()
+				_, _ = first.Confirm(ctx) // answered or not
+			}
+			first.End()
+			time.Sleep(acceptTime)
+			assert.Equal(t, test.ended, !begin(t, checker, process.Address).EndedAt().IsZero())
+		})
+	}
+}
--- a/internal/liveness/server.go
+++ b/internal/liveness/server.go
@@ -2,40 +2,36 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/filbertrill/filbertrill/internal/recovery"
 	"github.com/filbertrill/filbertrill/internal/upstream"
 )
 
-const (
-	// maxAnswerBytes and answerBodyTimeout limit what is read of the body of an answer to a question, so that its connection can be kept.
-	maxAnswerBytes    = 4 << 10
-	answerBodyTimeout = 50 * time.Millisecond
-)
+// acceptTime is the time within which a server resets a connection beyond its limit.
+const acceptTime = 50 * time.Millisecond
 
 // server holds the connections to an endpoint. No request of a caller is sent on them.
 type server struct {
 	endpoint upstream.Endpoint
 
-	mu        sync.Mutex
-	changed   chan struct{} // closed and replaced at each change
-	conns     []*conn
-	span      span      // the last one that a connection has shown
-	closedAt  time.Time // the last time at which a connection turned out to be closed by the other side
-	proofs    int       // in progress
-	kept      int       // of those, see Proof.Keep
-	dialing   bool
-	asking    *conn // with a question in progress; nil for none
-	ask       func() Question
-	refreshes bool // a refresh is planned
-	idleTimer *time.Timer
+	mu          sync.Mutex
+	changed     chan struct{} // closed and replaced at each change
+	conns       []*conn
+	span        span          // the last one that a connection has shown
+	closedAt    time.Time     // the last time at which a connection turned out to be closed by the other side
+	endedAt     time.Time     // see Proof.EndedAt
+	idleLimit   time.Duration // idle time-out that the server names; 0 if it names none
+	closedEarly bool          // a connection was closed before its idle time-out, and no question was answered since
+	proofs      int           // in progress
+	kept        int           // of those, see Proof.Keep
+	dialing     bool
+	asking      *conn // with a question in progress; nil for none
+	ask         func() upstream.Question
+	refreshes   bool // a refresh is planned
+	idleTimer   *time.Timer
 }
 
 // conn is a connection to a server.
@@ -44,6 +40,8 @@
 	opened   time.Time
 	since    time.Time // its process is known to run since then
 	lastUsed time.Time
+	accepted bool // it was still open acceptTime behind its opening
+	unneeded bool // closed by this side while a question was in progress
 }
 
 // span is a span of time in which one process of the server is known to run.
@@ -97,15 +95,24 @@
 	for _, c := range slices.Clone(s.conns) {
 		switch ended := c.Ended(); {
 		case c == s.asking:
-		case ended, s.proofs <= 1 && now.Sub(c.lastUsed) > c.IdleTime(defaultIdleTime):
-			if ended {
-				s.closedAt = now
-			}
+		case ended:
+			s.dropEndedLocked(c)
+		case s.proofs <= 1 && now.Sub(c.lastUsed) > c.IdleTime(defaultIdleTime):
 			s.dropLocked(c)
 		}
 	}
 }
 
+// dropEndedLocked closes a connection that the other side has closed.
+func (s *server) dropEndedLocked(c *conn) {
+	s.closedAt = time.Now()
+	s.dropLocked(c)
+	s.closedEarly = s.closedEarly || c.accepted && s.closedAt.Sub(c.lastUsed) < s.idleLimit
+	if s.closedEarly && len(s.conns) == 0 {
+		s.closedEarly, s.endedAt = false, s.closedAt
+	}
+}
+
 // dialLocked opens a further connection.
 func (s *server) dialLocked() {
 	s.dialing = true
@@ -120,7 +127,9 @@
 			_ = c.Close() // no request is in progress on it
 		default:
 			now := time.Now()
-			s.conns = append(s.conns, &conn{Conn: c, opened: now, since: now, lastUsed: now})
+			opened := &conn{Conn: c, opened: now, since: now, lastUsed: now}
+			s.conns = append(s.conns, opened)
+			time.AfterFunc(acceptTime, func() { s.checkAccepted(opened) })
 			if s.kept > 0 && s.asking == nil {
 				s.askLocked(s.conns[0], s.ask) // which shows whether the new one is of the same process
 			}
@@ -129,6 +138,13 @@
 	}()
 }
 
+// checkAccepted records whether the connection is still open.
+func (s *server) checkAccepted(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.accepted = !c.Ended()
+}
+
 // dial returns a new connection. Its errors are those of the network.
 func dial(address string) (c *upstream.Conn, err error) {
 	defer func() {
@@ -149,7 +165,8 @@
 // endLocked ends a question that no proof needs any more.
 func (s *server) endLocked() {
 	if s.asking != nil {
-		_ = s.asking.Close() // answer reports it
+		s.asking.unneeded = true
+		_ = s.asking.Close() // askLocked drops it
 	}
 }
 
@@ -163,7 +180,7 @@
 }
 
 // confirm returns evidence that the process which has accepted a request sent at begun runs at the given time.
-func (s *server) confirm(ctx context.Context, begun, at time.Time, ask func() Question) (Evidence, error) {
+func (s *server) confirm(ctx context.Context, begun, at time.Time, ask func() upstream.Question) (Evidence, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for dialed := false; ; {
@@ -199,7 +216,7 @@
 }
 
 // askLocked sends the question on the connection, and records the answer.
-func (s *server) askLocked(c *conn, ask func() Question) {
+func (s *server) askLocked(c *conn, ask func() upstream.Question) {
 	s.asking = c
 	asked := time.Now()
 	go func() {
@@ -207,11 +224,15 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.asking = nil
-		if err != nil {
-			s.closedAt = time.Now()
+		switch {
+		case c.unneeded:
 			s.dropLocked(c)
 			return
+		case err != nil:
+			s.dropEndedLocked(c)
+			return
 		}
+		s.closedEarly = false
 		s.recordLocked(c, asked)
 		if !keep {
 			s.dropLocked(c)
@@ -245,7 +266,7 @@
 }
 
 // keep plans refreshes until no kept proof is left.
-func (s *server) keep(ask func() Question) {
+func (s *server) keep(ask func() upstream.Question) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.kept++
@@ -277,28 +298,11 @@
 }
 
 // ask sends the question and reads the answer. keep reports whether the connection can be used again.
-func (c *conn) ask(q Question) (keep bool, err error) {
+func (c *conn) ask(q upstream.Question) (keep bool, err error) {
 	defer func() {
 		if p := recovery.NewPanic(recover()); p != nil {
 			keep, err = false, p
 		}
 	}()
-	if _, err := c.Send(q.Head, nil); err != nil {
-		return false, err
-	}
-	response, err := c.Receive(q.Method)
-	if err != nil {
-		return false, err
-	}
-	if err := q.Accept(response); err != nil {
-		return false, err
-	}
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return false, errors.New("another server answers")
-	}
-	if err := c.SetDeadline(time.Now().Add(answerBodyTimeout)); err != nil {
-		return false, nil //nolint:nilerr // the answer has arrived, the connection is closed
-	}
-	n, err := io.CopyN(io.Discard, response.Body, maxAnswerBytes)
-	return errors.Is(err, io.EOF) && n < maxAnswerBytes && c.Reusable() && c.SetDeadline(time.Time{}) == nil, nil
+	return c.Ask(q)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,6 +48,9 @@
 	limited       *io.LimitedReader // of heads, limits them
 	reader        *bufio.Reader     // of limited
 	openedAt      time.Time
+	sentAt        time.Time // of the last request, or the dialling; behind that time the process has accepted it
+	aliveAt       time.Time // see AliveAt
+	question      Question  // for the server
 	sentBytes     atomic.Int64
 	long          bool    // the body of the request in progress is
 	upload        *upload // of the request in progress; nil if all of it was written before its answer
@@ -124,16 +127,12 @@
 type countingReader struct {
 	reader io.Reader
 	bytes  int64
-	lastAt time.Time // when bytes were last read
 }
 
 // Read implements io.Reader.
 func (r *countingReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
 	r.bytes += int64(n)
-	if n > 0 {
-		r.lastAt = time.Now()
-	}
 	return n, err
 }
 
@@ -143,12 +142,22 @@
 // Endpoint returns the server that the connection leads to.
 func (c *Conn) Endpoint() Endpoint { return c.endpoint }
 
+// SetQuestion sets the request by which the server shows that it runs; Ping by default. It must be set before the connection is used.
+func (c *Conn) SetQuestion(q Question) { c.question = q }
+
 // DisableReuse makes Pool.Put close the connection instead of keeping it.
 func (c *Conn) DisableReuse() { c.reuseDisabled = true }
 
 // Age returns the time since the connection was opened.
 func (c *Conn) Age(now time.Time) time.Duration { return now.Sub(c.openedAt) }
 
+// IdleTimeout returns the idle time-out that the server has named in its last answer, 0 for none.
+func (c *Conn) IdleTimeout() time.Duration { return c.idleTimeout }
+
+// AliveAt returns the time behind which the process that has accepted the connection is known to have run: that at which its last answered request
+// was sent, or at which the connection was dialled.
+func (c *Conn) AliveAt() time.Time { return c.aliveAt }
+
 // Reused reports whether the connection was used for an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -171,22 +180,11 @@
 // Reusable reports whether another request can be sent behind an answer that was read to its end.
 func (c *Conn) Reusable() bool { return !c.reuseDisabled && c.reader.Buffered() == 0 }
 
-// closedUntil waits until the server closes the unused connection, and returns false if it has not at the given time.
-func (c *Conn) closedUntil(end time.Time) bool {
-	if err := c.SetReadDeadline(end); err != nil {
-		return true
-	}
-	_, err := c.reader.Peek(1)
-	if resetErr := c.SetReadDeadline(time.Time{}); resetErr != nil {
-		return true
-	}
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // Send writes the head and the body of a request. It reports whether at least one byte
 // was written, also when it returns an error. If data of the server arrives before a long body is written, Send returns, and the rest is written
 // while the answer is read: the server may read it behind its answer, or never.
 func (c *Conn) Send(head, body []byte) (sent bool, err error) {
+	c.sentAt = time.Now()
 	buffers := net.Buffers{head}
 	if len(body) > 0 {
 		buffers = append(buffers, body)
@@ -232,6 +230,7 @@
 		}
 		return nil, errors.Wrap(err, "read answer")
 	}
+	c.aliveAt = c.sentAt
 	c.continueBuffered()
 	if response.Close || !response.ProtoAtLeast(1, 1) || announcesBodyWithoutHaving(response) {
 		c.reuseDisabled = true
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,24 +15,31 @@
 type Continuity interface {
 	// Interrupted is called when the process may have ended: from now on another one may answer at the endpoint.
 	Interrupted(e Endpoint, at time.Time)
-	// Refused is called when the endpoint has refused a connection: the process has ended.
+	// Refused is called when the endpoint has refused a connection, or closed several at once: the process has ended.
 	Refused(e Endpoint, at time.Time)
 }
 
 // SetContinuity sets the receiver. It must be called before the pool is used.
 func (p *Pool) SetContinuity(c Continuity) { p.continuity = c }
 
-// maxSilence is the time since the last sign of life of a connection within which its end is taken for one of just now. A host that
-// lost power closes nothing, and resets the connection once it runs again.
-const maxSilence = time.Second
+// continuityTimeout is the time within which a process must show that it runs on: until then its version counts as known. The kernel closes
+// the sockets of a killed process within 27 ms, the newest connections first.
+const continuityTimeout = 50 * time.Millisecond
 
 // RecordBroken records that the server has closed or reset the connection while a request was in progress.
-func (p *Pool) RecordBroken(c *Conn) { p.broken(c, time.Since(c.lastAlive()) < maxSilence) }
+func (p *Pool) RecordBroken(c *Conn) { p.broken(c, true) }
 
-// RecordInterrupted records that the process that has held the connection may have ended.
-func (p *Pool) RecordInterrupted(c *Conn) {
+// RecordInterrupted records that the process of the endpoint may have ended at the given time.
+func (p *Pool) RecordInterrupted(e Endpoint, at time.Time) {
 	if p.continuity != nil {
-		p.continuity.Interrupted(c.endpoint, time.Now())
+		p.continuity.Interrupted(e, at)
+	}
+}
+
+// RecordEnded records that the process that has held the connection has ended, as far as its other connections tell.
+func (p *Pool) RecordEnded(c *Conn) {
+	if p.continuity != nil {
+		p.continuity.Refused(c.endpoint, time.Now())
 	}
 }
 
@@ -56,110 +64,140 @@
 	return err == nil && state == socket.Closed
 }
 
-// lastAlive returns the last time at which the process is known to have held the connection.
-func (c *Conn) lastAlive() time.Time {
-	last := c.openedAt
-	for _, t := range []time.Time{c.lastUsed, c.received.lastAt} {
-		if t.After(last) {
-			last = t
-		}
-	}
-	return last
+// broken starts to find out whether the process of a closed connection runs on, and reports that it may have ended. redial states that a connection is
+// then opened for the next request: it may be refused, which tells more.
+func (p *Pool) broken(c *Conn, redial bool) {
+	p.doubt(c.endpoint, doubt{alive: c.aliveAt, at: time.Now(), redial: redial})
 }
 
-// broken starts to find out whether the process of a closed connection may have ended, and reports that it may. mayDial states that the
-// connection was closed just now: a process that accepts another one at once, and keeps it, is the same.
-func (p *Pool) broken(c *Conn, mayDial bool) {
+// Doubt starts to find out whether the process that ran at the time alive runs on, and reports that it may have ended at the given time unless a
+// connection that was open before shows that it runs.
+func (p *Pool) Doubt(e Endpoint, alive, at time.Time) { p.doubt(e, doubt{alive: alive, at: at}) }
+
+// doubt is Pool.Doubt.
+func (p *Pool) doubt(e Endpoint, next doubt) {
 	if p.continuity == nil {
 		return
 	}
-	e, next := c.endpoint, breakage{at: time.Now(), alive: c.lastAlive(), mayDial: mayDial}
-	if !mayDial && !p.HoldsFrom(e, next.alive) {
-		p.continuity.Interrupted(e, next.at)
-		return
-	}
 	p.mu.Lock()
 	conns := p.connsOf(e)
-	if conns.breakage != nil {
-		conns.breakage.add(next)
+	if conns.doubt != nil {
+		conns.doubt.add(next)
 		p.mu.Unlock()
 		return
 	}
-	conns.breakage = &breakage{}
+	c := conns.takeOlder(next.alive)
+	if c == nil && !conns.holdsOlder(next.alive) {
+		p.forgetUnusedLocked(e)
+		p.mu.Unlock()
+		p.interrupted(e, next)
+		return
+	}
+	conns.doubt = &doubt{}
 	p.mu.Unlock()
-	go p.resolve(e, next)
+	go p.resolve(e, next, c)
 }
 
-// breakage is what is to be found out about one or several closed connections of an endpoint.
-type breakage struct {
-	at, alive time.Time // of the last one to close, of the first one to be last alive; zero for none
-	mayDial   bool
+// interrupted reports that the process may have ended.
+func (p *Pool) interrupted(e Endpoint, d doubt) {
+	p.continuity.Interrupted(e, d.at)
+	if !d.redial {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		if c, err := p.dialBeyondLimit(ctx, e); err == nil { // else the failure is recorded
+			p.Put(e, c)
+		}
+	}()
 }
 
-func (b *breakage) add(next breakage) {
-	if b.at.IsZero() {
-		*b = next
-		return
+// doubt is what is to be found out about the process of an endpoint: see Pool.Doubt and Pool.broken.
+type doubt struct {
+	alive, at time.Time // the earliest and the last ones that were added; zero for none
+	redial    bool
+}
+
+func (d *doubt) add(next doubt) {
+	if !d.at.IsZero() && d.alive.Before(next.alive) {
+		next.alive = d.alive
 	}
-	b.at, b.mayDial = next.at, b.mayDial && next.mayDial
-	if next.alive.Before(b.alive) {
-		b.alive = next.alive
+	if d.at.After(next.at) {
+		next.at = d.at
 	}
+	next.redial = next.redial || d.redial
+	*d = next
 }
 
-// resolve finds out whether the process of the endpoint runs on, until no further connection has broken meanwhile.
-func (p *Pool) resolve(e Endpoint, b breakage) {
+// resolve finds out whether the process of the endpoint runs on, until no further doubt has arisen meanwhile. It begins with connection c.
+func (p *Pool) resolve(e Endpoint, d doubt, c *Conn) {
 	for {
-		if !p.continues(e, b.alive, b.mayDial) {
-			p.continuity.Interrupted(e, b.at)
+		if !p.continues(e, d, c) {
+			p.interrupted(e, d)
 		}
 		p.mu.Lock()
-		conns, known := p.endpoints[e]
-		if !known || conns.breakage == nil || conns.breakage.at.IsZero() {
-			if known {
-				conns.breakage = nil
-			}
+		conns := p.connsOf(e)
+		if conns.doubt == nil || conns.doubt.at.IsZero() {
+			conns.doubt = nil
+			p.forgetUnusedLocked(e)
 			p.mu.Unlock()
 			return
 		}
-		b, conns.breakage = *conns.breakage, &breakage{}
+		d, conns.doubt = *conns.doubt, &doubt{}
+		c = conns.takeOlder(d.alive)
 		p.mu.Unlock()
 	}
 }
 
-// continues reports whether the process that held a connection at the given time runs on: behind processEndTime it still holds one
-// that was open then, or one that is dialled now.
-func (p *Pool) continues(e Endpoint, alive time.Time, mayDial bool) bool {
-	if !mayDial {
-		time.Sleep(processEndTime)
-		return p.HoldsFrom(e, alive)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), processEndTime)
+// continues reports whether the process that ran at d.alive runs on: it answers on an idle connection that was open before, c (may be nil) or another
+// one of the pool, or still holds one that is in use, on which it can't be asked.
+func (p *Pool) continues(e Endpoint, d doubt, c *Conn) bool {
+	end := time.Now().Add(continuityTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	end := time.Now().Add(processEndTime)
-	c, err := p.dialBeyondLimit(ctx, e)
-	if err != nil {
-		time.Sleep(time.Until(end)) // a server at its limit resets connections
-		return p.HoldsFrom(e, alive)
+	if _, ok := p.answers(ctx, e, d.alive, c); ok {
+		return true
 	}
-	if c.closedUntil(end) {
-		p.closeConn(e, c)
-		time.Sleep(time.Until(end))
-		return p.HoldsFrom(e, alive)
+	time.Sleep(time.Until(end))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connsOf(e).holdsOlder(d.alive)
+}
+
+// answers asks on the idle connections that were opened before the given time, one after the other. It begins with c, which is taken and may be nil. It
+// returns when the one that was answered was opened.
+func (p *Pool) answers(ctx context.Context, e Endpoint, before time.Time, c *Conn) (openedAt time.Time, ok bool) {
+	for ; c != nil; c = p.takeOlder(e, before) {
+		openedAt = c.openedAt
+		if p.ask(ctx, e, c) == nil {
+			return openedAt, true
+		}
 	}
-	p.Put(e, c)
-	return true
+	return time.Time{}, false
 }
 
-// HoldsFrom reports whether a connection that was opened before the given time is open, with nothing to read: a process that has
-// ended may leave data.
-func (p *Pool) HoldsFrom(e Endpoint, before time.Time) bool {
+// takeOlder removes and returns the idle connection that was used last of those that were opened before the given time, nil if there is none.
+func (p *Pool) takeOlder(e Endpoint, before time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns, ok := p.endpoints[e]
-	if !ok {
-		return false
+	return p.connsOf(e).takeOlder(before)
+}
+
+// takeOlder is Pool.takeOlder. The caller holds the lock.
+func (conns *endpointConns) takeOlder(before time.Time) *Conn {
+	for i, c := range slices.Backward(conns.idle) {
+		if c.openedAt.Before(before) {
+			conns.idle = slices.Delete(conns.idle, i, i+1)
+			return c
+		}
 	}
+	return nil
+}
+
+// holdsOlder reports whether a connection that was opened before the given time is open, with nothing to read: a process that has ended may leave
+// data. The caller holds the lock.
+func (conns *endpointConns) holdsOlder(before time.Time) bool {
 	for c := range conns.established {
 		if !c.openedAt.Before(before) {
 			continue
@@ -170,3 +208,10 @@
 	}
 	return false
 }
+
+// forgetUnusedLocked forgets the endpoint if it has no connection. The caller holds the lock.
+func (p *Pool) forgetUnusedLocked(e Endpoint) {
+	if conns := p.endpoints[e]; conns != nil && conns.open <= 0 && len(conns.idle) == 0 && conns.doubt == nil {
+		delete(p.endpoints, e)
+	}
+}
--- a/internal/upstream/continuity_test.go
+++ b/internal/upstream/continuity_test.go
@@ -1,15 +1,17 @@
 package upstream
 
 import (
-	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/filbertrill/filbertrill/test/rawserver"
 )
 
 // continuityLog records the calls of a pool, without their times.
@@ -39,136 +41,174 @@
 // stay checks that there are no calls.
 func (l *continuityLog) stay(t *testing.T) {
 	t.Helper()
-	time.Sleep(4 * processEndTime)
+	time.Sleep(4 * continuityTimeout)
 	l.become(t)
 }
 
-// restartable is a listener with the connections that it has accepted.
-type restartable struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func startListener(t *testing.T, address string) *restartable {
-	l, err := net.Listen("tcp", address)
-	require.NoError(t, err)
-	r := &restartable{Listener: l}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			r.mu.Lock()
-			r.conns = append(r.conns, conn)
-			r.mu.Unlock()
-		}
-	}()
-	t.Cleanup(r.end)
-	return r
-}
-
-// await returns when n connections were accepted. One that was not is reset with the listener.
-func (r *restartable) await(t *testing.T, n int) *restartable {
-	t.Helper()
-	require.Eventually(t, func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return len(r.conns) == n
-	}, 5*time.Second, time.Millisecond)
-	return r
-}
-
-// end closes all like a process that ends.
-func (r *restartable) end() {
-	_ = r.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, conn := range r.conns {
-		_ = conn.Close()
-	}
-}
-
-func (r *restartable) closeConn(t *testing.T, i int) {
-	r.await(t, i+1)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	require.NoError(t, r.conns[i].Close())
-}
-
-// Guards against a process that is taken for the one before: the pool must tell when it may have changed, and no more than that.
+// Guards against a process that is taken for the one before: the pool must tell when it may have changed, and no more than that. Only an answer
+// on a connection from before shows that it has not.
 func TestPoolTellsWhenProcessMayHaveEnded(t *testing.T) {
-	newPool := func(t *testing.T) (*Pool, *continuityLog, *restartable, Endpoint) {
-		pool, log, server := NewPool(), &continuityLog{}, startListener(t, "127.0.0.1:0")
+	const slow = 4 * continuityTimeout
+	setup := func(t *testing.T, serve func(*net.TCPConn, *http.Request) bool) (*Pool, *continuityLog, *rawserver.Process, Endpoint) {
+		pool, log, server := NewPool(), &continuityLog{}, rawserver.StartProcess(t, "", serve)
 		pool.SetContinuity(log)
-		return pool, log, server, Endpoint{Address: server.Addr().String(), ID: "s", Incarnation: 1}
+		return pool, log, server, Endpoint{Address: server.Address, ID: "s", Incarnation: 1}
+	}
+	answer := func(conn *net.TCPConn, r *http.Request) bool {
+		switch r.URL.Path {
+		case "/close":
+			return false
+		case "/slow":
+			time.Sleep(slow)
+		}
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
 	}
 	get := func(t *testing.T, p *Pool, e Endpoint) *Conn {
-		c, err := p.Get(context.Background(), e, 0)
+		c, err := p.Get(t.Context(), e, 0)
 		require.NoError(t, err)
 		return c
 	}
-	awaitEnd := func(t *testing.T, c *Conn) {
-		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
-		_, err := c.Read(make([]byte, 1))
-		require.ErrorIs(t, err, io.EOF)
+	send := func(t *testing.T, c *Conn, path string) error {
+		_, err := c.Send([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n"), nil)
+		require.NoError(t, err)
+		_, err = c.Receive(http.MethodGet)
+		return err
+	}
+	// The second connection has brought an answer to a request that was sent when the first one was open, which is idle.
+	getTwo := func(t *testing.T, p *Pool, e Endpoint) *Conn {
+		older, c := get(t, p, e), get(t, p, e)
+		require.NoError(t, send(t, c, "/"))
+		p.Put(e, older)
+		return c
+	}
+	end := func(t *testing.T, c *Conn) {
+		require.Error(t, send(t, c, "/close"))
 	}
 
-	t.Run("one connection closed", func(t *testing.T) {
-		pool, log, server, e := newPool(t)
-		c := get(t, pool, e)
-		server.closeConn(t, 0)
-		awaitEnd(t, c)
+	t.Run("one connection closed, another one answers", func(t *testing.T) {
+		pool, log, _, e := setup(t, answer)
+		c := getTwo(t, pool, e)
+		end(t, c)
 		pool.RecordBroken(c)
 		log.stay(t)
+		assert.True(t, get(t, pool, e).Reused(), "the connection that was asked is kept")
+	})
+	t.Run("the only connection closed", func(t *testing.T) {
+		pool, log, _, e := setup(t, answer)
+		c := get(t, pool, e)
+		end(t, c)
+		pool.RecordBroken(c)
+		log.become(t, "interrupted")
+		pool.Put(e, c)
+		require.Eventually(t, func() bool { return pool.takeOlder(e, time.Now()) != nil }, 5*time.Second, time.Millisecond, "a connection for the next request")
 	})
-	t.Run("one connection reset after a long silence", func(t *testing.T) {
-		pool, log, server, e := newPool(t)
+	t.Run("the other one was opened behind the last sign of the process", func(t *testing.T) {
+		pool, log, _, e := setup(t, answer)
 		c := get(t, pool, e)
-		c.openedAt = c.openedAt.Add(-maxSilence)
-		server.closeConn(t, 0)
-		awaitEnd(t, c)
+		require.NoError(t, send(t, c, "/"))
+		pool.Put(e, get(t, pool, e))
+		end(t, c)
+		pool.RecordBroken(c)
+		log.become(t, "interrupted")
+	})
+	t.Run("the other one answers too late", func(t *testing.T) {
+		pool, log, _, e := setup(t, answer)
+		older, c := get(t, pool, e), get(t, pool, e)
+		older.SetQuestion(Question{http.MethodGet, []byte("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"), func(*http.Response) error { return nil }})
+		pool.Put(e, older)
+		require.NoError(t, send(t, c, "/"))
+		end(t, c)
+		pool.RecordBroken(c)
+		log.become(t, "interrupted")
+	})
+	t.Run("process ended, another one answers at once", func(t *testing.T) {
+		pool, log, server, e := setup(t, answer)
+		c := getTwo(t, pool, e)
+		server.Kill()
+		rawserver.StartProcess(t, e.Address, answer)
+		_, _ = c.Send([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), nil)
+		_, err := c.Receive(http.MethodGet)
+		require.Error(t, err)
+		pool.RecordBroken(c)
+		log.become(t, "interrupted")
+	})
+	t.Run("process ended, the end of another connection is held up", func(t *testing.T) {
+		held := make(chan struct{})
+		defer close(held)
+		pool, log, _, e := setup(t, func(conn *net.TCPConn, r *http.Request) bool {
+			if r.Method == http.MethodOptions { // as behind a cut: neither an answer nor an end
+				<-held
+				return false
+			}
+			return answer(conn, r)
+		})
+		c := getTwo(t, pool, e)
+		end(t, c)
 		pool.RecordBroken(c)
 		log.become(t, "interrupted")
 	})
-	t.Run("process ended", func(t *testing.T) {
-		pool, log, server, e := newPool(t)
+	t.Run("a peer was refused", func(t *testing.T) {
+		pool, log, server, e := setup(t, answer)
+		c := getTwo(t, pool, e)
+		pool.Doubt(e, time.Now(), time.Now())
+		log.stay(t)
+		server.Kill()
+		rawserver.StartProcess(t, e.Address, answer)
+		pool.Doubt(e, time.Now(), time.Now())
+		log.become(t, "interrupted")
+		pool.Put(e, c)
+	})
+	t.Run("process ended, refuses", func(t *testing.T) {
+		pool, log, server, e := setup(t, answer)
 		c := get(t, pool, e)
-		server.await(t, 1).end()
-		awaitEnd(t, c)
+		server.Kill()
 		pool.RecordBroken(c)
-		log.become(t, "refused", "interrupted")
+		log.become(t, "interrupted", "refused")
 	})
 	t.Run("idle connection closed early, all others too", func(t *testing.T) {
-		pool, log, server, e := newPool(t)
-		c := get(t, pool, e)
-		c.idleTimeout = time.Minute
-		pool.Put(e, c)
-		server.await(t, 1).end()
-		again := startListener(t, e.Address)
+		pool, log, server, e := setup(t, answer)
+		pool.Put(e, getTwo(t, pool, e))
+		server.Kill()
+		rawserver.StartProcess(t, e.Address, answer)
 		_ = get(t, pool, e)
 		log.become(t, "interrupted")
-		again.end()
 	})
-	t.Run("idle connection closed early, an older one is open", func(t *testing.T) {
-		pool, log, server, e := newPool(t)
-		_, c := get(t, pool, e), get(t, pool, e)
-		c.idleTimeout = time.Minute
-		time.Sleep(time.Millisecond)
+	t.Run("idle connection closed early, an older one answers", func(t *testing.T) {
+		pool, log, _, e := setup(t, func(conn *net.TCPConn, r *http.Request) bool {
+			return answer(conn, r) && r.URL.Path != "/"
+		})
+		older, c := get(t, pool, e), get(t, pool, e)
+		require.NoError(t, send(t, c, "/"))
+		pool.Put(e, older)
 		pool.Put(e, c)
-		server.closeConn(t, 1)
 		time.Sleep(10 * time.Millisecond)
 		_ = get(t, pool, e)
 		log.stay(t)
 	})
 	t.Run("idle connection closed at its timeout", func(t *testing.T) {
-		pool, log, server, e := newPool(t)
-		c := get(t, pool, e)
-		pool.Put(e, c)
-		server.closeConn(t, 0)
+		pool, log, server, e := setup(t, answer)
+		pool.Put(e, get(t, pool, e))
+		server.Kill()
+		rawserver.StartProcess(t, e.Address, answer)
 		time.Sleep(10 * time.Millisecond)
 		_ = get(t, pool, e)
 		log.stay(t)
 	})
+	t.Run("several doubts at once", func(t *testing.T) {
+		pool, log, server, e := setup(t, answer)
+		pool.Put(e, getTwo(t, pool, e))
+		server.Kill()
+		var doubts sync.WaitGroup
+		for range 20 {
+			doubts.Go(func() { pool.Doubt(e, time.Now(), time.Now()) })
+		}
+		doubts.Wait()
+		require.Eventually(t, func() bool {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			return len(pool.endpoints) == 0
+		}, 5*time.Second, time.Millisecond, "nothing is left of the endpoint")
+		assert.Contains(t, log.calls, "interrupted")
+	})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -73,7 +71,7 @@
 	open        int     // idle, in use or being dialled
 	idle        []*Conn // least recently used first
 	established map[*Conn]struct{}
-	breakage    *breakage // further ones while one is being resolved, nil if none is
+	doubt       *doubt // further ones while one is being resolved, nil if none is
 }
 
 // NewPool returns an empty pool.
@@ -106,11 +104,12 @@
 
 // dial opens a connection that is counted already, and stops counting it if that fails.
 func (p *Pool) dial(ctx context.Context, e Endpoint) (*Conn, error) {
+	dialedAt := time.Now()
 	netConn, err := p.dialer.DialContext(ctx, "tcp", e.Address)
 	if err == nil {
 		var c *Conn
 		if c, err = newConn(netConn); err == nil {
-			c.endpoint = e
+			c.endpoint, c.sentAt, c.aliveAt, c.question = e, dialedAt, dialedAt, Ping(e.Address)
 			p.mu.Lock()
 			p.connsOf(e).established[c] = struct{}{}
 			p.mu.Unlock()
@@ -125,23 +124,13 @@
 	return nil, errors.Wrap(err, "connect")
 }
 
-// processEndTime is the time within which the kernel closes the sockets of a killed process, on all but the busiest machines. It
-// closes the newest connections first, and a listener, which accepts connections until then, last: up to 27 ms later.
-const processEndTime = 50 * time.Millisecond
-
-const (
-	// maxProbeBytes and probeBodyTimeout limit what Probe reads of a body, so that its connection can be kept.
-	maxProbeBytes    = 4 << 10
-	probeBodyTimeout = 50 * time.Millisecond
-)
-
-// Probe sends the head of a request on a new connection to the endpoint, and returns an error unless accept returns nil for the answer. An
-// answer proves that the process lives, other than an open connection: the kernel of a busy machine accepts connections to a
-// killed process for long. Two resets in a row are those of a server at its connection limit: a listener that was closed refuses the
-// second connection. The context must have a deadline. Probe keeps the connection for the next request.
-func (p *Pool) Probe(ctx context.Context, e Endpoint, method string, head []byte, accept func(*http.Response) error) error {
+// Probe sends the question on a new connection to the endpoint, and returns an error unless it is answered. An answer proves that a process lives,
+// other than an open connection: the kernel of a busy machine accepts connections to a killed process for long. Two resets in a row are
+// those of a server at its connection limit: a listener that was closed refuses the second connection. The context must have a deadline. Probe
+// keeps the connection for the next request.
+func (p *Pool) Probe(ctx context.Context, e Endpoint, q Question) error {
 	for reset := false; ; reset = true {
-		err := p.probe(ctx, e, method, head, accept)
+		err := p.probe(ctx, e, q)
 		if !errors.Is(err, syscall.ECONNRESET) {
 			return err
 		}
@@ -152,37 +141,25 @@
 }
 
 // probe is Probe on one connection.
-func (p *Pool) probe(ctx context.Context, e Endpoint, method string, head []byte, accept func(*http.Response) error) error {
+func (p *Pool) probe(ctx context.Context, e Endpoint, q Question) error {
 	c, err := p.dialBeyondLimit(ctx, e)
 	if err != nil {
 		return err
 	}
+	c.question = q
+	return p.ask(ctx, e, c)
+}
+
+// ask sends the question of a connection that no request uses, and returns the connection to the pool. It returns an error unless the
+// question is answered before the context ends.
+func (p *Pool) ask(ctx context.Context, e Endpoint, c *Conn) error {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now()) }) // fails on closed connections only
-	defer stop()
-	response, err := c.probe(method, head, accept)
-	if err != nil {
-		p.closeConn(e, c)
-		return err
-	}
-	if err := c.SetDeadline(time.Now().Add(probeBodyTimeout)); err != nil {
-		c.DisableReuse()
-	}
-	if n, err := io.CopyN(io.Discard, response.Body, maxProbeBytes); !errors.Is(err, io.EOF) || n == maxProbeBytes || !stop() || c.SetDeadline(time.Time{}) != nil {
+	keep, err := c.Ask(c.question)
+	if !stop() || !keep {
 		c.DisableReuse()
 	}
 	p.Put(e, c)
-	return nil
-}
-
-func (c *Conn) probe(method string, head []byte, accept func(*http.Response) error) (*http.Response, error) {
-	if _, err := c.Send(head, nil); err != nil {
-		return nil, err
-	}
-	response, err := c.Receive(method)
-	if err != nil {
-		return nil, err
-	}
-	return response, accept(response)
+	return err
 }
 
 // dialBeyondLimit opens a connection, whatever the limit of the endpoint is.
@@ -311,7 +288,5 @@
 		return
 	}
 	conns.open--
-	if conns.open <= 0 && len(conns.idle) == 0 {
-		delete(p.endpoints, e)
-	}
+	p.forgetUnusedLocked(e)
 }
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -39,7 +39,7 @@
 	})
 	ending, err := net.Listen("tcp", "127.0.0.1:0") // nothing accepts
 	require.NoError(t, err)
-	time.AfterFunc(4*processEndTime, func() { _ = ending.Close() })
+	time.AfterFunc(200*time.Millisecond, func() { _ = ending.Close() })
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer silent.Close()
@@ -56,7 +56,7 @@
 		pool, e := NewPool(), Endpoint{Address: address}
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		started := time.Now()
-		err := pool.Probe(ctx, e, http.MethodGet, []byte(head), accept)
+		err := pool.Probe(ctx, e, Question{http.MethodGet, []byte(head), accept})
 		cancel()
 		assert.Equal(t, passes, err == nil, "%s: %v", address, err)
 		assert.Less(t, time.Since(started), 2*timeout)
@@ -76,7 +76,7 @@
 	pool, e := NewPool(), Endpoint{Address: address}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	require.NoError(t, pool.Probe(ctx, e, http.MethodGet, []byte("GET /health HTTP/1.1\r\nHost: a\r\n\r\n"), func(*http.Response) error { return nil }))
+	require.NoError(t, pool.Probe(ctx, e, Ping(address)))
 	c, err := pool.Get(t.Context(), e, 1)
 	require.NoError(t, err)
 	assert.True(t, c.Reused())
@@ -106,7 +106,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			started := time.Now()
-			require.NoError(t, pool.Probe(ctx, e, http.MethodGet, []byte("GET /health HTTP/1.1\r\nHost: a\r\n\r\n"), func(*http.Response) error { return nil }))
+			require.NoError(t, pool.Probe(ctx, e, Ping(address)))
 			assert.Less(t, time.Since(started), time.Second)
 			assert.Empty(t, pool.endpoints, "the connection is closed")
 		})
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -17,10 +17,10 @@
 
 // Guards against resets that pass for the end of an answer, as the kernel has reported them to a look at the connection.
 func TestResetIsNotHiddenByLookAtConnection(t *testing.T) {
-	for name, look := range map[string]func(*Pool, *Conn){
-		"none":       func(*Pool, *Conn) {},
-		"HasArrived": func(_ *Pool, c *Conn) { c.HasArrived() },
-		"HoldsFrom":  func(p *Pool, c *Conn) { p.HoldsFrom(c.Endpoint(), time.Now()) },
+	for name, look := range map[string]func(*Conn){
+		"none":       func(*Conn) {},
+		"HasArrived": func(c *Conn) { c.HasArrived() },
+		"Ended":      func(c *Conn) { c.Ended() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			reset := make(chan struct{})
@@ -48,7 +48,7 @@
 				aborted, err := socket.Aborted(raw)
 				return err == nil && aborted
 			}, 5*time.Second, time.Millisecond)
-			look(pool, conn)
+			look(conn)
 			_, err = io.ReadAll(response.Body)
 			assert.ErrorIs(t, err, syscall.ECONNRESET)
 			pool.Put(e, conn)
