Confirm answers without a length of full servers on an idle connection of the pool

Cause: a server that resets the check connection, as it has reached its connection limit, could not be asked behind the end of its answer, which then counted as cut. The same for the first answer without a length of a service, whose servers have no check connection. An idle connection of the pool that was open before the request shows the process as well. Ruled out: a connection in use (it can't be asked), a new one (it may be of the next process). Measured: TestAnswerWithoutLengthOfFullServerIsConfirmedOnConnectionOfThePool fails in 3 of 3 without it (502), passes in 5 of 5 with it, and with a killed server in all.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -419,7 +419,7 @@
 	}
 	if err == nil && endsWithConnection(response) {
 		checkedAt, evidence := time.Now(), liveness.Evidence{}
-		if evidence, err = e.confirmProcess(ctx); err == nil {
+		if evidence, err = h.confirmProcess(ctx, e.attempt); err == nil {
 			e.recordEnd(c, evidence, checkedAt)
 		}
 		h.recordListedProcess(e.attempt)
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -106,7 +106,7 @@
 			}
 		}()
 		var err error
-		evidence, err = a.confirmProcess(ctx)
+		evidence, err = h.confirmProcess(ctx, a)
 		ended <- err
 	}()
 	err := g.awaitEnd(ended)
@@ -117,9 +117,16 @@
 	return err
 }
 
-// confirmProcess returns an error unless the process that has sent the answer runs now.
-func (a *attempt) confirmProcess(ctx context.Context) (liveness.Evidence, error) {
+// confirmProcess returns an error unless the process that has sent the answer runs now. Where its proof has no connection, as at a server that
+// accepts no further one, an idle connection of the pool from before the request will do.
+func (h *Handler) confirmProcess(ctx context.Context, a *attempt) (liveness.Evidence, error) {
 	evidence, err := a.proof.Confirm(ctx)
+	if errors.IsAny(err, liveness.ErrEnded, liveness.ErrUnknown) {
+		asked := time.Now()
+		if since, ok := h.Pool.RunsOn(ctx, a.conn); ok {
+			return liveness.Evidence{Since: since, Asked: asked}, nil
+		}
+	}
 	return evidence, errors.Wrap(err, "end of the answer")
 }
 
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -165,6 +165,12 @@
 	return p.connsOf(e).holdsOlder(d.alive)
 }
 
+// RunsOn reports whether the process that has sent the last answer on the connection answers a question on an idle connection of the pool that was
+// open before that answer's request, and since when it is known to run. The context must have a deadline.
+func (p *Pool) RunsOn(ctx context.Context, c *Conn) (since time.Time, ok bool) {
+	return p.answers(ctx, c.endpoint, c.aliveAt, p.takeOlder(c.endpoint, c.aliveAt))
+}
+
 // answers asks on the idle connections that were opened before the given time, one after the other. It begins with c, which is taken and may be nil. It
 // returns when the one that was answered was opened.
 func (p *Pool) answers(ctx context.Context, e Endpoint, before time.Time, c *Conn) (openedAt time.Time, ok bool) {
