Open one connection behind several broken ones, and ask once about a refusal that is told many times

Cause: each connection that broke without another one to ask opened a new one, and each view that names a refusal asked again for as long as it is told. Ruled out: one connection for each broken one is needed; the next request needs one at most.

--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -67,21 +67,25 @@
 // broken starts to find out whether the process of a closed connection runs on, and reports that it may have ended. redial states that a connection is
 // then opened for the next request: it may be refused, which tells more.
 func (p *Pool) broken(c *Conn, redial bool) {
-	p.doubt(c.endpoint, doubt{alive: c.aliveAt, at: time.Now(), redial: redial})
+	p.investigate(c.endpoint, doubt{alive: c.aliveAt, at: time.Now(), redial: redial})
 }
 
 // Doubt starts to find out whether the process that ran at the time alive runs on, and reports that it may have ended at the given time unless a
 // connection that was open before shows that it runs.
-func (p *Pool) Doubt(e Endpoint, alive, at time.Time) { p.doubt(e, doubt{alive: alive, at: at}) }
+func (p *Pool) Doubt(e Endpoint, alive, at time.Time) { p.investigate(e, doubt{alive: alive, at: at}) }
 
-// doubt is Pool.Doubt.
-func (p *Pool) doubt(e Endpoint, next doubt) {
+// investigate is Pool.Doubt and Pool.broken.
+func (p *Pool) investigate(e Endpoint, next doubt) {
 	if p.continuity == nil {
 		return
 	}
 	p.mu.Lock()
 	conns := p.connsOf(e)
-	if conns.doubt != nil {
+	switch {
+	case conns.shown.covers(next):
+		p.mu.Unlock()
+		return
+	case conns.doubt != nil:
 		conns.doubt.add(next)
 		p.mu.Unlock()
 		return
@@ -101,7 +105,7 @@
 // interrupted reports that the process may have ended.
 func (p *Pool) interrupted(e Endpoint, d doubt) {
 	p.continuity.Interrupted(e, d.at)
-	if !d.redial {
+	if !d.redial || !p.mayRedial(e, time.Now()) {
 		return
 	}
 	go func() {
@@ -113,6 +117,24 @@
 	}()
 }
 
+// mayRedial reports whether no connection was opened in the last continuityTimeout behind broken ones: many may break at once.
+func (p *Pool) mayRedial(e Endpoint, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.connsOf(e)
+	if now.Sub(conns.redialedAt) < continuityTimeout {
+		return false
+	}
+	conns.redialedAt = now
+	return true
+}
+
+// lifeSpan is a span of time in which one process of an endpoint is known to run.
+type lifeSpan struct{ since, until time.Time }
+
+// covers reports whether the process of the doubt is known to have run on.
+func (s lifeSpan) covers(d doubt) bool { return !s.since.After(d.alive) && !s.until.Before(d.at) }
+
 // doubt is what is to be found out about the process of an endpoint: see Pool.Doubt and Pool.broken.
 type doubt struct {
 	alive, at time.Time // the earliest and the last ones that were added; zero for none
@@ -175,9 +197,12 @@
 // returns when the one that was answered was opened.
 func (p *Pool) answers(ctx context.Context, e Endpoint, before time.Time, c *Conn) (openedAt time.Time, ok bool) {
 	for ; c != nil; c = p.takeOlder(e, before) {
-		openedAt = c.openedAt
+		life := lifeSpan{since: c.openedAt, until: time.Now()}
 		if p.ask(ctx, e, c) == nil {
-			return openedAt, true
+			p.mu.Lock()
+			p.connsOf(e).shown = life
+			p.mu.Unlock()
+			return life.since, true
 		}
 	}
 	return time.Time{}, false
--- a/internal/upstream/continuity_test.go
+++ b/internal/upstream/continuity_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,6 +196,40 @@
 		_ = get(t, pool, e)
 		log.stay(t)
 	})
+	t.Run("a peer was refused, told many times", func(t *testing.T) {
+		var questions atomic.Int64
+		pool, log, _, e := setup(t, func(conn *net.TCPConn, r *http.Request) bool {
+			if r.Method == http.MethodOptions {
+				questions.Add(1)
+			}
+			return answer(conn, r)
+		})
+		pool.Put(e, getTwo(t, pool, e))
+		for at := time.Now(); time.Since(at) < 4*continuityTimeout; time.Sleep(time.Millisecond) {
+			pool.Doubt(e, at, at)
+		}
+		log.stay(t)
+		assert.LessOrEqual(t, questions.Load(), int64(2))
+	})
+	t.Run("many connections closed at once", func(t *testing.T) {
+		pool, log, server, e := setup(t, answer)
+		conns := make([]*Conn, 20)
+		for i := range conns {
+			conns[i] = get(t, pool, e)
+		}
+		server.Kill()
+		next := rawserver.StartProcess(t, e.Address, answer)
+		for _, c := range conns {
+			_, err := c.Read(make([]byte, 1))
+			require.Error(t, err)
+			pool.RecordBroken(c)
+		}
+		assert.Eventually(t, func() bool { return next.Connections() > 0 }, 5*time.Second, time.Millisecond)
+		log.mu.Lock()
+		assert.Contains(t, log.calls, "interrupted")
+		log.mu.Unlock()
+		assert.LessOrEqual(t, next.Connections(), 2, "connections for the next request")
+	})
 	t.Run("several doubts at once", func(t *testing.T) {
 		pool, log, server, e := setup(t, answer)
 		pool.Put(e, getTwo(t, pool, e))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -71,7 +71,9 @@
 	open        int     // idle, in use or being dialled
 	idle        []*Conn // least recently used first
 	established map[*Conn]struct{}
-	doubt       *doubt // further ones while one is being resolved, nil if none is
+	doubt       *doubt    // further ones while one is being resolved, nil if none is
+	shown       lifeSpan  // the last one that a question has shown
+	redialedAt  time.Time // see mayRedial
 }
 
 // NewPool returns an empty pool.
