--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -1,5 +1,6 @@
-// Package liveness shows that the process that has accepted a request still runs behind its answer. An answer without a length or chunks
-// ends like that of a killed process, whose connections the kernel closes, and another process may listen at the address by then.
+// Package liveness shows that the process that has accepted a request still runs behind its answer, or behind its broken connection. An answer without a
+// length or chunks ends like that of a killed process, whose connections the kernel closes, and another process may listen at the address by
+// then. The version of a server is known for its registered process only.
 //
 // What tells processes apart is a connection: the kernel binds it to the process that has accepted it and ends it with that process. An ID or an address
 // that answers proves nothing of the process before. A process listens at an address only after the one before it has ended. So if one
