--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -272,3 +272,11 @@
 		})
 	}
 }
+
+// Guards against answers that can't be confirmed because their server refuses a ping, which names no server.
+func TestPingMayBeAnsweredWithAnyStatus(t *testing.T) {
+	for _, status := range []string{"404 Not Found", "421 Misdirected Request", "501 Not Implemented"} {
+		server := rawserver.StartProcess(t, "", answering("HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n"))
+		require.NoError(t, confirm(t, begin(t, NewChecker(), server.Address)), status)
+	}
+}
