--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -55,6 +55,7 @@
 	Drain      drainCommand       `cmd:"" help:"Ask a member to finish its requests and leave the fleet."`
 	Quarantine quarantineCommands `cmd:"" help:"Show and clear the prompt parts and requests that daemons on the platform suspect of ending servers. Takes control addresses as --daemon."`
 	Notices    noticesCommand     `cmd:"" help:"List what backend servers on the platform say of the requests that they take: that they leave, ask for a pause or name a limit. Takes control addresses as --daemon."`
+	Fairness   fairnessCommand    `cmd:"" help:"Show how near client accounts came to receiving less than half of what others did, from logs of daemons on the platform. Distance is the share of the required half that the account received; below 1 it received less."`
 	Version    versionCommand     `cmd:"" help:"Show the version of this tool."`
 }
 
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -36,6 +36,7 @@
 	if decision.Quarantined != nil {
 		return quarantineError(*decision.Quarantined, c.decidedAt)
 	}
+	h.meterDecision(c, decision)
 	if decision.Found && c.route.Engine {
 		c.admission = &admissionRecord{decision.Cost, decision.Input}
 		h.Metrics.CountAdmission(c.account, string(decision.Input.CheckLimit()), decision.Verdict.Reason == admission.Admitted, decision.Cost)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -259,6 +259,7 @@
 		lastEventID = c.events.LastEventID()
 	}
 	now := time.Now()
+	h.meterAttempt(c, now)
 	return &attempt{
 		choice: choice, chosenAt: chosenAt, startedAt: now,
 		scheduled: h.Scheduler.Start(h.schedulerRequest(c), choice, now),
@@ -367,6 +368,7 @@
 	}
 	h.Scheduler.End(a.scheduled, outcome, time.Now())
 	a.record.progress, a.record.duration = progress, time.Since(a.startedAt)
+	h.meterEnd(c, a)
 	c.attempts = append(c.attempts, a.record)
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/chain"
 	"github.com/filbertrill/filbertrill/internal/eventstream"
+	"github.com/filbertrill/filbertrill/internal/fairness"
 	"github.com/filbertrill/filbertrill/internal/liveness"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/result"
@@ -43,6 +44,7 @@
 	BodyMemory         int64       // bytes for the bodies of requests in progress; 0 for a default
 	AnswerMemory       int64       // bytes for answers in progress, beyond a few KiB of each; 0 for a default
 	Metrics            *telemetry.Metrics
+	Fairness           *fairness.Meter // of requests to engines; nil for one of its own
 	Logger             *slog.Logger
 }
 
@@ -68,6 +70,7 @@
 // NewHandler returns a handler for the dependencies.
 func NewHandler(o Options) *Handler {
 	h := &Handler{Options: o, started: time.Now(), liveness: liveness.NewChecker()}
+	h.Fairness = cmp.Or(o.Fairness, &fairness.Meter{})
 	h.bodyMemory.limit = cmp.Or(o.BodyMemory, defaultBodyMemory)
 	h.answerMemory.limit = o.AnswerMemory
 	h.exit, h.endRequests = context.WithCancel(context.Background())
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -68,6 +68,7 @@
 	duration := time.Since(c.arrivedAt)
 	code := result.CodeOf(err)
 	service, id, route := c.names()
+	h.meterWait(c)
 	h.Metrics.CountResult(code, service)
 	h.Metrics.ObserveAnswer(c.account, service, duration)
 	if c.timeToFirstEvent > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/filbertrill/filbertrill/internal/callerconn"
 	"github.com/filbertrill/filbertrill/internal/exchange"
 	"github.com/filbertrill/filbertrill/internal/exchange/pb"
+	"github.com/filbertrill/filbertrill/internal/fairness"
 	"github.com/filbertrill/filbertrill/internal/forward"
 	"github.com/filbertrill/filbertrill/internal/logging"
 	"github.com/filbertrill/filbertrill/internal/recovery"
@@ -86,6 +87,7 @@
 	pool           *upstream.Pool
 	handler        *forward.Handler
 	metrics        *telemetry.Metrics
+	fairness       fairness.Meter
 	metricsHandler http.Handler
 
 	connLimiter    *connLimiter
@@ -160,7 +162,7 @@
 		onRefused: func(account string, tokens float64) {
 			metrics.CountResult(result.DaemonFull, "")
 			if account != "" && tokens > 0 {
-				g.scheduler.RecordDemand(account, tokens, time.Now())
+				g.recordUnread(account, tokens, time.Now())
 			}
 		},
 		inspect: g.inspectRequest,
@@ -180,6 +182,7 @@
 		BodyMemory:         min(int64(bodyMemoryShare*float64(s.MemoryLimitBytes)), maxBodyMemory),
 		AnswerMemory:       int64(answerMemoryShare * float64(s.MemoryLimitBytes)),
 		Metrics:            metrics,
+		Fairness:           &g.fairness,
 		Logger:             logging.For(logging.Entry),
 	})
 	x, err := exchange.New(exchange.Options{
@@ -223,6 +226,7 @@
 	go g.runPoolPruner(ctx)
 	go g.watchOverload(ctx)
 	go g.runRegistrar(ctx)
+	go g.logFairness(ctx)
 	go g.warmUp(ctx)
 	if g.platform.Quarantine != nil {
 		go g.runQuarantineKeeper(ctx)
--- a/test/simulation/shares.go
+++ b/test/simulation/shares.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/filbertrill/filbertrill/internal/fairness"
 )
 
 // fairnessSeconds is the length of the intervals over which shares are compared: one and a half
@@ -107,3 +109,19 @@
 	length := float64(toSecond - fromSecond)
 	return asked / length, received / length
 }
+
+// recordFairness adds a request that was sent at the given time to Simulation.Fairness.
+func (s *Simulation) recordFairness(account string, at time.Time, cost float64, admitted bool) {
+	second := fairness.Second{Asked: cost, Largest: cost, Unmet: !admitted}
+	if admitted {
+		second.Received = cost
+	}
+	s.Fairness.Add(account, at.Unix(), second)
+}
+
+// recordWait adds the time for which a request waited beyond the objective. sentAt is the time of the attempt that was admitted.
+func (s *Simulation) recordWait(account string, sentAt, firstEvent time.Time) {
+	for late := sentAt.Add(objective); late.Before(firstEvent); late = late.Truncate(time.Second).Add(time.Second) {
+		s.Fairness.Add(account, late.Unix(), fairness.Second{Unmet: true})
+	}
+}
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/filbertrill/filbertrill/internal/admission"
+	"github.com/filbertrill/filbertrill/internal/fairness"
 	"github.com/filbertrill/filbertrill/internal/placement"
 	"github.com/filbertrill/filbertrill/internal/retry"
 	"github.com/filbertrill/filbertrill/internal/routing"
@@ -134,6 +135,8 @@
 	BySecond []Results
 	// Shares holds what each account asked for and received by second.
 	Shares ShareLog
+	// Fairness holds the same as daemons log it.
+	Fairness fairness.Log
 	// RecomputedTokens is the number of tokens of shared parts that engines processed although a
 	// request with the same prefix had been processed before.
 	RecomputedTokens int
@@ -148,7 +151,7 @@
 func New(o Options) *Simulation {
 	s := &Simulation{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), engines: map[string]*engine{},
-		ByAccount: map[string]*Results{}, Stalled: map[string]int{}, Shares: ShareLog{}, prefilled: map[uint64]bool{},
+		ByAccount: map[string]*Results{}, Stalled: map[string]int{}, Shares: ShareLog{}, Fairness: fairness.Log{}, prefilled: map[uint64]bool{},
 		freeAt: make([]time.Time, o.Daemons),
 	}
 	if o.ViewInterval == 0 {
@@ -263,6 +266,7 @@
 		choice, refused, retryAfter = s.choose(request, daemon, now)
 	}
 	s.Shares.record(request.Account, now, cost, !refused)
+	s.recordFairness(request.Account, now, cost, !refused)
 	if refused {
 		if retryAt := now.Add(max(retryAfter, minRetryDelay)); retriesLeft > 0 && retryAt.Before(request.Deadline) {
 			s.At(retryAt, func(now time.Time) { s.attempt(request, daemon, sentAt, now, retriesLeft-1) })
@@ -304,6 +308,7 @@
 		s.At(firstEvent, func(at time.Time) {
 			sched.RecordFirstEvent(attempt, at)
 			s.record(request.Account, sentAt, func(results *Results) { results.recordLatency(at.Sub(sentAt)) })
+			s.recordWait(request.Account, now, at)
 			s.At(at.Add(server.streamTime(outputTokens)), func(now time.Time) {
 				if s.options.MaxGap > 0 && server.longestStall(at, now) > s.options.MaxGap {
 					s.Stalled[request.Account]++
