--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -110,6 +110,8 @@
 	TokensPerSecond float64
 	// ViewInterval and ViewDelay replace viewInterval and viewDelay if they are not 0.
 	ViewInterval, ViewDelay time.Duration
+	// ViewIntervalOf returns the time between two views of a daemon that replaces ViewInterval if it is not 0. It may be nil.
+	ViewIntervalOf func(daemon int) time.Duration
 	// Summaries replace the views that daemons send each other. It may be nil.
 	Summaries *SummaryOptions
 }
@@ -211,7 +213,11 @@
 // scheduleViews schedules the views that each daemon sends to all others for the given length.
 func (s *Simulation) scheduleViews(length time.Duration) {
 	for i, sched := range s.schedulers {
-		for t := Start; t.Before(Start.Add(length)); t = t.Add(s.options.ViewInterval) {
+		interval := s.options.ViewInterval
+		if s.options.ViewIntervalOf != nil {
+			interval = cmp.Or(s.options.ViewIntervalOf(i), interval)
+		}
+		for t := Start; t.Before(Start.Add(length)); t = t.Add(interval) {
 			s.At(t.Add(time.Duration(i)*time.Millisecond), func(now time.Time) {
 				view := sched.View(450*time.Millisecond, now)
 				s.At(now.Add(s.options.ViewDelay), func(now time.Time) {
