--- a/internal/admission/history.go
+++ b/internal/admission/history.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// historyLength is the time for which usages are kept. Summaries of other zones are up to 1.5 s old, and count for peerUsageTTL.
+// historyLength is the time for which usages are kept. Summaries of other zones are up to 1.5 s old, and count for a window.
 const historyLength = 3 * time.Second
 
 // datedUsage is the usage by account as of a time.
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -4,6 +4,7 @@
 package admission
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -40,8 +41,9 @@
 }
 
 const (
-	// peerUsageTTL is how long a peer's usage report counts.
-	peerUsageTTL = 1500 * time.Millisecond
+	// reportTTL is how long a peer's usage report counts as one of now. The usage in it counts for a window: a daemon that is too
+	// busy to report still serves its accounts.
+	reportTTL = 1500 * time.Millisecond
 	// maxShareRatio is the required bound of what an account receives over fairnessWindows, relative to the least served
 	// account with unmet demand.
 	maxShareRatio   = 2.0
@@ -126,21 +128,32 @@
 	if r, ok := s.accounts[account]; ok {
 		usage = r.sum(s.bucketIndex(now))
 	}
-	for peer, p := range s.peers {
-		if now.Sub(p.receivedAt) > peerUsageTTL {
-			delete(s.peers, peer)
-			continue
-		}
+	for _, p := range s.countedPeers(now) {
 		usage = usage.Plus(p.usage[account])
 	}
 	return usage
 }
 
-// ReportAge returns the time since the oldest peer report that counts was taken.
+// countedPeers returns the peers whose usage counts, and forgets the others.
+func (s *Shares) countedPeers(now time.Time) iter.Seq2[string, peerUsage] {
+	return func(yield func(string, peerUsage) bool) {
+		for peer, p := range s.peers {
+			if now.Sub(p.receivedAt) > s.window {
+				delete(s.peers, peer)
+				continue
+			}
+			if !yield(peer, p) {
+				return
+			}
+		}
+	}
+}
+
+// ReportAge returns the time since the oldest peer report that counts as one of now was taken.
 func (s *Shares) ReportAge(now time.Time) time.Duration {
 	var oldest time.Duration
 	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) <= peerUsageTTL {
+		if now.Sub(p.receivedAt) <= reportTTL {
 			oldest = max(oldest, now.Sub(p.takenAt))
 		}
 	}
@@ -154,10 +167,8 @@
 func (s *Shares) DemandShare(account uint64, now time.Time) (share float64, ok bool) {
 	asOf := now.Add(-s.ReportAge(now))
 	own, peers := s.reported.demandAt(account, asOf), 0.0
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) <= peerUsageTTL {
-			peers += p.history.demandAt(account, asOf)
-		}
+	for _, p := range s.countedPeers(now) {
+		peers += p.history.demandAt(account, asOf)
 	}
 	if own == 0 {
 		return 0, false
@@ -222,11 +233,7 @@
 		return s.levels
 	}
 	total := s.OwnUsage(now)
-	for peer, p := range s.peers {
-		if now.Sub(p.receivedAt) > peerUsageTTL {
-			delete(s.peers, peer)
-			continue
-		}
+	for _, p := range s.countedPeers(now) {
 		for account, usage := range p.usage {
 			total[account] = total[account].Plus(usage)
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -101,6 +101,8 @@
 	// OnOwnZone is called with the views of all other daemons of this one's zone, merged, in zones that are too large for
 	// OnView. included are the daemons, with their demands in some summaries. age is as in OnView.
 	OnOwnZone func(source *pb.Member, v *pb.View, included []*pb.Included, age time.Duration)
+	// UsageTTL is how long what accounts received at a daemon that doesn't report is part of the summaries for other zones.
+	UsageTTL time.Duration
 	// Records returns the records that PullRecords of a peer receives.
 	Records func(*pb.PullRequest) *pb.Records
 	// CachedParts returns the cached prefix parts of engines that PullCachedParts of a peer
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -66,6 +66,7 @@
 			defer n.mu.Unlock()
 			n.views[ownZone] = v
 		},
+		UsageTTL:    4 * time.Second,
 		Records:     func(*pb.PullRequest) *pb.Records { return &pb.Records{ConfigKey: id} },
 		CachedParts: func() *pb.Prompts { return &pb.Prompts{Servers: []*pb.ServerPrompts{{Server: 7}}} },
 		Logger:      slog.New(slog.DiscardHandler),
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -224,6 +225,9 @@
 // The caller holds the lock.
 func (x *Exchange) summaries(self *pb.Member, view *pb.View, withMembers bool, now time.Time) (others []*pb.Zone, own *pb.Zone) {
 	own = x.summarizeZone(self, view, now)
+	if silent := x.silentUsage(self, now); len(silent) > 0 {
+		own.View = MergeViews(append([]*pb.View{own.View}, silent...))
+	}
 	for name, z := range x.zones {
 		if name != self.Zone {
 			others = append(others, z.forwarded(now))
@@ -291,6 +295,17 @@
 	return &pb.Zone{Zone: z.Zone, Delegate: z.Delegate, Incarnation: z.Incarnation, Sequence: z.Sequence, View: z.View, AgeMs: z.AgeMs}
 }
 
+// silentUsage returns what accounts received at the daemons of this one's zone that count as failed since less than UsageTTL. They may
+// be too busy to report. The caller holds the lock.
+func (x *Exchange) silentUsage(self *pb.Member, now time.Time) (views []*pb.View) {
+	for _, p := range x.peers {
+		if !p.live && p.state.Member.Zone == self.Zone && now.Sub(p.lastSeen) <= x.options.UsageTTL {
+			views = append(views, &pb.View{Accounts: p.state.View.Accounts, ConfigAgeMs: math.MaxUint32})
+		}
+	}
+	return views
+}
+
 // summarizeZone returns the summary of this daemon's zone. The caller holds the lock.
 func (x *Exchange) summarizeZone(self *pb.Member, view *pb.View, now time.Time) *pb.Zone {
 	views, members := []*pb.View{view}, []*pb.Member{self}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,6 +191,7 @@
 		View:           g.viewMessage,
 		OnView:         g.receiveView,
 		OnOwnZone:      g.receiveOwnZone,
+		UsageTTL:       s.FairWindow,
 		Records:        g.recordsMessage,
 		CachedParts:    g.cachedPartsMessage,
 		Quarantine:     g.quarantineMessage,
