--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -153,7 +153,8 @@
 // it can't exceed a limit. The part of this daemon is compared, too, since peers report the begin of
 // a flood late.
 func (in Input) withinGuaranteedDemand() bool {
-	return in.Usage.Demand <= in.Levels.Guaranteed && in.OwnDemand <= in.DemandShare*in.Levels.Guaranteed
+	level := min(in.Levels.Guaranteed, in.Levels.Limit)
+	return in.Usage.Demand <= level && in.OwnDemand <= in.DemandShare*level
 }
 
 // CheckLimit compares what the account has received with Levels.Limit over the fleet, and with this
