--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -188,6 +188,12 @@
 	return max(1, in.DemandGrowth) * (in.Usage.Demand - in.Usage.rate())
 }
 
+// Behind reports whether the account is underserved, receives less than the attained level, and may receive more by its limit.
+func (in Input) Behind() bool {
+	check := in.CheckLimit()
+	return in.Usage.underserved(in.Levels.Guaranteed) && in.Usage.rate() < in.Levels.Attained && check != PartUsed && check != LimitUsed
+}
+
 // allowanceBase returns the time of which loadDelayAllowance is a share. Prompts that wait at a server hold up the streams that
 // run there, which allow for less than the time to a first event.
 func (in Input) allowanceBase() time.Duration {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -286,9 +286,9 @@
 	}
 	if d.Verdict.Reason != admission.Admitted {
 		// The server that has cached the prompt is busy. An idle one may process the prompt
-		// again; on a busy one this would displace other requests.
+		// again; on a busy one this would displace other requests, except for an account that is behind.
 		fastest, found := s.balancer.ChooseFastest(r.Request, now)
-		if found && (fastest.Predicted-fastest.PredictedIdle).Seconds() < maxIdleDelayShare*r.Objective.Seconds() {
+		if found && (d.Input.Behind() || (fastest.Predicted-fastest.PredictedIdle).Seconds() < maxIdleDelayShare*r.Objective.Seconds()) {
 			d = s.checkAdmission(r, account, cost, fastest, draw, now)
 		}
 	}
