--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -133,6 +133,35 @@
 	assert.Equal(t, Admitted, Decide(in).Reason)
 }
 
+// Guards against a limit that follows an account for a whole window by what its daemon served before it collapsed.
+func TestLimitFollowsAccountWhoseDaemonHasCollapsed(t *testing.T) {
+	limit := func(refuse func(s *Shares, tokens float64, now time.Time)) float64 {
+		s, start := NewShares(4*time.Second), time.Unix(1000, 0)
+		s.SetCapacity(1000)
+		s.SetPeerUsage("peer", map[uint64]Usage{2: {Demand: 90_000, Admitted: 20_000, UnmetBuckets: unmetFor(4)}}, start.Add(3*time.Second), start.Add(3*time.Second))
+		now := start
+		for bucket := range 7 {
+			now = start.Add(time.Duration(bucket) * 500 * time.Millisecond)
+			served := 10
+			if bucket >= 2 {
+				served = 1
+			}
+			for range served {
+				s.RecordDemand(1, 500, now)
+				s.RecordAdmitted(1, 500, now)
+			}
+			for range 40 {
+				refuse(s, 500, now)
+			}
+		}
+		return s.Levels(now).Limit
+	}
+	unread := limit(func(s *Shares, tokens float64, now time.Time) { s.RecordUnread(1, tokens, now) })
+	assert.InDelta(t, maxLeadRatio(4*time.Second, 0)*(2*4*500+requestTolerance*500), unread, 1, "twice what it received in the last 2 s")
+	read := limit(func(s *Shares, tokens float64, now time.Time) { s.RecordDemand(1, tokens, now) })
+	assert.InDelta(t, maxLeadRatio(4*time.Second, 0)*(12_500+requestTolerance*500), read, 1, "its daemon has time for it")
+}
+
 // unmetFor is the Usage.UnmetBuckets of an account that is refused since so many quarters.
 func unmetFor(quarters int) uint8 { return uint8(1<<(quarters*bucketsPerQuarter) - 1) }
 
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -82,6 +82,12 @@
 	s.recordCost(tokens, now)
 }
 
+// RecordUnread adds the tokens of a request that was refused unread to the demand of the account.
+func (s *Shares) RecordUnread(account uint64, tokens float64, now time.Time) {
+	s.RecordDemand(account, tokens, now)
+	s.accountRing(account).bucketAt(s.bucketIndex(now)).unread += tokens
+}
+
 // recordCost keeps the cost of the largest request, which counts for two windows.
 func (s *Shares) recordCost(tokens float64, now time.Time) {
 	if tokens >= s.largest || now.Sub(s.largestAt) > 2*s.window {
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -5,6 +5,10 @@
 	bucketCount       = 8
 	quarterCount      = 4
 	bucketsPerQuarter = bucketCount / quarterCount
+	// recentBuckets are those of the last half of a window. An account that was refused in all of them may be underserved.
+	recentBuckets = 2 * bucketsPerQuarter
+	// minUnreadShare is the part of the demand of an account that a daemon refuses unread from which on it counts as too busy for it.
+	minUnreadShare = 0.5
 )
 
 // Usage is what an account demanded and received over the window, in tokens.
@@ -68,7 +72,10 @@
 }
 
 // usageBucket is the usage of an account within one part of the window, in tokens.
-type usageBucket struct{ demand, admitted float64 }
+type usageBucket struct {
+	demand, admitted float64
+	unread           float64 // part of demand that was refused unread
+}
 
 // bucketAt advances the ring to the bucket of the index, clears the buckets that have left the
 // window, and returns the newest one.
@@ -88,9 +95,12 @@
 	return &r.buckets[(index-1+bucketCount)%bucketCount]
 }
 
-// sum advances the ring to the index and returns the usage over the window.
+// sum advances the ring to the index and returns the usage over the window. While the daemon is too busy to read most of the requests
+// of the account, only the last recentBuckets count as unmet: what the account received before the daemon was so busy is not
+// compared with what others receive since.
 func (r *usageRing) sum(index int64) Usage {
 	var usage Usage
+	recentDemand, recentUnread := 0.0, 0.0
 	r.bucketAt(index)
 	for i, bucket := range r.buckets {
 		usage.Demand += bucket.demand
@@ -100,6 +110,13 @@
 		if bucket.demand > bucket.admitted {
 			usage.UnmetBuckets |= 1 << age
 		}
+		if age < recentBuckets {
+			recentDemand += bucket.demand
+			recentUnread += bucket.unread
+		}
+	}
+	if recentUnread > minUnreadShare*recentDemand {
+		usage.UnmetBuckets &= 1<<recentBuckets - 1
 	}
 	return usage
 }
--- a/internal/gateway/fairness.go
+++ b/internal/gateway/fairness.go
@@ -13,7 +13,7 @@
 
 // recordUnread counts a request that was refused before it was read.
 func (g *Gateway) recordUnread(account string, tokens float64, now time.Time) {
-	g.scheduler.RecordDemand(account, tokens, now)
+	g.scheduler.RecordUnread(account, tokens, now)
 	g.fairness.RecordAsked(account, tokens, now)
 	g.fairness.RecordUnmet(account, now, now)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -245,12 +245,12 @@
 // its account.
 func RequestCost(prompt, output int) float64 { return float64(prompt + generatedTokenWeight*output) }
 
-// RecordDemand adds the cost of a request that was refused before Decide to the demand of the
+// RecordUnread adds the cost of a request that was refused unread, before Decide, to the demand of the
 // account.
-func (s *Scheduler) RecordDemand(account string, cost float64, now time.Time) {
+func (s *Scheduler) RecordUnread(account string, cost float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shares.RecordDemand(AccountHash(account), cost, now)
+	s.shares.RecordUnread(AccountHash(account), cost, now)
 }
 
 // Decide decides on the first attempt of a request.
--- a/test/simulation/simulation.go
+++ b/test/simulation/simulation.go
@@ -267,7 +267,7 @@
 	var retryAfter time.Duration
 	refused := !s.acceptRequest(daemon, now)
 	if refused {
-		sched.RecordDemand(request.Account, cost, now)
+		sched.RecordUnread(request.Account, cost, now)
 	} else {
 		choice, refused, retryAfter = s.choose(request, daemon, now)
 	}
