--- a/internal/admission/policy_test.go
+++ b/internal/admission/policy_test.go
@@ -113,6 +113,19 @@
 	assert.Equal(t, OverShare, Decide(in).Reason, "no other account received more")
 }
 
+// Guards against priorities that hold an account back which has received little more than half of what another one has.
+func TestPriorityDoesNotHoldBackAccountThatIsBehind(t *testing.T) {
+	in := idleInput()
+	in.Predicted = in.PredictedIdle + 100*ms
+	in.Levels.Limit, in.Levels.HighestRate = freshLeadRatio*30_000, 45_000
+	in.Usage = Usage{Demand: 90_000, Admitted: 24_000, UnmetBuckets: unmetFor(4)}
+	assert.Equal(t, Admitted, Decide(in).Reason)
+	in.Rank = 1
+	assert.Equal(t, Admitted, Decide(in).Reason)
+	in.Usage.Admitted = 45_000
+	assert.Equal(t, OverShare, Decide(in).Reason)
+}
+
 // Limits don't concern accounts whose demand is within the guaranteed level.
 func TestSmallAccountIsNotLimited(t *testing.T) {
 	in := idleInput()
